--- /dev/null
+++ b/lib/common/ws_events.h
@@ -0,0 +1,77 @@
+#ifndef WS_EVENTS_H
+#define WS_EVENTS_H
+
+#include "common/ws_common.h"
+
+/*
+ * Numbered log events. Each has a row in docs/EVENTS.md; a test compares the
+ * two. Ranges: 100 ownership, 200 admission, 300 request ids and quarantine,
+ * 400 routing and dispatch, 500 network and platform, 600 settings and
+ * process, 700 bundles, 800 membership.
+ */
+
+enum ws_log_level {
+	WS_LEVEL_ERROR = 1,
+	WS_LEVEL_WARNING = 2,
+	WS_LEVEL_NOTICE = 3,
+	WS_LEVEL_DEBUG = 4,
+};
+
+/* X(number, symbol, level, text); value and subject are logged beside it. */
+#define WS_LOG_TABLE(X)                                                     \
+	X(101, ASSIGN_PROPOSED, NOTICE, "assignment proposed")              \
+	X(102, ASSIGN_WON, NOTICE, "assignment took effect in the log")     \
+	X(103, ASSIGN_LOST, NOTICE, "assignment lost to an earlier record") \
+	X(104, ACTIVATED, NOTICE, "assignment activated")                   \
+	X(105, NOT_FRESH, WARNING, "no evidence that state is current")     \
+	X(106, FRESH_AGAIN, NOTICE, "evidence is current again")            \
+	X(107, QUORUM_EVIDENCE, WARNING, "log silent, using quorum")        \
+	X(108, GRANT_REFUSED, WARNING, "target refused a grant")            \
+	X(109, SNAPSHOT_WRITTEN, NOTICE, "snapshot appended")               \
+	X(110, HOT_KEY, NOTICE, "key assigned on its own")                  \
+	X(201, TOKENS_LOST, DEBUG, "pulled tokens expired unused")          \
+	X(301, ID_TAKEOVER, WARNING, "request id from before takeover")     \
+	X(302, QUARANTINE, WARNING, "request quarantined")                  \
+	X(303, ID_TABLE_FULL, ERROR, "request id table is full")            \
+	X(401, TARGET_COLD, NOTICE, "target is cold, slow start")           \
+	X(402, TARGET_CRASHED, WARNING, "target closed while running")      \
+	X(403, TARGET_SHED, NOTICE, "target refused to run a request")      \
+	X(501, PEER_UP, NOTICE, "peer connection established")              \
+	X(502, PEER_DOWN, WARNING, "peer connection closed")                \
+	X(503, PEER_REJECTED, WARNING, "peer failed authentication")        \
+	X(504, LOG_DOWN, WARNING, "log service does not answer")            \
+	X(505, LOG_UP, NOTICE, "log service answers again")                 \
+	X(506, LIST_DOWN, WARNING, "instance list does not answer")         \
+	X(507, BAD_RECORD, ERROR, "log record could not be read")           \
+	X(601, STARTED, NOTICE, "instance started")                         \
+	X(602, DRAINING, NOTICE, "graceful shutdown started")               \
+	X(603, STOPPED, NOTICE, "instance stopped")                         \
+	X(604, ADMIN_DENIED, WARNING, "administration request denied")      \
+	X(701, BUNDLE_IN_FORCE, NOTICE, "bundle in force")                  \
+	X(702, BUNDLE_REFUSED, WARNING, "bundle refused")                   \
+	X(801, INSTANCE_SEEN, NOTICE, "instance is alive")                  \
+	X(802, INSTANCE_SUSPECT, WARNING, "instance is silent")             \
+	X(803, TARGET_LIVE, NOTICE, "target is live")                       \
+	X(804, TARGET_LOST, WARNING, "target is lost")                      \
+	X(805, CLOCK_OFF, ERROR, "wall clock differs from the peers")
+
+enum ws_log_number {
+#define WS_LOG_ENUM(number, symbol, level, text) WS_LOG_##symbol = (number),
+	WS_LOG_TABLE(WS_LOG_ENUM)
+#undef WS_LOG_ENUM
+};
+
+struct ws_log_entry {
+	uint16_t number;
+	uint8_t level;
+	const char *symbol;
+	const char *text;
+};
+
+/* Row of the catalogue for a number, or NULL. */
+const struct ws_log_entry *ws_log_find(uint16_t number);
+
+/* All rows in order of number; returns how many there are. */
+size_t ws_log_all(const struct ws_log_entry **rows);
+
+#endif
--- /dev/null
+++ b/lib/core/ws_bundle.h
@@ -0,0 +1,89 @@
+#ifndef WS_BUNDLE_H
+#define WS_BUNDLE_H
+
+#include "core/ws_types.h"
+
+/*
+ * The configuration bundle as the core uses it. lib/codec parses and verifies
+ * the signed text; the result is immutable and shared by reference count.
+ */
+
+enum ws_access {
+	WS_ACCESS_PUBLIC = 1, /* a caller key is required */
+	WS_ACCESS_INTERNAL = 2, /* only on the internal listener, no key */
+};
+
+struct ws_service {
+	ws_id id;
+	struct ws_name name;
+	uint8_t access;
+	bool sharded; /* keys are owned by single targets */
+	bool idempotent; /* POST requests need no Idempotency-Key */
+	bool checks_fences; /* its targets verify grants and fences */
+	uint32_t shards; /* sharded services only */
+	uint16_t slots; /* requests that one warm target bears */
+	uint16_t cold_limit; /* requests that a cold target bears; >= 1 */
+	uint16_t connections; /* most connections to one target */
+	ws_us deadline; /* default and largest deadline of a request */
+};
+
+struct ws_customer {
+	ws_id id;
+	struct ws_name name;
+	uint32_t rate; /* requests a second */
+	uint32_t burst; /* requests */
+	uint16_t weight; /* in fair queues; >= 1 */
+};
+
+struct ws_caller_key {
+	uint64_t hash[4]; /* BLAKE2b-256 of the caller key */
+	ws_id customer;
+};
+
+struct ws_zone {
+	ws_id id;
+	struct ws_name name;
+	bool in_service;
+};
+
+struct ws_bundle {
+	unsigned refs;
+	uint64_t version;
+	uint64_t base; /* version it builds on; 0 for the first */
+	uint32_t partitions;
+	ws_us key_max_age; /* without evidence, public routes then close */
+	ws_us outage_limit; /* longest use of quorum evidence alone */
+	size_t n_services;
+	struct ws_service *services;
+	size_t n_customers;
+	struct ws_customer *customers;
+	size_t n_keys;
+	struct ws_caller_key *keys; /* sorted by hash */
+	size_t n_zones;
+	struct ws_zone *zones;
+	size_t n_operators;
+	uint8_t (*operators)[32]; /* Ed25519 public keys */
+	char *text; /* the signed text as published */
+};
+
+struct ws_bundle *ws_bundle_new(void);
+struct ws_bundle *ws_bundle_ref(struct ws_bundle *b);
+void ws_bundle_unref(struct ws_bundle *b);
+
+/* Lookups; NULL when there is no such entry. b may be NULL. */
+const struct ws_service *ws_bundle_service(const struct ws_bundle *b, ws_id id);
+const struct ws_customer *ws_bundle_customer(const struct ws_bundle *b,
+					     ws_id id);
+const struct ws_zone *ws_bundle_zone(const struct ws_bundle *b, ws_id id);
+
+/*
+ * Finds the customer of a caller key by its hash.
+ * The comparison takes the same time for every hash of the bundle.
+ * @return the customer's id, or 0 when the key is not granted
+ */
+ws_id ws_bundle_key_customer(const struct ws_bundle *b, const uint64_t hash[4]);
+
+/* Shard of a key in a sharded service. */
+uint32_t ws_bundle_shard(const struct ws_service *svc, uint64_t key);
+
+#endif
--- /dev/null
+++ b/lib/core/ws_route.h
@@ -0,0 +1,67 @@
+#ifndef WS_ROUTE_H
+#define WS_ROUTE_H
+
+#include "core/ws_member.h"
+
+/*
+ * Routing: chooses the target of a call, retries and hedges idempotent calls
+ * within a budget. See docs/design.md, section 4.4.
+ */
+
+#define WS_RETRY_BUDGET_PERCENT 5
+
+struct ws_route;
+
+/* How a target is picked among the usable ones of an open service. */
+enum ws_pick {
+	WS_PICK_TWO_CHOICES = 0,
+	WS_PICK_ROUND_ROBIN = 1,
+	WS_PICK_LEAST_IN_FLIGHT = 2,
+};
+
+struct ws_route_conf {
+	ws_id self;
+	uint64_t seed;
+	enum ws_pick pick;
+	bool hedge;
+	size_t max_calls;
+};
+
+struct ws_route *ws_route_new(const struct ws_route_conf *conf);
+void ws_route_free(struct ws_route *r);
+
+/*
+ * Starts routing a call. Emits WS_FX_ROUTE_SEND for each attempt and in the
+ * end exactly one WS_FX_ROUTE_DONE for id.
+ * @param owner target that owns the key; 0 for open services
+ */
+void ws_route_start(struct ws_route *r, struct ws_fx *fx, ws_us now,
+		    uint64_t id, const struct ws_call *call, ws_id owner,
+		    const struct ws_view *view);
+
+/* The answer to an attempt, or its failure (e.g. the peer is gone). */
+void ws_route_answer(struct ws_route *r, struct ws_fx *fx, ws_us now,
+		     uint64_t ref, const struct ws_answer *answer,
+		     const struct ws_load *load, const struct ws_view *view);
+
+/* The caller is gone: cancels the attempts of an idempotent call. */
+void ws_route_cancel(struct ws_route *r, struct ws_fx *fx, uint64_t id);
+
+/* Load of a target as told by its dispatcher. */
+void ws_route_note_load(struct ws_route *r, ws_us now,
+			const struct ws_load *load);
+
+/* Retries that wait for an owner or a target, hedges, deadlines. */
+void ws_route_tick(struct ws_route *r, struct ws_fx *fx, ws_us now,
+		   const struct ws_view *view);
+
+/* A waiting call whose owner is known now; see WS_ERR_NOT_HOLDER. */
+void ws_route_set_owner(struct ws_route *r, uint64_t id, ws_id owner);
+
+/* Calls that wait for an owner; fills ids up to max. */
+size_t ws_route_ownerless(const struct ws_route *r, uint64_t *ids,
+			  struct ws_call *calls, size_t max);
+
+size_t ws_route_count(const struct ws_route *r);
+
+#endif
