Add the membership table

Cause: all modules need one answer to who exists and who is alive.

Change: ws_member folds the platform's list, heartbeats and probes into one view. What a target says of itself (leaving) is kept apart from what the list says, because a lagging list would otherwise undo it at each poll. The bundle keeps the key that signed it, so that the core can check the signer against the bundle in force.

Conclusion: the reducer can be built on it.

--- a/lib/core/ws_bundle.h
+++ b/lib/core/ws_bundle.h
@@ -8,6 +8,9 @@
  * the signed text; the result is immutable and shared by reference count.
  */
 
+/* Most partitions that a bundle may ask for. */
+#define WS_PARTITIONS_MAX 1024
+
 enum ws_access {
 	WS_ACCESS_PUBLIC = 1, /* a caller key is required */
 	WS_ACCESS_INTERNAL = 2, /* only on the internal listener, no key */
@@ -63,6 +66,7 @@
 	struct ws_zone *zones;
 	size_t n_operators;
 	uint8_t (*operators)[32]; /* Ed25519 public keys */
+	uint8_t signer[32]; /* public key whose signature was verified */
 	char *text; /* the signed text as published */
 };
 
--- a/lib/core/ws_member.h
+++ b/lib/core/ws_member.h
@@ -14,6 +14,9 @@
 #define WS_PROBE_PERIOD (200 * WS_MS)
 #define WS_TARGET_SUSPECT (800 * WS_MS)
 
+/* A larger difference of wall clocks ends an instance's work as home. */
+#define WS_CLOCK_ERROR_MAX_MS 500
+
 struct ws_instance {
 	ws_id id;
 	ws_id zone;
@@ -37,6 +40,8 @@
 	struct ws_name address;
 	bool listed;
 	bool leaving; /* by the list or by its own word */
+	bool list_leaving;
+	bool told_leaving;
 	uint8_t state; /* enum ws_member_state */
 	uint64_t incarnation; /* last seen; 0: never */
 	ws_us probed; /* last good probe, own or told */
@@ -68,4 +73,63 @@
 /* An instance that may be given resources: alive, listed and not leaving. */
 bool ws_view_eligible(const struct ws_view *v, const struct ws_instance *i);
 
+/* ===== The membership table ===== */
+
+struct ws_member;
+
+/* What this instance tells of itself in heartbeats. */
+struct ws_member_self {
+	ws_offset folded;
+	uint64_t bundle_version;
+	bool ready;
+	bool leaving;
+};
+
+struct ws_member *ws_member_new(ws_id self, ws_id zone,
+				const struct ws_name *name,
+				const struct ws_name *address);
+void ws_member_free(struct ws_member *m);
+
+/* Takes a reference to the bundle in force. */
+void ws_member_set_bundle(struct ws_member *m, struct ws_bundle *b);
+
+/* A new copy of the platform's list. */
+void ws_member_list(struct ws_member *m, struct ws_fx *fx, ws_us now,
+		    const struct ws_list_entry *entries, size_t n);
+
+/* A HEARTBEAT; takes over the health that the sender tells of its targets. */
+void ws_member_heartbeat(struct ws_member *m, struct ws_fx *fx, ws_us now,
+			 int64_t wall_ms, ws_id from, const struct ws_msg *msg);
+
+/* The result of an own probe. */
+void ws_member_probed(struct ws_member *m, struct ws_fx *fx, ws_us now,
+		      const struct ws_event *ev);
+
+/*
+ * This instance becomes the dispatcher of a target: the time without a good
+ * probe counts from now.
+ */
+void ws_member_watch(struct ws_member *m, ws_us now, ws_id target);
+
+/* Load of a dispatched target, to be told in heartbeats. */
+void ws_member_set_load(struct ws_member *m, const struct ws_load *load);
+
+/*
+ * Marks silent instances as suspect and silent watched targets as lost;
+ * forgets members that are no longer listed and silent for long.
+ */
+void ws_member_tick(struct ws_member *m, struct ws_fx *fx, ws_us now,
+		    const ws_id *watched, size_t n_watched);
+
+/* Sends a heartbeat to all live instances. */
+void ws_member_send_heartbeat(struct ws_member *m, struct ws_fx *fx,
+			      int64_t wall_ms,
+			      const struct ws_member_self *self,
+			      const ws_id *watched, size_t n_watched);
+
+/* Difference of the own wall clock to the median of live peers, in ms. */
+int64_t ws_member_clock_error_ms(const struct ws_member *m);
+
+const struct ws_view *ws_member_view(const struct ws_member *m);
+
 #endif
