codec: read and write records, bundles and platform answers

Cause: the daemon needs the JSON forms of section 7 of the design page. RECOVER carries a signed statement that is verified separately.

--- a/lib/codec/ws_codec.h
+++ b/lib/codec/ws_codec.h
@@ -9,8 +9,8 @@
  * signature of bundles. Formats: docs/design.md, section 7.
  */
 
-#define WS_BUNDLE_TEXT_MAX (256 * 1024)
-#define WS_RECORD_TEXT_MAX (1024 * 1024)
+#define WS_BUNDLE_TEXT_MAX ((size_t)256 * 1024)
+#define WS_RECORD_TEXT_MAX ((size_t)1024 * 1024)
 #define WS_MESSAGE_MAX 256
 
 /* Explanation of a refusal: what was wrong, where, and what was expected. */
@@ -27,6 +27,12 @@
 /* BLAKE2b-256 of a caller key. */
 void ws_codec_caller_key(const char *key, uint64_t hash[4]);
 
+/* Four numbers from 32 bytes; the first byte is the most significant. */
+void ws_codec_words(const uint8_t bytes[32], uint64_t words[4]);
+
+/* Writes 16 hexadecimal digits and a terminating zero. */
+void ws_codec_hex(uint64_t value, char hex[17]);
+
 /* ===== Bundles ===== */
 
 /*
@@ -39,6 +45,7 @@
 
 /*
  * Verifies an envelope and parses its bundle. The key must be one of trusted.
+ * The text of the bundle becomes the envelope, so that it can be passed on.
  * @return 0, WS_ERR_SYNTAX or WS_ERR_SIGNATURE
  */
 int ws_codec_envelope_open(const char *envelope, const uint8_t (*trusted)[32],
@@ -50,6 +57,10 @@
 			   const uint8_t secret_key[64], char **envelope,
 			   struct ws_reason *why);
 
+/* The bundle text inside an envelope, not verified; malloc'ed. */
+int ws_codec_envelope_text(const char *envelope, char **text,
+			   struct ws_reason *why);
+
 /* ===== Log records ===== */
 
 /*
@@ -59,7 +70,24 @@
 int ws_codec_record_parse(const char *text, struct ws_record *out,
 			  struct ws_reason *why);
 
-/* Writes a record; the text is malloc'ed. */
+/*
+ * Verifies the signed statement of a parsed RECOVER record and fills in which
+ * instances are gone; before that the record names none.
+ * @return 0, WS_ERR_SYNTAX or WS_ERR_SIGNATURE
+ */
+int ws_codec_recover_open(struct ws_record *rec, const uint8_t (*trusted)[32],
+			  size_t n_trusted, struct ws_reason *why);
+
+/* Signs the list of gone instances of a RECOVER record. */
+int ws_codec_recover_sign(struct ws_record *rec, const uint8_t public_key[32],
+			  const uint8_t secret_key[64], struct ws_reason *why);
+
+/*
+ * Writes a record; the text is malloc'ed. A BUNDLE or SNAPSHOT without
+ * bundle_text takes the envelope from the text of its bundle.
+ * @return 0, WS_ERR_SYNTAX when the envelope is missing or unreadable, or
+ *         WS_ERR_TOO_LARGE
+ */
 int ws_codec_record_write(const struct ws_record *rec, char **text);
 
 /* ===== Platform ===== */
