Compute sizes of settings in 64 bits

Cause: make lint reported 32-bit products that are widened afterwards. Change: the factors are 64-bit constants. Lint is clean, test_config passes.

--- a/lib/config/ws_settings.c
+++ b/lib/config/ws_settings.c
@@ -10,8 +10,8 @@
 #include "core/ws_types.h"
 
 #define AT(field) .offset = offsetof(struct ws_config, field)
-#define KIB 1024
-#define MIB (1024 * 1024)
+#define KIB INT64_C(1024)
+#define MIB (KIB * KIB)
 
 /* ===== Table ===== */
 
@@ -53,7 +53,7 @@
 	  .min = 1, .max = 60000, AT(max_connections),
 	  .help = "open connections of callers" },
 	{ "limits", "max_memory", WS_SET_SIZE, .standard = "256 MiB",
-	  .min = MIB, .max = (int64_t)16384 * MIB, AT(max_memory),
+	  .min = MIB, .max = 16384 * MIB, AT(max_memory),
 	  .help = "memory for the bytes of requests and answers" },
 	{ "limits", "shutdown_time", WS_SET_TIME, .standard = "60 s",
 	  .min = 100, .max = 3600000, AT(shutdown_time),
