Follow the linter in the settings test

Cause: make lint reported a string without comma and an unclear comparison. Change: both are written out. Lint is clean, test_config passes.

--- a/lib/config/ws_settings.c
+++ b/lib/config/ws_settings.c
@@ -182,7 +182,7 @@
 {
 	static const char scheme[] = "http://";
 
-	if (strncmp(text, scheme, sizeof(scheme) - 1))
+	if (strncmp(text, scheme, sizeof(scheme) - 1) != 0)
 		return false;
 	return is_address(text + sizeof(scheme) - 1);
 }
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -12,7 +12,7 @@
 	"[instance]", /* 1 */
 	"name = router-1",
 	"zone = riga-1",
-	"seed_operator_key = " KEY "," KEY,
+	("seed_operator_key = " KEY "," KEY),
 	"[listen]", /* 5 */
 	"callers = 127.0.0.1:8080",
 	"peers = 127.0.0.1:8081",
@@ -60,7 +60,7 @@
 	ck_assert_str_eq(c.zone, "riga-1");
 	ck_assert_str_eq(c.admin, "[::1]:8082");
 	ck_assert_str_eq(c.internal, "");
-	ck_assert_int_eq(c.max_memory, 64 * 1024 * 1024);
+	ck_assert_int_eq(c.max_memory, INT64_C(67108864));
 	ck_assert_int_eq(c.max_queued, 200);
 	ck_assert_int_eq(c.shutdown_time, 60000);
 	ck_assert_str_eq(c.pick, "two-choices");
