Let the core check who signed a bundle

Cause: which operators may sign depends on the bundle in force at the record's place in the log, which the reader that verifies signatures does not know.

--- a/lib/codec/ws_codec.h
+++ b/lib/codec/ws_codec.h
@@ -44,7 +44,9 @@
 			  struct ws_reason *why);
 
 /*
- * Verifies an envelope and parses its bundle. The key must be one of trusted.
+ * Verifies an envelope and parses its bundle. The key must be one of trusted;
+ * with trusted NULL any key will do, and whoever uses the bundle must check
+ * its signer, which is what the core does with records of the log.
  * The text of the bundle becomes the envelope, so that it can be passed on.
  * @return 0, WS_ERR_SYNTAX or WS_ERR_SIGNATURE
  */
@@ -72,7 +74,7 @@
 
 /*
  * Verifies the signed statement of a parsed RECOVER record and fills in which
- * instances are gone; before that the record names none.
+ * instances are gone; before that the record names none. trusted as above.
  * @return 0, WS_ERR_SYNTAX or WS_ERR_SIGNATURE
  */
 int ws_codec_recover_open(struct ws_record *rec, const uint8_t (*trusted)[32],
--- a/lib/codec/ws_codec_envelope.c
+++ b/lib/codec/ws_codec_envelope.c
@@ -61,18 +61,17 @@
 /* Checks an open envelope and finds the signed text in it. */
 static int check_envelope(const struct ws_json *j, const char *context,
 			  const char *field, const uint8_t (*trusted)[32],
-			  size_t n_trusted, const char **text)
+			  size_t n_trusted, const char **text, uint8_t key[32])
 {
 	const char *const fields[] = { field, "key", "signature", NULL };
-	uint8_t key[32];
 	uint8_t signature[64];
 
 	if (ws_json_only(j, fields) ||
 	    ws_json_text(j, field, WS_BUNDLE_TEXT_MAX, text) ||
-	    ws_json_bytes(j, "key", key, sizeof(key)) ||
+	    ws_json_bytes(j, "key", key, 32) ||
 	    ws_json_bytes(j, "signature", signature, sizeof(signature)))
 		return WS_ERR_SYNTAX;
-	if (!is_trusted(key, trusted, n_trusted))
+	if (trusted && !is_trusted(key, trusted, n_trusted))
 		return refuse_signature(j, "key",
 					"not an operator key in force; sign "
 					"with a key that the bundle in force "
@@ -131,6 +130,7 @@
 {
 	struct ws_json root;
 	const char *text;
+	uint8_t key[32];
 	int res;
 
 	res = ws_json_open(envelope, WS_RECORD_TEXT_MAX, "envelope", &root,
@@ -138,12 +138,13 @@
 	if (ws_is_error(res))
 		return res;
 	res = check_envelope(&root, CONTEXT_BUNDLE, "bundle", trusted,
-			     n_trusted, &text);
+			     n_trusted, &text, key);
 	if (!ws_is_error(res))
 		res = ws_codec_bundle_parse(text, out, why);
 	ws_json_close(&root);
 	if (ws_is_error(res))
 		return res;
+	memcpy((*out)->signer, key, sizeof(key));
 	free((*out)->text);
 	(*out)->text = strdup(envelope);
 	WS_INVARIANT((*out)->text);
@@ -234,7 +235,7 @@
 	if (ws_is_error(res))
 		return res;
 	res = check_envelope(&root, CONTEXT_RECOVER, "recover", trusted,
-			     n_trusted, &text);
+			     n_trusted, &text, rec->signer);
 	if (!ws_is_error(res))
 		res = parse_gone(text, rec, why);
 	ws_json_close(&root);
--- a/lib/core/ws_types.h
+++ b/lib/core/ws_types.h
@@ -82,6 +82,7 @@
 	struct ws_assignment *assignments;
 	size_t n_gone; /* RECOVER */
 	ws_id *gone;
+	uint8_t signer[32]; /* RECOVER: key whose signature was verified */
 	uint64_t bundle_version; /* BUNDLE, SNAPSHOT */
 	uint64_t bundle_base; /* BUNDLE: version that it builds on */
 	struct ws_bundle *bundle; /* parsed and verified; NULL: invalid */
