--- a/lib/core/ws_own.h
+++ b/lib/core/ws_own.h
@@ -19,7 +19,14 @@
 
 /* ===== Inputs ===== */
 
-/* Folds one record; records come in offset order without gaps. */
+/*
+ * Folds one record, from the log or copied in a TAIL message. Records of one
+ * source come in offset order; what is folded already is ignored. A gap means
+ * that the records between are lost: the table is then rebuilt from the next
+ * snapshot that covers the gap. The core hands every record of a log read and
+ * of a TAIL message to this module and to the bundle module alike. A SNAPSHOT
+ * in a TAIL stands for all records up to its offset.
+ */
 void ws_own_fold(struct ws_own *o, struct ws_fx *fx, ws_us now,
 		 const struct ws_record *rec);
 
@@ -31,11 +38,18 @@
 void ws_own_appended(struct ws_own *o, struct ws_fx *fx, ws_us now,
 		     uint64_t uid, int error, bool unknown);
 
-/* FRESH_ASK, FRESH_ANSWER, TAIL_ASK and TAIL. */
+/*
+ * FRESH_ASK, FRESH_ANSWER and TAIL_ASK. TAIL is left to the core, which folds
+ * its records with ws_own_fold().
+ */
 void ws_own_msg(struct ws_own *o, struct ws_fx *fx, ws_us now, ws_id from,
 		const struct ws_msg *msg, const struct ws_view *view);
 
-/* Result of a grant that this module asked for. */
+/*
+ * Result of a grant that this module asked for. Each WS_FX_GRANT needs exactly
+ * one result within about 400 ms, also when the target did not answer; there
+ * is never more than one grant to a target under way.
+ */
 void ws_own_granted(struct ws_own *o, struct ws_fx *fx, ws_us now, ws_id target,
 		    ws_offset as_of, bool ok);
 
@@ -50,6 +64,9 @@
 void ws_own_note_work(struct ws_own *o, ws_id service, uint64_t key,
 		      uint32_t shard, ws_us work);
 
+/* Makes the next tick append a SNAPSHOT record if the log is reachable. */
+void ws_own_snapshot(struct ws_own *o);
+
 /* Starts giving up all that this instance holds. */
 void ws_own_drain(struct ws_own *o);
 
@@ -75,6 +92,16 @@
 /* Tells whether this instance actively holds res and is fresh. */
 bool ws_own_holds(const struct ws_own *o, ws_us now, const struct ws_res *res);
 
+/*
+ * Permission to send a request to a target, asked right before each sending.
+ * @param fence of the assignment under which the request was routed; ignored
+ *              for open services
+ */
+bool ws_own_may_send(const struct ws_own *o, ws_us now,
+		     const struct ws_view *view, ws_id target,
+		     uint64_t incarnation, ws_id service, uint64_t key,
+		     ws_offset fence);
+
 /* Number of partitions actively held (fresh or not); fills indices up to max */
 size_t ws_own_partitions(const struct ws_own *o, uint32_t *index, size_t max);
 
--- /dev/null
+++ b/lib/core/ws_own_fold.c
@@ -0,0 +1,313 @@
+#include "core/ws_own_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Folding of records into the table; the same on every instance. */
+
+/* ===== Records that wait for activation ===== */
+
+static struct own_pending *pending_find(const struct ws_own *o, ws_offset off)
+{
+	size_t i;
+
+	for (i = 0; i < o->n_pending; i++)
+		if (o->pending[i].offset == off)
+			return &o->pending[i];
+	return NULL;
+}
+
+static void pending_remove(struct ws_own *o, struct own_pending *p)
+{
+	free(p->res);
+	*p = o->pending[--o->n_pending];
+}
+
+void own_pending_free(struct ws_own *o)
+{
+	while (o->n_pending)
+		pending_remove(o, &o->pending[o->n_pending - 1]);
+}
+
+static void pending_note(struct ws_own *o, ws_us now, ws_offset off,
+			 ws_id writer, const struct ws_res *res)
+{
+	struct own_pending *p = pending_find(o, off);
+
+	if (!p) {
+		ws_grow(&o->pending, &o->cap_pending, o->n_pending + 1,
+			sizeof(*o->pending));
+		p = &o->pending[o->n_pending++];
+		memset(p, 0, sizeof(*p));
+		p->offset = off;
+		p->writer = writer;
+		p->folded_at = now;
+	}
+	ws_grow(&p->res, &p->cap, p->n + 1, sizeof(*p->res));
+	p->res[p->n++] = *res;
+	p->left++;
+}
+
+/* An inactive assignment has been replaced by a later one. */
+static void pending_superseded(struct ws_own *o, ws_offset off)
+{
+	struct own_pending *p = pending_find(o, off);
+
+	if (p && !--p->left)
+		pending_remove(o, p);
+}
+
+void own_pending_rebuild(struct ws_own *o, ws_us now)
+{
+	size_t i;
+
+	own_pending_free(o);
+	for (i = 0; i < o->n; i++) {
+		const struct ws_assignment *a = &o->entries[i].a;
+
+		if (!a->active)
+			pending_note(o, now, a->fence, 0, &a->res);
+	}
+}
+
+/* ===== ASSIGN ===== */
+
+/* What the items before this one in the record have established. */
+struct fold_state {
+	const struct ws_record *rec;
+	bool creating; /* no partition existed before this record */
+	ws_id guarded; /* target whose dispatch tenure is confirmed */
+	const struct ws_assign_item *shard; /* last valid shard item */
+	size_t valid;
+};
+
+/*
+ * A guard names the dispatch of a target with its fence and present holder. It
+ * changes nothing. A release of the target's shards is valid only behind it:
+ * a release that was delayed in the log must not count in a later tenure of
+ * the same dispatcher, in which the shard may have been granted again.
+ */
+static bool is_guard(const struct fold_state *f,
+		     const struct ws_assign_item *it, const struct own_entry *e)
+{
+	return f->rec->released && e && it->res.kind == WS_RES_DISPATCH &&
+	       e->a.active && e->a.fence == it->expected_fence &&
+	       e->a.holder.id == f->rec->writer &&
+	       ws_holder_equal(&it->holder, &e->a.holder);
+}
+
+static bool may_release(const struct fold_state *f, const struct own_entry *e)
+{
+	if (!e->a.active)
+		return false;
+	if (e->a.res.kind == WS_RES_PARTITION ||
+	    e->a.res.kind == WS_RES_DISPATCH)
+		return e->a.holder.id == f->rec->writer;
+	return f->guarded && f->guarded == e->a.holder.id;
+}
+
+/*
+ * A key leaves or rejoins its shard only together with a new fence of the
+ * shard, so that requests under the old fence cannot reach a second owner.
+ */
+static bool paired(const struct fold_state *f, const struct ws_assign_item *it,
+		   const struct ws_holder *with)
+{
+	return f->shard && f->shard + 1 == it &&
+	       f->shard->res.scope == it->res.scope &&
+	       ws_holder_equal(&f->shard->holder, with);
+}
+
+static bool valid_first(const struct fold_state *f,
+			const struct ws_assign_item *it)
+{
+	if (!it->holder.id)
+		return false;
+	if (it->res.kind == WS_RES_PARTITION)
+		return f->creating;
+	if (it->res.kind == WS_RES_HOT_KEY)
+		return f->rec->released && paired(f, it, &it->holder);
+	return true;
+}
+
+static bool valid_item(const struct fold_state *f,
+		       const struct ws_assign_item *it,
+		       const struct own_entry *e)
+{
+#ifndef WS_MUTANT_OWN_FOLD_VOID
+	if ((e ? e->a.fence : 0) != it->expected_fence)
+		return false;
+#endif
+	if (!e)
+		return valid_first(f, it);
+	if (f->rec->released && !may_release(f, e))
+		return false;
+	if (it->holder.id)
+		return true;
+	if (!f->rec->released || it->res.kind == WS_RES_PARTITION)
+		return false;
+	return it->res.kind != WS_RES_HOT_KEY || paired(f, it, &e->a.holder);
+}
+
+static void set_item(struct ws_own *o, ws_us now, const struct ws_record *rec,
+		     const struct ws_assign_item *it, struct own_entry *e)
+{
+	bool active = !e || rec->released;
+
+	if (e && !e->a.active)
+		pending_superseded(o, e->a.fence);
+	if (!it->holder.id) {
+		own_delete(o, e);
+		return;
+	}
+	if (!e)
+		e = own_add(o, &it->res);
+	WS_INVARIANT(e->a.fence < rec->offset);
+	e->a.holder = it->holder;
+	e->a.fence = rec->offset;
+	e->a.active = active;
+	e->a.takeover_wall_ms = 0;
+	e->since = now;
+	e->given_up = 0;
+	e->moved_at = 0;
+	if (!active)
+		pending_note(o, now, rec->offset, rec->writer, &it->res);
+}
+
+static void fold_item(struct ws_own *o, ws_us now, struct fold_state *f,
+		      const struct ws_assign_item *it)
+{
+	struct own_entry *e = own_get(o, &it->res);
+
+	if (is_guard(f, it, e)) {
+		f->guarded = it->res.item;
+		f->valid++;
+		return;
+	}
+	if (it->res.kind < WS_RES_PARTITION || it->res.kind > WS_RES_HOT_KEY ||
+	    !valid_item(f, it, e))
+		return;
+	if (it->res.kind == WS_RES_SHARD)
+		f->shard = it;
+	f->valid++;
+	set_item(o, now, f->rec, it, e);
+}
+
+static void fold_assign(struct ws_own *o, struct ws_fx *fx, ws_us now,
+			const struct ws_record *rec)
+{
+	struct fold_state f = { .rec = rec, .creating = !o->n_partitions };
+	uint16_t number = WS_LOG_ASSIGN_WON;
+	size_t i;
+
+	for (i = 0; i < rec->n_items; i++)
+		fold_item(o, now, &f, &rec->items[i]);
+	if (rec->writer != o->self)
+		return;
+	if (f.valid < rec->n_items)
+		number = WS_LOG_ASSIGN_LOST;
+	ws_fx_log(fx, number, o->self, (int64_t)rec->offset, 0);
+}
+
+/* ===== Other records ===== */
+
+static void fold_activate(struct ws_own *o, struct ws_fx *fx,
+			  const struct ws_record *rec)
+{
+	struct own_pending *p = pending_find(o, rec->target_offset);
+	size_t i;
+
+	if (!p)
+		return;
+	for (i = 0; i < p->n; i++) {
+		struct own_entry *e = own_get(o, &p->res[i]);
+
+		if (!e || e->a.fence != p->offset)
+			continue;
+		e->a.active = true;
+		e->a.takeover_wall_ms = rec->wall_ms;
+	}
+	ws_fx_log(fx, WS_LOG_ACTIVATED, rec->writer, (int64_t)p->offset, 0);
+	pending_remove(o, p);
+}
+
+static void fold_recover(struct ws_own *o, ws_us now,
+			 const struct ws_record *rec)
+{
+	size_t i;
+
+	o->gone_at = now;
+	for (i = 0; i < rec->n_gone; i++) {
+		if (own_is_gone(o, rec->gone[i]))
+			continue;
+		ws_grow(&o->gone, &o->cap_gone, o->n_gone + 1,
+			sizeof(*o->gone));
+		o->gone[o->n_gone++] = rec->gone[i];
+	}
+}
+
+void own_apply(struct ws_own *o, struct ws_fx *fx, ws_us now,
+	       const struct ws_record *rec)
+{
+	switch (rec->kind) {
+	case WS_REC_ASSIGN:
+		fold_assign(o, fx, now, rec);
+		o->version++;
+		break;
+	case WS_REC_ACTIVATE:
+		fold_activate(o, fx, rec);
+		o->version++;
+		break;
+	case WS_REC_RECOVER:
+		fold_recover(o, now, rec);
+		break;
+	case WS_REC_SNAPSHOT:
+		o->snapshot_next = rec->target_offset;
+		o->snapshot_at = now;
+		break;
+	default:
+		break;
+	}
+}
+
+/* Starts over: records between next and off are lost to this instance. */
+static void start_at(struct ws_own *o, ws_offset off)
+{
+	own_clear(o);
+	own_tail_clear(o);
+	o->based = off <= 1;
+	o->next = off;
+}
+
+/* A peer's snapshot instead of records that the peer no longer has. */
+static void fold_copied(struct ws_own *o, struct ws_fx *fx, ws_us now,
+			const struct ws_record *rec)
+{
+	if (o->based && rec->target_offset <= o->next)
+		return;
+	if (rec->target_offset > o->next)
+		start_at(o, rec->target_offset);
+	own_snapshot_load(o, fx, now, rec);
+}
+
+void ws_own_fold(struct ws_own *o, struct ws_fx *fx, ws_us now,
+		 const struct ws_record *rec)
+{
+	if (rec->kind == WS_REC_SNAPSHOT &&
+	    rec->target_offset == rec->offset + 1) {
+		fold_copied(o, fx, now, rec);
+		return;
+	}
+	if (rec->offset < o->next)
+		return;
+	if (!o->next || rec->offset > o->next)
+		start_at(o, rec->offset);
+	own_append_seen(o, rec->uid);
+	if (!o->based && rec->kind == WS_REC_SNAPSHOT &&
+	    own_snapshot_load(o, fx, now, rec))
+		return;
+	own_tail_keep(o, rec);
+	o->next = rec->offset + 1;
+	if (o->based)
+		own_apply(o, fx, now, rec);
+}
--- /dev/null
+++ b/lib/core/ws_own_fresh.c
@@ -0,0 +1,357 @@
+#include "core/ws_own_internal.h"
+
+#include <string.h>
+
+/* Evidence that every record that matters has been applied here. */
+
+/* ===== Votes ===== */
+
+static size_t voter_slot(const struct ws_own *o, ws_id id)
+{
+	size_t lo = 0;
+	size_t hi = o->n_voters;
+
+	while (lo < hi) {
+		size_t mid = lo + (hi - lo) / 2;
+
+		if (o->voters[mid].id < id)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	return lo;
+}
+
+static const struct own_voter *voter_find(const struct ws_own *o, ws_id id)
+{
+	size_t i = voter_slot(o, id);
+
+	return i < o->n_voters && o->voters[i].id == id ? &o->voters[i] : NULL;
+}
+
+static struct own_voter *voter_get(struct ws_own *o, ws_id id)
+{
+	size_t i = voter_slot(o, id);
+
+	if (i < o->n_voters && o->voters[i].id == id)
+		return &o->voters[i];
+	ws_grow(&o->voters, &o->cap_voters, o->n_voters + 1,
+		sizeof(*o->voters));
+	memmove(&o->voters[i + 1], &o->voters[i],
+		(o->n_voters - i) * sizeof(*o->voters));
+	o->n_voters++;
+	memset(&o->voters[i], 0, sizeof(*o->voters));
+	o->voters[i].id = id;
+	return &o->voters[i];
+}
+
+/* Forgets instances that are not in the view any more. */
+static void voters_prune(struct ws_own *o, const struct ws_view *view)
+{
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < o->n_voters; i++)
+		if (ws_view_instance(view, o->voters[i].id))
+			o->voters[n++] = o->voters[i];
+	o->n_voters = n;
+}
+
+bool own_is_gone(const struct ws_own *o, ws_id id)
+{
+	size_t i;
+
+	for (i = 0; i < o->n_gone; i++)
+		if (o->gone[i] == id)
+			return true;
+	return false;
+}
+
+/* Only the active holder of a partition has its vote. */
+static bool has_vote(const struct own_entry *e)
+{
+#ifdef WS_MUTANT_OWN_NON_HOLDER
+	return !own_given_up(e);
+#else
+	return e->a.active && !own_given_up(e);
+#endif
+}
+
+static bool applied(const struct ws_own *o, ws_id holder, ws_offset offset)
+{
+	const struct own_voter *v;
+
+	if (holder == o->self)
+		return o->next > offset;
+	if (own_is_gone(o, holder))
+		return true;
+	v = voter_find(o, holder);
+	return v && v->folded > offset;
+}
+
+bool own_majority_applied(const struct ws_own *o, ws_offset offset)
+{
+	size_t votes = 0;
+	size_t i;
+
+#ifdef WS_MUTANT_OWN_QUORUM
+	return true;
+#endif
+	for (i = 0; i < o->n_partitions; i++) {
+		const struct own_entry *e = &o->entries[o->partitions[i]];
+
+		if (has_vote(e) && applied(o, e->a.holder.id, offset))
+			votes++;
+	}
+	return votes * 2 > o->n_partitions;
+}
+
+/* The answer counts for a round if it is to this round or a later one. */
+static bool answered(const struct ws_own *o, ws_id holder, uint64_t round)
+{
+	const struct own_voter *v;
+
+	if (holder == o->self)
+		return true;
+	v = voter_find(o, holder);
+	return v && v->round >= round && v->folded <= o->next;
+}
+
+static bool round_complete(const struct ws_own *o, uint64_t round)
+{
+	size_t votes = 0;
+	size_t i;
+
+	for (i = 0; i < o->n_partitions; i++) {
+		const struct own_entry *e = &o->entries[o->partitions[i]];
+
+		if (has_vote(e) && answered(o, e->a.holder.id, round))
+			votes++;
+	}
+	return votes * 2 > o->n_partitions;
+}
+
+static void rounds_evaluate(struct ws_own *o)
+{
+	uint64_t oldest = o->round > OWN_ROUNDS ? o->round - OWN_ROUNDS : 0;
+	uint64_t r;
+
+	if (!o->based || !o->n_partitions)
+		return;
+	for (r = o->round; r > oldest; r--) {
+		const struct own_round *x = &o->rounds[r % OWN_ROUNDS];
+
+		if (o->has_quorum_evidence && x->started <= o->quorum_evidence)
+			return;
+		if (!round_complete(o, r))
+			continue;
+		o->quorum_evidence = x->started;
+		o->has_quorum_evidence = true;
+		return;
+	}
+}
+
+/* ===== Rounds ===== */
+
+void own_ask(struct ws_own *o, struct ws_fx *fx, ws_us now, ws_us period)
+{
+	struct ws_effect *e;
+
+	if (o->round && now - o->asked_at < period)
+		return;
+	o->round++;
+	o->asked_at = now;
+	o->rounds[o->round % OWN_ROUNDS] =
+		(struct own_round){ .id = o->round, .started = now };
+	e = ws_fx_add(fx, WS_FX_SEND);
+	e->u.send.msg.kind = WS_MSG_FRESH_ASK;
+	e->u.send.msg.u.fresh.round = o->round;
+	e->u.send.msg.u.fresh.folded = o->next;
+}
+
+/*
+ * An instance with a release under way does not answer: answers count for all
+ * partitions that the asker believes it holds, also for the released one.
+ */
+static bool may_answer(const struct ws_own *o)
+{
+	bool any = false;
+	size_t i;
+
+	for (i = 0; o->based && i < o->n_partitions; i++) {
+		const struct own_entry *e = &o->entries[o->partitions[i]];
+
+		if (e->a.holder.id != o->self)
+			continue;
+		if (own_given_up(e))
+			return false;
+		any = any || e->a.active;
+	}
+	return any;
+}
+
+static void answer(struct ws_own *o, struct ws_fx *fx, ws_id to, uint64_t round)
+{
+	struct ws_effect *e = ws_fx_add(fx, WS_FX_SEND);
+
+	e->u.send.to = to;
+	e->u.send.msg.kind = WS_MSG_FRESH_ANSWER;
+	e->u.send.msg.u.fresh.round = round;
+	e->u.send.msg.u.fresh.folded = o->next;
+}
+
+void own_fresh_msg(struct ws_own *o, struct ws_fx *fx, ws_us now, ws_id from,
+		   const struct ws_msg *msg)
+{
+	struct own_voter *v;
+
+	(void)now;
+	if (msg->kind == WS_MSG_FRESH_ASK) {
+		if (may_answer(o))
+			answer(o, fx, from, msg->u.fresh.round);
+		return;
+	}
+	if (msg->u.fresh.round > o->round)
+		return;
+	v = voter_get(o, from);
+	if (msg->u.fresh.round > v->round)
+		v->round = msg->u.fresh.round;
+	if (msg->u.fresh.folded > v->folded)
+		v->folded = msg->u.fresh.folded;
+	rounds_evaluate(o);
+}
+
+/* ===== Log evidence ===== */
+
+void ws_own_log_evidence(struct ws_own *o, struct ws_fx *fx, ws_us now,
+			 ws_us started, ws_offset next)
+{
+	(void)fx;
+	(void)now;
+	if (!o->next) {
+		o->next = next ? next : 1;
+		o->based = o->next == 1;
+	}
+	if (next > o->next)
+		return;
+	if (!o->has_log_evidence || started > o->log_evidence)
+		o->log_evidence = started;
+	o->has_log_evidence = true;
+}
+
+/* ===== Catching up from peers ===== */
+
+static ws_id peer_ahead(const struct ws_own *o, const struct ws_view *view)
+{
+	ws_offset best = o->based ? o->next : 0;
+	ws_id id = 0;
+	size_t i;
+
+	for (i = 0; i < view->n_instances; i++) {
+		const struct ws_instance *x = &view->instances[i];
+
+		if (x->id == o->self || !x->alive || x->folded <= best)
+			continue;
+		best = x->folded;
+		id = x->id;
+	}
+	for (i = 0; i < o->n_voters; i++) {
+		if (o->voters[i].folded <= best)
+			continue;
+		best = o->voters[i].folded;
+		id = o->voters[i].id;
+	}
+	return id;
+}
+
+static void ask_tail(struct ws_own *o, struct ws_fx *fx, ws_us now,
+		     const struct ws_view *view)
+{
+	ws_id to = peer_ahead(o, view);
+	struct ws_effect *e;
+
+	if (!to || now - o->tail_asked_at < OWN_TAIL_PERIOD)
+		return;
+	o->tail_asked_at = now;
+	e = ws_fx_add(fx, WS_FX_SEND);
+	e->u.send.to = to;
+	e->u.send.msg.kind = WS_MSG_TAIL_ASK;
+	e->u.send.msg.u.tail.from = o->based ? o->next : 0;
+}
+
+/* ===== Tick and questions ===== */
+
+static bool log_quiet(const struct ws_own *o, ws_us now)
+{
+	return !o->has_log_evidence || now - o->log_evidence > OWN_LOG_QUIET;
+}
+
+bool own_log_recent(const struct ws_own *o, ws_us now)
+{
+	return o->based && o->has_log_evidence &&
+	       now - o->log_evidence <= OWN_LOG_USABLE;
+}
+
+static void log_changes(struct ws_own *o, struct ws_fx *fx, ws_us now)
+{
+	bool fresh = own_fresh(o, now);
+	bool quorum = fresh && now >= o->log_evidence + WS_LEASE;
+
+	if (fresh != o->was_fresh)
+		ws_fx_log(fx, fresh ? WS_LOG_FRESH_AGAIN : WS_LOG_NOT_FRESH,
+			  o->self, (int64_t)o->next, 0);
+	if (quorum && !o->on_quorum)
+		ws_fx_log(fx, WS_LOG_QUORUM_EVIDENCE, o->self, (int64_t)o->next,
+			  0);
+	o->was_fresh = fresh;
+	o->on_quorum = quorum;
+}
+
+void own_fresh_tick(struct ws_own *o, struct ws_fx *fx, ws_us now,
+		    const struct ws_view *view)
+{
+	voters_prune(o, view);
+	o->outage_limit = OWN_OUTAGE_LIMIT;
+	if (view->bundle && view->bundle->outage_limit < OWN_OUTAGE_LIMIT)
+		o->outage_limit = view->bundle->outage_limit;
+	if (log_quiet(o, now) || !o->based) {
+		own_ask(o, fx, now, OWN_ROUND_PERIOD);
+		ask_tail(o, fx, now, view);
+	}
+	rounds_evaluate(o);
+	log_changes(o, fx, now);
+}
+
+ws_us ws_own_fresh_until(const struct ws_own *o)
+{
+	ws_us until;
+	ws_us quorum;
+
+	if (!o->based || !o->has_log_evidence)
+		return 0;
+	until = o->log_evidence + WS_LEASE;
+	if (!o->has_quorum_evidence)
+		return until;
+	quorum = o->quorum_evidence + WS_LEASE;
+	if (quorum > o->log_evidence + o->outage_limit)
+		quorum = o->log_evidence + o->outage_limit;
+	return quorum > until ? quorum : until;
+}
+
+ws_us ws_own_evidence(const struct ws_own *o)
+{
+	ws_us at = 0;
+
+	if (!o->based)
+		return 0;
+	if (o->has_log_evidence)
+		at = o->log_evidence;
+	if (o->has_quorum_evidence && o->quorum_evidence > at)
+		at = o->quorum_evidence;
+	return at;
+}
+
+bool own_fresh(const struct ws_own *o, ws_us now)
+{
+	return o->based && now < ws_own_fresh_until(o);
+}
--- /dev/null
+++ b/lib/core/ws_own_internal.h
@@ -0,0 +1,342 @@
+#ifndef WS_OWN_INTERNAL_H
+#define WS_OWN_INTERNAL_H
+
+#include "common/ws_events.h"
+#include "core/ws_own.h"
+#include "core/ws_place.h"
+
+/* Shared by the ws_own_*.c files only. */
+
+/* ===== Constants ===== */
+
+/* Log evidence older than this makes quorum rounds start. */
+#define OWN_LOG_QUIET (350 * WS_MS)
+/* Log evidence older than this stops proposals and planned moves. */
+#define OWN_LOG_USABLE (700 * WS_MS)
+#define OWN_ROUND_PERIOD (150 * WS_MS)
+#define OWN_ASK_PERIOD (40 * WS_MS)
+#define OWN_TAIL_PERIOD (60 * WS_MS)
+/* Upper bound of quorum evidence alone, and lower bound of the wait for it. */
+#define OWN_OUTAGE_LIMIT (600 * WS_SECOND)
+/* Clock rates may differ by the margin per lease; the wait grows alike. */
+#define OWN_OUTAGE_DRIFT (OWN_OUTAGE_LIMIT / 24)
+/* Time for heartbeats to arrive after a start or a pause. */
+#define OWN_SETTLE (900 * WS_MS)
+#define OWN_TICK_GAP (300 * WS_MS)
+/* Time for the probes of a new dispatcher to succeed. */
+#define OWN_PROBE_GRACE (300 * WS_MS)
+/* The next in rank acts when the one before it has not. */
+#define OWN_RANK_DELAY (500 * WS_MS)
+#define OWN_APPEND_WAIT (600 * WS_MS)
+#define OWN_APPEND_RETRY (100 * WS_MS)
+#define OWN_GRANT_PERIOD (300 * WS_MS)
+#define OWN_GRANT_RETRY (100 * WS_MS)
+#define OWN_SAMPLE_AGE (1000 * WS_MS)
+/* Planned moves wait until the view has not changed for this time. */
+#define OWN_STABLE (1000 * WS_MS)
+#define OWN_SCAN_PERIOD (250 * WS_MS)
+/* A bin with less than this share of the mean number of items is filled up. */
+#define OWN_UNEVEN_PERCENT 60
+#define OWN_TOPIC_PARTITIONS 1001
+#define OWN_TOPIC_DISPATCH 1002
+/* Items in one record: about 150 bytes each in JSON, below 1 MiB. */
+#define OWN_BATCH 2048
+#define OWN_TAIL_RECORDS 1024
+#define OWN_TAIL_BATCH 64
+#define OWN_ROUNDS 8
+#define OWN_SNAPSHOT_RECORDS 256
+#define OWN_SNAPSHOT_PERIOD (300 * WS_SECOND)
+
+/* ===== State ===== */
+
+struct own_entry {
+	struct ws_assignment a;
+	ws_us since; /* when the assignment was folded here */
+	/* Fence that this process has given up; never used again by it. */
+	ws_offset given_up;
+	struct ws_holder move_to; /* who gets what is given up */
+	ws_us moved_at; /* last append of the release; 0: not yet */
+	ws_offset drop_tenure; /* dispatch fence to which drop_seq belongs */
+	uint64_t drop_seq; /* first grant without it */
+	ws_us drop_expiry; /* all grants with it have ended */
+};
+
+struct own_given {
+	struct ws_res res;
+	ws_offset fence;
+};
+
+/* An ASSIGN record that waits for activation. */
+struct own_pending {
+	ws_offset offset;
+	ws_id writer;
+	ws_us folded_at;
+	ws_us quorum_at; /* majority has applied it; 0: not yet */
+	ws_us appended_at;
+	size_t left; /* items still inactive under this fence */
+	size_t n;
+	size_t cap;
+	struct ws_res *res;
+};
+
+/* Latest answer of an instance. */
+struct own_voter {
+	ws_id id;
+	uint64_t round;
+	ws_offset folded;
+};
+
+struct own_round {
+	uint64_t id;
+	ws_us started;
+};
+
+/* Work of one kind that one instance, chosen by hash, proposes. */
+struct own_topic {
+	uint64_t id;
+	ws_us since; /* when the work was first seen; 0: none */
+	unsigned busy; /* appends under way */
+	ws_us busy_until;
+};
+
+struct own_append {
+	uint64_t uid;
+	uint64_t topic;
+	ws_us at;
+};
+
+/* Grants to one target under one tenure of its dispatch. */
+struct own_lease {
+	ws_id target;
+	uint64_t incarnation;
+	uint64_t sent_incarnation;
+	ws_offset tenure; /* fence of the dispatch */
+	bool checks; /* the target verifies grants */
+	bool dirty; /* its list has changed since the last grant */
+	bool in_flight;
+	bool held; /* used while the table is followed */
+	size_t n_new;
+	ws_us retry_at;
+	uint64_t seq; /* number of the last grant sent */
+	uint64_t acked_seq;
+	ws_offset sent_as_of;
+	ws_us sent_at;
+	ws_us until; /* latest end of a grant, on the local clock */
+	ws_us unsure_until; /* latest end of grants with unknown fate */
+	ws_us sent_until; /* end of the grant in flight */
+	size_t n_items;
+	size_t cap_items;
+	struct ws_grant_item *items;
+};
+
+struct own_work {
+	ws_id service;
+	uint64_t item; /* shard index or key */
+	uint64_t work; /* decaying sum of service time */
+};
+
+struct ws_own {
+	ws_id self;
+	struct ws_rand rand;
+	/* Table */
+	bool based; /* the table is the state below next */
+	ws_offset next; /* next offset to fold; 0: nothing seen */
+	size_t n;
+	size_t cap;
+	struct own_entry *entries;
+	uint32_t *slots; /* hash index: entry number + 1 */
+	size_t n_slots;
+	size_t n_partitions;
+	size_t cap_partitions;
+	uint32_t *partitions; /* entry of each partition */
+	size_t n_hot; /* entries of kind HOT_KEY */
+	uint64_t version; /* grows with each change of the table */
+	size_t n_given;
+	size_t cap_given;
+	struct own_given *given; /* kept while the table is lost */
+	size_t n_pending;
+	size_t cap_pending;
+	struct own_pending *pending;
+	size_t n_gone;
+	size_t cap_gone;
+	ws_id *gone; /* instances that an operator declared gone */
+	ws_us gone_at;
+	/* Tail */
+	struct ws_record *tail; /* ring, slot: offset % OWN_TAIL_RECORDS */
+	ws_offset tail_from;
+	ws_offset snapshot_next; /* covered by the latest snapshot */
+	ws_us snapshot_at;
+	bool snapshot_wanted;
+	/* Evidence */
+	ws_us log_evidence; /* start of the latest complete read */
+	bool has_log_evidence;
+	ws_us quorum_evidence;
+	bool has_quorum_evidence;
+	ws_us outage_limit;
+	uint64_t round;
+	struct own_round rounds[OWN_ROUNDS];
+	ws_us asked_at;
+	ws_us tail_asked_at;
+	size_t n_voters;
+	size_t cap_voters;
+	struct own_voter *voters; /* sorted by id */
+	bool was_fresh;
+	bool on_quorum;
+	/* Proposals */
+	ws_us awake_since;
+	ws_us last_tick;
+	bool ticked;
+	int64_t wall_ms;
+	uint64_t view_sum;
+	ws_us view_since;
+	uint64_t scanned_version;
+	uint64_t scanned_sum;
+	ws_us scanned_at;
+	bool take_over; /* a majority is there to confirm takeovers */
+	bool work_left;
+	uint64_t moved_version;
+	uint64_t moved_sum;
+	bool moved_level;
+	ws_us moved_at;
+	ws_us no_majority_since;
+	size_t n_topics;
+	size_t cap_topics;
+	struct own_topic *topics;
+	size_t n_appends;
+	size_t cap_appends;
+	struct own_append *appends;
+	bool draining;
+	/* Leases */
+	uint64_t leases_version;
+	uint64_t leases_sum;
+	size_t n_leases;
+	size_t cap_leases;
+	struct own_lease *leases; /* sorted by target */
+	bool moves_left; /* something is given up and not yet folded */
+};
+
+/* ===== ws_own_table.c ===== */
+
+struct own_entry *own_get(const struct ws_own *o, const struct ws_res *res);
+struct own_entry *own_add(struct ws_own *o, const struct ws_res *res);
+void own_delete(struct ws_own *o, struct own_entry *e);
+void own_clear(struct ws_own *o);
+void own_give_up(struct ws_own *o, struct own_entry *e);
+bool own_given_up(const struct own_entry *e);
+const struct own_entry *own_dispatch(const struct ws_own *o, ws_id target);
+
+/* ===== ws_own_fold.c ===== */
+
+void own_apply(struct ws_own *o, struct ws_fx *fx, ws_us now,
+	       const struct ws_record *rec);
+void own_pending_free(struct ws_own *o);
+void own_pending_rebuild(struct ws_own *o, ws_us now);
+
+/* ===== ws_own_tail.c ===== */
+
+void own_tail_keep(struct ws_own *o, const struct ws_record *rec);
+void own_tail_clear(struct ws_own *o);
+void own_tail_free(struct ws_own *o);
+bool own_snapshot_load(struct ws_own *o, struct ws_fx *fx, ws_us now,
+		       const struct ws_record *rec);
+void own_tail_answer(struct ws_own *o, struct ws_fx *fx, ws_id to,
+		     ws_offset from, const struct ws_view *view);
+void own_snapshot_tick(struct ws_own *o, struct ws_fx *fx, ws_us now,
+		       const struct ws_view *view);
+
+/* ===== ws_own_fresh.c ===== */
+
+bool own_fresh(const struct ws_own *o, ws_us now);
+bool own_log_recent(const struct ws_own *o, ws_us now);
+void own_fresh_msg(struct ws_own *o, struct ws_fx *fx, ws_us now, ws_id from,
+		   const struct ws_msg *msg);
+void own_fresh_tick(struct ws_own *o, struct ws_fx *fx, ws_us now,
+		    const struct ws_view *view);
+/* Starts a round unless one started within period. */
+void own_ask(struct ws_own *o, struct ws_fx *fx, ws_us now, ws_us period);
+/* Holders of a majority of partitions are known to have applied offset. */
+bool own_majority_applied(const struct ws_own *o, ws_offset offset);
+bool own_is_gone(const struct ws_own *o, ws_id id);
+
+/* ===== ws_own_append.c ===== */
+
+/* Emits an append of the record, whose arrays it takes over. */
+uint64_t own_append(struct ws_own *o, struct ws_fx *fx, struct ws_record *rec);
+struct own_topic *own_topic(struct ws_own *o, uint64_t id);
+void own_append_topic(struct ws_own *o, struct ws_fx *fx, ws_us now,
+		      struct own_topic *t, struct ws_record *rec);
+void own_append_seen(struct ws_own *o, uint64_t uid);
+void own_append_expire(struct ws_own *o, ws_us now);
+/* Rank of this instance among the eligible ones for a topic; 0 is first. */
+unsigned own_rank(const struct ws_own *o, const struct ws_view *view,
+		  uint64_t topic);
+
+/* ===== ws_own_propose.c ===== */
+
+void own_propose_tick(struct ws_own *o, struct ws_fx *fx, ws_us now,
+		      const struct ws_view *view);
+void own_activate_tick(struct ws_own *o, struct ws_fx *fx, ws_us now,
+		       const struct ws_view *view);
+bool own_instance_lost(const struct ws_view *view, ws_id id);
+bool own_target_lost(const struct ws_own *o, ws_us now,
+		     const struct ws_view *view, const struct ws_holder *h);
+
+/* ===== ws_own_place.c ===== */
+
+/* Who may hold the resources of a group: bins in the order of the view. */
+struct own_bins {
+	size_t n;
+	size_t cap;
+	struct ws_place_bin *bins;
+	struct ws_holder *holders;
+};
+
+enum own_status {
+	OWN_MISSING, /* never assigned */
+	OWN_KEPT, /* its holder is one of the bins */
+	OWN_LOST, /* its holder is lost */
+	OWN_DISPLACED, /* its holder is alive, but may not keep it */
+};
+
+/* A group of resources and where they would best be. */
+struct own_plan {
+	struct own_bins bins;
+	size_t n;
+	size_t cap;
+	struct ws_place_item *items;
+	struct ws_res *res;
+	uint8_t *status;
+	bool displaced; /* any item is not KEPT */
+};
+
+typedef void (*own_plan_fn)(struct ws_own *o, struct ws_fx *fx, ws_us now,
+			    const struct ws_view *view, struct own_plan *p,
+			    uint64_t topic);
+
+/*
+ * Builds the plan of each group (partitions, dispatches by zone, services)
+ * and hands it to fn.
+ * @param moves also places what is displaced, else it stays out of the plan
+ * @param level also evens out the load
+ */
+void own_plan_all(struct ws_own *o, struct ws_fx *fx, ws_us now,
+		  const struct ws_view *view, bool moves, bool level,
+		  own_plan_fn fn);
+
+/* ===== ws_own_move.c ===== */
+
+void own_move_tick(struct ws_own *o, struct ws_fx *fx, ws_us now,
+		   const struct ws_view *view);
+
+/* ===== ws_own_lease.c ===== */
+
+void own_lease_tick(struct ws_own *o, struct ws_fx *fx, ws_us now,
+		    const struct ws_view *view);
+struct own_lease *own_lease_find(const struct ws_own *o, ws_id target);
+/* Makes the next grant to the holder of e omit it. */
+void own_lease_drop(const struct ws_own *o, struct own_entry *e);
+/* Nothing that was granted of e can still be in use. */
+bool own_lease_dropped(const struct ws_own *o, ws_us now, struct own_entry *e);
+void own_lease_free(struct ws_own *o);
+
+#endif
--- /dev/null
+++ b/lib/core/ws_own_move.c
@@ -0,0 +1,202 @@
+#include "core/ws_own_internal.h"
+
+#include <stdlib.h>
+
+/* Planned moves: the present holder gives up first, then the next one gets. */
+
+/* ===== Choosing ===== */
+
+/* This instance decides over what it holds and over its targets' shards. */
+static bool mine(const struct ws_own *o, ws_us now, const struct own_entry *e)
+{
+	struct ws_res d = { .kind = WS_RES_DISPATCH, .item = e->a.holder.id };
+
+	if (!e->a.active)
+		return false;
+	if (e->a.res.kind == WS_RES_PARTITION ||
+	    e->a.res.kind == WS_RES_DISPATCH)
+		return e->a.holder.id == o->self;
+	return ws_own_holds(o, now, &d);
+}
+
+static void choose(struct ws_own *o, struct ws_fx *fx, ws_us now,
+		   const struct ws_view *view, struct own_plan *p,
+		   uint64_t topic)
+{
+	size_t i;
+
+	(void)fx;
+	(void)view;
+	(void)topic;
+	for (i = 0; i < p->n; i++) {
+		struct own_entry *e = own_get(o, &p->res[i]);
+
+		if (!e || p->items[i].to == p->items[i].from ||
+		    p->status[i] == OWN_LOST || !mine(o, now, e))
+			continue;
+		e->move_to = p->bins.holders[p->items[i].to];
+		if (own_given_up(e))
+			continue;
+		own_give_up(o, e);
+		if (e->a.res.kind == WS_RES_SHARD ||
+		    e->a.res.kind == WS_RES_HOT_KEY)
+			own_lease_drop(o, e);
+	}
+}
+
+static bool stable(const struct ws_own *o, ws_us now)
+{
+	return now - o->view_since >= OWN_STABLE && !o->n_pending;
+}
+
+static void plan_moves(struct ws_own *o, struct ws_fx *fx, ws_us now,
+		       const struct ws_view *view)
+{
+	bool level = stable(o, now);
+
+	if (o->moved_version == o->version && o->moved_sum == o->view_sum &&
+	    o->moved_level == level && now - o->moved_at < OWN_SCAN_PERIOD)
+		return;
+	if (o->moved_version == o->version && o->moved_sum == o->view_sum &&
+	    o->moved_level == level && !o->moves_left && !o->work_left)
+		return;
+	o->moved_at = now;
+	o->moved_sum = o->view_sum;
+	o->moved_level = level;
+	own_plan_all(o, fx, now, view, true, level, choose);
+	o->moved_version = o->version;
+}
+
+/* ===== Releasing ===== */
+
+static bool needs_guard(const struct own_entry *e)
+{
+	return e->a.res.kind == WS_RES_SHARD || e->a.res.kind == WS_RES_HOT_KEY;
+}
+
+static bool releasable(struct ws_own *o, ws_us now, struct own_entry *e)
+{
+	if (!own_given_up(e) || !e->move_to.id || !mine(o, now, e))
+		return false;
+	if (e->moved_at && now - e->moved_at < OWN_APPEND_WAIT)
+		return false;
+	return !needs_guard(e) || own_lease_dropped(o, now, e);
+}
+
+/* Behind a guard stand the shards of its target, so entries sort by holder. */
+struct release {
+	struct own_entry *entry;
+	bool guard;
+	ws_id holder;
+};
+
+static int by_holder(const void *a, const void *b)
+{
+	const struct release *x = a;
+	const struct release *y = b;
+
+	if (x->guard != y->guard)
+		return x->guard ? 1 : -1;
+	if (x->holder != y->holder)
+		return x->holder < y->holder ? -1 : 1;
+	return 0;
+}
+
+static void add_guard(const struct ws_own *o, struct ws_record *rec,
+		      ws_id target)
+{
+	const struct own_entry *d = own_dispatch(o, target);
+
+	rec->items[rec->n_items++] = (struct ws_assign_item){
+		.res = d->a.res,
+		.expected_fence = d->a.fence,
+		.holder = d->a.holder,
+	};
+}
+
+static void add_release(ws_us now, struct ws_record *rec, struct own_entry *e)
+{
+	e->moved_at = now;
+	rec->items[rec->n_items++] = (struct ws_assign_item){
+		.res = e->a.res,
+		.expected_fence = e->a.fence,
+		.holder = e->move_to,
+	};
+}
+
+static void send_release(struct ws_own *o, struct ws_fx *fx, ws_us now,
+			 const struct release *list, size_t n)
+{
+	struct ws_record rec = { .kind = WS_REC_ASSIGN, .released = true };
+	ws_id guarded = 0;
+	size_t i;
+
+	if (n > OWN_BATCH)
+		n = OWN_BATCH;
+	rec.items = ws_alloc(n * 2, sizeof(*rec.items));
+	for (i = 0; i < n; i++) {
+		if (list[i].guard && list[i].holder != guarded) {
+			guarded = list[i].holder;
+			add_guard(o, &rec, guarded);
+		}
+		add_release(now, &rec, list[i].entry);
+	}
+	own_append(o, fx, &rec);
+}
+
+static void release_all(struct ws_own *o, struct ws_fx *fx, ws_us now)
+{
+	struct release *list = NULL;
+	size_t n = 0;
+	size_t cap = 0;
+	size_t i;
+
+	if (!o->moves_left)
+		return;
+	o->moves_left = false;
+	for (i = 0; i < o->n; i++) {
+		struct own_entry *e = &o->entries[i];
+
+		o->moves_left = o->moves_left || own_given_up(e);
+		if (!releasable(o, now, e))
+			continue;
+		ws_grow(&list, &cap, n + 1, sizeof(*list));
+		list[n++] = (struct release){ .entry = e,
+					      .guard = needs_guard(e),
+					      .holder = e->a.holder.id };
+	}
+	if (n) {
+		qsort(list, n, sizeof(*list), by_holder);
+		send_release(o, fx, now, list, n);
+	}
+	free(list);
+}
+
+/* ===== Tick ===== */
+
+void own_move_tick(struct ws_own *o, struct ws_fx *fx, ws_us now,
+		   const struct ws_view *view)
+{
+	if (!own_fresh(o, now) || !own_log_recent(o, now) || !view->bundle ||
+	    now - o->awake_since < OWN_SETTLE)
+		return;
+	plan_moves(o, fx, now, view);
+	release_all(o, fx, now);
+}
+
+void ws_own_drain(struct ws_own *o)
+{
+	o->draining = true;
+	o->version++;
+}
+
+bool ws_own_drained(const struct ws_own *o)
+{
+	size_t i;
+
+	for (i = 0; i < o->n; i++)
+		if (o->entries[i].a.holder.id == o->self &&
+		    !o->entries[i].a.holder.incarnation)
+			return false;
+	return true;
+}
--- /dev/null
+++ b/lib/core/ws_own_propose.c
@@ -0,0 +1,232 @@
+#include "core/ws_own_internal.h"
+
+#include <stdlib.h>
+
+/* Proposals for what has no holder or a lost one, and their activation. */
+
+/* ===== Loss ===== */
+
+bool own_instance_lost(const struct ws_view *view, ws_id id)
+{
+	const struct ws_instance *x = ws_view_instance(view, id);
+
+	return !x || !x->alive;
+}
+
+/*
+ * A target's silence counts only after a live dispatcher has had the time to
+ * probe it; the silence may be that of its former dispatcher.
+ */
+static bool silence_counts(const struct ws_own *o, ws_us now,
+			   const struct ws_view *view, ws_id target)
+{
+	const struct own_entry *d = own_dispatch(o, target);
+
+	return d && !own_instance_lost(view, d->a.holder.id) &&
+	       now - d->since >= OWN_PROBE_GRACE;
+}
+
+bool own_target_lost(const struct ws_own *o, ws_us now,
+		     const struct ws_view *view, const struct ws_holder *h)
+{
+	const struct ws_target *t = ws_view_target(view, h->id);
+
+	if (!t)
+		return true;
+	if (t->incarnation && t->incarnation != h->incarnation)
+		return true;
+	return t->state == WS_STATE_LOST && silence_counts(o, now, view, h->id);
+}
+
+/* ===== Permission to propose ===== */
+
+/*
+ * An instance that is cut off from the others, but not from the log, would
+ * take everything away from them. So it must hear holders of a majority of
+ * partitions, unless that has been impossible for the outage limit.
+ */
+static bool majority_alive(const struct ws_own *o, const struct ws_view *view)
+{
+	size_t votes = 0;
+	size_t i;
+
+	for (i = 0; i < o->n_partitions; i++) {
+		ws_id id = o->entries[o->partitions[i]].a.holder.id;
+
+		if (own_is_gone(o, id) || !own_instance_lost(view, id))
+			votes++;
+	}
+	return !o->n_partitions || votes * 2 > o->n_partitions;
+}
+
+static bool may_take_over(struct ws_own *o, ws_us now,
+			  const struct ws_view *view)
+{
+	if (majority_alive(o, view)) {
+		o->no_majority_since = 0;
+		return true;
+	}
+	if (!o->no_majority_since)
+		o->no_majority_since = now;
+	return now - o->no_majority_since >= OWN_OUTAGE_LIMIT;
+}
+
+static bool self_eligible(const struct ws_own *o, const struct ws_view *view)
+{
+	const struct ws_instance *x = ws_view_instance(view, o->self);
+
+	return x && ws_view_eligible(view, x) && !o->draining;
+}
+
+/* ===== Proposals ===== */
+
+static bool my_turn(struct ws_own *o, ws_us now, const struct ws_view *view,
+		    uint64_t topic, bool work)
+{
+	struct own_topic *t = own_topic(o, topic);
+
+	if (!work) {
+		t->since = 0;
+		return false;
+	}
+	if (!t->since)
+		t->since = now;
+	return !t->busy &&
+	       now - t->since >= own_rank(o, view, topic) * OWN_RANK_DELAY;
+}
+
+static bool wanted(const struct ws_own *o, const struct own_plan *p, size_t i)
+{
+	if (p->status[i] == OWN_MISSING)
+		return true;
+	return p->status[i] == OWN_LOST && o->take_over;
+}
+
+static void flush(struct ws_own *o, struct ws_fx *fx, ws_us now, uint64_t topic,
+		  struct ws_record *rec)
+{
+	if (!rec->n_items)
+		return;
+	ws_fx_log(fx, WS_LOG_ASSIGN_PROPOSED, o->self, (int64_t)rec->n_items,
+		  0);
+	own_append_topic(o, fx, now, own_topic(o, topic), rec);
+	*rec = (struct ws_record){ .kind = WS_REC_ASSIGN };
+}
+
+static void propose_plan(struct ws_own *o, struct ws_fx *fx, ws_us now,
+			 const struct ws_view *view, struct own_plan *p,
+			 uint64_t topic)
+{
+	struct ws_record rec = { .kind = WS_REC_ASSIGN };
+	size_t cap = 0;
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < p->n; i++)
+		n += wanted(o, p, i);
+	if (!my_turn(o, now, view, topic, n))
+		return;
+	for (i = 0; i < p->n; i++) {
+		const struct ws_assignment *a = ws_own_find(o, &p->res[i]);
+
+		if (!wanted(o, p, i))
+			continue;
+		ws_grow(&rec.items, &cap, rec.n_items + 1, sizeof(*rec.items));
+		rec.items[rec.n_items++] = (struct ws_assign_item){
+			.res = p->res[i],
+			.expected_fence = a ? a->fence : 0,
+			.holder = p->bins.holders[p->items[i].to],
+		};
+		if (rec.n_items < OWN_BATCH ||
+		    p->res[i].kind == WS_RES_PARTITION)
+			continue;
+		flush(o, fx, now, topic, &rec);
+		cap = 0;
+	}
+	flush(o, fx, now, topic, &rec);
+}
+
+static bool scan_due(const struct ws_own *o, ws_us now)
+{
+	if (o->version != o->scanned_version || o->view_sum != o->scanned_sum)
+		return true;
+	return o->work_left && now - o->scanned_at >= OWN_SCAN_PERIOD;
+}
+
+void own_propose_tick(struct ws_own *o, struct ws_fx *fx, ws_us now,
+		      const struct ws_view *view)
+{
+	if (!own_fresh(o, now) || !own_log_recent(o, now) || !view->bundle ||
+	    !self_eligible(o, view) || now - o->awake_since < OWN_SETTLE)
+		return;
+	o->take_over = may_take_over(o, now, view);
+	if (!scan_due(o, now))
+		return;
+	o->scanned_version = o->version;
+	o->scanned_sum = o->view_sum;
+	o->scanned_at = now;
+	o->work_left = false;
+	own_plan_all(o, fx, now, view, false, false, propose_plan);
+}
+
+/* ===== Activation ===== */
+
+static unsigned activation_rank(const struct ws_own *o,
+				const struct ws_view *view,
+				const struct own_pending *p)
+{
+	const struct ws_instance *w = ws_view_instance(view, p->writer);
+
+	if (p->writer == o->self)
+		return 0;
+	return own_rank(o, view, p->offset) + (w && w->alive);
+}
+
+static bool may_activate(struct ws_own *o, struct ws_fx *fx, ws_us now,
+			 struct own_pending *p)
+{
+	if (now - p->folded_at >=
+	    OWN_OUTAGE_LIMIT + OWN_OUTAGE_DRIFT + WS_LEASE + WS_DRIFT_MARGIN)
+		return true;
+	if (!p->quorum_at) {
+		if (!own_majority_applied(o, p->offset)) {
+			own_ask(o, fx, now, OWN_ASK_PERIOD);
+			return false;
+		}
+		p->quorum_at = now;
+	}
+#ifdef WS_MUTANT_OWN_WAIT
+	return true;
+#endif
+	return now - p->quorum_at >= WS_LEASE + WS_DRIFT_MARGIN;
+}
+
+static void activate(struct ws_own *o, struct ws_fx *fx, ws_us now,
+		     struct own_pending *p)
+{
+	struct ws_record rec = { .kind = WS_REC_ACTIVATE,
+				 .target_offset = p->offset };
+
+	p->appended_at = now;
+	own_append(o, fx, &rec);
+}
+
+void own_activate_tick(struct ws_own *o, struct ws_fx *fx, ws_us now,
+		       const struct ws_view *view)
+{
+	size_t i;
+
+	if (!o->based)
+		return;
+	for (i = 0; i < o->n_pending; i++) {
+		struct own_pending *p = &o->pending[i];
+
+		if (now - p->folded_at <
+		    activation_rank(o, view, p) * OWN_RANK_DELAY)
+			continue;
+		if (!may_activate(o, fx, now, p))
+			continue;
+		if (!p->appended_at || now - p->appended_at >= OWN_APPEND_WAIT)
+			activate(o, fx, now, p);
+	}
+}
--- /dev/null
+++ b/tests/test_own.c
@@ -0,0 +1,599 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/ws_own.h"
+
+/* One instance (id 1) with hand-made records, votes and views. */
+
+#define SELF 1
+#define SVC 77
+#define T1 101
+#define T2 102
+#define INC 9
+
+static struct ws_own *own;
+static struct ws_fx fx;
+static struct ws_service service;
+static struct ws_zone zone;
+static struct ws_bundle bundle;
+static struct ws_instance instances[3];
+static struct ws_target targets[2];
+static struct ws_view view;
+static ws_offset head;
+static ws_us now;
+
+static void setup(void)
+{
+	size_t i;
+
+	own = ws_own_new(SELF, 1);
+	head = 1;
+	now = 10 * WS_SECOND;
+	service = (struct ws_service){
+		.id = SVC, .sharded = true, .shards = 4, .checks_fences = true
+	};
+	zone = (struct ws_zone){ .id = 5, .in_service = true };
+	bundle = (struct ws_bundle){ .refs = 1,
+				     .version = 1,
+				     .partitions = 3,
+				     .outage_limit = 600 * WS_SECOND,
+				     .n_services = 1,
+				     .services = &service,
+				     .n_zones = 1,
+				     .zones = &zone };
+	for (i = 0; i < 3; i++)
+		instances[i] = (struct ws_instance){
+			.id = SELF + i, .zone = 5, .listed = true, .alive = true
+		};
+	for (i = 0; i < 2; i++)
+		targets[i] = (struct ws_target){ .id = T1 + i,
+						 .service = SVC,
+						 .zone = 5,
+						 .listed = true,
+						 .state = WS_STATE_LIVE,
+						 .incarnation = INC };
+	view = (struct ws_view){ .self = SELF,
+				 .self_zone = 5,
+				 .bundle = &bundle,
+				 .n_instances = 3,
+				 .instances = instances,
+				 .n_targets = 2,
+				 .targets = targets };
+}
+
+static void teardown(void)
+{
+	ws_own_free(own);
+	ws_fx_free(&fx);
+}
+
+/* ===== Helpers ===== */
+
+static ws_offset fold(struct ws_record *rec)
+{
+	rec->offset = head++;
+	ws_own_fold(own, &fx, now, rec);
+	return rec->offset;
+}
+
+static ws_offset assign(ws_id writer, bool released, size_t n,
+			struct ws_assign_item *items)
+{
+	struct ws_record rec = { .kind = WS_REC_ASSIGN,
+				 .writer = writer,
+				 .released = released,
+				 .n_items = n,
+				 .items = items };
+
+	return fold(&rec);
+}
+
+static struct ws_assign_item item(uint8_t kind, uint64_t id, ws_offset fence,
+				  ws_id holder)
+{
+	struct ws_assign_item it = { .res = { .kind = kind, .item = id },
+				     .expected_fence = fence,
+				     .holder = { .id = holder } };
+
+	if (kind >= WS_RES_SHARD) {
+		it.res.scope = SVC;
+		it.holder.incarnation = holder ? INC : 0;
+	}
+	return it;
+}
+
+static ws_offset assign_one(ws_id writer, bool released, uint8_t kind,
+			    uint64_t id, ws_offset fence, ws_id holder)
+{
+	struct ws_assign_item it = item(kind, id, fence, holder);
+
+	return assign(writer, released, 1, &it);
+}
+
+static const struct ws_assignment *find(uint8_t kind, uint64_t id)
+{
+	struct ws_assign_item it = item(kind, id, 0, 0);
+
+	return ws_own_find(own, &it.res);
+}
+
+/* Each instance holds one of three partitions. */
+static ws_offset assign_partitions(void)
+{
+	struct ws_assign_item it[3];
+	size_t i;
+
+	for (i = 0; i < 3; i++)
+		it[i] = item(WS_RES_PARTITION, i, 0, SELF + i);
+	return assign(SELF, false, 3, it);
+}
+
+static void answer_grants(size_t from)
+{
+	size_t n = fx.n;
+	size_t i;
+
+	for (i = from; i < n; i++)
+		if (fx.items[i].kind == WS_FX_GRANT)
+			ws_own_granted(own, &fx, now,
+				       fx.items[i].u.grant.target,
+				       fx.items[i].u.grant.as_of, true);
+}
+
+/* Ticks; targets answer each grant at the next tick. */
+static void tick_for(ws_us time, bool log)
+{
+	size_t seen = fx.n;
+	ws_us end;
+
+	for (end = now + time; now < end; now += 20 * WS_MS) {
+		answer_grants(seen);
+		seen = fx.n;
+		if (log)
+			ws_own_log_evidence(own, &fx, now, now, head);
+		targets[0].clock_local = now;
+		targets[0].clock_target_us = now + 7 * WS_SECOND;
+		targets[0].clock_incarnation = INC;
+		ws_own_tick(own, &fx, now, now / WS_MS, &view);
+	}
+}
+
+static struct ws_effect *effect(uint8_t kind)
+{
+	size_t i;
+
+	for (i = fx.n; i-- > 0;)
+		if (fx.items[i].kind == kind)
+			return &fx.items[i];
+	return NULL;
+}
+
+static struct ws_record *appended(uint8_t kind)
+{
+	size_t i;
+
+	for (i = fx.n; i-- > 0;)
+		if (fx.items[i].kind == WS_FX_APPEND &&
+		    fx.items[i].u.append->kind == kind)
+			return fx.items[i].u.append;
+	return NULL;
+}
+
+/* A proposal to take something from its holder without release. */
+static bool takes_over(const struct ws_record *r)
+{
+	return r && !r->released && r->items[0].expected_fence;
+}
+
+static uint64_t last_round(void)
+{
+	size_t i;
+
+	for (i = fx.n; i-- > 0;)
+		if (fx.items[i].kind == WS_FX_SEND &&
+		    fx.items[i].u.send.msg.kind == WS_MSG_FRESH_ASK)
+			return fx.items[i].u.send.msg.u.fresh.round;
+	return 0;
+}
+
+static void vote(ws_id from, ws_offset folded)
+{
+	struct ws_msg m = { .kind = WS_MSG_FRESH_ANSWER };
+
+	m.u.fresh.round = last_round();
+	m.u.fresh.folded = folded;
+	ws_own_msg(own, &fx, now, from, &m, &view);
+}
+
+/* Holds the dispatch of T1, which owns shard 0. */
+static ws_offset own_t1(void)
+{
+	ws_own_log_evidence(own, &fx, now, now, head);
+	assign_partitions();
+	assign_one(SELF, false, WS_RES_DISPATCH, T1, 0, SELF);
+	return assign_one(SELF, false, WS_RES_SHARD, 0, 0, T1);
+}
+
+/* ===== Folding ===== */
+
+/* Two proposers race; were both to count, a resource had two holders. */
+START_TEST(first_record_in_the_log_wins)
+{
+	ws_offset a = assign_one(2, false, WS_RES_DISPATCH, T1, 0, 2);
+
+	assign_one(3, false, WS_RES_DISPATCH, T1, 0, 3);
+	ck_assert_uint_eq(find(WS_RES_DISPATCH, T1)->holder.id, 2);
+	ck_assert_uint_eq(find(WS_RES_DISPATCH, T1)->fence, a);
+	ck_assert(find(WS_RES_DISPATCH, T1)->active);
+}
+END_TEST
+
+/* A takeover that is active at once overlaps with the old holder's lease. */
+START_TEST(takeover_is_inactive_until_activated)
+{
+	ws_offset a = assign_one(2, false, WS_RES_DISPATCH, T1, 0, 2);
+	ws_offset b = assign_one(3, false, WS_RES_DISPATCH, T1, a, 3);
+	struct ws_record rec = { .kind = WS_REC_ACTIVATE,
+				 .target_offset = b,
+				 .wall_ms = 1234 };
+
+	ck_assert(!find(WS_RES_DISPATCH, T1)->active);
+	fold(&rec);
+	ck_assert(find(WS_RES_DISPATCH, T1)->active);
+	ck_assert_int_eq(find(WS_RES_DISPATCH, T1)->takeover_wall_ms, 1234);
+}
+END_TEST
+
+/* Only who holds something can tell that it has stopped using it. */
+START_TEST(release_counts_only_from_the_active_holder)
+{
+	ws_offset a = assign_one(2, false, WS_RES_DISPATCH, T1, 0, 2);
+	ws_offset b;
+
+	assign_one(3, true, WS_RES_DISPATCH, T1, a, 3);
+	ck_assert_uint_eq(find(WS_RES_DISPATCH, T1)->holder.id, 2);
+	b = assign_one(3, false, WS_RES_DISPATCH, T1, a, 3);
+	assign_one(3, true, WS_RES_DISPATCH, T1, b, SELF);
+	ck_assert_uint_eq(find(WS_RES_DISPATCH, T1)->holder.id, 3);
+	ck_assert(!find(WS_RES_DISPATCH, T1)->active);
+}
+END_TEST
+
+/* A release delayed in the log must not count in a later tenure. */
+START_TEST(shard_release_needs_the_present_tenure)
+{
+	ws_offset d = assign_one(2, false, WS_RES_DISPATCH, T1, 0, 2);
+	ws_offset s = assign_one(2, false, WS_RES_SHARD, 0, 0, T1);
+	struct ws_assign_item it[2] = {
+		item(WS_RES_DISPATCH, T1, d, 2),
+		item(WS_RES_SHARD, 0, s, T2),
+	};
+	ws_offset d2 = assign_one(2, true, WS_RES_DISPATCH, T1, d, 3);
+
+	d2 = assign_one(3, true, WS_RES_DISPATCH, T1, d2, 2);
+	assign(2, true, 2, it);
+	ck_assert_uint_eq(find(WS_RES_SHARD, 0)->holder.id, T1);
+	it[0].expected_fence = d2;
+	assign(2, true, 2, it);
+	ck_assert_uint_eq(find(WS_RES_SHARD, 0)->holder.id, T2);
+	ck_assert(find(WS_RES_SHARD, 0)->active);
+	ck_assert_uint_eq(find(WS_RES_DISPATCH, T1)->fence, d2);
+}
+END_TEST
+
+/* A key that leaves its shard without a new shard fence has two owners. */
+START_TEST(hot_key_starts_only_with_a_new_fence_of_its_shard)
+{
+	ws_offset d = assign_one(2, false, WS_RES_DISPATCH, T1, 0, 2);
+	ws_offset s = assign_one(2, false, WS_RES_SHARD, 0, 0, T1);
+	struct ws_assign_item it[3] = {
+		item(WS_RES_DISPATCH, T1, d, 2),
+		item(WS_RES_SHARD, 0, s, T1),
+		item(WS_RES_HOT_KEY, 500, 0, T1),
+	};
+
+	assign_one(2, false, WS_RES_HOT_KEY, 500, 0, T2);
+	ck_assert_ptr_null(find(WS_RES_HOT_KEY, 500));
+	s = assign(2, true, 3, it);
+	ck_assert_uint_eq(find(WS_RES_HOT_KEY, 500)->holder.id, T1);
+	ck_assert_uint_eq(find(WS_RES_SHARD, 0)->fence, s);
+	it[1].expected_fence = s;
+	it[2].expected_fence = s;
+	it[2].holder = (struct ws_holder){ 0 };
+	assign(2, true, 3, it);
+	ck_assert_ptr_null(find(WS_RES_HOT_KEY, 500));
+}
+END_TEST
+
+/* ===== Freshness ===== */
+
+/* Evidence counts from the start of the read, not from its arrival. */
+START_TEST(log_evidence_lasts_one_lease_from_its_start)
+{
+	struct ws_assign_item d = item(WS_RES_DISPATCH, T1, 0, SELF);
+
+	own_t1();
+	ck_assert(ws_own_holds(own, now + WS_LEASE - 1, &d.res));
+	ck_assert(!ws_own_holds(own, now + WS_LEASE, &d.res));
+	ws_own_log_evidence(own, &fx, now + WS_SECOND, now + 5, head);
+	ck_assert_int_eq(ws_own_fresh_until(own), now + 5 + WS_LEASE);
+	ws_own_log_evidence(own, &fx, now + WS_SECOND, now + 500, head + 1);
+	ck_assert_int_eq(ws_own_fresh_until(own), now + 5 + WS_LEASE);
+}
+END_TEST
+
+/* In an outage only holders of a majority that know nothing newer count. */
+START_TEST(quorum_needs_a_majority_that_is_not_ahead)
+{
+	ws_us base;
+
+	own_t1();
+	base = ws_own_fresh_until(own);
+	tick_for(900 * WS_MS, false);
+	ck_assert_int_eq(ws_own_fresh_until(own), base);
+	vote(9, head);
+	vote(2, head + 1);
+	ck_assert_int_eq(ws_own_fresh_until(own), base);
+	vote(3, head);
+	ck_assert_int_gt(ws_own_fresh_until(own), base);
+}
+END_TEST
+
+/* The vote of a partition that is being taken over belongs to nobody. */
+START_TEST(inactive_holder_has_no_vote)
+{
+	ws_offset p = own_t1() - 2;
+	ws_us base = ws_own_fresh_until(own);
+
+	assign_one(3, false, WS_RES_PARTITION, 1, p, 3);
+	assign_one(3, false, WS_RES_PARTITION, 2, p, 2);
+	tick_for(900 * WS_MS, false);
+	vote(2, head);
+	vote(3, head);
+	ck_assert_int_eq(ws_own_fresh_until(own), base);
+}
+END_TEST
+
+/* Without this bound a cut-off majority would keep leases for ever. */
+START_TEST(quorum_evidence_ends_at_the_outage_limit)
+{
+	ws_us start = now;
+
+	own_t1();
+	while (now < start + 605 * WS_SECOND) {
+		tick_for(200 * WS_MS, false);
+		vote(2, head);
+		ws_fx_clear(&fx);
+	}
+	ck_assert_int_eq(ws_own_fresh_until(own), start + 600 * WS_SECOND);
+}
+END_TEST
+
+/* ===== Activation ===== */
+
+/* Both the answers and the lease after them must have passed. */
+START_TEST(activation_waits_for_answers_and_a_lease)
+{
+	ws_offset d;
+
+	own_t1();
+	d = assign_one(2, false, WS_RES_DISPATCH, T2, 0, 2);
+	d = assign_one(SELF, false, WS_RES_DISPATCH, T2, d, 3);
+	tick_for(3 * WS_SECOND, true);
+	ck_assert_ptr_null(appended(WS_REC_ACTIVATE));
+	vote(3, d + 1);
+	tick_for(WS_LEASE, true);
+	ck_assert_ptr_null(appended(WS_REC_ACTIVATE));
+	tick_for(WS_DRIFT_MARGIN + 100 * WS_MS, true);
+	ck_assert_ptr_nonnull(appended(WS_REC_ACTIVATE));
+	ck_assert_uint_eq(appended(WS_REC_ACTIVATE)->target_offset, d);
+}
+END_TEST
+
+/* An operator's word replaces the answers of instances that are gone. */
+START_TEST(recover_replaces_answers_of_gone_instances)
+{
+	ws_id gone[2] = { 2, 3 };
+	struct ws_record rec = { .kind = WS_REC_RECOVER,
+				 .n_gone = 2,
+				 .gone = gone };
+	ws_offset d;
+
+	own_t1();
+	d = assign_one(2, false, WS_RES_DISPATCH, T2, 0, 2);
+	assign_one(SELF, false, WS_RES_DISPATCH, T2, d, SELF);
+	tick_for(3 * WS_SECOND, true);
+	ck_assert_ptr_null(appended(WS_REC_ACTIVATE));
+	fold(&rec);
+	tick_for(WS_LEASE + WS_DRIFT_MARGIN + 100 * WS_MS, true);
+	ck_assert_ptr_nonnull(appended(WS_REC_ACTIVATE));
+}
+END_TEST
+
+/* ===== Leases and sending ===== */
+
+/* A grant that outlives the evidence overlaps with a takeover. */
+START_TEST(grant_ends_before_the_evidence)
+{
+	struct ws_effect *g;
+	ws_us at;
+
+	own_t1();
+	at = now;
+	tick_for(200 * WS_MS, false);
+	g = effect(WS_FX_GRANT);
+	ck_assert_ptr_nonnull(g);
+	ck_assert_uint_eq(g->u.grant.n_items, 1);
+	ck_assert_int_le(g->u.grant.not_after_us,
+			 at + WS_LEASE + 7 * WS_SECOND - WS_DRIFT_MARGIN);
+}
+END_TEST
+
+/* The last check before sending sees target, incarnation, fence and time. */
+START_TEST(may_send_checks_everything)
+{
+	uint64_t key = 0;
+	ws_offset s = own_t1();
+
+	while (ws_bundle_shard(&service, key) != 0)
+		key++;
+	ck_assert(ws_own_may_send(own, now, &view, T1, INC, SVC, key, s));
+	ck_assert(!ws_own_may_send(own, now, &view, T1, 8, SVC, key, s));
+	ck_assert(!ws_own_may_send(own, now, &view, T2, INC, SVC, key, s));
+	ck_assert(!ws_own_may_send(own, now, &view, T1, INC, SVC, key, s - 1));
+	ck_assert(!ws_own_may_send(own, now + WS_LEASE, &view, T1, INC, SVC,
+				   key, s));
+}
+END_TEST
+
+/* A leaving target's shard moves only after the target has let go of it. */
+START_TEST(leaving_target_releases_after_its_answer)
+{
+	ws_offset s = own_t1();
+	struct ws_effect *g;
+	struct ws_record *r;
+	uint64_t key = 0;
+
+	while (ws_bundle_shard(&service, key) != 0)
+		key++;
+	tick_for(1500 * WS_MS, true);
+	targets[0].leaving = true;
+	ws_fx_clear(&fx);
+	tick_for(20 * WS_MS, true);
+	ck_assert(!ws_own_may_send(own, now, &view, T1, INC, SVC, key, s));
+	r = appended(WS_REC_ASSIGN);
+	ck_assert(!r || !r->released);
+	g = effect(WS_FX_GRANT);
+	ck_assert_uint_eq(g->u.grant.n_items, 0);
+	ws_own_granted(own, &fx, now, T1, g->u.grant.as_of, true);
+	tick_for(40 * WS_MS, true);
+	r = appended(WS_REC_ASSIGN);
+	ck_assert(r && r->released);
+	ck_assert_uint_eq(r->n_items, 2);
+	ck_assert_uint_eq(r->items[1].holder.id, T2);
+}
+END_TEST
+
+/* ===== Proposals and snapshots ===== */
+
+/* A single instance must be able to start a cluster from an empty log. */
+START_TEST(first_instance_assigns_everything)
+{
+	size_t i;
+
+	view.n_instances = 1;
+	tick_for(1200 * WS_MS, true);
+	for (i = 0; i < fx.n; i++)
+		if (fx.items[i].kind == WS_FX_APPEND)
+			fold(fx.items[i].u.append);
+	ck_assert_uint_eq(ws_own_partitions(own, NULL, 0), 3);
+	ck_assert_uint_eq(ws_own_count(own), 3 + 2 + 4);
+}
+END_TEST
+
+/* Cut off from the others, it must not take everything from them. */
+START_TEST(no_takeover_without_a_live_majority)
+{
+	size_t i;
+
+	own_t1();
+	tick_for(1500 * WS_MS, true);
+	ws_fx_clear(&fx);
+	instances[1].alive = false;
+	instances[2].alive = false;
+	tick_for(2 * WS_SECOND, true);
+	for (i = 0; i < fx.n; i++)
+		ck_assert(fx.items[i].kind != WS_FX_APPEND ||
+			  !takes_over(fx.items[i].u.append));
+}
+END_TEST
+
+/* A restarted instance knows no more than a snapshot and the tail. */
+START_TEST(starts_from_a_snapshot_in_the_log)
+{
+	struct ws_own *other = ws_own_new(4, 2);
+	struct ws_record snap = { 0 };
+	struct ws_record bad = { .offset = 3 };
+	size_t i;
+
+	own_t1();
+	assign_one(3, false, WS_RES_DISPATCH, T2, 0, 3);
+	ws_own_snapshot(own);
+	tick_for(40 * WS_MS, true);
+	ws_record_copy(&snap, appended(WS_REC_SNAPSHOT));
+	snap.offset = head++;
+	ws_own_fold(other, &fx, now, &bad);
+	ck_assert_uint_eq(ws_own_count(other), 0);
+	bad.offset = 4;
+	ws_own_fold(other, &fx, now, &bad);
+	ws_own_fold(other, &fx, now, &snap);
+	ck_assert_uint_eq(ws_own_folded(other), head);
+	ck_assert_uint_eq(ws_own_count(other), ws_own_count(own));
+	for (i = 0; i < ws_own_count(own); i++)
+		ck_assert_mem_eq(ws_own_at(own, i), ws_own_at(other, i),
+				 sizeof(struct ws_assignment));
+	ws_record_clear(&snap);
+	ws_own_free(other);
+}
+END_TEST
+
+/* In a log outage an instance that lags catches up from a peer. */
+START_TEST(peer_copies_records_or_a_snapshot)
+{
+	struct ws_own *other = ws_own_new(4, 2);
+	struct ws_msg ask = { .kind = WS_MSG_TAIL_ASK };
+	struct ws_effect *e;
+	size_t i;
+
+	own_t1();
+	ws_own_msg(own, &fx, now, 4, &ask, &view);
+	e = effect(WS_FX_SEND);
+	ck_assert_uint_eq(e->u.send.msg.u.tail.n_records, 1);
+	ws_own_fold(other, &fx, now, e->u.send.msg.u.tail.records);
+	ck_assert_uint_eq(ws_own_folded(other), head);
+	ck_assert_uint_eq(ws_own_count(other), ws_own_count(own));
+	assign_one(3, false, WS_RES_DISPATCH, T2, 0, 3);
+	ask.u.tail.from = ws_own_folded(other);
+	ws_own_msg(own, &fx, now, 4, &ask, &view);
+	e = effect(WS_FX_SEND);
+	for (i = 0; i < e->u.send.msg.u.tail.n_records; i++)
+		ws_own_fold(other, &fx, now, &e->u.send.msg.u.tail.records[i]);
+	ck_assert_uint_eq(ws_own_count(other), ws_own_count(own));
+	ws_own_free(other);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("own");
+	TCase *tc = tcase_create("all");
+	SRunner *sr;
+	int failed;
+
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_test(tc, first_record_in_the_log_wins);
+	tcase_add_test(tc, takeover_is_inactive_until_activated);
+	tcase_add_test(tc, release_counts_only_from_the_active_holder);
+	tcase_add_test(tc, shard_release_needs_the_present_tenure);
+	tcase_add_test(tc, hot_key_starts_only_with_a_new_fence_of_its_shard);
+	tcase_add_test(tc, log_evidence_lasts_one_lease_from_its_start);
+	tcase_add_test(tc, quorum_needs_a_majority_that_is_not_ahead);
+	tcase_add_test(tc, inactive_holder_has_no_vote);
+	tcase_add_test(tc, quorum_evidence_ends_at_the_outage_limit);
+	tcase_add_test(tc, activation_waits_for_answers_and_a_lease);
+	tcase_add_test(tc, recover_replaces_answers_of_gone_instances);
+	tcase_add_test(tc, grant_ends_before_the_evidence);
+	tcase_add_test(tc, may_send_checks_everything);
+	tcase_add_test(tc, leaving_target_releases_after_its_answer);
+	tcase_add_test(tc, first_instance_assigns_everything);
+	tcase_add_test(tc, no_takeover_without_a_live_majority);
+	tcase_add_test(tc, starts_from_a_snapshot_in_the_log);
+	tcase_add_test(tc, peer_copies_records_or_a_snapshot);
+	suite_add_tcase(s, tc);
+	sr = srunner_create(s);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
