Add request ids at their home and the quarantine of crashing requests

Cause: a non-idempotent request must run at most once through resends, handovers, losses and takeovers of its home, and a request that crashes targets must be stopped.

Change: ws_idem keeps ids, answers and askers in bounded tables and moves a partition's table in counted HANDOVER messages. ws_idem_assigned() is new: the core tells the fence of the former holder, so that a lost handover is noticed. WS_FX_RETAIN is new. ws_quar counts strikes by id. ws_slots is the hash index below both.

--- /dev/null
+++ b/lib/core/ws_idem_home.c
@@ -0,0 +1,294 @@
+#include "core/ws_idem_priv.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* ===== Homes ===== */
+
+struct ws_idem_home *ws_idem_home(struct ws_idem *d, uint32_t partition)
+{
+	WS_INVARIANT(partition < WS_IDEM_MAX_PARTITIONS);
+	ws_grow(&d->homes, &d->homes_cap, (size_t)partition + 1,
+		sizeof(*d->homes));
+	return &d->homes[partition];
+}
+
+void ws_idem_assigned(struct ws_idem *d, int64_t wall_ms, uint32_t partition,
+		      ws_offset fence, ws_offset former_fence)
+{
+	struct ws_idem_home *h = ws_idem_home(d, partition);
+
+	ws_idem_note_wall(d, wall_ms);
+	if (fence <= h->fence)
+		return;
+	h->fence = fence;
+	h->former = former_fence;
+	h->since_ms = wall_ms;
+	h->logged = false;
+}
+
+static bool handover_complete(const struct ws_idem_home *h)
+{
+	return h->in_fence == h->former && h->in_total &&
+	       h->in_count == h->in_total;
+}
+
+/*
+ * What the table of the former holder, or the lack of one, says of ids that
+ * are not listed. Returns false when it says nothing.
+ */
+static bool bound_by_former(const struct ws_idem_home *h, ws_offset fence,
+			    int64_t *bound_ms)
+{
+	if (h->fence != fence)
+		return false;
+	if (!h->former) {
+		*bound_ms = 0;
+		return true;
+	}
+	if (!handover_complete(h))
+		return false;
+	*bound_ms = h->in_bound_ms;
+	return true;
+}
+
+int64_t ws_idem_bound(struct ws_idem *d, const struct ws_assignment *part)
+{
+	uint32_t partition = (uint32_t)part->res.item;
+	struct ws_idem_home *h = ws_idem_home(d, partition);
+	int64_t bound_ms;
+
+	if (h->fence < part->fence)
+		ws_idem_assigned(d, d->wall_ms, partition, part->fence,
+				 WS_IDEM_FORMER_UNKNOWN);
+	if (!bound_by_former(h, part->fence, &bound_ms)) {
+		bound_ms = h->since_ms + WS_IDEM_TAKEOVER_MS;
+		if (part->takeover_wall_ms)
+			bound_ms = part->takeover_wall_ms + WS_IDEM_TAKEOVER_MS;
+	}
+#ifdef WS_MUTANT_DISPATCH_BEFORE_TAKEOVER
+	bound_ms = 0;
+#endif
+	h->bound_fence = part->fence;
+	h->bound_ms = bound_ms;
+	return bound_ms;
+}
+
+/* The bound that the next holder must observe. */
+static int64_t bound_to_hand_over(const struct ws_idem *d,
+				  const struct ws_idem_home *h, ws_offset fence)
+{
+	int64_t bound_ms;
+
+	if (bound_by_former(h, fence, &bound_ms))
+		return bound_ms;
+	if (h->bound_fence == fence)
+		return h->bound_ms;
+	if (!d->wall_ms)
+		return INT64_MAX;
+	return d->wall_ms + WS_IDEM_TAKEOVER_MS;
+}
+
+/* ===== Receiving a handover ===== */
+
+/* Takes over the answer of a received entry if nothing better is known. */
+static void merge(struct ws_idem *d, struct ws_fx *fx, uint32_t item,
+		  const struct ws_idem_entry *e, uint8_t state)
+{
+	struct ws_idem_item *it = &d->items[item];
+	bool better = state == WS_IDEM_DONE && it->state != WS_IDEM_DONE &&
+		      it->state != WS_IDEM_RUNNING &&
+		      it->fingerprint == e->fingerprint;
+
+	if (!better) {
+		ws_idem_release(fx, e->payload);
+		return;
+	}
+	ws_idem_release(fx, it->answer.payload);
+	it->state = state;
+	it->answer = (struct ws_answer){
+		.outcome = WS_OUT_DONE,
+		.status = e->status,
+		.payload = e->payload,
+	};
+}
+
+static uint8_t state_here(uint8_t state_there)
+{
+	if (state_there == WS_IDEM_DONE || state_there == WS_IDEM_UNKNOWN)
+		return state_there;
+	return WS_IDEM_ELSEWHERE;
+}
+
+/* Returns false when the table is full. */
+static bool import(struct ws_idem *d, struct ws_fx *fx,
+		   const struct ws_idem_entry *e)
+{
+	uint8_t state = state_here(e->state);
+	uint32_t item = ws_idem_find(d, e->customer, e->request_id);
+	struct ws_answer *a;
+
+	if (item != WS_SLOT_NONE) {
+		merge(d, fx, item, e, state);
+		return true;
+	}
+	item = ws_idem_add(d, e->customer, e->request_id, e->fingerprint,
+			   state);
+	if (item == WS_SLOT_NONE) {
+		ws_idem_release(fx, e->payload);
+		return false;
+	}
+	a = &d->items[item].answer;
+	a->payload = e->payload;
+	a->status = e->status;
+	a->outcome = state == WS_IDEM_DONE ? WS_OUT_DONE : WS_OUT_UNKNOWN;
+	a->error = state == WS_IDEM_DONE ? 0 : WS_ERR_UNKNOWN_OUTCOME;
+	return true;
+}
+
+static void restart_handover(struct ws_idem_home *h, ws_offset fence,
+			     uint32_t total)
+{
+	free(h->in_seen);
+	h->in_seen = ws_alloc(total, 1);
+	h->in_fence = fence;
+	h->in_total = total;
+	h->in_count = 0;
+	h->in_bound_ms = 0;
+}
+
+static void count_chunk(struct ws_idem *d, uint32_t partition, ws_offset fence,
+			const struct ws_idem_entry *chunk)
+{
+	struct ws_idem_home *h = ws_idem_home(d, partition);
+	uint64_t index = chunk->request_id[0];
+	uint64_t total = chunk->request_id[1];
+
+	if (index >= total || total > WS_IDEM_MAX_CHUNKS || fence < h->in_fence)
+		return;
+	if (fence > h->in_fence)
+		restart_handover(h, fence, (uint32_t)total);
+	if (total != h->in_total || h->in_seen[index])
+		return;
+	h->in_seen[index] = 1;
+	h->in_count++;
+	if (chunk->stamp_ms > h->in_bound_ms)
+		h->in_bound_ms = chunk->stamp_ms;
+}
+
+void ws_idem_msg(struct ws_idem *d, struct ws_fx *fx, ws_us now, ws_id from,
+		 const struct ws_msg *msg)
+{
+	const struct ws_idem_entry *e = msg->u.handover.entries;
+	size_t n = msg->u.handover.n_entries;
+	bool whole = true;
+	size_t i;
+
+	(void)now;
+	(void)from;
+	if (msg->kind != WS_MSG_HANDOVER || !n)
+		return;
+	for (i = 1; i < n; i++)
+		whole = import(d, fx, &e[i]) && whole;
+	if (whole && e[0].state == WS_IDEM_CHUNK &&
+	    msg->u.handover.partition < WS_IDEM_MAX_PARTITIONS)
+		count_chunk(d, msg->u.handover.partition, msg->u.handover.fence,
+			    &e[0]);
+}
+
+/* ===== Sending a handover ===== */
+
+/* A list of entries that is sent in chunks. */
+struct export
+{
+	struct ws_idem_entry *entries;
+	size_t n;
+	size_t cap;
+};
+
+/* Moves the answer into the list, unless the request still runs here. */
+static void export_item(struct ws_idem *d, struct ws_fx *fx, struct export *x,
+			uint32_t item)
+{
+	struct ws_idem_item *it = &d->items[item];
+	struct ws_idem_entry *e;
+
+	ws_grow(&x->entries, &x->cap, x->n + 1, sizeof(*x->entries));
+	e = &x->entries[x->n++];
+	e->request_id[0] = it->request_id[0];
+	e->request_id[1] = it->request_id[1];
+	e->customer = it->customer;
+	e->fingerprint = it->fingerprint;
+	e->state = it->state;
+	e->stamp_ms = ws_idem_stamp(it->request_id);
+	if (it->state == WS_IDEM_RUNNING)
+		return;
+	e->status = it->answer.status;
+	e->payload = it->answer.payload;
+	it->answer.payload = 0;
+	ws_idem_drop(d, fx, item);
+}
+
+static void export_partition(struct ws_idem *d, struct ws_fx *fx,
+			     struct export *x, uint32_t partition,
+			     uint32_t partitions)
+{
+	const struct ws_idem_item *it;
+	uint32_t s;
+
+	for (s = 0; s < d->item_index.cap; s++) {
+		it = &d->items[s];
+		if (d->item_index.slot[s].used &&
+		    ws_idem_partition(it->customer, it->request_id,
+				      partitions) == partition)
+			export_item(d, fx, x, s);
+	}
+}
+
+static void send_chunk(struct ws_fx *fx, ws_id to, uint32_t partition,
+		       ws_offset fence, const struct export *x, uint64_t index,
+		       uint64_t total, int64_t bound_ms)
+{
+	size_t first = (size_t)index * WS_IDEM_CHUNK_ENTRIES;
+	size_t n = x->n - first;
+	struct ws_effect *e = ws_fx_add(fx, WS_FX_SEND);
+	struct ws_idem_entry *entries;
+
+	if (n > WS_IDEM_CHUNK_ENTRIES)
+		n = WS_IDEM_CHUNK_ENTRIES;
+	entries = ws_alloc(n + 1, sizeof(*entries));
+	entries[0].state = WS_IDEM_CHUNK;
+	entries[0].request_id[0] = index;
+	entries[0].request_id[1] = total;
+	entries[0].stamp_ms = bound_ms;
+	if (n)
+		memcpy(entries + 1, x->entries + first, n * sizeof(*entries));
+	e->u.send.to = to;
+	e->u.send.msg.kind = WS_MSG_HANDOVER;
+	e->u.send.msg.u.handover.partition = partition;
+	e->u.send.msg.u.handover.fence = fence;
+	e->u.send.msg.u.handover.last = index + 1 == total;
+	e->u.send.msg.u.handover.n_entries = n + 1;
+	e->u.send.msg.u.handover.entries = entries;
+}
+
+void ws_idem_handover(struct ws_idem *d, struct ws_fx *fx, uint32_t partition,
+		      uint32_t partitions, ws_offset fence, ws_id to)
+{
+	struct ws_idem_home *h = ws_idem_home(d, partition);
+	struct export x = { 0 };
+	int64_t bound_ms = bound_to_hand_over(d, h, fence);
+	uint64_t total;
+	uint64_t i;
+
+	if (fence <= h->given)
+		return;
+	h->given = fence;
+	export_partition(d, fx, &x, partition, partitions);
+	total = x.n ? (x.n + WS_IDEM_CHUNK_ENTRIES - 1) /
+				WS_IDEM_CHUNK_ENTRIES :
+		      1;
+	for (i = 0; i < total; i++)
+		send_chunk(fx, to, partition, fence, &x, i, total, bound_ms);
+	free(x.entries);
+}
--- /dev/null
+++ b/lib/core/ws_idem_priv.h
@@ -0,0 +1,100 @@
+#ifndef WS_IDEM_PRIV_H
+#define WS_IDEM_PRIV_H
+
+#include "core/ws_idem.h"
+#include "core/ws_slots.h"
+
+/* Shared by the parts of ws_idem: requests (ws_idem.c), homes and handover. */
+
+/* Partition numbers from peers are checked against this. */
+#define WS_IDEM_MAX_PARTITIONS 65536
+
+/* Messages of one handover: enough for 16 million entries. */
+#define WS_IDEM_MAX_CHUNKS 65536
+
+/* One remembered id. */
+struct ws_idem_item {
+	uint64_t request_id[2];
+	ws_id customer;
+	uint64_t fingerprint;
+	struct ws_answer answer; /* DONE and UNKNOWN */
+	uint32_t askers; /* first of a list of askers */
+	uint8_t state;
+};
+
+/* Somebody who waits for HOME_DONE. */
+struct ws_idem_asker {
+	uint64_t id;
+	uint32_t item;
+	uint32_t next;
+	bool runner; /* the call was routed under its id */
+	bool gone;
+};
+
+/* What is known of one partition. */
+struct ws_idem_home {
+	ws_offset fence; /* highest assignment to this instance */
+	ws_offset former; /* fence of the holder before */
+	int64_t since_ms; /* wall clock when fence was learned of */
+	ws_offset given; /* highest fence handed over */
+	ws_offset bound_fence; /* for which bound_ms was last used */
+	int64_t bound_ms;
+	bool logged; /* the takeover rule was applied */
+	/* Handover being received or complete */
+	ws_offset in_fence;
+	uint32_t in_total;
+	uint32_t in_count;
+	uint8_t *in_seen; /* one byte a message */
+	int64_t in_bound_ms;
+};
+
+struct ws_idem {
+	size_t max_items;
+	size_t max_askers;
+	struct ws_slots item_index;
+	struct ws_idem_item *items;
+	size_t items_cap;
+	struct ws_slots asker_index;
+	struct ws_idem_asker *askers;
+	size_t askers_cap;
+	struct ws_idem_home *homes;
+	size_t homes_cap;
+	int64_t wall_ms; /* latest wall clock seen */
+	int64_t horizon_ms; /* older stamps may have been forgotten */
+	uint32_t sweep; /* next slot that tick looks at */
+	bool full_logged;
+};
+
+/* Creation time in a UUID version 7. */
+static inline int64_t ws_idem_stamp(const uint64_t request_id[2])
+{
+	return (int64_t)(request_id[0] >> 16);
+}
+
+void ws_idem_note_wall(struct ws_idem *d, int64_t wall_ms);
+void ws_idem_release(struct ws_fx *fx, ws_payload payload);
+
+/* ===== Items (ws_idem.c) ===== */
+
+uint32_t ws_idem_find(const struct ws_idem *d, ws_id customer,
+		      const uint64_t request_id[2]);
+
+/* Adds an item without askers, or returns WS_SLOT_NONE at the bound. */
+uint32_t ws_idem_add(struct ws_idem *d, ws_id customer,
+		     const uint64_t request_id[2], uint64_t fingerprint,
+		     uint8_t state);
+
+/* Forgets an item and releases its answer. */
+void ws_idem_drop(struct ws_idem *d, struct ws_fx *fx, uint32_t item);
+
+/* ===== Homes (ws_idem_home.c) ===== */
+
+struct ws_idem_home *ws_idem_home(struct ws_idem *d, uint32_t partition);
+
+/*
+ * Ids stamped before the result may have been dispatched by a former holder
+ * without being in the table.
+ */
+int64_t ws_idem_bound(struct ws_idem *d, const struct ws_assignment *part);
+
+#endif
--- a/lib/core/ws_quar.h
+++ b/lib/core/ws_quar.h
@@ -13,7 +13,11 @@
 struct ws_quar *ws_quar_new(size_t max_entries);
 void ws_quar_free(struct ws_quar *q);
 
-/* Counts a strike; the same strike_id counts once. */
+/*
+ * Counts a strike; the same strike_id counts once. Strikes against a request
+ * that is in quarantine already are ignored. At the bound the entry with the
+ * fewest strikes, among these the oldest, is forgotten.
+ */
 void ws_quar_strike(struct ws_quar *q, ws_us now, uint64_t fingerprint,
 		    uint64_t strike_id);
 
--- a/lib/core/ws_types.h
+++ b/lib/core/ws_types.h
@@ -355,6 +355,7 @@
 	WS_FX_LOG, /* numbered log event */
 	WS_FX_PUBLISHED, /* result of WS_EV_PUBLISH */
 	WS_FX_DRAINED, /* graceful shutdown is complete */
+	WS_FX_RETAIN, /* one more reference to a payload; uses release */
 	/* From module to module; consumed inside ws_core_step() */
 	WS_FX_ADMITTED = 64, /* ws_adm: a token is spent for the call */
 	WS_FX_ADMIT_REFUSED,
--- /dev/null
+++ b/tests/test_idem.c
@@ -0,0 +1,565 @@
+#include <check.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/ws_idem.h"
+#include "seed_range.h"
+
+/*
+ * Three homes share two partitions that are handed over, taken over and lost.
+ * The model keeps every run for ever and judges each answer by it.
+ */
+
+#define HOMES 3
+#define PARTITIONS 2
+#define IDS 16
+#define STEPS 800
+#define TABLE 12
+#define WAITERS 8
+#define PAYLOADS (STEPS * 2 + 10)
+
+enum run_state { NEVER, OPEN, RAN, LOST };
+
+struct id {
+	uint64_t uuid[2];
+	enum run_state state;
+	uint64_t fingerprint; /* with which it ran */
+	uint64_t runner; /* asker under which it runs */
+	int home; /* where it ran */
+	bool moved; /* its partition moved while it ran */
+	struct ws_answer answer; /* RAN */
+};
+
+struct asker {
+	uint64_t id;
+	int home;
+	int slot; /* in ids */
+	bool waits;
+	bool cancelled;
+};
+
+struct part {
+	struct ws_assignment a;
+	int holder;
+	int64_t bound_ms; /* ids stamped before may be called unknown */
+	bool sure; /* the holder had the table of the one before, or ran */
+};
+
+struct world {
+	struct ws_rand r;
+	struct ws_idem *home[HOMES];
+	struct part part[PARTITIONS];
+	struct id id[IDS];
+	struct asker asker[STEPS + 1];
+	uint64_t n_askers;
+	int refs[HOMES][PAYLOADS];
+	ws_payload n_payloads;
+	int64_t wall;
+	ws_offset fence;
+	struct ws_msg late;
+	struct ws_fx fx;
+	int at; /* home whose effects are being looked at */
+	uint64_t seed;
+	struct {
+		uint64_t events, lost, duplicated, late, takeovers, kills;
+	} * stats;
+};
+
+#define CHECK(w, cond)                                                     \
+	ck_assert_msg(cond, "seed %" PRIu64 ", asker %" PRIu64 ": " #cond, \
+		      (w)->seed, (w)->n_askers)
+
+static int64_t stamp_of(const struct id *id)
+{
+	return (int64_t)(id->uuid[0] >> 16);
+}
+
+static void new_id(struct world *w, struct id *id)
+{
+	int64_t stamp = w->wall - (int64_t)ws_rand_below(&w->r, 3000);
+
+	if (rand_percent(&w->r, 5))
+		stamp = w->wall + 1900 + (int64_t)ws_rand_below(&w->r, 200);
+	if (rand_percent(&w->r, 5))
+		stamp = w->wall - 599900 - (int64_t)ws_rand_below(&w->r, 200);
+	*id = (struct id){ .state = NEVER };
+	id->uuid[0] = (uint64_t)stamp << 16 | 0x7000;
+	if (rand_percent(&w->r, 3))
+		id->uuid[0] ^= 0x2000;
+	id->uuid[1] = 2ULL << 62 | ws_rand_next(&w->r) >> 2;
+}
+
+static void hold(struct world *w, int p, int home, bool released, bool known)
+{
+	struct part *q = &w->part[p];
+	ws_offset former = q->a.fence;
+
+	q->holder = home;
+	q->a.res.kind = WS_RES_PARTITION;
+	q->a.res.item = (uint64_t)p;
+	q->a.fence = ++w->fence;
+	q->a.takeover_wall_ms = released ? 0 : w->wall;
+	if (!known || !q->sure)
+		q->bound_ms = w->wall + WS_IDEM_TAKEOVER_MS;
+	q->sure = known;
+	ws_idem_assigned(w->home[home], w->wall, (uint32_t)p, q->a.fence,
+			 former);
+}
+
+/* ===== Judging answers ===== */
+
+static int waiting_at(const struct world *w, int home)
+{
+	uint64_t i;
+	int n = 0;
+
+	for (i = 1; i < w->n_askers; i++)
+		n += w->asker[i].id && w->asker[i].home == home;
+	return n;
+}
+
+static void check_not_run(struct world *w, const struct id *id,
+			  const struct asker *a, uint64_t fp, int error)
+{
+	CHECK(w,
+	      id->fingerprint != fp || (id->state != OPEN && id->state != RAN &&
+					id->state != LOST));
+	switch (error) {
+	case WS_ERR_LIMIT:
+		CHECK(w, ws_idem_count(w->home[a->home]) == TABLE ||
+				 waiting_at(w, a->home) >= WAITERS);
+		break;
+	case WS_ERR_ID_REUSED:
+		CHECK(w, (id->state != NEVER || id->moved) &&
+				 id->fingerprint != fp);
+		break;
+	case WS_ERR_REQUEST_ID:
+		CHECK(w, (id->uuid[0] >> 12 & 15) != 7 ||
+				 stamp_of(id) > w->wall + WS_IDEM_FUTURE_MS);
+		break;
+	default:
+		CHECK(w, error == WS_ERR_PEER && a->waits);
+	}
+}
+
+static void check_unknown(struct world *w, const struct id *id, int error)
+{
+	uint32_t p = ws_idem_partition(1, id->uuid, PARTITIONS);
+
+	switch (error) {
+	case WS_ERR_ID_REUSED:
+		CHECK(w, id->moved);
+		break;
+	case WS_ERR_IN_PROGRESS:
+		CHECK(w, id->state == OPEN || id->moved);
+		break;
+	case WS_ERR_REQUEST_ID:
+		CHECK(w, stamp_of(id) < w->wall - WS_IDEM_RETENTION_MS);
+		break;
+	case WS_ERR_UNKNOWN_OUTCOME:
+		CHECK(w,
+		      id->state == LOST || stamp_of(id) < w->part[p].bound_ms);
+		break;
+	default:
+		CHECK(w, !"error of an unknown outcome");
+	}
+}
+
+static void check_done(struct world *w, const struct ws_effect *e, uint64_t fp)
+{
+	struct asker *a = &w->asker[e->u.reply.id];
+	const struct ws_answer *ans = &e->u.reply.answer;
+	struct id *id = &w->id[a->slot];
+
+	CHECK(w, a->id == e->u.reply.id && !a->cancelled);
+	a->id = 0;
+	if (ans->outcome == WS_OUT_NOT_RUN) {
+		check_not_run(w, id, a, fp, ans->error);
+	} else if (ans->outcome == WS_OUT_UNKNOWN) {
+		check_unknown(w, id, ans->error);
+	} else {
+		CHECK(w, id->state == RAN && id->fingerprint == fp);
+		CHECK(w, ans->payload == id->answer.payload &&
+				 ans->status == id->answer.status);
+	}
+}
+
+static void check_run(struct world *w, uint64_t asker, uint64_t fp)
+{
+	struct asker *a = &w->asker[asker];
+	struct id *id = &w->id[a->slot];
+
+	CHECK(w, id->state == NEVER);
+	CHECK(w, stamp_of(id) <= w->wall + WS_IDEM_FUTURE_MS);
+	CHECK(w, stamp_of(id) >= w->wall - WS_IDEM_RETENTION_MS);
+	w->part[ws_idem_partition(1, id->uuid, PARTITIONS)].sure = true;
+	id->state = OPEN;
+	id->fingerprint = fp;
+	id->runner = asker;
+	id->home = a->home;
+}
+
+/* ===== Effects ===== */
+
+static void move_ref(struct world *w, int home, ws_payload p, int by)
+{
+	if (!p)
+		return;
+	w->refs[home][p] += by;
+	CHECK(w, w->refs[home][p] >= 0);
+}
+
+static void deliver(struct world *w, int to, const struct ws_msg *msg);
+
+static void copy_msg(struct ws_msg *to, const struct ws_msg *from)
+{
+	size_t n = from->u.handover.n_entries;
+
+	*to = *from;
+	to->u.handover.entries = ws_alloc(n, sizeof(struct ws_idem_entry));
+	memcpy(to->u.handover.entries, from->u.handover.entries,
+	       n * sizeof(struct ws_idem_entry));
+}
+
+/* Returns true when the message arrived before the new holder begins. */
+static bool transport(struct world *w, struct ws_effect *e)
+{
+	struct ws_msg msg;
+	size_t i;
+
+	for (i = 0; i < e->u.send.msg.u.handover.n_entries; i++)
+		move_ref(w, w->at, e->u.send.msg.u.handover.entries[i].payload,
+			 -1);
+	copy_msg(&msg, &e->u.send.msg);
+	if (rand_percent(&w->r, 20)) {
+		w->stats->late++;
+		ws_msg_clear(&w->late);
+		w->late = msg;
+		return false;
+	}
+	if (rand_percent(&w->r, 20)) {
+		w->stats->lost++;
+		ws_msg_clear(&msg);
+		return false;
+	}
+	deliver(w, (int)e->u.send.to, &msg);
+	if (rand_percent(&w->r, 30)) {
+		w->stats->duplicated++;
+		deliver(w, (int)e->u.send.to, &msg);
+	}
+	ws_msg_clear(&msg);
+	return true;
+}
+
+static bool take_effects(struct world *w, int home, uint64_t fp)
+{
+	struct ws_fx fx = w->fx;
+	bool arrived = true;
+	size_t i;
+
+	memset(&w->fx, 0, sizeof(w->fx));
+	for (i = 0; i < fx.n; i++) {
+		struct ws_effect *e = &fx.items[i];
+
+		w->at = home;
+		if (e->kind == WS_FX_RETAIN)
+			move_ref(w, home, e->u.release.payload, 1);
+		else if (e->kind == WS_FX_RELEASE)
+			move_ref(w, home, e->u.release.payload, -1);
+		else if (e->kind == WS_FX_HOME_RUN) {
+			move_ref(w, home, e->u.call.call.payload, -1);
+			check_run(w, e->u.call.id, fp);
+		} else if (e->kind == WS_FX_HOME_DONE) {
+			move_ref(w, home, e->u.reply.answer.payload, -1);
+			check_done(w, e, fp);
+		} else if (e->kind == WS_FX_SEND)
+			arrived = transport(w, e) && arrived;
+	}
+	ws_fx_free(&fx);
+	return arrived;
+}
+
+static void deliver(struct world *w, int to, const struct ws_msg *msg)
+{
+	size_t i;
+
+	for (i = 0; i < msg->u.handover.n_entries; i++)
+		move_ref(w, to, msg->u.handover.entries[i].payload, 1);
+	ws_idem_msg(w->home[to], &w->fx, 0, 99, msg);
+	take_effects(w, to, 0);
+}
+
+/* ===== Steps ===== */
+
+static void step_begin(struct world *w)
+{
+	int slot = (int)ws_rand_below(&w->r, IDS);
+	struct id *id = &w->id[slot];
+	uint32_t p = ws_idem_partition(1, id->uuid, PARTITIONS);
+	struct asker *a = &w->asker[++w->n_askers];
+	struct ws_call call = { .customer = 1, .fingerprint = 5 };
+
+	if (rand_percent(&w->r, 10))
+		call.fingerprint = 6;
+	memcpy(call.request_id, id->uuid, sizeof(id->uuid));
+	call.payload = ++w->n_payloads;
+	*a = (struct asker){ w->n_askers, w->part[p].holder, slot, 0, 0 };
+	move_ref(w, a->home, call.payload, 1);
+	ws_idem_begin(w->home[a->home], &w->fx, 0, w->wall, a->id, &call,
+		      &w->part[p].a);
+	take_effects(w, a->home, call.fingerprint);
+	a->waits = a->id != 0;
+	CHECK(w, !a->waits || id->state == OPEN);
+}
+
+static void step_finish(struct world *w)
+{
+	struct id *id = &w->id[ws_rand_below(&w->r, IDS)];
+	uint64_t kind = ws_rand_below(&w->r, 4);
+	struct ws_answer ans = { .outcome = WS_OUT_DONE, .status = 200 };
+	uint64_t i;
+
+	if (id->state != OPEN)
+		return;
+	ans.payload = ++w->n_payloads;
+	id->state = RAN;
+	if (kind == 0) {
+		ans = (struct ws_answer){ WS_OUT_UNKNOWN,
+					  WS_ERR_UNKNOWN_OUTCOME, 0, 0, 0 };
+		id->state = LOST;
+	} else if (kind == 1) {
+		ans = (struct ws_answer){ WS_OUT_NOT_RUN, WS_ERR_PEER, 0, 0,
+					  0 };
+		id->state = NEVER;
+	}
+	id->answer = ans;
+	move_ref(w, id->home, ans.payload, 1);
+	ws_idem_finish(w->home[id->home], &w->fx, 0, id->runner, &ans);
+	take_effects(w, id->home, id->fingerprint);
+	for (i = 1; i <= w->n_askers; i++)
+		CHECK(w, !w->asker[i].id || w->asker[i].cancelled ||
+				 &w->id[w->asker[i].slot] != id);
+}
+
+static void step_cancel(struct world *w)
+{
+	uint64_t i = ws_rand_below(&w->r, w->n_askers + 1);
+	struct asker *a = &w->asker[i];
+
+	if (!a->id || a->cancelled)
+		return;
+	a->cancelled = true;
+	ws_idem_cancel(w->home[a->home], a->id);
+}
+
+static void kill_home(struct world *w, int home)
+{
+	uint64_t i;
+
+	w->stats->kills++;
+	ws_idem_free(w->home[home]);
+	w->home[home] = ws_idem_new(TABLE, WAITERS);
+	memset(w->refs[home], 0, sizeof(w->refs[home]));
+	for (i = 1; i <= w->n_askers; i++)
+		if (w->asker[i].home == home)
+			w->asker[i].id = 0;
+	for (i = 0; i < IDS; i++)
+		if (w->id[i].state == OPEN && w->id[i].home == home)
+			w->id[i].state = LOST;
+}
+
+static void step_move(struct world *w)
+{
+	int p = (int)ws_rand_below(&w->r, PARTITIONS);
+	int old = w->part[p].holder;
+	int to = (old + 1 + (int)ws_rand_below(&w->r, HOMES - 1)) % HOMES;
+	bool arrived = false;
+	int q;
+
+	for (q = 0; q < IDS; q++)
+		w->id[q].moved = w->id[q].moved || w->id[q].state == OPEN;
+	if (rand_percent(&w->r, 70)) {
+		ws_idem_handover(w->home[old], &w->fx, (uint32_t)p, PARTITIONS,
+				 w->part[p].a.fence, (ws_id)to);
+		arrived = take_effects(w, old, 0);
+		arrived = arrived && ws_idem_count(w->home[to]) < TABLE;
+		hold(w, p, to, true, arrived);
+		return;
+	}
+	w->stats->takeovers++;
+	if (rand_percent(&w->r, 50)) {
+		kill_home(w, old);
+		for (q = 0; q < PARTITIONS; q++)
+			if (q != p && w->part[q].holder == old)
+				hold(w, q, to, false, false);
+	}
+	hold(w, p, to, false, false);
+}
+
+static void step_time(struct world *w)
+{
+	int h;
+	int i;
+
+	w->wall += (int64_t)ws_rand_below(&w->r, 1500);
+	if (rand_percent(&w->r, 3))
+		w->wall += 598000 + (int64_t)ws_rand_below(&w->r, 9000);
+	for (i = 0; i < IDS; i++)
+		if (stamp_of(&w->id[i]) < w->wall - 603000 &&
+		    w->id[i].state != OPEN)
+			new_id(w, &w->id[i]);
+	for (h = 0; h < HOMES; h++) {
+		ws_idem_tick(w->home[h], &w->fx, 0, w->wall);
+		take_effects(w, h, 0);
+	}
+}
+
+static void step(struct world *w)
+{
+	uint64_t kind = ws_rand_below(&w->r, 100);
+
+	w->stats->events++;
+	if (kind < 50)
+		step_begin(w);
+	else if (kind < 70)
+		step_finish(w);
+	else if (kind < 75)
+		step_cancel(w);
+	else if (kind < 80)
+		step_move(w);
+	else if (kind < 85 && w->late.kind)
+		deliver(w, (int)ws_rand_below(&w->r, HOMES), &w->late);
+	else
+		step_time(w);
+}
+
+static void end_world(struct world *w)
+{
+	ws_payload p;
+	int h;
+	int i;
+
+	for (i = 0; i < 4000 && w->n_payloads + 1 < PAYLOADS; i++)
+		step_finish(w);
+	w->wall += 700000;
+	for (h = 0; h < HOMES; h++) {
+		for (i = 0; i < 4; i++)
+			ws_idem_tick(w->home[h], &w->fx, 0, w->wall);
+		take_effects(w, h, 0);
+		CHECK(w, ws_idem_count(w->home[h]) == 0);
+		for (p = 1; p <= w->n_payloads; p++)
+			CHECK(w, w->refs[h][p] == 0);
+		ws_idem_free(w->home[h]);
+	}
+	ws_msg_clear(&w->late);
+	ws_fx_free(&w->fx);
+	free(w);
+}
+
+static void run_seed(uint64_t seed, void *stats)
+{
+	struct world *w = ws_alloc(1, sizeof(*w));
+	int i;
+
+	w->seed = seed;
+	w->stats = stats;
+	w->wall = 1700000000000;
+	ws_rand_seed(&w->r, seed);
+	for (i = 0; i < HOMES; i++)
+		w->home[i] = ws_idem_new(TABLE, WAITERS);
+	for (i = 0; i < IDS; i++)
+		new_id(w, &w->id[i]);
+	for (i = 0; i < PARTITIONS; i++) {
+		w->part[i].sure = true;
+		hold(w, i, i, true, true);
+	}
+	for (i = 0; i < STEPS; i++)
+		step(w);
+	end_world(w);
+}
+
+/*
+ * Guards against a second run of an id, a false "not run", a foreign or lost
+ * answer, needless refusals and leaked payloads.
+ */
+START_TEST(answers_agree_with_a_record_of_all_runs)
+{
+	struct seed_range s = seed_range_get(500);
+	uint64_t n[6] = { 0 };
+	uint64_t seed;
+
+	for (seed = s.first; seed <= s.last; seed++)
+		run_seed(seed, n);
+	printf("request ids: seeds %" PRIu64 "..%" PRIu64 ", %" PRIu64
+	       " events, messages lost %" PRIu64 " duplicated %" PRIu64
+	       " late %" PRIu64 ", takeovers %" PRIu64 ", kills %" PRIu64
+	       ", 0 violations\n",
+	       s.first, s.last, n[0], n[1], n[2], n[3], n[4], n[5]);
+}
+END_TEST
+
+/* A missing part of a handover must not let its ids run again. */
+START_TEST(handover_in_parts_counts_only_when_whole)
+{
+	struct ws_idem *from = ws_idem_new(1000, 1000);
+	struct ws_idem *to = ws_idem_new(1000, 1000);
+	struct ws_answer ans = { .outcome = WS_OUT_DONE, .status = 201 };
+	struct ws_assignment part = { .res = { .kind = WS_RES_PARTITION },
+				      .fence = 1 };
+	struct ws_call call = { .customer = 1 };
+	struct ws_fx fx = { 0 };
+	struct ws_fx out = { 0 };
+	uint64_t i;
+
+	ws_idem_assigned(from, 1000000, 0, 1, 0);
+	for (i = 1; i <= 600; i++) {
+		call.request_id[0] = (uint64_t)1000000 << 16 | 0x7000;
+		call.request_id[1] = 2ULL << 62 | i;
+		ws_idem_begin(from, &fx, 0, 1000000, i, &call, &part);
+		ws_idem_finish(from, &fx, 0, i, &ans);
+	}
+	ws_fx_clear(&fx);
+	ws_idem_handover(from, &fx, 0, 1, 1, 9);
+	ck_assert_uint_eq(fx.n, 3);
+	ck_assert_uint_eq(ws_idem_count(from), 0);
+	ws_idem_msg(to, &out, 0, 8, &fx.items[2].u.send.msg);
+	ws_idem_msg(to, &out, 0, 8, &fx.items[0].u.send.msg);
+	ws_idem_assigned(to, 1000000, 0, 2, 1);
+	part.fence = 2;
+	call.request_id[1] = 2ULL << 62 | 9999;
+	ws_idem_begin(to, &out, 0, 1000001, 1, &call, &part);
+	ck_assert_uint_eq(out.items[out.n - 1].kind, WS_FX_HOME_DONE);
+	ck_assert_int_eq(out.items[out.n - 1].u.reply.answer.error,
+			 WS_ERR_UNKNOWN_OUTCOME);
+	ws_idem_msg(to, &out, 0, 8, &fx.items[1].u.send.msg);
+	ws_idem_begin(to, &out, 0, 1000001, 2, &call, &part);
+	ck_assert_uint_eq(out.items[out.n - 1].kind, WS_FX_HOME_RUN);
+	call.request_id[1] = 2ULL << 62 | 300;
+	ws_idem_begin(to, &out, 0, 1000001, 3, &call, &part);
+	ck_assert_uint_eq(out.items[out.n - 1].u.reply.answer.status, 201);
+	ws_fx_free(&fx);
+	ws_fx_free(&out);
+	ws_idem_free(from);
+	ws_idem_free(to);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("idem");
+	TCase *tc = tcase_create("all");
+	SRunner *sr;
+	int failed;
+
+	tcase_set_timeout(tc, 0);
+	tcase_add_test(tc, answers_agree_with_a_record_of_all_runs);
+	tcase_add_test(tc, handover_in_parts_counts_only_when_whole);
+	suite_add_tcase(s, tc);
+	sr = srunner_create(s);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
