core: route calls and dispatch them to targets

The core had interfaces but no code for the path from a frontend to a target.

ws_disp keeps a concurrency limit for each target (slow start from the cold limit, growing with successes, never above the slots), a queue that is fair by customer, and ends attempts at their deadline. ws_route chooses targets with one of three policies, estimates latencies from own measurements, retries and hedges idempotent calls within 5 %, and sends others again only after a proof that they did not run.

Not measured yet: throughput.

Conclusion: both modules can be joined in the reducer. The end of a cancelled attempt must be reported by the shell, see ws_disp.h.

--- a/lib/core/ws_disp.h
+++ b/lib/core/ws_disp.h
@@ -38,11 +38,18 @@
 		    uint64_t incarnation, ws_offset fence, uint16_t weight,
 		    const struct ws_call *call);
 
-/* The asker is gone: drops it if queued, cancels it if idempotent. */
+/*
+ * The asker is gone: drops it if queued, cancels it if idempotent. What is
+ * dropped or cancelled also ends in its WS_FX_DISP_DONE, at once.
+ */
 void ws_disp_cancel(struct ws_disp *d, struct ws_fx *fx, ws_us now,
 		    ws_id origin, uint64_t ref);
 
-/* An attempt named in WS_FX_DISP_SEND has ended. */
+/*
+ * An attempt named in WS_FX_DISP_SEND has ended. The shell reports the end of
+ * cancelled attempts too; until then their slots stay counted. A payload that
+ * nobody waits for any more is given back with WS_FX_RELEASE.
+ */
 void ws_disp_attempt_done(struct ws_disp *d, struct ws_fx *fx, ws_us now,
 			  uint64_t attempt,
 			  const struct ws_attempt_result *result);
@@ -64,6 +71,9 @@
 /* Present state of a target; false when it is not open here. */
 bool ws_disp_load(const struct ws_disp *d, ws_id target, struct ws_load *load);
 
+/* Attempts at a target that are not over, also after ws_disp_close(). */
+size_t ws_disp_in_flight(const struct ws_disp *d, ws_id target);
+
 /* Requests queued or in flight over all targets. */
 size_t ws_disp_busy(const struct ws_disp *d);
 
--- /dev/null
+++ b/lib/core/ws_limit.c
@@ -0,0 +1,103 @@
+#include "core/ws_limit.h"
+
+static uint16_t at_least_one(uint16_t n)
+{
+	return n ? n : 1;
+}
+
+static uint16_t smaller(uint16_t a, uint16_t b)
+{
+	return a < b ? a : b;
+}
+
+void ws_limit_bounds(struct ws_limit *l, const struct ws_service *svc)
+{
+	l->slots = at_least_one(svc ? svc->slots : 1);
+	l->cold = at_least_one(svc ? svc->cold_limit : 1);
+	l->cold = smaller(l->cold, l->slots);
+	l->limit = smaller(at_least_one(l->limit), l->slots);
+}
+
+void ws_limit_cold(struct ws_limit *l)
+{
+	l->limit = l->cold;
+#ifdef WS_MUTANT_IGNORE_COLD_LIMIT
+	l->limit = l->slots;
+#endif
+	l->successes = 0;
+	l->jumps = 0;
+	l->epoch++;
+}
+
+void ws_limit_warm(struct ws_limit *l)
+{
+	l->limit = l->slots;
+	l->successes = 0;
+}
+
+uint16_t ws_limit_now(const struct ws_limit *l)
+{
+	uint16_t n = l->limit;
+
+#ifdef WS_MUTANT_LIMIT_ABOVE_SLOTS
+	return (uint16_t)(n + 1);
+#endif
+	return l->cap ? smaller(n, l->cap) : n;
+}
+
+void ws_limit_success(struct ws_limit *l, uint32_t epoch)
+{
+	l->hold = 0;
+	/* Requests sent before the cold start say nothing about it. */
+	if (epoch != l->epoch || l->limit >= l->slots)
+		return;
+	l->successes++;
+	if (l->successes < (uint32_t)l->limit * WS_LIMIT_GROW_FACTOR)
+		return;
+	l->successes = 0;
+	l->limit++;
+}
+
+void ws_limit_shed(struct ws_limit *l, ws_us now)
+{
+	l->hold = l->hold ? l->hold * 2 : WS_LIMIT_HOLD_MIN;
+	if (l->hold > WS_LIMIT_HOLD_MAX)
+		l->hold = WS_LIMIT_HOLD_MAX;
+	l->hold_until = now + l->hold;
+}
+
+static void learn_baseline(struct ws_limit *l, ws_us latency)
+{
+	/* Falls faster than it rises, so that a jump is not learned away. */
+	if (latency < l->baseline)
+		l->baseline += (latency - l->baseline) / 4;
+	else
+		l->baseline += (latency - l->baseline) / 16;
+}
+
+bool ws_limit_sample(struct ws_limit *l, ws_us now, ws_us latency)
+{
+	ws_us bound = l->baseline * WS_LIMIT_JUMP_FACTOR + WS_LIMIT_JUMP_SLACK;
+
+	if (latency < 1)
+		latency = 1;
+	l->answered = now;
+	if (!l->latency) {
+		l->latency = latency;
+		l->baseline = latency;
+		return false;
+	}
+	l->latency += (latency - l->latency) / 4;
+	if (latency <= bound) {
+		l->jumps = 0;
+		learn_baseline(l, latency);
+		return false;
+	}
+	l->jumps++;
+	if (l->jumps < WS_LIMIT_JUMP_COUNT)
+		return false;
+	/* The new level is normal from now on; only the slow start differs. */
+	l->jumps = 0;
+	l->baseline = latency;
+	return true;
+}
--- /dev/null
+++ b/lib/core/ws_route_int.h
@@ -0,0 +1,131 @@
+#ifndef WS_ROUTE_INT_H
+#define WS_ROUTE_INT_H
+
+#include "core/ws_est.h"
+#include "core/ws_handle.h"
+#include "core/ws_pick.h"
+#include "core/ws_route.h"
+
+/* Parts of ws_route that its own files share. */
+
+/* Longest time that a call waits for an owner or a target. */
+#define WS_ROUTE_WAIT_MAX (3 * WS_SECOND)
+
+/* First and longest pause before a waiting call is sent again. */
+#define WS_ROUTE_PAUSE_MIN (10 * WS_MS)
+#define WS_ROUTE_PAUSE_MAX (50 * WS_MS)
+
+/*
+ * The dispatcher ends attempts at the deadline and may prove that a request
+ * did not run; its answer is waited for this much longer.
+ */
+#define WS_ROUTE_GRACE (30 * WS_MS)
+
+/* Dispatchers that may refuse a call for load before its caller is told. */
+#define WS_ROUTE_REFUSALS_MAX 3
+
+/* After a target crash an idempotent call is sent again at most once. */
+#define WS_ROUTE_CRASH_RETRIES 1
+
+/* Targets asked in a row before a call waits. */
+#define WS_ROUTE_TRIED_MAX 4
+
+#define WS_ROUTE_ATTEMPTS_MAX 2
+
+/*
+ * Budget of extra requests in 1/1000 requests: each call earns its 5 %.
+ * Hedges leave the reserve to retries after failures.
+ */
+#define WS_ROUTE_EARN (10 * WS_RETRY_BUDGET_PERCENT)
+#define WS_ROUTE_RESERVE 50000
+#define WS_ROUTE_BUDGET_MAX 60000
+
+/* A hedge before this age could not be told from jitter. */
+#define WS_ROUTE_HEDGE_MIN (2 * WS_MS)
+
+enum ws_route_state {
+	WS_ROUTE_WAITING = 1, /* for an owner or a target */
+	WS_ROUTE_RUNNING = 2, /* at least one attempt is out */
+};
+
+struct ws_route_call {
+	uint8_t state;
+	bool sharded;
+	bool maybe_run; /* an attempt ended without proof */
+	uint8_t refusals;
+	uint8_t unknown_retries;
+	uint8_t n_attempts;
+	uint8_t n_tried;
+	uint64_t id;
+	ws_id owner;
+	struct ws_call call;
+	ws_us wait_until; /* end of all waiting; 0: has not waited */
+	ws_us retry_at;
+	ws_us pause;
+	ws_us hedge_at; /* 0: no hedge */
+	int last_error;
+	uint32_t attempts[WS_ROUTE_ATTEMPTS_MAX];
+	ws_id tried[WS_ROUTE_TRIED_MAX];
+};
+
+struct ws_route_attempt {
+	uint32_t call;
+	uint32_t est;
+	ws_id target;
+	ws_us sent;
+};
+
+struct ws_route {
+	struct ws_route_conf conf;
+	ws_us now; /* time of the last call */
+	struct ws_picker *picker;
+	struct ws_ests ests;
+	uint32_t budget;
+	struct ws_route_stats stats;
+	struct ws_slots slots;
+	struct ws_route_call *calls;
+	size_t cap_calls;
+	struct ws_index by_id;
+	struct ws_slots attempt_slots; /* handles are the refs */
+	struct ws_route_attempt *attempts;
+	size_t cap_attempts;
+	struct ws_candidate *candidates; /* scratch */
+	uint32_t *candidate_ests;
+	size_t cap_candidates;
+	size_t cap_candidate_ests;
+};
+
+/* ===== Choice ===== */
+
+/* A target for an open service's call, or 0 when there is none. */
+ws_id ws_route_choose(struct ws_route *r, const struct ws_route_call *c,
+		      const struct ws_view *view);
+
+bool ws_route_may_use(const struct ws_view *view, ws_id target);
+
+/* ===== Calls ===== */
+
+/* Ends a call with an answer and cancels its attempts that are still out. */
+void ws_route_finish(struct ws_route *r, struct ws_fx *fx, uint32_t slot,
+		     const struct ws_answer *answer);
+
+/* Ends a call without an answer of a target. */
+void ws_route_fail(struct ws_route *r, struct ws_fx *fx, uint32_t slot,
+		   int error);
+
+/* Sends one attempt. */
+void ws_route_send(struct ws_route *r, struct ws_fx *fx, uint32_t slot,
+		   ws_id target);
+
+/* Sends a call that has no attempt out, or lets it wait. */
+void ws_route_try(struct ws_route *r, struct ws_fx *fx, uint32_t slot,
+		  const struct ws_view *view);
+void ws_route_wait(struct ws_route *r, uint32_t slot);
+
+/* Spends one extra request while more than reserve would be left. */
+bool ws_route_spend(struct ws_route *r, uint32_t reserve);
+
+void ws_route_drop_attempt(struct ws_route *r, uint32_t attempt);
+void ws_route_release(struct ws_fx *fx, ws_payload payload);
+
+#endif
