--- a/Makefile
+++ b/Makefile
@@ -51,21 +51,25 @@
 
 $(BUILD)/lib/wire/%_xdr.o: lib/wire/%_xdr.c
 	@mkdir -p $(@D)
-	$(CC) $(GEN_CFLAGS) -c -o $@ $<
+	@echo "CC $<"
+	@$(CC) $(GEN_CFLAGS) -c -o $@ $<
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(CFLAGS) -c -o $@ $<
+	@echo "CC $<"
+	@$(CC) $(CFLAGS) -c -o $@ $<
 
 # A program may have further parts in a folder of its own name.
 .SECONDEXPANSION:
 $(PROGRAMS): $(BUILD)/%: $(BUILD)/programs/%.o \
 		$$(patsubst %.c,$(BUILD)/%.o,$$(wildcard programs/$$*/*.c)) \
 		$(BUILD)/libwagtailshift.a
-	$(CC) $(SAN) -o $@ $^ $(LDLIBS)
+	@echo "LD $@"
+	@$(CC) $(SAN) -o $@ $^ $(LDLIBS)
 
 $(TESTS): $(BUILD)/%: $(BUILD)/tests/%.o $(PART_OBJS) $(BUILD)/libwagtailshift.a
-	$(CC) $(SAN) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
+	@echo "LD $@"
+	@$(CC) $(SAN) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
 
 check: deps
 	$(MAKE) build
--- /dev/null
+++ b/lib/core/ws_core.c
@@ -0,0 +1,526 @@
+#include "core/ws_core_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * The reducer's entry point: gives each event to the module it concerns and
+ * works off the effects that modules address to one another.
+ */
+
+/* Period of proposals, freshness rounds and lease renewal. */
+#define OWN_PERIOD (50 * WS_MS)
+
+/* Period of checks for silent members. */
+#define MEMBER_PERIOD (50 * WS_MS)
+
+/* Period at which request ids and strikes are forgotten. */
+#define FORGET_PERIOD WS_SECOND
+
+/* Bound on effects handled in one step; more means modules in a cycle. */
+#define STEP_EFFECTS_MAX 1000000
+
+/* ===== Helpers for all parts ===== */
+
+struct ws_msg *ws_core_send(struct ws_core *c, ws_id to, uint8_t kind)
+{
+	struct ws_effect *e = ws_fx_add(c->out, WS_FX_SEND);
+
+	e->u.send.to = to;
+	e->u.send.msg.kind = kind;
+	c->counters.messages_out++;
+	return &e->u.send.msg;
+}
+
+void ws_core_release(struct ws_core *c, ws_payload payload)
+{
+	struct ws_effect *e;
+
+	if (!payload)
+		return;
+	e = ws_fx_add(c->out, WS_FX_RELEASE);
+	e->u.release.payload = payload;
+}
+
+/* ===== Partitions ===== */
+
+static void update_partitions(struct ws_core *c)
+{
+	uint32_t index[WS_PARTITIONS_MAX];
+	ws_offset fence[WS_PARTITIONS_MAX];
+	struct ws_res res = { .kind = WS_RES_PARTITION };
+	size_t n;
+	size_t i;
+
+	n = ws_own_partitions(c->own, index, WS_PARTITIONS_MAX);
+	for (i = 0; i < n; i++) {
+		res.item = index[i];
+		fence[i] = ws_own_find(c->own, &res)->fence;
+	}
+	ws_adm_set_partitions(c->adm, c->now, index, fence, n,
+			      ws_own_fresh_until(c->own));
+}
+
+/* ===== Periodic work ===== */
+
+static void own_timer(void *arg, ws_us now)
+{
+	struct ws_core *c = arg;
+
+	ws_own_tick(c->own, ws_core_fx(c), now, c->wall_ms, ws_core_members(c));
+	ws_core_update_dispatched(c);
+	update_partitions(c);
+}
+
+static void member_timer(void *arg, ws_us now)
+{
+	struct ws_core *c = arg;
+
+	ws_member_tick(c->member, c->out, now, c->watched, c->n_watched);
+}
+
+static void heartbeat_timer(void *arg, ws_us now)
+{
+	struct ws_core *c = arg;
+	struct ws_member_self self = {
+		.folded = ws_own_folded(c->own),
+		.bundle_version = c->bundle ? c->bundle->version : 0,
+		.ready = ws_core_ready(c, now),
+		.leaving = c->draining,
+	};
+
+	ws_member_send_heartbeat(c->member, c->out, c->wall_ms, &self,
+				 c->watched, c->n_watched);
+}
+
+static void probe_timer(void *arg, ws_us now)
+{
+	struct ws_core *c = arg;
+	size_t i;
+
+	(void)now;
+	for (i = 0; i < c->n_watched; i++) {
+		struct ws_effect *e = ws_fx_add(c->out, WS_FX_PROBE);
+
+		e->u.probe.target = c->watched[i];
+	}
+}
+
+static void forget_timer(void *arg, ws_us now)
+{
+	struct ws_core *c = arg;
+
+	ws_idem_tick(c->idem, ws_core_fx(c), now, c->wall_ms);
+	ws_quar_tick(c->quar, now);
+}
+
+static void check_drained(struct ws_core *c)
+{
+	if (!c->draining || c->drained || c->n_calls || c->n_held ||
+	    ws_disp_busy(c->disp) || !ws_own_drained(c->own))
+		return;
+	c->drained = true;
+	ws_fx_add(c->out, WS_FX_DRAINED);
+}
+
+static void tick(struct ws_core *c)
+{
+	ws_timer_run(c->timers, c->now);
+	if (c->member_dirty) {
+		c->member_dirty = false;
+		own_timer(c, c->now);
+	}
+	ws_adm_tick(c->adm, ws_core_fx(c), c->now, ws_core_members(c));
+	ws_core_dispatch_tick(c);
+	ws_core_calls_tick(c);
+	ws_core_log_tick(c);
+	check_drained(c);
+}
+
+/* ===== Life ===== */
+
+static size_t power_of_two_above(size_t n)
+{
+	size_t p = 16;
+
+	while (p < n)
+		p *= 2;
+	return p;
+}
+
+static void new_modules(struct ws_core *c)
+{
+	const struct ws_core_conf *conf = &c->conf;
+	struct ws_route_conf route = {
+		.self = conf->self,
+		.seed = ws_mix(conf->seed, 2),
+		.pick = conf->pick,
+		.hedge = conf->hedge,
+		.max_calls = conf->max_calls,
+	};
+	struct ws_disp_conf disp = {
+		.self = conf->self,
+		.max_queued = conf->max_queued,
+	};
+
+	c->member = ws_member_new(conf->self, conf->zone, &conf->name,
+				  &conf->address);
+	c->own = ws_own_new(conf->self, ws_mix(conf->seed, 1));
+	c->adm = ws_adm_new(conf->self, ws_mix(conf->seed, 3));
+	c->idem = ws_idem_new(conf->max_idem, conf->max_calls);
+	c->quar = ws_quar_new(conf->max_idem);
+	c->route = ws_route_new(&route);
+	c->disp = ws_disp_new(&disp);
+}
+
+static void subscribe(struct ws_core *c)
+{
+	ws_timer_every(c->timers, 0, MEMBER_PERIOD, member_timer, c);
+	ws_timer_every(c->timers, 0, OWN_PERIOD, own_timer, c);
+	ws_timer_every(c->timers, 0, WS_HEARTBEAT_PERIOD, heartbeat_timer, c);
+	ws_timer_every(c->timers, 0, WS_PROBE_PERIOD, probe_timer, c);
+	ws_timer_every(c->timers, 0, FORGET_PERIOD, forget_timer, c);
+}
+
+struct ws_core *ws_core_new(const struct ws_core_conf *conf)
+{
+	struct ws_core *c = ws_alloc(1, sizeof(*c));
+
+	c->conf = *conf;
+	c->next_bundle = 1;
+	c->cap_calls = power_of_two_above(conf->max_calls * 2);
+	c->calls = ws_alloc(c->cap_calls, sizeof(*c->calls));
+	c->timers = ws_timer_new();
+	new_modules(c);
+	subscribe(c);
+	return c;
+}
+
+static void free_modules(struct ws_core *c)
+{
+	ws_member_free(c->member);
+	ws_own_free(c->own);
+	ws_adm_free(c->adm);
+	ws_idem_free(c->idem);
+	ws_quar_free(c->quar);
+	ws_route_free(c->route);
+	ws_disp_free(c->disp);
+	ws_timer_free(c->timers);
+}
+
+void ws_core_free(struct ws_core *c)
+{
+	size_t i;
+
+	if (!c)
+		return;
+	free_modules(c);
+	for (i = 0; i < c->n_doubt; i++)
+		ws_record_clear(&c->doubt[i]);
+	for (i = 0; i < c->n_held; i++) {
+		ws_record_clear(c->held[i].record);
+		free(c->held[i].record);
+	}
+	ws_fx_free(&c->work);
+	ws_bundle_unref(c->bundle);
+	free(c->doubt);
+	free(c->held);
+	free(c->calls);
+	free(c->forwards);
+	free(c->sent);
+	free(c->deferred);
+	free(c->watched);
+	free(c);
+}
+
+/* ===== Messages ===== */
+
+static void take_strike(struct ws_core *c, uint64_t fingerprint,
+			uint64_t strike_id)
+{
+	bool before = ws_quar_refuses(c->quar, c->now, fingerprint);
+
+	ws_quar_strike(c->quar, c->now, fingerprint, strike_id);
+	if (!before && ws_quar_refuses(c->quar, c->now, fingerprint))
+		ws_fx_log(c->out, WS_LOG_QUARANTINE, fingerprint, 0, 0);
+}
+
+static void take_forward(struct ws_core *c, ws_id from,
+			 const struct ws_msg *msg)
+{
+	if (msg->u.forward.stage == WS_STAGE_HOME)
+		ws_core_forward_home(c, from, msg);
+	else
+		ws_core_forward_dispatch(c, from, msg);
+}
+
+static void take_message(struct ws_core *c, ws_id from,
+			 const struct ws_msg *msg)
+{
+	struct ws_fx *fx = ws_core_fx(c);
+	const struct ws_view *v = ws_core_members(c);
+
+	c->counters.messages_in++;
+	switch (msg->kind) {
+	case WS_MSG_HEARTBEAT:
+		ws_member_heartbeat(c->member, c->out, c->now, c->wall_ms, from,
+				    msg);
+		break;
+	case WS_MSG_TAIL:
+		ws_core_tail(c, msg);
+		break;
+	case WS_MSG_FRESH_ASK:
+	case WS_MSG_FRESH_ANSWER:
+	case WS_MSG_TAIL_ASK:
+		ws_own_msg(c->own, fx, c->now, from, msg, v);
+		break;
+	case WS_MSG_TOKEN_ASK:
+	case WS_MSG_TOKEN_GIVE:
+		ws_adm_msg(c->adm, fx, c->now, from, msg, v);
+		break;
+	case WS_MSG_FORWARD:
+		take_forward(c, from, msg);
+		break;
+	case WS_MSG_ANSWER:
+		ws_core_answer(c, msg);
+		break;
+	case WS_MSG_CANCEL:
+		ws_disp_cancel(c->disp, fx, c->now, from, msg->u.cancel.ref);
+		break;
+	case WS_MSG_STRIKE:
+		take_strike(c, msg->u.strike.fingerprint,
+			    msg->u.strike.strike_id);
+		break;
+	case WS_MSG_HANDOVER:
+		ws_idem_msg(c->idem, fx, c->now, from, msg);
+		break;
+	default:
+		break;
+	}
+}
+
+static void peer_down(struct ws_core *c, ws_id peer)
+{
+	ws_core_dispatch_peer_down(c, peer);
+	ws_core_calls_peer_down(c, peer);
+}
+
+/* ===== Effects between modules ===== */
+
+static void strike_all(struct ws_core *c, const struct ws_effect *e)
+{
+	struct ws_msg *msg;
+
+	take_strike(c, e->u.strike.fingerprint, e->u.strike.strike_id);
+	msg = ws_core_send(c, 0, WS_MSG_STRIKE);
+	msg->u.strike.fingerprint = e->u.strike.fingerprint;
+	msg->u.strike.strike_id = e->u.strike.strike_id;
+}
+
+/* Moves an effect on to the shell, with all that it owns. */
+static void pass_on(struct ws_core *c, struct ws_effect *e)
+{
+	struct ws_effect *out = ws_fx_add(c->out, e->kind);
+
+	if (e->kind == WS_FX_SEND)
+		c->counters.messages_out++;
+	*out = *e;
+	e->kind = 0;
+}
+
+static void handle_internal(struct ws_core *c, const struct ws_effect *e)
+{
+	switch (e->kind) {
+	case WS_FX_ADMITTED:
+		ws_core_admitted(c, e);
+		break;
+	case WS_FX_ADMIT_REFUSED:
+		ws_core_admit_refused(c, e);
+		break;
+	case WS_FX_HOME_RUN:
+		ws_core_home_run(c, e);
+		break;
+	case WS_FX_HOME_DONE:
+		ws_core_home_done(c, e);
+		break;
+	case WS_FX_ROUTE_SEND:
+		ws_core_route_send(c, e);
+		break;
+	case WS_FX_ROUTE_CANCEL:
+		ws_core_route_cancel(c, e);
+		break;
+	case WS_FX_ROUTE_DONE:
+		ws_core_route_done(c, e);
+		break;
+	case WS_FX_DISP_SEND:
+		ws_core_disp_send(c, e);
+		break;
+	case WS_FX_DISP_DONE:
+		ws_core_disp_done(c, e);
+		break;
+	case WS_FX_STRIKE:
+		strike_all(c, e);
+		break;
+	default:
+		break;
+	}
+}
+
+/* Handling an effect may add further ones; they are worked off in order. */
+static void work_off(struct ws_core *c)
+{
+	size_t i;
+
+	for (i = 0; i < c->work.n; i++) {
+		struct ws_effect e = c->work.items[i];
+
+		WS_INVARIANT(i < STEP_EFFECTS_MAX);
+		if (e.kind == WS_FX_APPEND) {
+			c->work.items[i].kind = 0;
+			ws_core_append(c, e.u.append);
+		} else if (e.kind < WS_FX_ADMITTED) {
+			pass_on(c, &c->work.items[i]);
+		} else {
+			handle_internal(c, &e);
+		}
+	}
+	ws_fx_clear(&c->work);
+}
+
+/* ===== Events ===== */
+
+static void take_probe(struct ws_core *c, const struct ws_event *ev)
+{
+	ws_member_probed(c->member, c->out, c->now, ev);
+	ws_disp_probed(c->disp, ws_core_fx(c), c->now, ev->u.probed.target,
+		       ev->u.probed.ok, ev->u.probed.incarnation,
+		       ev->u.probed.ready, ev->u.probed.load);
+}
+
+static void drain(struct ws_core *c)
+{
+	if (c->draining)
+		return;
+	c->draining = true;
+	ws_own_drain(c->own);
+	ws_fx_log(c->out, WS_LOG_DRAINING, c->conf.self, 0, 0);
+	heartbeat_timer(c, c->now);
+}
+
+static void take_event(struct ws_core *c, const struct ws_event *ev)
+{
+	struct ws_fx *fx = ws_core_fx(c);
+
+	switch (ev->kind) {
+	case WS_EV_TICK:
+		tick(c);
+		break;
+	case WS_EV_LOG_READ:
+		ws_core_log_read(c, ev);
+		break;
+	case WS_EV_LOG_FAILED:
+		ws_core_log_failed(c);
+		break;
+	case WS_EV_APPENDED:
+		ws_core_appended(c, ev->u.appended.uid, ev->u.appended.offset,
+				 WS_OK, false);
+		break;
+	case WS_EV_APPEND_FAILED:
+		ws_core_appended(c, ev->u.append_failed.uid, 0, WS_ERR_LOG,
+				 ev->u.append_failed.unknown);
+		break;
+	case WS_EV_LIST:
+		ws_member_list(c->member, c->out, c->now, ev->u.list.entries,
+			       ev->u.list.n_entries);
+		break;
+	case WS_EV_PEER_MSG:
+		take_message(c, ev->u.peer.from, ev->u.peer.msg);
+		break;
+	case WS_EV_PEER_DOWN:
+		peer_down(c, ev->u.peer.from);
+		break;
+	case WS_EV_PROBED:
+		take_probe(c, ev);
+		break;
+	case WS_EV_GRANTED:
+		ws_own_granted(c->own, fx, c->now, ev->u.granted.target,
+			       ev->u.granted.as_of, ev->u.granted.ok);
+		break;
+	case WS_EV_REQUEST:
+		ws_core_request(c, ev);
+		break;
+	case WS_EV_REQUEST_GONE:
+		ws_core_request_gone(c, ev->u.request.id);
+		break;
+	case WS_EV_ATTEMPT_DONE:
+		ws_disp_attempt_done(c->disp, fx, c->now, ev->u.attempt.attempt,
+				     &ev->u.attempt.result);
+		break;
+	case WS_EV_PUBLISH:
+		ws_core_publish(c, ev);
+		break;
+	case WS_EV_DRAIN:
+		drain(c);
+		break;
+	default:
+		break;
+	}
+}
+
+void ws_core_step(struct ws_core *c, const struct ws_event *ev,
+		  struct ws_fx *fx)
+{
+	WS_INVARIANT(ev->now >= c->now);
+	c->now = ev->now;
+	c->wall_ms = ev->wall_ms;
+	c->out = fx;
+	take_event(c, ev);
+	work_off(c);
+	/* What was folded may change who dispatches; act on it at once. */
+	if (c->member_dirty && ev->kind != WS_EV_TICK) {
+		c->member_dirty = false;
+		own_timer(c, c->now);
+		work_off(c);
+	}
+	c->out = NULL;
+}
+
+/* ===== Questions ===== */
+
+const struct ws_counters *ws_core_counters(const struct ws_core *c)
+{
+	return &c->counters;
+}
+
+const struct ws_view *ws_core_view(const struct ws_core *c)
+{
+	return ws_core_members(c);
+}
+
+const struct ws_own *ws_core_own(const struct ws_core *c)
+{
+	return c->own;
+}
+
+const struct ws_adm *ws_core_adm(const struct ws_core *c)
+{
+	return c->adm;
+}
+
+const struct ws_disp *ws_core_disp(const struct ws_core *c)
+{
+	return c->disp;
+}
+
+const struct ws_idem *ws_core_idem(const struct ws_core *c)
+{
+	return c->idem;
+}
+
+bool ws_core_ready(const struct ws_core *c, ws_us now)
+{
+	const struct ws_zone *z = ws_bundle_zone(c->bundle, c->conf.zone);
+
+	return z && z->in_service && !c->draining &&
+	       now < ws_own_fresh_until(c->own);
+}
--- a/lib/core/ws_core.h
+++ b/lib/core/ws_core.h
@@ -24,6 +24,7 @@
 	uint64_t seed;
 	struct ws_name name;
 	struct ws_name address; /* of the peer listener */
+	uint8_t seed_operator[32]; /* trusted for the first bundle */
 	enum ws_pick pick;
 	bool hedge;
 	size_t max_calls; /* requests held at once */
@@ -69,6 +70,24 @@
 const struct ws_disp *ws_core_disp(const struct ws_core *c);
 const struct ws_idem *ws_core_idem(const struct ws_core *c);
 
+/* One entry of the audit trail: a bundle that was accepted or refused. */
+struct ws_audit {
+	ws_offset offset; /* of its record; 0: refused before the log */
+	int64_t wall_ms; /* when this instance decided */
+	ws_id writer; /* instance that submitted it */
+	uint8_t signer[32];
+	uint64_t version;
+	uint64_t base;
+	int error; /* 0: in force */
+};
+
+/* Entries that an instance keeps in memory; the log has the older ones. */
+#define WS_AUDIT_MAX 256
+
+/* Number of entries kept, and the i-th in order of time. */
+size_t ws_core_audit_count(const struct ws_core *c);
+const struct ws_audit *ws_core_audit(const struct ws_core *c, size_t i);
+
 /* Ready to take callers: has a bundle, is fresh, not draining, zone in. */
 bool ws_core_ready(const struct ws_core *c, ws_us now);
 
--- /dev/null
+++ b/lib/core/ws_core_calls.c
@@ -0,0 +1,578 @@
+#include "core/ws_core_internal.h"
+
+#include <string.h>
+
+/*
+ * Requests as the frontend and the home see them: authentication, admission,
+ * choice of the home, answers.
+ */
+
+/* ===== Table of calls ===== */
+
+static size_t call_slot(const struct ws_core *c, uint64_t id)
+{
+	return ws_mix(id, 1) & (c->cap_calls - 1);
+}
+
+struct core_call *ws_core_find_call(struct ws_core *c, uint64_t id)
+{
+	size_t i = call_slot(c, id);
+
+	while (c->calls[i].state != CALL_FREE) {
+		if (c->calls[i].id == id)
+			return &c->calls[i];
+		i = (i + 1) & (c->cap_calls - 1);
+	}
+	return NULL;
+}
+
+/* Returns NULL when the bound on calls is reached. */
+static struct core_call *add_call(struct ws_core *c, uint8_t state)
+{
+	uint64_t id = ++c->next_id;
+	size_t i = call_slot(c, id);
+
+	if (c->n_calls >= c->conf.max_calls)
+		return NULL;
+	while (c->calls[i].state != CALL_FREE)
+		i = (i + 1) & (c->cap_calls - 1);
+	memset(&c->calls[i], 0, sizeof(c->calls[i]));
+	c->calls[i].state = state;
+	c->calls[i].id = id;
+	c->n_calls++;
+	return &c->calls[i];
+}
+
+/* Removes an entry and closes the gap, so that searches stay unbroken. */
+static void remove_call(struct ws_core *c, struct core_call *call)
+{
+	size_t mask = c->cap_calls - 1;
+	size_t gap = (size_t)(call - c->calls);
+	size_t i = gap;
+
+	c->n_calls--;
+	for (;;) {
+		size_t home;
+
+		i = (i + 1) & mask;
+		if (c->calls[i].state == CALL_FREE)
+			break;
+		home = call_slot(c, c->calls[i].id);
+		if (((i - home) & mask) < ((i - gap) & mask))
+			continue;
+		c->calls[gap] = c->calls[i];
+		gap = i;
+	}
+	c->calls[gap].state = CALL_FREE;
+}
+
+/* ===== Answers ===== */
+
+static void count_answer(struct ws_core *c, const struct ws_answer *answer)
+{
+	if (answer->outcome == WS_OUT_DONE) {
+		c->counters.answered++;
+		return;
+	}
+	if (answer->outcome == WS_OUT_UNKNOWN)
+		c->counters.unknown++;
+	if (answer->error < 0 && answer->error >= WS_ERROR_LAST)
+		c->counters.refused[-answer->error]++;
+}
+
+static void reply(struct ws_core *c, uint64_t shell_id,
+		  const struct ws_answer *answer)
+{
+	struct ws_effect *e = ws_fx_add(c->out, WS_FX_REPLY);
+
+	e->u.reply.id = shell_id;
+	e->u.reply.answer = *answer;
+	count_answer(c, answer);
+}
+
+static void refuse(struct ws_core *c, uint64_t shell_id, int error,
+		   ws_payload payload)
+{
+	struct ws_answer answer = {
+		.outcome = WS_OUT_NOT_RUN,
+		.error = error,
+		.retry_after = WS_SECOND,
+	};
+
+	reply(c, shell_id, &answer);
+	ws_core_release(c, payload);
+}
+
+/* Answers whoever asked for the call; the answer's payload goes along. */
+static void answer_asker(struct ws_core *c, struct core_call *call,
+			 const struct ws_answer *answer)
+{
+	struct ws_msg *msg;
+
+	if (call->answered || call->gone) {
+		ws_core_release(c, answer->payload);
+		return;
+	}
+	call->answered = true;
+	if (!call->is_home) {
+		reply(c, call->shell_id, answer);
+		return;
+	}
+	msg = ws_core_send(c, call->origin, WS_MSG_ANSWER);
+	msg->u.answer.ref = call->origin_ref;
+	msg->u.answer.answer = *answer;
+	ws_core_release(c, answer->payload);
+}
+
+/* The end of a call that no module works on any more. */
+static void finish(struct ws_core *c, struct core_call *call)
+{
+	ws_core_release(c, call->call.payload);
+	remove_call(c, call);
+}
+
+static void end_call(struct ws_core *c, struct core_call *call,
+		     const struct ws_answer *answer)
+{
+	answer_asker(c, call, answer);
+	finish(c, call);
+}
+
+static void end_not_run(struct ws_core *c, struct core_call *call, int error)
+{
+	struct ws_answer answer = {
+		.outcome = WS_OUT_NOT_RUN,
+		.error = error,
+		.retry_after = WS_SECOND,
+	};
+
+	end_call(c, call, &answer);
+}
+
+static void end_unknown(struct ws_core *c, struct core_call *call)
+{
+	struct ws_answer answer = {
+		.outcome = WS_OUT_UNKNOWN,
+		.error = WS_ERR_UNKNOWN_OUTCOME,
+	};
+
+	end_call(c, call, &answer);
+}
+
+/* ===== Checks of a new request ===== */
+
+static bool has_caller_key(const uint64_t key[4])
+{
+	return key[0] | key[1] | key[2] | key[3];
+}
+
+/* Finds the customer of a public service's caller key. */
+static int authenticate(struct ws_core *c, const uint64_t key[4],
+			ws_id *customer)
+{
+	if (!has_caller_key(key))
+		return WS_ERR_NO_KEY;
+	if (c->now - ws_own_evidence(c->own) > c->bundle->key_max_age)
+		return WS_ERR_STALE;
+	*customer = ws_bundle_key_customer(c->bundle, key);
+	return *customer ? WS_OK : WS_ERR_BAD_KEY;
+}
+
+static int check_shape(const struct ws_service *svc, const struct ws_call *call)
+{
+	if (svc->sharded && !call->key)
+		return WS_ERR_BAD_REQUEST;
+	if (!call->idempotent && !call->request_id[0])
+		return WS_ERR_REQUEST_ID;
+	return WS_OK;
+}
+
+static void complete_call(const struct ws_service *svc, ws_us now,
+			  struct ws_call *call)
+{
+	ws_us latest = now + svc->deadline;
+
+	if (!call->deadline || call->deadline > latest)
+		call->deadline = latest;
+	if (!svc->sharded)
+		call->key = 0;
+	if (svc->idempotent)
+		call->idempotent = true;
+}
+
+static int check_request(struct ws_core *c, const struct ws_event *ev,
+			 struct ws_call *call)
+{
+	const struct ws_service *svc;
+	int res = WS_OK;
+
+	if (c->drained)
+		return WS_ERR_SHUTDOWN;
+	if (!c->bundle)
+		return WS_ERR_NO_BUNDLE;
+	svc = ws_bundle_service(c->bundle, call->service);
+	if (!svc)
+		return WS_ERR_NO_SERVICE;
+	if (svc->access == WS_ACCESS_INTERNAL && !ev->u.request.internal)
+		return WS_ERR_NO_SERVICE;
+	if (svc->access == WS_ACCESS_PUBLIC)
+		res = authenticate(c, ev->u.request.caller_key,
+				   &call->customer);
+	if (ws_is_error(res))
+		return res;
+	complete_call(svc, c->now, call);
+	res = check_shape(svc, call);
+	if (ws_is_error(res))
+		return res;
+	call->fingerprint = ws_mix(call->fingerprint, call->customer);
+	if (ws_quar_refuses(c->quar, c->now, call->fingerprint))
+		return WS_ERR_QUARANTINED;
+	return WS_OK;
+}
+
+/* ===== Homes ===== */
+
+static const struct ws_assignment *home_of(struct ws_core *c,
+					   const struct ws_call *call)
+{
+	struct ws_res res = { .kind = WS_RES_PARTITION };
+
+	res.item = ws_idem_partition(call->customer, call->request_id,
+				     c->bundle->partitions);
+	return ws_own_find(c->own, &res);
+}
+
+static bool is_home_here(struct ws_core *c, const struct ws_assignment *a)
+{
+	return a && a->active && ws_own_holds(c->own, c->now, &a->res);
+}
+
+static void begin_home(struct ws_core *c, struct core_call *call,
+		       const struct ws_assignment *a)
+{
+	struct ws_call copy = call->call;
+	uint64_t id = call->id;
+
+	call->state = CALL_HOME_LOCAL;
+	ws_idem_begin(c->idem, ws_core_fx(c), c->now, c->wall_ms, id, &copy, a);
+}
+
+static void send_home(struct ws_core *c, struct core_call *call, ws_id to)
+{
+	struct ws_msg *msg = ws_core_send(c, to, WS_MSG_FORWARD);
+
+	call->state = CALL_HOME_SENT;
+	call->sent_to = to;
+	msg->u.forward.ref = call->id | HOME_REF;
+	msg->u.forward.stage = WS_STAGE_HOME;
+	msg->u.forward.call = call->call;
+}
+
+/* Passes a non-idempotent call to its home, or lets it wait for one. */
+static void find_home(struct ws_core *c, struct core_call *call)
+{
+	const struct ws_assignment *a = home_of(c, &call->call);
+	const struct ws_instance *i;
+
+	if (is_home_here(c, a)) {
+		begin_home(c, call, a);
+		return;
+	}
+	call->state = CALL_HOME_WAIT;
+	if (!a || !a->active || a->holder.id == c->conf.self)
+		return;
+	i = ws_view_instance(ws_core_members(c), a->holder.id);
+	if (i && i->alive)
+		send_home(c, call, a->holder.id);
+}
+
+/* ===== Routing ===== */
+
+static ws_id owner_of(struct ws_core *c, const struct ws_call *call)
+{
+	const struct ws_service *svc =
+		ws_bundle_service(c->bundle, call->service);
+	const struct ws_assignment *a;
+
+	if (!svc || !svc->sharded)
+		return 0;
+	a = ws_own_key(c->own, svc, call->key);
+	return a && a->active ? a->holder.id : 0;
+}
+
+static void start_routing(struct ws_core *c, struct core_call *call)
+{
+	struct ws_call copy = call->call;
+	uint64_t id = call->id;
+
+	call->routing = true;
+	ws_route_start(c->route, ws_core_fx(c), c->now, id, &copy,
+		       owner_of(c, &copy), ws_core_members(c));
+}
+
+/* Starts an admitted call on its way. */
+static void start_call(struct ws_core *c, struct core_call *call)
+{
+	if (call->call.idempotent) {
+		call->state = CALL_ROUTED;
+		start_routing(c, call);
+		return;
+	}
+	call->wait_until = c->now + HOME_WAIT;
+	if (call->wait_until > call->call.deadline)
+		call->wait_until = call->call.deadline;
+	find_home(c, call);
+}
+
+/* ===== Events ===== */
+
+void ws_core_request(struct ws_core *c, const struct ws_event *ev)
+{
+	struct ws_call call = ev->u.request.call;
+	int res = check_request(c, ev, &call);
+	struct core_call *entry;
+	uint64_t id;
+
+	c->counters.requests++;
+	if (ws_is_error(res)) {
+		refuse(c, ev->u.request.id, res, call.payload);
+		return;
+	}
+	entry = add_call(c, CALL_ADMISSION);
+	if (!entry) {
+		refuse(c, ev->u.request.id, WS_ERR_LIMIT, call.payload);
+		return;
+	}
+	entry->shell_id = ev->u.request.id;
+	entry->call = call;
+	id = entry->id;
+	if (call.customer)
+		ws_adm_request(c->adm, ws_core_fx(c), c->now, id, &call,
+			       ws_core_members(c));
+	else
+		start_call(c, entry);
+}
+
+void ws_core_request_gone(struct ws_core *c, uint64_t shell_id)
+{
+	struct core_call *call = NULL;
+	size_t i;
+
+	for (i = 0; i < c->cap_calls && !call; i++)
+		if (c->calls[i].state != CALL_FREE && !c->calls[i].is_home &&
+		    c->calls[i].shell_id == shell_id)
+			call = &c->calls[i];
+	if (!call)
+		return;
+	call->gone = true;
+	if (call->state == CALL_ADMISSION) {
+		ws_adm_cancel(c->adm, call->id);
+		finish(c, call);
+	} else if (call->state == CALL_HOME_WAIT) {
+		finish(c, call);
+	} else if (call->state == CALL_ROUTED) {
+		ws_route_cancel(c->route, ws_core_fx(c), call->id);
+	}
+}
+
+void ws_core_admitted(struct ws_core *c, const struct ws_effect *e)
+{
+	struct core_call *call = ws_core_find_call(c, e->u.call.id);
+
+	if (call && call->state == CALL_ADMISSION)
+		start_call(c, call);
+}
+
+void ws_core_admit_refused(struct ws_core *c, const struct ws_effect *e)
+{
+	struct core_call *call = ws_core_find_call(c, e->u.reply.id);
+
+	if (call && call->state == CALL_ADMISSION)
+		end_call(c, call, &e->u.reply.answer);
+}
+
+void ws_core_home_run(struct ws_core *c, const struct ws_effect *e)
+{
+	struct core_call *call = ws_core_find_call(c, e->u.call.id);
+
+	WS_INVARIANT(call);
+	start_routing(c, call);
+}
+
+/*
+ * An instance that is not the home, or has just handed it over, sent nothing
+ * for this asker: the present home is asked instead.
+ */
+static bool try_next_home(struct ws_core *c, struct core_call *call,
+			  const struct ws_answer *answer)
+{
+	if (answer->error != WS_ERR_NOT_HOLDER || c->now >= call->wait_until)
+		return false;
+	if (answer->outcome == WS_OUT_UNKNOWN)
+		call->doubt = true;
+	call->state = CALL_HOME_WAIT;
+	return true;
+}
+
+void ws_core_home_done(struct ws_core *c, const struct ws_effect *e)
+{
+	struct core_call *call = ws_core_find_call(c, e->u.reply.id);
+
+	if (!call) {
+		ws_core_release(c, e->u.reply.answer.payload);
+		return;
+	}
+	if (!call->is_home && !call->routing &&
+	    try_next_home(c, call, &e->u.reply.answer))
+		return;
+	answer_asker(c, call, &e->u.reply.answer);
+	if (!call->routing)
+		finish(c, call);
+}
+
+void ws_core_route_done(struct ws_core *c, const struct ws_effect *e)
+{
+	struct core_call *call = ws_core_find_call(c, e->u.reply.id);
+	bool at_home;
+
+	WS_INVARIANT(call);
+	call->routing = false;
+	at_home = call->state == CALL_HOME_LOCAL;
+	if (!at_home) {
+		end_call(c, call, &e->u.reply.answer);
+		return;
+	}
+	ws_idem_finish(c->idem, ws_core_fx(c), c->now, call->id,
+		       &e->u.reply.answer);
+	/* A call whose asker has left gets no HOME_DONE. */
+	if (call->gone || call->answered)
+		finish(c, call);
+}
+
+static void answer_not_run(struct ws_core *c, ws_id to, uint64_t ref, int error)
+{
+	struct ws_msg *msg = ws_core_send(c, to, WS_MSG_ANSWER);
+
+	msg->u.answer.ref = ref;
+	msg->u.answer.answer.outcome = WS_OUT_NOT_RUN;
+	msg->u.answer.answer.error = error;
+	msg->u.answer.answer.retry_after = WS_SECOND;
+}
+
+static int check_home(struct ws_core *c, const struct ws_call *call)
+{
+	if (!c->bundle || !ws_bundle_service(c->bundle, call->service))
+		return WS_ERR_NO_SERVICE;
+	if (!is_home_here(c, home_of(c, call)))
+		return WS_ERR_NOT_HOLDER;
+	if (ws_member_clock_error_ms(c->member) > WS_CLOCK_ERROR_MAX_MS ||
+	    ws_member_clock_error_ms(c->member) < -WS_CLOCK_ERROR_MAX_MS)
+		return WS_ERR_STALE;
+	if (ws_quar_refuses(c->quar, c->now, call->fingerprint))
+		return WS_ERR_QUARANTINED;
+	return WS_OK;
+}
+
+void ws_core_forward_home(struct ws_core *c, ws_id from,
+			  const struct ws_msg *msg)
+{
+	const struct ws_call *asked = &msg->u.forward.call;
+	int res = check_home(c, asked);
+	struct core_call *call = NULL;
+
+	if (!ws_is_error(res)) {
+		call = add_call(c, CALL_HOME_LOCAL);
+		res = call ? WS_OK : WS_ERR_LIMIT;
+	}
+	if (ws_is_error(res)) {
+		answer_not_run(c, from, msg->u.forward.ref, res);
+		ws_core_release(c, asked->payload);
+		return;
+	}
+	call->is_home = true;
+	call->origin = from;
+	call->origin_ref = msg->u.forward.ref;
+	call->call = *asked;
+	begin_home(c, call, home_of(c, asked));
+}
+
+void ws_core_home_answer(struct ws_core *c, uint64_t ref,
+			 const struct ws_answer *answer)
+{
+	struct core_call *call = ws_core_find_call(c, ref & ~HOME_REF);
+
+	if (!call || call->state != CALL_HOME_SENT) {
+		ws_core_release(c, answer->payload);
+		return;
+	}
+	if (!try_next_home(c, call, answer))
+		end_call(c, call, answer);
+}
+
+/* ===== Periodic work ===== */
+
+static void tick_call(struct ws_core *c, struct core_call *call)
+{
+	if (call->state == CALL_HOME_WAIT) {
+		if (c->now >= call->wait_until && call->doubt)
+			end_unknown(c, call);
+		else if (c->now >= call->wait_until)
+			end_not_run(c, call, WS_ERR_NO_TARGET);
+		else
+			find_home(c, call);
+	} else if (call->state == CALL_HOME_SENT &&
+		   c->now > call->call.deadline + ANSWER_GRACE) {
+		end_unknown(c, call);
+	}
+}
+
+/* Ids of calls in a state; entries move when others are removed. */
+static size_t collect(struct ws_core *c, uint8_t state, ws_id peer,
+		      uint64_t *ids, size_t max)
+{
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < c->cap_calls && n < max; i++) {
+		struct core_call *call = &c->calls[i];
+
+		if (call->state != state)
+			continue;
+		if (!peer || call->sent_to == peer)
+			ids[n++] = call->id;
+	}
+	return n;
+}
+
+/* Most calls looked at in one go; the rest follows in the next tick. */
+#define COLLECT_MAX 256
+
+void ws_core_calls_tick(struct ws_core *c)
+{
+	static const uint8_t states[] = { CALL_HOME_WAIT, CALL_HOME_SENT };
+	uint64_t ids[COLLECT_MAX];
+	size_t s;
+	size_t n;
+	size_t i;
+
+	if (!c->n_calls)
+		return;
+	for (s = 0; s < sizeof(states); s++) {
+		n = collect(c, states[s], 0, ids, COLLECT_MAX);
+		for (i = 0; i < n; i++)
+			tick_call(c, ws_core_find_call(c, ids[i]));
+	}
+}
+
+void ws_core_calls_peer_down(struct ws_core *c, ws_id peer)
+{
+	uint64_t ids[COLLECT_MAX];
+	size_t n;
+	size_t i;
+
+	do {
+		n = collect(c, CALL_HOME_SENT, peer, ids, COLLECT_MAX);
+		for (i = 0; i < n; i++)
+			end_unknown(c, ws_core_find_call(c, ids[i]));
+	} while (n == COLLECT_MAX);
+}
--- /dev/null
+++ b/lib/core/ws_core_log.c
@@ -0,0 +1,419 @@
+#include "core/ws_core_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * Records of the log: folding them in order, bundles and their audit trail,
+ * appends.
+ */
+
+/* Pause after a failed read, so that a log that is down is not flooded. */
+#define READ_RETRY (100 * WS_MS)
+
+/* A submitted bundle that is not seen in the log by then is in doubt. */
+#define PUBLISH_WAIT (5 * WS_SECOND)
+
+/* A released dispatch waits this long for requests in flight. */
+#define HOLD_MAX (5 * WS_SECOND)
+
+/* ===== Audit trail ===== */
+
+static void audit(struct ws_core *c, const struct ws_record *rec, int error)
+{
+	struct ws_audit *a = &c->audit[c->n_audit % WS_AUDIT_MAX];
+
+	memset(a, 0, sizeof(*a));
+	a->offset = rec->offset;
+	a->wall_ms = c->wall_ms;
+	a->writer = rec->writer;
+	a->error = error;
+	a->version = rec->bundle_version;
+	a->base = rec->bundle_base;
+	if (rec->bundle)
+		memcpy(a->signer, rec->bundle->signer, sizeof(a->signer));
+	c->n_audit++;
+}
+
+size_t ws_core_audit_count(const struct ws_core *c)
+{
+	return c->n_audit < WS_AUDIT_MAX ? c->n_audit : WS_AUDIT_MAX;
+}
+
+const struct ws_audit *ws_core_audit(const struct ws_core *c, size_t i)
+{
+	size_t first = c->n_audit - ws_core_audit_count(c);
+
+	WS_INVARIANT(i < ws_core_audit_count(c));
+	return &c->audit[(first + i) % WS_AUDIT_MAX];
+}
+
+/* ===== Bundles ===== */
+
+static uint64_t version_in_force(const struct ws_core *c)
+{
+	return c->bundle ? c->bundle->version : 0;
+}
+
+static bool is_trusted(const struct ws_core *c, const uint8_t key[32])
+{
+	size_t i;
+
+	if (!c->bundle)
+		return !memcmp(c->conf.seed_operator, key, 32);
+	for (i = 0; i < c->bundle->n_operators; i++)
+		if (!memcmp(c->bundle->operators[i], key, 32))
+			return true;
+	return false;
+}
+
+/* Would this bundle be accepted as the next one? */
+static int check_bundle(const struct ws_core *c, const struct ws_bundle *b)
+{
+	if (!b)
+		return WS_ERR_SYNTAX;
+	if (!is_trusted(c, b->signer))
+		return WS_ERR_SIGNATURE;
+	if (b->base != version_in_force(c) || b->version != b->base + 1)
+		return WS_ERR_VERSION;
+	/* The number of partitions is the divisor of ids and rates. */
+	if (c->bundle && b->partitions != c->bundle->partitions)
+		return WS_ERR_VERSION;
+	return WS_OK;
+}
+
+/* Targets of a zone that returns start slowly. */
+static void restart_zones(struct ws_core *c, const struct ws_bundle *before)
+{
+	const struct ws_view *v = ws_core_members(c);
+	size_t i;
+
+	for (i = 0; i < v->n_targets; i++) {
+		const struct ws_target *t = &v->targets[i];
+		const struct ws_zone *was = ws_bundle_zone(before, t->zone);
+		const struct ws_zone *is = ws_bundle_zone(c->bundle, t->zone);
+
+		if (was && is && !was->in_service && is->in_service &&
+		    ws_disp_is_open(c->disp, t->id))
+			ws_disp_restart_slow(c->disp, c->now, t->id);
+	}
+}
+
+static void adopt_bundle(struct ws_core *c, struct ws_bundle *b)
+{
+	struct ws_bundle *before = c->bundle;
+
+	WS_INVARIANT(b->version > version_in_force(c));
+	c->bundle = ws_bundle_ref(b);
+	ws_member_set_bundle(c->member, b);
+	c->member_dirty = true;
+	if (before)
+		restart_zones(c, before);
+	ws_bundle_unref(before);
+	ws_fx_log(c->out, WS_LOG_BUNDLE_IN_FORCE, 0, (int64_t)b->version, 0);
+}
+
+static void publish_result(struct ws_core *c, uint64_t ref, int error)
+{
+	struct ws_effect *e = ws_fx_add(c->out, WS_FX_PUBLISHED);
+
+	e->u.published.ref = ref;
+	e->u.published.error = error;
+	e->u.published.version = version_in_force(c);
+}
+
+static void fold_bundle(struct ws_core *c, const struct ws_record *rec)
+{
+	int res = check_bundle(c, rec->bundle);
+
+	if (!res)
+		adopt_bundle(c, rec->bundle);
+	else
+		ws_fx_log(c->out, WS_LOG_BUNDLE_REFUSED, rec->writer,
+			  (int64_t)rec->bundle_version, res);
+	audit(c, rec, res);
+	if (c->publish.uid && c->publish.uid == rec->uid) {
+		c->publish.uid = 0;
+		publish_result(c, c->publish.ref, res);
+	}
+}
+
+void ws_core_publish(struct ws_core *c, const struct ws_event *ev)
+{
+	struct ws_record *rec;
+	int res = check_bundle(c, ev->u.publish.record->bundle);
+
+	if (!res && c->publish.uid)
+		res = WS_ERR_IN_PROGRESS;
+	if (res) {
+		audit(c, ev->u.publish.record, res);
+		publish_result(c, ev->u.publish.ref, res);
+		return;
+	}
+	rec = ws_alloc(1, sizeof(*rec));
+	ws_record_copy(rec, ev->u.publish.record);
+	rec->uid = ws_mix(c->conf.self, ++c->next_id) | 1;
+	rec->bundle_version = rec->bundle->version;
+	rec->bundle_base = rec->bundle->base;
+	c->publish.uid = rec->uid;
+	c->publish.ref = ev->u.publish.ref;
+	c->publish.deadline = c->now + PUBLISH_WAIT;
+	ws_core_append(c, rec);
+}
+
+/* ===== Bundles after a gap ===== */
+
+/*
+ * While records are missing, it cannot be known which bundles are valid: they
+ * are kept until a snapshot tells which one was in force at its offset.
+ */
+static void keep_in_doubt(struct ws_core *c, const struct ws_record *rec)
+{
+	ws_grow(&c->doubt, &c->cap_doubt, c->n_doubt + 1, sizeof(*c->doubt));
+	ws_record_copy(&c->doubt[c->n_doubt++], rec);
+}
+
+static void settle_doubt(struct ws_core *c, ws_offset covered)
+{
+	size_t i;
+
+	for (i = 0; i < c->n_doubt; i++) {
+		if (c->doubt[i].offset >= covered)
+			fold_bundle(c, &c->doubt[i]);
+		ws_record_clear(&c->doubt[i]);
+	}
+	c->n_doubt = 0;
+}
+
+/* A signer is trusted by the bundle in force here, or by the settings. */
+static bool snapshot_trusted(const struct ws_core *c, const struct ws_bundle *b)
+{
+	return is_trusted(c, b->signer) ||
+	       !memcmp(c->conf.seed_operator, b->signer, 32);
+}
+
+static void take_snapshot(struct ws_core *c, const struct ws_record *rec)
+{
+	const struct ws_bundle *b = rec->bundle;
+	bool copied = rec->target_offset == rec->offset + 1;
+
+	if (!c->gap && !(copied && rec->target_offset > c->next_bundle))
+		return;
+	if (!copied && rec->target_offset < c->gap_end)
+		return;
+	if (b && b->version > version_in_force(c)) {
+		if (!snapshot_trusted(c, b))
+			return;
+		adopt_bundle(c, rec->bundle);
+	}
+	c->gap = false;
+	settle_doubt(c, rec->target_offset);
+}
+
+/* ===== Folding ===== */
+
+/* A statement that instances are gone counts only from an operator. */
+static struct ws_record checked(struct ws_core *c, const struct ws_record *rec)
+{
+	struct ws_record r = *rec;
+
+	if (rec->kind == WS_REC_RECOVER && !is_trusted(c, rec->signer))
+		r.n_gone = 0;
+	return r;
+}
+
+/* Tells ws_idem whose table it needs for partitions assigned to it. */
+static void note_partitions(struct ws_core *c, const struct ws_record *rec)
+{
+	size_t i;
+
+	for (i = 0; i < rec->n_items; i++) {
+		const struct ws_assign_item *it = &rec->items[i];
+
+		if (it->res.kind == WS_RES_PARTITION &&
+		    it->holder.id == c->conf.self)
+			ws_idem_assigned(c->idem, c->wall_ms,
+					 (uint32_t)it->res.item, rec->offset,
+					 it->expected_fence);
+	}
+}
+
+static void fold_in_order(struct ws_core *c, const struct ws_record *rec)
+{
+	if (rec->offset > c->next_bundle) {
+		c->gap = true;
+		c->gap_end = rec->offset;
+	}
+	c->next_bundle = rec->offset + 1;
+	c->counters.records_folded++;
+	if (rec->kind == WS_REC_BUNDLE && c->gap)
+		keep_in_doubt(c, rec);
+	else if (rec->kind == WS_REC_BUNDLE)
+		fold_bundle(c, rec);
+	else if (rec->kind == WS_REC_ASSIGN)
+		note_partitions(c, rec);
+	else if (rec->kind == WS_REC_SNAPSHOT)
+		take_snapshot(c, rec);
+}
+
+/*
+ * Gives a record to the modules that fold it. Both sides ignore what they have
+ * folded already and find gaps by themselves.
+ */
+static void fold(struct ws_core *c, const struct ws_record *rec)
+{
+	struct ws_record r = checked(c, rec);
+	bool copied = rec->kind == WS_REC_SNAPSHOT &&
+		      rec->target_offset == rec->offset + 1;
+
+	if (copied) {
+		take_snapshot(c, rec);
+		if (rec->target_offset > c->next_bundle)
+			c->next_bundle = rec->target_offset;
+	} else if (rec->offset >= c->next_bundle) {
+		fold_in_order(c, rec);
+	}
+	ws_own_fold(c->own, ws_core_fx(c), c->now, &r);
+	c->member_dirty = true;
+}
+
+void ws_core_log_read(struct ws_core *c, const struct ws_event *ev)
+{
+	size_t i;
+
+	c->reading = false;
+	c->next_read = c->now;
+	for (i = 0; i < ev->u.log_read.n_records; i++)
+		fold(c, &ev->u.log_read.records[i]);
+	if (c->next_bundle >= ev->u.log_read.head)
+		ws_own_log_evidence(c->own, ws_core_fx(c), c->now,
+				    ev->u.log_read.started,
+				    ev->u.log_read.head);
+}
+
+void ws_core_log_failed(struct ws_core *c)
+{
+	c->reading = false;
+	c->next_read = c->now + READ_RETRY;
+}
+
+/* Records that a peer has folded; folded here in the same order. */
+void ws_core_tail(struct ws_core *c, const struct ws_msg *msg)
+{
+	size_t i;
+
+	for (i = 0; i < msg->u.tail.n_records; i++)
+		fold(c, &msg->u.tail.records[i]);
+}
+
+/* ===== Appends ===== */
+
+/* Passes the memory of request ids on before a partition changes hands. */
+static void hand_over(struct ws_core *c, const struct ws_record *rec)
+{
+	size_t i;
+
+	for (i = 0; i < rec->n_items; i++) {
+		const struct ws_assign_item *it = &rec->items[i];
+
+		if (it->res.kind != WS_RES_PARTITION)
+			continue;
+		ws_idem_handover(c->idem, c->out, (uint32_t)it->res.item,
+				 c->bundle->partitions, it->expected_fence,
+				 it->holder.id);
+	}
+}
+
+/* Does a released dispatch still have requests at its target? */
+static bool is_busy(struct ws_core *c, const struct ws_record *rec)
+{
+	size_t i;
+
+	for (i = 0; i < rec->n_items; i++)
+		if (rec->items[i].res.kind == WS_RES_DISPATCH &&
+		    ws_disp_in_flight(c->disp, rec->items[i].res.item))
+			return true;
+	return false;
+}
+
+static void emit_append(struct ws_core *c, struct ws_record *rec)
+{
+	struct ws_effect *e;
+
+	if (rec->released && c->bundle)
+		hand_over(c, rec);
+	e = ws_fx_add(c->out, WS_FX_APPEND);
+	e->u.append = rec;
+	c->counters.appends++;
+}
+
+/* Takes over the record. */
+void ws_core_append(struct ws_core *c, struct ws_record *rec)
+{
+	rec->writer = c->conf.self;
+	rec->wall_ms = c->wall_ms;
+	if (rec->released && is_busy(c, rec)) {
+		ws_grow(&c->held, &c->cap_held, c->n_held + 1,
+			sizeof(*c->held));
+		c->held[c->n_held].record = rec;
+		c->held[c->n_held].until = c->now + HOLD_MAX;
+		c->n_held++;
+		return;
+	}
+	emit_append(c, rec);
+}
+
+static void release_held(struct ws_core *c)
+{
+	size_t kept = 0;
+	size_t i;
+
+	for (i = 0; i < c->n_held; i++) {
+		struct core_held_append *h = &c->held[i];
+
+		if (c->now < h->until && is_busy(c, h->record))
+			c->held[kept++] = *h;
+		else
+			emit_append(c, h->record);
+	}
+	c->n_held = kept;
+}
+
+void ws_core_appended(struct ws_core *c, uint64_t uid, ws_offset offset,
+		      int error, bool unknown)
+{
+	(void)offset;
+	if (c->publish.uid != uid) {
+		ws_own_appended(c->own, ws_core_fx(c), c->now, uid, error,
+				unknown);
+		return;
+	}
+	/* An append in doubt is settled by reading it back, or times out. */
+	if (!error || unknown)
+		return;
+	c->publish.uid = 0;
+	publish_result(c, c->publish.ref, error);
+}
+
+/* ===== Periodic work ===== */
+
+static void read_log(struct ws_core *c)
+{
+	struct ws_effect *e;
+
+	if (c->reading || c->now < c->next_read)
+		return;
+	c->reading = true;
+	e = ws_fx_add(c->out, WS_FX_LOG_READ);
+	e->u.log_read.from = c->next_bundle;
+}
+
+void ws_core_log_tick(struct ws_core *c)
+{
+	release_held(c);
+	read_log(c);
+	if (!c->publish.uid || c->now < c->publish.deadline)
+		return;
+	c->publish.uid = 0;
+	publish_result(c, c->publish.ref, WS_ERR_UNKNOWN_OUTCOME);
+}
--- /dev/null
+++ b/tests/test_core_random.c
@@ -0,0 +1,151 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fake.h"
+
+/*
+ * Long randomised runs of many cores over the fake. Invariants are asserted
+ * inside the cores, and the fake checks what its targets ran. Seeds come from
+ * WS_SEEDS=a..b; the simulated time of each from WS_SECONDS.
+ */
+
+#define DEFAULT_FIRST 1
+#define DEFAULT_LAST 12
+#define DEFAULT_SECONDS 40
+#define FAULT_GAP (1500 * WS_MS)
+#define QUIET_TIME (20 * WS_SECOND)
+
+struct totals {
+	struct fake_report r;
+	uint64_t seeds;
+	uint64_t failed_seeds;
+};
+
+static void add_counts(struct totals *t, const struct fake_report *r)
+{
+	t->r.events += r->events;
+	t->r.calls += r->calls;
+	t->r.done += r->done;
+	t->r.not_run += r->not_run;
+	t->r.unknown += r->unknown;
+	t->r.runs += r->runs;
+	t->r.rejected += r->rejected;
+	t->r.kills += r->kills;
+	t->r.pauses += r->pauses;
+	t->r.cuts += r->cuts;
+	t->r.log_outages += r->log_outages;
+	t->r.target_kills += r->target_kills;
+	t->r.target_freezes += r->target_freezes;
+	t->r.cold_turns += r->cold_turns;
+	t->r.bundles += r->bundles;
+	t->r.violations += r->violations;
+	t->seeds++;
+}
+
+static struct fake_conf conf_of(uint64_t seed)
+{
+	struct fake_conf conf = {
+		.seed = seed,
+		.zones = 3 + (int)(seed % 2),
+		.instances = 6 + (int)(seed % 5),
+		.targets = 4,
+		.partitions = 12,
+		.shards = 16,
+		.rate = 200,
+		.burst = 100,
+		.call_gap = 4 * WS_MS,
+		.loss = seed % 3 ? 0.001 : 0.01,
+		.duplicate = 0.01,
+		.reply_lost = 0.005,
+		.resend = true,
+	};
+
+	return conf;
+}
+
+/* Faults for a while, then quiet, in which everything must work again. */
+static void run_seed(uint64_t seed, ws_us duration, struct totals *t)
+{
+	struct fake_conf conf = conf_of(seed);
+	struct fake *f = fake_new(&conf);
+	ws_us end = fake_now(f) + duration;
+	const struct fake_report *r = fake_report(f);
+
+	fake_run(f, fake_now(f) + 8 * WS_SECOND);
+	while (fake_now(f) < end) {
+		fake_random_fault(f);
+		fake_run(f, fake_now(f) + FAULT_GAP);
+	}
+	fake_run(f, fake_now(f) + QUIET_TIME);
+	add_counts(t, r);
+	if (r->violations) {
+		t->failed_seeds++;
+		printf("seed %llu: %llu violations, first: %s\n",
+		       (unsigned long long)seed,
+		       (unsigned long long)r->violations, r->first_violation);
+	}
+	fake_free(f);
+}
+
+static void print_totals(const struct totals *t)
+{
+	const struct fake_report *r = &t->r;
+
+	printf("seeds %llu, events %llu, calls %llu: done %llu, not run %llu, "
+	       "unknown %llu\n",
+	       (unsigned long long)t->seeds, (unsigned long long)r->events,
+	       (unsigned long long)r->calls, (unsigned long long)r->done,
+	       (unsigned long long)r->not_run, (unsigned long long)r->unknown);
+	printf("runs %llu, rejected by targets %llu; faults: kills %llu, "
+	       "pauses %llu, cuts %llu, log outages %llu, target kills %llu, "
+	       "freezes %llu, cold turns %llu; bundles %llu\n",
+	       (unsigned long long)r->runs, (unsigned long long)r->rejected,
+	       (unsigned long long)r->kills, (unsigned long long)r->pauses,
+	       (unsigned long long)r->cuts, (unsigned long long)r->log_outages,
+	       (unsigned long long)r->target_kills,
+	       (unsigned long long)r->target_freezes,
+	       (unsigned long long)r->cold_turns,
+	       (unsigned long long)r->bundles);
+	printf("violations %llu in %llu seeds\n",
+	       (unsigned long long)r->violations,
+	       (unsigned long long)t->failed_seeds);
+}
+
+static void read_seeds(uint64_t *first, uint64_t *last)
+{
+	const char *s = getenv("WS_SEEDS");
+	unsigned long long a;
+	unsigned long long b;
+	int n;
+
+	*first = DEFAULT_FIRST;
+	*last = DEFAULT_LAST;
+	n = s ? sscanf(s, "%llu..%llu", &a, &b) : 0;
+	if (n >= 1) {
+		*first = a;
+		*last = n == 2 ? b : a;
+	}
+}
+
+int main(void)
+{
+	struct totals t;
+	const char *s = getenv("WS_SECONDS");
+	ws_us duration = (s ? atoi(s) : DEFAULT_SECONDS) * WS_SECOND;
+	uint64_t first;
+	uint64_t last;
+	uint64_t seed;
+
+	memset(&t, 0, sizeof(t));
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	read_seeds(&first, &last);
+	for (seed = first; seed <= last; seed++)
+		run_seed(seed, duration, &t);
+	print_totals(&t);
+	if (!t.r.done) {
+		printf("no call was answered: the run shows nothing\n");
+		return EXIT_FAILURE;
+	}
+	return t.r.violations ? EXIT_FAILURE : EXIT_SUCCESS;
+}
