--- a/lib/core/ws_own.c
+++ b/lib/core/ws_own.c
@@ -10,6 +10,7 @@
 
 	WS_INVARIANT(self != 0);
 	o->self = self;
+	o->next = 1;
 	o->tail = ws_alloc(OWN_TAIL_RECORDS, sizeof(*o->tail));
 	o->outage_limit = OWN_OUTAGE_LIMIT;
 	ws_rand_seed(&o->rand, ws_mix(seed, self));
--- a/lib/core/ws_own.h
+++ b/lib/core/ws_own.h
@@ -20,16 +20,22 @@
 /* ===== Inputs ===== */
 
 /*
- * Folds one record, from the log or copied in a TAIL message. Records of one
- * source come in offset order; what is folded already is ignored. A gap means
- * that the records between are lost: the table is then rebuilt from the next
- * snapshot that covers the gap. The core hands every record of a log read and
- * of a TAIL message to this module and to the bundle module alike. A SNAPSHOT
- * in a TAIL stands for all records up to its offset.
+ * Folds one record, from the log or copied in a TAIL message. Its offset must
+ * not be above ws_own_folded(); one below that is ignored. The core hands each
+ * record of a log read and of a TAIL to this module and to the bundle module
+ * alike. A TAIL that begins with a SNAPSHOT record stands for all records
+ * below the snapshot's target_offset and goes to ws_own_load().
  */
 void ws_own_fold(struct ws_own *o, struct ws_fx *fx, ws_us now,
 		 const struct ws_record *rec);
 
+/*
+ * Replaces the table by a snapshot that covers more than has been folded.
+ * Folding goes on at the snapshot's target_offset.
+ */
+void ws_own_load(struct ws_own *o, struct ws_fx *fx, ws_us now,
+		 const struct ws_record *rec);
+
 /* Everything below next is folded, as of a log read started at started. */
 void ws_own_log_evidence(struct ws_own *o, struct ws_fx *fx, ws_us now,
 			 ws_us started, ws_offset next);
--- a/lib/core/ws_own_fold.c
+++ b/lib/core/ws_own_fold.c
@@ -270,44 +270,14 @@
 	}
 }
 
-/* Starts over: records between next and off are lost to this instance. */
-static void start_at(struct ws_own *o, ws_offset off)
-{
-	own_clear(o);
-	own_tail_clear(o);
-	o->based = off <= 1;
-	o->next = off;
-}
-
-/* A peer's snapshot instead of records that the peer no longer has. */
-static void fold_copied(struct ws_own *o, struct ws_fx *fx, ws_us now,
-			const struct ws_record *rec)
-{
-	if (o->based && rec->target_offset <= o->next)
-		return;
-	if (rec->target_offset > o->next)
-		start_at(o, rec->target_offset);
-	own_snapshot_load(o, fx, now, rec);
-}
-
 void ws_own_fold(struct ws_own *o, struct ws_fx *fx, ws_us now,
 		 const struct ws_record *rec)
 {
-	if (rec->kind == WS_REC_SNAPSHOT &&
-	    rec->target_offset == rec->offset + 1) {
-		fold_copied(o, fx, now, rec);
-		return;
-	}
+	WS_INVARIANT(rec->offset <= o->next);
 	if (rec->offset < o->next)
 		return;
-	if (!o->next || rec->offset > o->next)
-		start_at(o, rec->offset);
 	own_append_seen(o, rec->uid);
-	if (!o->based && rec->kind == WS_REC_SNAPSHOT &&
-	    own_snapshot_load(o, fx, now, rec))
-		return;
 	own_tail_keep(o, rec);
 	o->next = rec->offset + 1;
-	if (o->based)
-		own_apply(o, fx, now, rec);
+	own_apply(o, fx, now, rec);
 }
--- a/lib/core/ws_own_fresh.c
+++ b/lib/core/ws_own_fresh.c
@@ -136,7 +136,7 @@
 	uint64_t oldest = o->round > OWN_ROUNDS ? o->round - OWN_ROUNDS : 0;
 	uint64_t r;
 
-	if (!o->based || !o->n_partitions)
+	if (!o->n_partitions)
 		return;
 	for (r = o->round; r > oldest; r--) {
 		const struct own_round *x = &o->rounds[r % OWN_ROUNDS];
@@ -178,7 +178,7 @@
 	bool any = false;
 	size_t i;
 
-	for (i = 0; o->based && i < o->n_partitions; i++) {
+	for (i = 0; i < o->n_partitions; i++) {
 		const struct own_entry *e = &o->entries[o->partitions[i]];
 
 		if (e->a.holder.id != o->self)
@@ -228,10 +228,6 @@
 {
 	(void)fx;
 	(void)now;
-	if (!o->next) {
-		o->next = next ? next : 1;
-		o->based = o->next == 1;
-	}
 	if (next > o->next)
 		return;
 	if (!o->has_log_evidence || started > o->log_evidence)
@@ -243,7 +239,7 @@
 
 static ws_id peer_ahead(const struct ws_own *o, const struct ws_view *view)
 {
-	ws_offset best = o->based ? o->next : 0;
+	ws_offset best = o->next;
 	ws_id id = 0;
 	size_t i;
 
@@ -276,7 +272,7 @@
 	e = ws_fx_add(fx, WS_FX_SEND);
 	e->u.send.to = to;
 	e->u.send.msg.kind = WS_MSG_TAIL_ASK;
-	e->u.send.msg.u.tail.from = o->based ? o->next : 0;
+	e->u.send.msg.u.tail.from = o->next;
 }
 
 /* ===== Tick and questions ===== */
@@ -288,8 +284,7 @@
 
 bool own_log_recent(const struct ws_own *o, ws_us now)
 {
-	return o->based && o->has_log_evidence &&
-	       now - o->log_evidence <= OWN_LOG_USABLE;
+	return o->has_log_evidence && now - o->log_evidence <= OWN_LOG_USABLE;
 }
 
 static void log_changes(struct ws_own *o, struct ws_fx *fx, ws_us now)
@@ -314,7 +309,7 @@
 	o->outage_limit = OWN_OUTAGE_LIMIT;
 	if (view->bundle && view->bundle->outage_limit < OWN_OUTAGE_LIMIT)
 		o->outage_limit = view->bundle->outage_limit;
-	if (log_quiet(o, now) || !o->based) {
+	if (log_quiet(o, now)) {
 		own_ask(o, fx, now, OWN_ROUND_PERIOD);
 		ask_tail(o, fx, now, view);
 	}
@@ -327,7 +322,7 @@
 	ws_us until;
 	ws_us quorum;
 
-	if (!o->based || !o->has_log_evidence)
+	if (!o->has_log_evidence)
 		return 0;
 	until = o->log_evidence + WS_LEASE;
 	if (!o->has_quorum_evidence)
@@ -342,8 +337,6 @@
 {
 	ws_us at = 0;
 
-	if (!o->based)
-		return 0;
 	if (o->has_log_evidence)
 		at = o->log_evidence;
 	if (o->has_quorum_evidence && o->quorum_evidence > at)
@@ -353,5 +346,5 @@
 
 bool own_fresh(const struct ws_own *o, ws_us now)
 {
-	return o->based && now < ws_own_fresh_until(o);
+	return now < ws_own_fresh_until(o);
 }
--- a/lib/core/ws_own_internal.h
+++ b/lib/core/ws_own_internal.h
@@ -139,8 +139,7 @@
 	ws_id self;
 	struct ws_rand rand;
 	/* Table */
-	bool based; /* the table is the state below next */
-	ws_offset next; /* next offset to fold; 0: nothing seen */
+	ws_offset next; /* next offset to fold */
 	size_t n;
 	size_t cap;
 	struct own_entry *entries;
@@ -237,8 +236,6 @@
 void own_tail_keep(struct ws_own *o, const struct ws_record *rec);
 void own_tail_clear(struct ws_own *o);
 void own_tail_free(struct ws_own *o);
-bool own_snapshot_load(struct ws_own *o, struct ws_fx *fx, ws_us now,
-		       const struct ws_record *rec);
 void own_tail_answer(struct ws_own *o, struct ws_fx *fx, ws_id to,
 		     ws_offset from, const struct ws_view *view);
 void own_snapshot_tick(struct ws_own *o, struct ws_fx *fx, ws_us now,
--- a/lib/core/ws_own_move.c
+++ b/lib/core/ws_own_move.c
@@ -99,7 +99,7 @@
 		return x->guard ? 1 : -1;
 	if (x->holder != y->holder)
 		return x->holder < y->holder ? -1 : 1;
-	return 0;
+	return x->entry->a.res.kind - y->entry->a.res.kind;
 }
 
 static void add_guard(const struct ws_own *o, struct ws_record *rec,
@@ -124,24 +124,36 @@
 	};
 }
 
-static void send_release(struct ws_own *o, struct ws_fx *fx, ws_us now,
-			 const struct release *list, size_t n)
+/*
+ * One record for each holder and sort of resource, since the core delays the
+ * release of a target until its requests in flight have ended.
+ */
+static bool same_record(const struct release *a, const struct release *b)
+{
+	uint8_t kind = a->entry->a.res.kind;
+
+	if (a->guard != b->guard || a->holder != b->holder)
+		return false;
+	return a->guard ||
+	       (kind == WS_RES_PARTITION && b->entry->a.res.kind == kind);
+}
+
+static size_t send_release(struct ws_own *o, struct ws_fx *fx, ws_us now,
+			   const struct release *list, size_t n)
 {
 	struct ws_record rec = { .kind = WS_REC_ASSIGN, .released = true };
-	ws_id guarded = 0;
+	size_t m = 1;
 	size_t i;
 
-	if (n > OWN_BATCH)
-		n = OWN_BATCH;
-	rec.items = ws_alloc(n * 2, sizeof(*rec.items));
-	for (i = 0; i < n; i++) {
-		if (list[i].guard && list[i].holder != guarded) {
-			guarded = list[i].holder;
-			add_guard(o, &rec, guarded);
-		}
+	while (m < n && m < OWN_BATCH && same_record(list, &list[m]))
+		m++;
+	rec.items = ws_alloc(m + 1, sizeof(*rec.items));
+	if (list->guard)
+		add_guard(o, &rec, list->holder);
+	for (i = 0; i < m; i++)
 		add_release(now, &rec, list[i].entry);
-	}
 	own_append(o, fx, &rec);
+	return m;
 }
 
 static void release_all(struct ws_own *o, struct ws_fx *fx, ws_us now)
@@ -167,7 +179,8 @@
 	}
 	if (n) {
 		qsort(list, n, sizeof(*list), by_holder);
-		send_release(o, fx, now, list, n);
+		for (i = 0; i < n;)
+			i += send_release(o, fx, now, &list[i], n - i);
 	}
 	free(list);
 }
--- a/lib/core/ws_own_propose.c
+++ b/lib/core/ws_own_propose.c
@@ -216,8 +216,6 @@
 {
 	size_t i;
 
-	if (!o->based)
-		return;
 	for (i = 0; i < o->n_pending; i++) {
 		struct own_pending *p = &o->pending[i];
 
--- a/lib/core/ws_own_tail.c
+++ b/lib/core/ws_own_tail.c
@@ -82,40 +82,19 @@
 		own_apply(o, NULL, now, &recover);
 }
 
-/*
- * Takes a snapshot as the base of the table if the records since the offset
- * that it covers are at hand. A peer's snapshot stands for the last record
- * that it covers; one in the log covers only records before its own.
- * @return whether the table has a base now
- */
-bool own_snapshot_load(struct ws_own *o, struct ws_fx *fx, ws_us now,
-		       const struct ws_record *rec)
-{
-	ws_offset covered = rec->target_offset;
-	ws_offset from = o->tail_from ? o->tail_from : o->next;
-	bool copied = covered == rec->offset + 1;
-	ws_offset off;
-
-	if (covered < from || (!o->next && !copied))
-		return false;
-	if (covered > o->next && !copied)
-		return false;
+void ws_own_load(struct ws_own *o, struct ws_fx *fx, ws_us now,
+		 const struct ws_record *rec)
+{
+	(void)fx;
+	WS_INVARIANT(rec->kind == WS_REC_SNAPSHOT);
+	if (rec->target_offset <= o->next)
+		return;
 	load_table(o, now, rec);
 	load_gone(o, now, rec);
-	o->based = true;
-	o->snapshot_next = covered;
+	own_tail_clear(o);
+	o->next = rec->target_offset;
+	o->snapshot_next = o->next;
 	o->snapshot_at = now;
-	for (off = covered; off < o->next; off++)
-		own_apply(o, fx, now, tail_slot(o, off));
-	if (copied && covered > o->next) {
-		own_tail_clear(o);
-		o->next = covered;
-	}
-	if (!copied && rec->offset == o->next) {
-		own_tail_keep(o, rec);
-		o->next = rec->offset + 1;
-	}
-	return true;
 }
 
 /* ===== Writing a snapshot ===== */
@@ -231,9 +210,9 @@
 void own_tail_answer(struct ws_own *o, struct ws_fx *fx, ws_id to,
 		     ws_offset from, const struct ws_view *view)
 {
-	if (!o->based || from >= o->next || o->next < 2)
+	if (from >= o->next)
 		return;
-	if (!from || !o->tail_from || from < o->tail_from)
+	if (!o->tail_from || from < o->tail_from)
 		send_snapshot(o, fx, to, view);
 	else
 		send_records(o, fx, to, from);
