--- a/lib/core/ws_disp.c
+++ b/lib/core/ws_disp.c
@@ -12,7 +12,7 @@
 	d->conf = *conf;
 	if (!d->conf.max_queued)
 		d->conf.max_queued = 1;
-	ws_slots_init(&d->slots);
+	ws_handles_init(&d->slots);
 	return d;
 }
 
@@ -26,7 +26,7 @@
 		free(d->targets[i].lanes);
 	free(d->targets);
 	free(d->entries);
-	ws_slots_free(&d->slots);
+	ws_handles_free(&d->slots);
 	ws_index_free(&d->by_ref);
 	ws_index_free(&d->by_target);
 	free(d);
@@ -177,7 +177,7 @@
 
 static uint32_t add_entry(struct ws_disp *d, const struct ws_entry *from)
 {
-	uint32_t slot = ws_slots_take(&d->slots);
+	uint32_t slot = ws_handles_take(&d->slots);
 
 	ws_grow(&d->entries, &d->cap_entries, d->slots.n, sizeof(*d->entries));
 	d->entries[slot] = *from;
--- a/lib/core/ws_disp_end.c
+++ b/lib/core/ws_disp_end.c
@@ -94,7 +94,7 @@
 			  uint64_t attempt,
 			  const struct ws_attempt_result *result)
 {
-	uint32_t slot = ws_slots_find(&d->slots, attempt);
+	uint32_t slot = ws_handles_find(&d->slots, attempt);
 	struct ws_disp_target *t;
 	struct ws_answer a;
 
@@ -112,7 +112,7 @@
 		emit_release(fx, result->payload);
 	if (d->entries[slot].state != WS_ENTRY_ANSWERED)
 		ws_disp_answer(d, fx, now, slot, &a);
-	ws_slots_give(&d->slots, slot);
+	ws_handles_give(&d->slots, slot);
 	ws_disp_pump(d, fx, now, t);
 }
 
@@ -145,7 +145,7 @@
 		if (!e->cancelled || now < e->cancelled + WS_DISP_CANCEL_GRACE)
 			continue;
 		ws_list_remove(d, &t->in_flight, slot);
-		ws_slots_give(&d->slots, slot);
+		ws_handles_give(&d->slots, slot);
 		ws_disp_turn_cold(fx, t);
 	}
 }
--- a/lib/core/ws_disp_int.h
+++ b/lib/core/ws_disp_int.h
@@ -75,7 +75,7 @@
 struct ws_disp {
 	struct ws_disp_conf conf;
 	ws_us now; /* time of the last call */
-	struct ws_slots slots; /* handles are the attempt numbers */
+	struct ws_handles slots; /* handles are the attempt numbers */
 	struct ws_entry *entries;
 	size_t cap_entries;
 	struct ws_index by_ref;
--- a/lib/core/ws_disp_send.c
+++ b/lib/core/ws_disp_send.c
@@ -141,7 +141,7 @@
 	WS_INVARIANT(d->entries[slot].state == WS_ENTRY_QUEUED);
 	ws_queue_remove(d, t, slot);
 	ws_disp_answer(d, fx, now, slot, &a);
-	ws_slots_give(&d->slots, slot);
+	ws_handles_give(&d->slots, slot);
 }
 
 /* ===== Sending ===== */
@@ -188,7 +188,7 @@
 		}
 		late = ws_disp_not_run(t, WS_ERR_DEADLINE);
 		ws_disp_answer(d, fx, now, slot, &late);
-		ws_slots_give(&d->slots, slot);
+		ws_handles_give(&d->slots, slot);
 	}
 }
 
--- a/lib/core/ws_est.c
+++ b/lib/core/ws_est.c
@@ -8,12 +8,12 @@
 void ws_ests_init(struct ws_ests *e)
 {
 	memset(e, 0, sizeof(*e));
-	ws_slots_init(&e->slots);
+	ws_handles_init(&e->slots);
 }
 
 void ws_ests_free(struct ws_ests *e)
 {
-	ws_slots_free(&e->slots);
+	ws_handles_free(&e->slots);
 	ws_index_free(&e->by_target);
 	free(e->targets);
 	free(e->services);
@@ -24,7 +24,7 @@
 	uint32_t slot = ws_index_get(&e->by_target, target);
 
 	if (slot == WS_SLOT_NONE) {
-		slot = ws_slots_take(&e->slots);
+		slot = ws_handles_take(&e->slots);
 		ws_grow(&e->targets, &e->cap_targets, e->slots.n,
 			sizeof(*e->targets));
 		memset(&e->targets[slot], 0, sizeof(*e->targets));
@@ -191,7 +191,7 @@
 	for (i = 0; i < e->slots.n; i++) {
 		const struct ws_est *t = &e->targets[i];
 
-		if (!ws_slots_used(&e->slots, i) || t->service != s->service)
+		if (!ws_handles_used(&e->slots, i) || t->service != s->service)
 			continue;
 		if (!t->latency || now - t->sampled > WS_EST_MAX_AGE)
 			continue;
@@ -208,12 +208,12 @@
 	uint32_t i;
 
 	for (i = 0; i < e->slots.n; i++) {
-		if (!ws_slots_used(&e->slots, i) || e->targets[i].in_flight)
+		if (!ws_handles_used(&e->slots, i) || e->targets[i].in_flight)
 			continue;
 		if (ws_view_target(view, e->targets[i].target))
 			continue;
 		ws_index_del(&e->by_target, e->targets[i].target);
-		ws_slots_give(&e->slots, i);
+		ws_handles_give(&e->slots, i);
 	}
 }
 
--- a/lib/core/ws_est.h
+++ b/lib/core/ws_est.h
@@ -48,7 +48,7 @@
 };
 
 struct ws_ests {
-	struct ws_slots slots;
+	struct ws_handles slots;
 	struct ws_est *targets;
 	size_t cap_targets;
 	struct ws_index by_target;
--- a/lib/core/ws_handle.c
+++ b/lib/core/ws_handle.c
@@ -5,20 +5,20 @@
 
 /* ===== Slots ===== */
 
-void ws_slots_init(struct ws_slots *s)
+void ws_handles_init(struct ws_handles *s)
 {
 	memset(s, 0, sizeof(*s));
 	s->first_free = WS_SLOT_NONE;
 }
 
-void ws_slots_free(struct ws_slots *s)
+void ws_handles_free(struct ws_handles *s)
 {
 	free(s->handle);
 	free(s->next_free);
-	ws_slots_init(s);
+	ws_handles_init(s);
 }
 
-static uint32_t new_slot(struct ws_slots *s)
+static uint32_t new_slot(struct ws_handles *s)
 {
 	uint32_t slot = s->n++;
 
@@ -28,7 +28,7 @@
 	return slot;
 }
 
-uint32_t ws_slots_take(struct ws_slots *s)
+uint32_t ws_handles_take(struct ws_handles *s)
 {
 	uint32_t slot = s->first_free;
 
@@ -42,7 +42,7 @@
 	return slot;
 }
 
-void ws_slots_give(struct ws_slots *s, uint32_t slot)
+void ws_handles_give(struct ws_handles *s, uint32_t slot)
 {
 	WS_INVARIANT(slot < s->n && s->handle[slot] != 0);
 	s->handle[slot] = 0;
@@ -51,7 +51,7 @@
 	s->n_used--;
 }
 
-uint32_t ws_slots_find(const struct ws_slots *s, uint64_t handle)
+uint32_t ws_handles_find(const struct ws_handles *s, uint64_t handle)
 {
 	uint32_t slot = (uint32_t)(handle & ((1U << WS_SLOT_BITS) - 1));
 
--- a/lib/core/ws_handle.h
+++ b/lib/core/ws_handle.h
@@ -15,7 +15,7 @@
  * Slots of a table. A handle holds the slot and a sequence number, so that a
  * late message about a former user of the slot is recognised. 0 is no handle.
  */
-struct ws_slots {
+struct ws_handles {
 	uint64_t *handle; /* 0: free */
 	uint32_t *next_free;
 	size_t cap;
@@ -26,17 +26,17 @@
 	uint64_t seq;
 };
 
-void ws_slots_init(struct ws_slots *s);
-void ws_slots_free(struct ws_slots *s);
+void ws_handles_init(struct ws_handles *s);
+void ws_handles_free(struct ws_handles *s);
 
 /* Takes a slot; its handle is never used again. Returns the slot. */
-uint32_t ws_slots_take(struct ws_slots *s);
-void ws_slots_give(struct ws_slots *s, uint32_t slot);
+uint32_t ws_handles_take(struct ws_handles *s);
+void ws_handles_give(struct ws_handles *s, uint32_t slot);
 
 /* Slot of a handle, or WS_SLOT_NONE when it is no longer in use. */
-uint32_t ws_slots_find(const struct ws_slots *s, uint64_t handle);
+uint32_t ws_handles_find(const struct ws_handles *s, uint64_t handle);
 
-static inline bool ws_slots_used(const struct ws_slots *s, uint32_t slot)
+static inline bool ws_handles_used(const struct ws_handles *s, uint32_t slot)
 {
 	return s->handle[slot] != 0;
 }
--- a/lib/core/ws_route.c
+++ b/lib/core/ws_route.c
@@ -13,8 +13,8 @@
 	r->picker = ws_picker_new(conf->pick, conf->seed);
 	r->budget = WS_ROUTE_RESERVE;
 	ws_ests_init(&r->ests);
-	ws_slots_init(&r->slots);
-	ws_slots_init(&r->attempt_slots);
+	ws_handles_init(&r->slots);
+	ws_handles_init(&r->attempt_slots);
 	return r;
 }
 
@@ -24,8 +24,8 @@
 		return;
 	r->picker->ops->free(r->picker);
 	ws_ests_free(&r->ests);
-	ws_slots_free(&r->slots);
-	ws_slots_free(&r->attempt_slots);
+	ws_handles_free(&r->slots);
+	ws_handles_free(&r->attempt_slots);
 	ws_index_free(&r->by_id);
 	free(r->calls);
 	free(r->attempts);
@@ -84,7 +84,7 @@
 static uint32_t add_call(struct ws_route *r, uint64_t id,
 			 const struct ws_call *call, ws_id owner, bool sharded)
 {
-	uint32_t slot = ws_slots_take(&r->slots);
+	uint32_t slot = ws_handles_take(&r->slots);
 	struct ws_route_call *c;
 
 	ws_grow(&r->calls, &r->cap_calls, r->slots.n, sizeof(*r->calls));
@@ -149,7 +149,7 @@
 	WS_INVARIANT(i < c->n_attempts);
 	c->attempts[i] = c->attempts[c->n_attempts - 1];
 	c->n_attempts--;
-	ws_slots_give(&r->attempt_slots, attempt);
+	ws_handles_give(&r->attempt_slots, attempt);
 }
 
 static void drop_attempts(struct ws_route *r, struct ws_fx *fx,
@@ -180,7 +180,7 @@
 		emit_done(fx, c->id, &a);
 #endif
 	ws_index_del(&r->by_id, c->id);
-	ws_slots_give(&r->slots, slot);
+	ws_handles_give(&r->slots, slot);
 }
 
 void ws_route_fail(struct ws_route *r, struct ws_fx *fx, uint32_t slot,
@@ -232,7 +232,7 @@
 	for (i = 0; i < r->slots.n && n < max; i++) {
 		const struct ws_route_call *c = &r->calls[i];
 
-		if (!ws_slots_used(&r->slots, i) || !c->sharded ||
+		if (!ws_handles_used(&r->slots, i) || !c->sharded ||
 		    c->state != WS_ROUTE_WAITING)
 			continue;
 		ids[n] = c->id;
--- a/lib/core/ws_route_int.h
+++ b/lib/core/ws_route_int.h
@@ -82,11 +82,11 @@
 	struct ws_ests ests;
 	uint32_t budget;
 	struct ws_route_stats stats;
-	struct ws_slots slots;
+	struct ws_handles slots;
 	struct ws_route_call *calls;
 	size_t cap_calls;
 	struct ws_index by_id;
-	struct ws_slots attempt_slots; /* handles are the refs */
+	struct ws_handles attempt_slots; /* handles are the refs */
 	struct ws_route_attempt *attempts;
 	size_t cap_attempts;
 	struct ws_candidate *candidates; /* scratch */
--- a/lib/core/ws_route_run.c
+++ b/lib/core/ws_route_run.c
@@ -50,7 +50,7 @@
 		   ws_id target)
 {
 	struct ws_route_call *c = &r->calls[slot];
-	uint32_t attempt = ws_slots_take(&r->attempt_slots);
+	uint32_t attempt = ws_handles_take(&r->attempt_slots);
 	struct ws_route_attempt *a;
 
 	WS_INVARIANT(c->n_attempts < WS_ROUTE_ATTEMPTS_MAX);
@@ -257,7 +257,7 @@
 		     uint64_t ref, const struct ws_answer *answer,
 		     const struct ws_load *load, const struct ws_view *view)
 {
-	uint32_t attempt = ws_slots_find(&r->attempt_slots, ref);
+	uint32_t attempt = ws_handles_find(&r->attempt_slots, ref);
 	uint32_t slot;
 
 	r->now = now;
--- a/lib/core/ws_route_tick.c
+++ b/lib/core/ws_route_tick.c
@@ -10,7 +10,7 @@
 	for (i = 0; i < r->ests.slots.n; i++)
 		r->ests.targets[i].oldest = 0;
 	for (i = 0; i < r->attempt_slots.n; i++) {
-		if (!ws_slots_used(&r->attempt_slots, i))
+		if (!ws_handles_used(&r->attempt_slots, i))
 			continue;
 		t = &r->ests.targets[r->attempts[i].est];
 		if (!t->oldest || r->attempts[i].sent < t->oldest)
@@ -74,7 +74,7 @@
 	find_oldest(r);
 	ws_ests_tick(&r->ests, now, view);
 	for (i = 0; i < r->slots.n; i++) {
-		if (!ws_slots_used(&r->slots, i))
+		if (!ws_handles_used(&r->slots, i))
 			continue;
 		if (r->calls[i].state == WS_ROUTE_WAITING)
 			check_waiting(r, fx, i, view);
