--- a/lib/codec/ws_json.c
+++ b/lib/codec/ws_json.c
@@ -17,8 +17,8 @@
 
 	if (!why)
 		return WS_ERR_SYNTAX;
-	snprintf(why->text, sizeof(why->text), "%s%s%s: ", j->path, dot,
-		 field ? field : "");
+	snprintf(why->text, sizeof(why->text), "%s%s%s%s", j->path, dot,
+		 field ? field : "", field || j->path[0] ? ": " : "");
 	used = strlen(why->text);
 	va_start(args, fmt);
 	vsnprintf(why->text + used, sizeof(why->text) - used, fmt, args);
--- /dev/null
+++ b/lib/standin/ws_jcheck.h
@@ -0,0 +1,84 @@
+#ifndef WS_JCHECK_H
+#define WS_JCHECK_H
+
+#include <jansson.h>
+
+#include "common/ws_common.h"
+
+/*
+ * Decides from the journals of stand-in targets whether each non-idempotent
+ * request ran at most once, whether each shard and key had one owner at a
+ * time, and whether targets were overloaded or saw a caller key.
+ */
+
+/* A target may get new work for so long after it began to leave. */
+#define WS_JCHECK_LEAVING (3 * WS_SECOND)
+
+struct ws_jcheck_counts {
+	uint64_t lines;
+	uint64_t
+		torn; /* last line of a file, cut off by the end of a process */
+	uint64_t incarnations;
+	uint64_t crashes;
+	uint64_t begun;
+	uint64_t ran;
+	uint64_t aborted; /* ended without effect */
+	uint64_t interrupted; /* begun without an end: may have run */
+	uint64_t rejected;
+	uint64_t non_idempotent; /* ran */
+	uint64_t resources; /* shards and hot keys that were used */
+	uint64_t owner_changes; /* of them */
+	ws_us longest_pause; /* between runs of one key at two owners */
+	uint64_t frozen_overlaps; /* run while frozen; no lease can stop it */
+};
+
+enum ws_jcheck_kind {
+	WS_JCHECK_UNREADABLE,
+	WS_JCHECK_RAN_TWICE,
+	WS_JCHECK_NO_ID,
+	WS_JCHECK_BODY_TWICE,
+	WS_JCHECK_FENCE_BACK,
+	WS_JCHECK_OVERLAP,
+	WS_JCHECK_CALLER_KEY,
+	WS_JCHECK_ABOVE_LIMIT,
+	WS_JCHECK_COLLAPSE,
+	WS_JCHECK_LEAVING_WORK,
+	WS_JCHECK_KINDS,
+};
+
+/* Name of a kind of violation, as in reports. */
+const char *ws_jcheck_name(unsigned kind);
+
+struct ws_jcheck;
+
+/*
+ * @param unique_bodies also requires that no two non-idempotent requests that
+ *        ran had the same body, whatever their ids
+ */
+struct ws_jcheck *ws_jcheck_new(bool unique_bodies);
+void ws_jcheck_free(struct ws_jcheck *c);
+
+/*
+ * Adds a line of a journal.
+ * @param source place named in violations, such as file:line
+ * @param whole false for a last line without its end
+ */
+void ws_jcheck_line(struct ws_jcheck *c, const char *source, const char *line,
+		    bool whole);
+
+/* Draws the conclusions; to be called once after the last line. */
+void ws_jcheck_finish(struct ws_jcheck *c);
+
+const struct ws_jcheck_counts *ws_jcheck_counts(const struct ws_jcheck *c);
+
+/* Violations of a kind, and of all kinds. */
+uint64_t ws_jcheck_violations(const struct ws_jcheck *c, unsigned kind);
+uint64_t ws_jcheck_all(const struct ws_jcheck *c);
+
+/* Description of violation i; NULL behind the last one that was kept. */
+const char *ws_jcheck_text(const struct ws_jcheck *c, size_t i);
+
+/* Counts and violations as a new JSON object. */
+json_t *ws_jcheck_report(const struct ws_jcheck *c);
+
+#endif
--- /dev/null
+++ b/lib/standin/ws_standin.h
@@ -0,0 +1,12 @@
+#ifndef WS_STANDIN_H
+#define WS_STANDIN_H
+
+/* Subcommands; each takes its own arguments and returns an exit code. */
+int ws_standin_log(int argc, char **argv);
+int ws_standin_list(int argc, char **argv);
+int ws_standin_target(int argc, char **argv);
+int ws_standin_check(int argc, char **argv);
+
+#define WS_STANDIN_USAGE 2
+
+#endif
--- /dev/null
+++ b/lib/standin/ws_standin_list.c
@@ -0,0 +1,82 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "standin/ws_standin.h"
+#include "standin/ws_shttp.h"
+#include "standin/ws_sopts.h"
+#include "standin/ws_slist.h"
+
+/* ===== Handlers ===== */
+
+typedef int (*post_fn)(struct ws_slist *l, ws_us now, const char *text,
+		       struct ws_reason *why);
+
+static enum ws_shttp_next
+on_post(struct ws_slist *l, struct ws_shttp_call *call, ws_us now, post_fn fn)
+{
+	struct ws_reason why = { "" };
+
+	if (fn(l, now, call->body, &why))
+		return ws_shttp_error(call, 400, why.text);
+	ws_shttp_wake(call->server);
+	return ws_shttp_reply(call, 200, strdup("{}"));
+}
+
+static enum ws_shttp_next on_call(void *arg, struct ws_shttp_call *call,
+				  ws_us now)
+{
+	struct ws_slist *l = arg;
+
+	if (ws_shttp_is(call, "POST", "/fault"))
+		return on_post(l, call, now, ws_slist_fault);
+	if (now < l->down_until)
+		return WS_SHTTP_DROP;
+	if (now < l->silent_until) {
+		call->due = l->silent_until;
+		return WS_SHTTP_WAIT;
+	}
+	if (ws_shttp_delay(call, now, l->slow))
+		return WS_SHTTP_WAIT;
+	if (ws_shttp_is(call, "POST", "/list"))
+		return on_post(l, call, now, ws_slist_post);
+	if (ws_shttp_is(call, "GET", "/list"))
+		return ws_shttp_reply(call, 200,
+				      strdup(ws_slist_answer(l, now)));
+	return ws_shttp_error(call, 404, "not found");
+}
+
+/* ===== Command ===== */
+
+static bool start_faults(struct ws_slist *l, char **faults)
+{
+	struct ws_reason why = { "" };
+
+	for (; faults && *faults; faults++) {
+		if (ws_slist_fault(l, ws_shttp_now(), *faults, &why)) {
+			fprintf(stderr, "list: --fault: %s\n", why.text);
+			return false;
+		}
+	}
+	return true;
+}
+
+int ws_standin_list(int argc, char **argv)
+{
+	struct ws_sopts o = { NULL, NULL };
+	struct ws_slist *l;
+	int code = WS_STANDIN_USAGE;
+
+	if (!ws_sopts_parse(&o, &argc, &argv, "list",
+			    "Serves the platform's list of instances and "
+			    "targets.",
+			    NULL))
+		return WS_STANDIN_USAGE;
+	l = ws_slist_new();
+	if (start_faults(l, o.faults))
+		code = ws_shttp_serve(o.listen, on_call, l);
+	ws_slist_free(l);
+	g_strfreev(o.faults);
+	g_free(o.listen);
+	return code;
+}
--- /dev/null
+++ b/lib/standin/ws_standin_log.c
@@ -0,0 +1,155 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "codec/ws_codec.h"
+#include "standin/ws_standin.h"
+#include "standin/ws_shttp.h"
+#include "standin/ws_sopts.h"
+#include "standin/ws_slog.h"
+
+#define READ_MAX 1000
+#define WAIT_MS_MAX 60000
+
+/* ===== Handlers ===== */
+
+static enum ws_shttp_next on_append(struct ws_slog *l,
+				    struct ws_shttp_call *call)
+{
+	json_t *text = json_stringn(call->body, call->body_len);
+	char reply[64];
+	ws_offset offset;
+
+	if (!text || strlen(call->body) != call->body_len) {
+		json_decref(text);
+		return ws_shttp_error(call, 400, "the body must be UTF-8 text");
+	}
+	json_decref(text);
+	if (ws_standin_take(&l->refuse_appends))
+		return ws_shttp_error(call, 503, "refused on request");
+	offset = ws_slog_append(l, call->body, call->body_len);
+	ws_shttp_wake(call->server);
+	if (ws_standin_take(&l->lose_replies))
+		return WS_SHTTP_DROP;
+	snprintf(reply, sizeof(reply), "{\"offset\":%llu}",
+		 (unsigned long long)offset);
+	return ws_shttp_reply(call, 200, strdup(reply));
+}
+
+/* Number of the query between bounds; a missing one has a default. */
+static bool read_number(const struct ws_shttp_call *call, const char *name,
+			unsigned long long fallback, unsigned long long max,
+			unsigned long long *out)
+{
+	const char *text = ws_shttp_query(call, name);
+	char *end;
+
+	*out = fallback;
+	if (!text)
+		return true;
+	if (*text < '0' || *text > '9')
+		return false;
+	*out = strtoull(text, &end, 10);
+	return *end == '\0' && *out <= max;
+}
+
+/* Long poll: waits until there is a record from the offset on. */
+static enum ws_shttp_next on_read(struct ws_slog *l, struct ws_shttp_call *call,
+				  ws_us now)
+{
+	unsigned long long from;
+	unsigned long long max;
+	unsigned long long wait;
+	ws_us *until = call->data;
+
+	if (!read_number(call, "from", 1, INT64_MAX, &from) ||
+	    !read_number(call, "max", READ_MAX, INT32_MAX, &max) ||
+	    !read_number(call, "wait_ms", 0, WAIT_MS_MAX, &wait))
+		return ws_shttp_error(call, 400,
+				      "expected numbers from, max, wait_ms");
+	if (!until) {
+		until = ws_alloc(1, sizeof(*until));
+		*until = now + (ws_us)wait * WS_MS;
+		call->data = until;
+	}
+	if (from >= ws_slog_head(l) && now < *until) {
+		call->due = *until;
+		return WS_SHTTP_WAIT;
+	}
+	if (max > READ_MAX)
+		max = READ_MAX;
+	return ws_shttp_reply(call, 200, ws_slog_read(l, from, max));
+}
+
+static enum ws_shttp_next on_fault(struct ws_slog *l,
+				   struct ws_shttp_call *call, ws_us now)
+{
+	struct ws_reason why = { "" };
+
+	if (ws_slog_fault(l, now, call->body, &why))
+		return ws_shttp_error(call, 400, why.text);
+	ws_shttp_wake(call->server);
+	return ws_shttp_reply(call, 200, strdup("{}"));
+}
+
+static void free_wait(struct ws_shttp_call *call)
+{
+	free(call->data);
+}
+
+/* Faults of the service as a whole come before the request itself. */
+static enum ws_shttp_next on_call(void *arg, struct ws_shttp_call *call,
+				  ws_us now)
+{
+	struct ws_slog *l = arg;
+
+	call->free_data = free_wait;
+	if (ws_shttp_is(call, "POST", "/fault"))
+		return on_fault(l, call, now);
+	if (now < l->down_until)
+		return WS_SHTTP_DROP;
+	if (now < l->silent_until) {
+		call->due = l->silent_until;
+		return WS_SHTTP_WAIT;
+	}
+	if (ws_shttp_delay(call, now, l->slow))
+		return WS_SHTTP_WAIT;
+	if (ws_shttp_is(call, "POST", "/log/append"))
+		return on_append(l, call);
+	if (ws_shttp_is(call, "GET", "/log/read"))
+		return on_read(l, call, now);
+	return ws_shttp_error(call, 404, "not found");
+}
+
+/* ===== Command ===== */
+
+static bool start_faults(struct ws_slog *l, char **faults)
+{
+	struct ws_reason why = { "" };
+
+	for (; faults && *faults; faults++) {
+		if (ws_slog_fault(l, ws_shttp_now(), *faults, &why)) {
+			fprintf(stderr, "log: --fault: %s\n", why.text);
+			return false;
+		}
+	}
+	return true;
+}
+
+int ws_standin_log(int argc, char **argv)
+{
+	struct ws_sopts o = { NULL, NULL };
+	struct ws_slog *l;
+	int code = WS_STANDIN_USAGE;
+
+	if (!ws_sopts_parse(&o, &argc, &argv, "log",
+			    "Serves the platform's log from memory.", NULL))
+		return WS_STANDIN_USAGE;
+	l = ws_slog_new();
+	if (start_faults(l, o.faults))
+		code = ws_shttp_serve(o.listen, on_call, l);
+	ws_slog_free(l);
+	g_strfreev(o.faults);
+	g_free(o.listen);
+	return code;
+}
