Add peer messages, their encryption and the I/O parts of the daemon

Cause: the core needs a shell that talks to callers, targets, the platform and other instances.

Change: XDR messages with bounded sizes, streams sealed under the cluster secret, a table of payloads, an HTTP client and HTTP listeners on libev, the executor of effects, administration pages and metrics.

The parts in lib/io are compiled and linted but not run yet.

--- /dev/null
+++ b/lib/config/ws_secret.h
@@ -0,0 +1,25 @@
+#ifndef WS_SECRET_H
+#define WS_SECRET_H
+
+#include "config/ws_config.h"
+
+/* Reading of the files with the cluster secret and the administration token. */
+
+#define WS_SECRET_LINES_MAX 2
+#define WS_SECRET_LEN_MIN 32
+#define WS_SECRET_LEN_MAX 256
+
+struct ws_secret_lines {
+	char line[WS_SECRET_LINES_MAX][WS_SECRET_LEN_MAX + 1];
+	size_t n;
+};
+
+/*
+ * Reads the lines of a secret file.
+ * @param most lines that are allowed
+ * @return 0, or WS_ERR_CONFIG with file, line, expectation and remedy
+ */
+int ws_secret_read(const char *path, size_t most, struct ws_secret_lines *out,
+		   struct ws_config_error *why);
+
+#endif
--- /dev/null
+++ b/lib/io/ws_admin.c
@@ -0,0 +1,462 @@
+#include "io/ws_admin.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "codec/ws_codec.h"
+#include "config/ws_secret.h"
+#include "io/ws_answer.h"
+#include "io/ws_audit.h"
+#include "io/ws_logline.h"
+#include "io/ws_metrics.h"
+#include "io/ws_mhd.h"
+#include "io/ws_status.h"
+
+#define CONNECTIONS_MAX 64
+#define PUBLISH_TIMEOUT (8 * WS_SECOND)
+#define PREFIX "/admin/v1"
+
+struct request {
+	struct ws_admin *owner;
+	struct MHD_Connection *con;
+	bool seen; /* the headers have been handed over */
+	bool suspended;
+	uint64_t ref; /* of a submitted bundle; 0: none */
+	ws_us submitted;
+	GString *body;
+	struct MHD_Response *response;
+	unsigned status;
+};
+
+struct ws_admin {
+	struct ws_shell *sh;
+	struct ws_mhd *mhd;
+	struct ws_audit *audit;
+	GHashTable *publishing; /* ref -> struct request */
+	uint64_t next_ref;
+	int timer;
+	uint8_t token[crypto_generichash_BYTES];
+};
+
+/* ===== Answers ===== */
+
+static void set_json(struct request *r, unsigned status, json_t *o)
+{
+	char *text = json_dumps(o, JSON_INDENT(1));
+
+	WS_INVARIANT(text);
+	json_decref(o);
+	r->status = status;
+	r->response = ws_answer_text(text, "application/json");
+}
+
+static void set_text(struct request *r, unsigned status, char *text)
+{
+	r->status = status;
+	r->response = ws_answer_text(text, "text/plain; version=0.0.4");
+}
+
+static void set_error(struct request *r, int error, const char *detail)
+{
+	set_json(r, (unsigned)ws_error_http_status(error),
+		 json_pack("{s:s, s:s, s:s, s:s}", "error",
+			   ws_error_name(error), "message",
+			   ws_error_message(error), "detail", detail, "remedy",
+			   ws_error_remedy(error)));
+}
+
+static enum MHD_Result queue_response(struct request *r)
+{
+	enum MHD_Result res =
+		MHD_queue_response(r->con, r->status, r->response);
+
+	MHD_destroy_response(r->response);
+	r->response = NULL;
+	return res;
+}
+
+/* ===== Access ===== */
+
+/* Hashes are compared, so that the time tells nothing of the token. */
+static bool may_administer(struct request *r)
+{
+	static const char scheme[] = "Bearer ";
+	const char *value = MHD_lookup_connection_value(
+		r->con, MHD_HEADER_KIND, MHD_HTTP_HEADER_AUTHORIZATION);
+	uint8_t hash[crypto_generichash_BYTES];
+
+	if (!value || strncasecmp(value, scheme, sizeof(scheme) - 1) != 0)
+		return false;
+	value += sizeof(scheme) - 1;
+	crypto_generichash(hash, sizeof(hash), (const uint8_t *)value,
+			   strlen(value), NULL, 0);
+	return !sodium_memcmp(hash, r->owner->token, sizeof(hash));
+}
+
+/* ===== Pages without token ===== */
+
+static void serve_ready(struct request *r)
+{
+	bool ready = ws_core_ready(r->owner->sh->core, ws_shell_now());
+
+	set_text(r, ready ? 200 : 503,
+		 strdup(ready ? "ready\n" : "not ready\n"));
+}
+
+static bool serve_open(struct request *r, const char *url)
+{
+	if (!strcmp(url, "/healthz"))
+		set_text(r, 200, strdup("ok\n"));
+	else if (!strcmp(url, "/readyz"))
+		serve_ready(r);
+	else if (!strcmp(url, "/metrics"))
+		set_text(r, 200, ws_metrics_text(r->owner->sh));
+	else
+		return false;
+	return true;
+}
+
+/* ===== Pages with token ===== */
+
+static void serve_explain(struct request *r)
+{
+	const char *service = MHD_lookup_connection_value(
+		r->con, MHD_GET_ARGUMENT_KIND, "service");
+	const char *key = MHD_lookup_connection_value(
+		r->con, MHD_GET_ARGUMENT_KIND, "key");
+	json_t *o;
+
+	if (!service || !key) {
+		set_error(r, WS_ERR_BAD_REQUEST,
+			  "expected ?service=NAME&key=KEY");
+		return;
+	}
+	o = ws_status_explain(r->owner->sh, service, key);
+	if (o)
+		set_json(r, 200, o);
+	else
+		set_error(r, WS_ERR_NO_SERVICE, service);
+}
+
+static void serve_bundle(struct request *r)
+{
+	const struct ws_bundle *b = ws_core_view(r->owner->sh->core)->bundle;
+
+	if (!b) {
+		set_error(r, WS_ERR_NO_BUNDLE, "");
+		return;
+	}
+	r->status = 200;
+	r->response = ws_answer_text(strdup(b->text), "application/json");
+}
+
+static void serve_page(struct request *r, const char *page)
+{
+	struct ws_admin *a = r->owner;
+
+	if (!strcmp(page, "/status"))
+		set_json(r, 200, ws_status_page(a->sh));
+	else if (!strcmp(page, "/owners"))
+		set_json(r, 200, ws_status_owners(a->sh));
+	else if (!strcmp(page, "/shares"))
+		set_json(r, 200, ws_status_shares(a->sh));
+	else if (!strcmp(page, "/targets"))
+		set_json(r, 200, ws_status_targets(a->sh));
+	else if (!strcmp(page, "/bundle"))
+		serve_bundle(r);
+	else if (!strcmp(page, "/history"))
+		set_json(r, 200,
+			 json_pack("{s:o}", "history",
+				   ws_audit_json(a->audit, true)));
+	else if (!strcmp(page, "/audit"))
+		set_json(r, 200,
+			 json_pack("{s:o}", "audit",
+				   ws_audit_json(a->audit, false)));
+	else if (!strcmp(page, "/explain"))
+		serve_explain(r);
+	else
+		set_error(r, WS_ERR_BAD_REQUEST, "no such page");
+}
+
+/* ===== Changes ===== */
+
+static void finish_publish(struct request *r, int error, uint64_t version)
+{
+	struct ws_admin *a = r->owner;
+
+	ws_audit_request(a->audit, ws_shell_wall_ms(), "publish", error);
+	if (error)
+		set_json(r, (unsigned)ws_error_http_status(error),
+			 json_pack("{s:s, s:s, s:s, s:I}", "error",
+				   ws_error_name(error), "message",
+				   ws_error_message(error), "remedy",
+				   ws_error_remedy(error), "version_in_force",
+				   (json_int_t)version));
+	else
+		set_json(r, 200,
+			 json_pack("{s:I}", "version_in_force",
+				   (json_int_t)version));
+	r->ref = 0;
+	if (r->suspended)
+		ws_mhd_resume(a->mhd, r->con);
+	r->suspended = false;
+}
+
+void ws_admin_published(struct ws_admin *a, uint64_t ref, int error,
+			uint64_t version)
+{
+	struct request *r = g_hash_table_lookup(a->publishing, &ref);
+
+	if (!r)
+		return;
+	g_hash_table_remove(a->publishing, &ref);
+	finish_publish(r, error, version);
+}
+
+static void feed_bundle(struct request *r, struct ws_bundle *b)
+{
+	struct ws_admin *a = r->owner;
+	struct ws_record rec = { .kind = WS_REC_BUNDLE };
+	struct ws_event ev = { .kind = WS_EV_PUBLISH };
+
+	randombytes_buf(&rec.uid, sizeof(rec.uid));
+	rec.writer = a->sh->self;
+	rec.wall_ms = ws_shell_wall_ms();
+	rec.bundle = b;
+	rec.bundle_version = b->version;
+	rec.bundle_base = b->base;
+	rec.bundle_text = r->body->str;
+	r->ref = ++a->next_ref;
+	r->submitted = ws_shell_now();
+	g_hash_table_insert(a->publishing, &r->ref, r);
+	ev.u.publish.ref = r->ref;
+	ev.u.publish.record = &rec;
+	ws_shell_feed(a->sh, &ev);
+}
+
+static void publish(struct request *r)
+{
+	struct ws_bundle *b = NULL;
+	struct ws_reason why = { "" };
+	int res = ws_codec_envelope_open(r->body->str, NULL, 0, &b, &why);
+
+	if (ws_is_error(res)) {
+		ws_audit_request(r->owner->audit, ws_shell_wall_ms(), "publish",
+				 res);
+		set_error(r, res, why.text);
+		return;
+	}
+	feed_bundle(r, b);
+	ws_bundle_unref(b);
+}
+
+static void serve_change(struct request *r, const char *page)
+{
+	struct ws_admin *a = r->owner;
+
+	if (!strcmp(page, "/bundle")) {
+		publish(r);
+	} else if (!strcmp(page, "/drain")) {
+		ws_audit_request(a->audit, ws_shell_wall_ms(), "drain", 0);
+		ws_shell_drain(a->sh);
+		set_json(r, 202, json_pack("{s:b}", "draining", 1));
+	} else {
+		set_error(r, WS_ERR_BAD_REQUEST, "no such page");
+	}
+}
+
+/* ===== Requests ===== */
+
+static void serve(struct request *r, const char *url, const char *method)
+{
+	if (!strcmp(method, "GET") && serve_open(r, url))
+		return;
+	if (!may_administer(r)) {
+		ws_logline(WS_LOG_ADMIN_DENIED, 0, 0, WS_ERR_NO_KEY, url);
+		set_error(r, WS_ERR_NO_KEY, "");
+		return;
+	}
+	if (strncmp(url, PREFIX "/", sizeof(PREFIX)) != 0)
+		set_error(r, WS_ERR_BAD_REQUEST, "no such page");
+	else if (!strcmp(method, "GET"))
+		serve_page(r, url + sizeof(PREFIX) - 1);
+	else if (!strcmp(method, "POST"))
+		serve_change(r, url + sizeof(PREFIX) - 1);
+	else
+		set_error(r, WS_ERR_BAD_REQUEST, "use GET or POST");
+}
+
+static enum MHD_Result finish_request(struct request *r, const char *url,
+				      const char *method)
+{
+	if (r->body->len > WS_RECORD_TEXT_MAX)
+		set_error(r, WS_ERR_TOO_LARGE, "");
+	else
+		serve(r, url, method);
+	if (r->response)
+		return queue_response(r);
+	r->suspended = true;
+	MHD_suspend_connection(r->con);
+	return MHD_YES;
+}
+
+static enum MHD_Result on_access(void *arg, struct MHD_Connection *con,
+				 const char *url, const char *method,
+				 const char *version, const char *data,
+				 size_t *len, void **cls)
+{
+	struct request *r = *cls;
+
+	(void)arg;
+	(void)con;
+	(void)version;
+	if (r->response)
+		return queue_response(r);
+	if (!r->seen) {
+		r->seen = true;
+		return MHD_YES;
+	}
+	if (!*len)
+		return finish_request(r, url, method);
+	/* One byte above the limit is kept, so that the excess shows. */
+	if (r->body->len <= WS_RECORD_TEXT_MAX)
+		g_string_append_len(r->body, data, (gssize)*len);
+	*len = 0;
+	return MHD_YES;
+}
+
+static void *on_begin(void *arg, const char *uri, struct MHD_Connection *con)
+{
+	struct request *r = ws_alloc(1, sizeof(*r));
+
+	(void)uri;
+	r->owner = arg;
+	r->con = con;
+	r->body = g_string_new(NULL);
+	return r;
+}
+
+static void on_completed(void *arg, struct MHD_Connection *con, void **cls,
+			 enum MHD_RequestTerminationCode code)
+{
+	struct request *r = *cls;
+
+	(void)arg;
+	(void)con;
+	(void)code;
+	if (!r)
+		return;
+	if (r->ref)
+		g_hash_table_remove(r->owner->publishing, &r->ref);
+	if (r->response)
+		MHD_destroy_response(r->response);
+	g_string_free(r->body, TRUE);
+	free(r);
+	*cls = NULL;
+}
+
+/* An operator must not wait for ever when the log is down. */
+static void expire_publishing(void *arg, ws_us now)
+{
+	struct ws_admin *a = arg;
+	GList *all = g_hash_table_get_values(a->publishing);
+	GList *i;
+
+	for (i = all; i; i = i->next) {
+		struct request *r = i->data;
+
+		if (now - r->submitted > PUBLISH_TIMEOUT)
+			ws_admin_published(a, r->ref, WS_ERR_UNKNOWN_OUTCOME,
+					   0);
+	}
+	g_list_free(all);
+}
+
+void ws_admin_note_records(struct ws_admin *a, const struct ws_record *records,
+			   size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		ws_audit_record(a->audit, &records[i]);
+}
+
+/* ===== Life ===== */
+
+static int load_token(struct ws_admin *a, struct ws_config_error *why)
+{
+	struct ws_secret_lines lines;
+
+	if (ws_secret_read(a->sh->conf->token_file, 1, &lines, why))
+		return WS_ERR_CONFIG;
+	crypto_generichash(a->token, sizeof(a->token),
+			   (const uint8_t *)lines.line[0],
+			   strlen(lines.line[0]), NULL, 0);
+	sodium_memzero(&lines, sizeof(lines));
+	return 0;
+}
+
+static int open_listener(struct ws_admin *a, struct ws_config_error *why)
+{
+	struct ws_mhd_conf conf = {
+		.address = a->sh->conf->admin,
+		.max_connections = CONNECTIONS_MAX,
+		.handler = on_access,
+		.begin = on_begin,
+		.completed = on_completed,
+		.arg = a,
+	};
+
+	a->mhd = ws_mhd_new(a->sh->loop, &conf);
+	if (a->mhd)
+		return 0;
+	snprintf(why->text, sizeof(why->text),
+		 "cannot listen on %s for administration (%s); choose a free "
+		 "address of this machine",
+		 conf.address, strerror(errno));
+	return WS_ERR_CONFIG;
+}
+
+struct ws_admin *ws_admin_new(struct ws_shell *sh, struct ws_config_error *why)
+{
+	struct ws_admin *a = ws_alloc(1, sizeof(*a));
+
+	a->sh = sh;
+	a->audit = ws_audit_new();
+	a->publishing = g_hash_table_new(g_int64_hash, g_int64_equal);
+	a->timer = ws_timer_every(sh->timers, ws_shell_now(), WS_SECOND,
+				  expire_publishing, a);
+	if (!load_token(a, why) && !open_listener(a, why))
+		return a;
+	ws_admin_free(a);
+	return NULL;
+}
+
+void ws_admin_free(struct ws_admin *a)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	if (!a)
+		return;
+	g_hash_table_iter_init(&it, a->publishing);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct request *r = value;
+
+		r->ref = 0;
+		set_error(r, WS_ERR_SHUTDOWN, "");
+		if (r->suspended)
+			MHD_resume_connection(r->con);
+	}
+	g_hash_table_remove_all(a->publishing);
+	ws_mhd_free(a->mhd);
+	ws_timer_cancel(a->sh->timers, a->timer);
+	g_hash_table_destroy(a->publishing);
+	ws_audit_free(a->audit);
+	free(a);
+}
--- /dev/null
+++ b/lib/io/ws_http.c
@@ -0,0 +1,433 @@
+#include "io/ws_http.h"
+
+#include <curl/curl.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+#include "io/ws_headers.h"
+
+#define CONNECT_TIMEOUT_MS 1000L
+/* Idle connections older than this are not reused; targets close them. */
+#define IDLE_MAX_S 15L
+#define IDLE_CONNECTIONS 4096L
+#define POOL_MAX 1024
+
+struct ws_http_call {
+	struct ws_http *http;
+	struct ws_http_call *next_free;
+	CURL *easy;
+	ws_http_fn done;
+	void *arg;
+	unsigned sendings; /* how often libcurl was about to send */
+	bool active;
+	bool too_large;
+	bool head;
+	struct ws_headers headers;
+	char *data;
+	size_t data_len;
+	size_t data_cap;
+	size_t max_answer;
+};
+
+struct watched {
+	ev_io io;
+	struct ws_http *http;
+	struct watched *next;
+};
+
+struct ws_http {
+	struct ev_loop *loop;
+	CURLM *multi;
+	ev_timer timer;
+	struct ws_http_call *free_calls;
+	size_t n_free;
+	struct watched *free_watched;
+	uint64_t connections;
+};
+
+/* ===== Answers ===== */
+
+static size_t take_data(char *data, size_t size, size_t n, void *arg)
+{
+	struct ws_http_call *c = arg;
+	size_t len = size * n;
+
+	if (len > c->max_answer - c->data_len) {
+		c->too_large = true;
+		return 0;
+	}
+	ws_grow(&c->data, &c->data_cap, c->data_len + len, 1);
+	memcpy(c->data + c->data_len, data, len);
+	c->data_len += len;
+	return len;
+}
+
+static size_t take_header(char *line, size_t size, size_t n, void *arg)
+{
+	struct ws_http_call *c = arg;
+	size_t len = size * n;
+	size_t end = len;
+	char *colon;
+	size_t skip;
+
+	/* A status line starts a new block, for instance after 100. */
+	if (len > 5 && !memcmp(line, "HTTP/", 5)) {
+		ws_headers_reset(&c->headers);
+		return len;
+	}
+	while (end && (line[end - 1] == '\r' || line[end - 1] == '\n'))
+		end--;
+	colon = memchr(line, ':', end);
+	if (!colon)
+		return len;
+	skip = (size_t)(colon - line) + 1;
+	while (skip < end && (line[skip] == ' ' || line[skip] == '\t'))
+		skip++;
+	ws_headers_add(&c->headers, line, (size_t)(colon - line), line + skip,
+		       end - skip);
+	return len;
+}
+
+/* Called before each sending, also on a reused connection. */
+static int before_sending(void *arg, char *remote, char *local, int remote_port,
+			  int local_port)
+{
+	struct ws_http_call *c = arg;
+
+	(void)remote;
+	(void)local;
+	(void)remote_port;
+	(void)local_port;
+	if (c->sendings++)
+		return CURL_PREREQFUNC_ABORT;
+	return CURL_PREREQFUNC_OK;
+}
+
+/* ===== Calls ===== */
+
+static void set_common(struct ws_http_call *c)
+{
+	CURL *e = c->easy;
+
+	curl_easy_setopt(e, CURLOPT_PRIVATE, c);
+	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(e, CURLOPT_NOPROGRESS, 1L);
+	curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(e, CURLOPT_PROXY, "");
+	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(e, CURLOPT_PATH_AS_IS, 1L);
+	curl_easy_setopt(e, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, IDLE_MAX_S);
+	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, take_data);
+	curl_easy_setopt(e, CURLOPT_WRITEDATA, c);
+	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, take_header);
+	curl_easy_setopt(e, CURLOPT_HEADERDATA, c);
+	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, before_sending);
+	curl_easy_setopt(e, CURLOPT_PREREQDATA, c);
+}
+
+static struct ws_http_call *take_call(struct ws_http *h)
+{
+	struct ws_http_call *c = h->free_calls;
+
+	if (c) {
+		h->free_calls = c->next_free;
+		h->n_free--;
+		return c;
+	}
+	c = ws_alloc(1, sizeof(*c));
+	c->http = h;
+	c->easy = curl_easy_init();
+	WS_INVARIANT(c->easy);
+	set_common(c);
+	return c;
+}
+
+static void destroy_call(struct ws_http_call *c)
+{
+	curl_easy_cleanup(c->easy);
+	ws_headers_free(&c->headers);
+	free(c->data);
+	free(c);
+}
+
+static void give_call(struct ws_http_call *c)
+{
+	struct ws_http *h = c->http;
+
+	c->active = false;
+	if (h->n_free >= POOL_MAX) {
+		destroy_call(c);
+		return;
+	}
+	c->next_free = h->free_calls;
+	h->free_calls = c;
+	h->n_free++;
+}
+
+/* Some options of libcurl change the method; the order matters. */
+static void set_method(CURL *e, const struct ws_http_request *req)
+{
+	bool get = !strcmp(req->method, "GET");
+	bool post = !strcmp(req->method, "POST");
+
+	curl_easy_setopt(e, CURLOPT_NOBODY, 0L);
+	curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, NULL);
+	if (!strcmp(req->method, "HEAD")) {
+		curl_easy_setopt(e, CURLOPT_NOBODY, 1L);
+		return;
+	}
+	if (!get || req->data_len) {
+		curl_easy_setopt(e, CURLOPT_POST, 1L);
+		curl_easy_setopt(e, CURLOPT_POSTFIELDS,
+				 req->data_len ? req->data : "");
+		curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE_LARGE,
+				 (curl_off_t)req->data_len);
+	} else {
+		curl_easy_setopt(e, CURLOPT_HTTPGET, 1L);
+	}
+	if (!get && !post)
+		curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, req->method);
+}
+
+struct ws_http_call *ws_http_start(struct ws_http *h,
+				   const struct ws_http_request *req)
+{
+	struct ws_http_call *c = take_call(h);
+	long ms = (long)((req->timeout + WS_MS - 1) / WS_MS);
+
+	c->done = req->done;
+	c->arg = req->arg;
+	c->sendings = 0;
+	c->too_large = false;
+	c->head = !strcmp(req->method, "HEAD");
+	c->data_len = 0;
+	c->max_answer = req->max_answer;
+	ws_headers_reset(&c->headers);
+	curl_easy_setopt(c->easy, CURLOPT_URL, req->url);
+	curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, req->headers);
+	curl_easy_setopt(c->easy, CURLOPT_TIMEOUT_MS, ms > 0 ? ms : 1L);
+	set_method(c->easy, req);
+	c->active = true;
+	curl_multi_add_handle(h->multi, c->easy);
+	return c;
+}
+
+void ws_http_cancel(struct ws_http_call *c)
+{
+	WS_INVARIANT(c->active);
+	curl_multi_remove_handle(c->http->multi, c->easy);
+	give_call(c);
+}
+
+void ws_http_disconnect(struct ws_http_call *c)
+{
+	curl_socket_t fd;
+
+	if (curl_easy_getinfo(c->easy, CURLINFO_ACTIVESOCKET, &fd) == CURLE_OK)
+		shutdown(fd, SHUT_RDWR);
+}
+
+/*
+ * An answer without length or chunks ends with the connection, so that its
+ * loss in the middle would go unnoticed.
+ */
+static bool is_framed(const struct ws_http_call *c, const struct ws_body *b)
+{
+	if (c->head || b->status == 204 || b->status == 304)
+		return true;
+	return ws_body_header(b, "Content-Length") ||
+	       ws_body_header(b, "Transfer-Encoding");
+}
+
+static void fill_result(struct ws_http_call *c, CURLcode code,
+			struct ws_http_result *res)
+{
+	long status = 0;
+
+	res->timed_out = code == CURLE_OPERATION_TIMEDOUT;
+	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
+	res->answer = (struct ws_body){
+		.method = "",
+		.path = "",
+		.status = (uint16_t)status,
+		.headers = c->headers.text,
+		.headers_len = c->headers.len,
+		.data = c->data,
+		.data_len = c->data_len,
+	};
+	if (code == CURLE_OK && is_framed(c, &res->answer))
+		res->end = WS_HTTP_DONE;
+	else if (!c->sendings)
+		res->end = WS_HTTP_NOT_SENT;
+	else if (res->timed_out)
+		res->end = WS_HTTP_TIMEOUT;
+	else
+		res->end = WS_HTTP_BROKEN;
+}
+
+static void finish_call(struct ws_http_call *c, CURLcode code)
+{
+	struct ws_http_result res;
+	long opened = 0;
+
+	curl_easy_getinfo(c->easy, CURLINFO_NUM_CONNECTS, &opened);
+	c->http->connections += (uint64_t)opened;
+	fill_result(c, code, &res);
+	c->done(c->arg, &res);
+	curl_multi_remove_handle(c->http->multi, c->easy);
+	give_call(c);
+}
+
+static void finish_calls(struct ws_http *h)
+{
+	CURLMsg *msg;
+	int left;
+
+	while ((msg = curl_multi_info_read(h->multi, &left))) {
+		struct ws_http_call *c = NULL;
+
+		if (msg->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &c);
+		finish_call(c, msg->data.result);
+	}
+}
+
+/* ===== Loop ===== */
+
+static void on_socket(EV_P_ ev_io *w, int revents)
+{
+	struct ws_http *h = ((struct watched *)w)->http;
+	int bits = 0;
+	int running;
+
+	(void)loop;
+	if (revents & EV_READ)
+		bits |= CURL_CSELECT_IN;
+	if (revents & EV_WRITE)
+		bits |= CURL_CSELECT_OUT;
+	curl_multi_socket_action(h->multi, w->fd, bits, &running);
+	finish_calls(h);
+}
+
+static void on_timer(EV_P_ ev_timer *w, int revents)
+{
+	struct ws_http *h = w->data;
+	int running;
+
+	(void)loop;
+	(void)revents;
+	curl_multi_socket_action(h->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+	finish_calls(h);
+}
+
+static struct watched *take_watched(struct ws_http *h)
+{
+	struct watched *w = h->free_watched;
+
+	if (w)
+		h->free_watched = w->next;
+	else
+		w = ws_alloc(1, sizeof(*w));
+	w->http = h;
+	return w;
+}
+
+static void unwatch(struct ws_http *h, struct watched *w)
+{
+	ev_io_stop(h->loop, &w->io);
+	w->next = h->free_watched;
+	h->free_watched = w;
+}
+
+static int watch_socket(CURL *easy, curl_socket_t fd, int what, void *arg,
+			void *socket_arg)
+{
+	struct ws_http *h = arg;
+	struct watched *w = socket_arg;
+	int events = 0;
+
+	(void)easy;
+	if (what == CURL_POLL_REMOVE) {
+		if (w)
+			unwatch(h, w);
+		curl_multi_assign(h->multi, fd, NULL);
+		return 0;
+	}
+	if (what & CURL_POLL_IN)
+		events |= EV_READ;
+	if (what & CURL_POLL_OUT)
+		events |= EV_WRITE;
+	if (!w) {
+		w = take_watched(h);
+		ev_io_init(&w->io, on_socket, fd, events);
+		curl_multi_assign(h->multi, fd, w);
+	} else {
+		ev_io_stop(h->loop, &w->io);
+		ev_io_set(&w->io, fd, events);
+	}
+	ev_io_start(h->loop, &w->io);
+	return 0;
+}
+
+static int set_timer(CURLM *multi, long ms, void *arg)
+{
+	struct ws_http *h = arg;
+
+	(void)multi;
+	ev_timer_stop(h->loop, &h->timer);
+	if (ms < 0)
+		return 0;
+	ev_timer_set(&h->timer, (double)ms / 1000.0, 0.);
+	ev_timer_start(h->loop, &h->timer);
+	return 0;
+}
+
+/* ===== Life ===== */
+
+struct ws_http *ws_http_new(struct ev_loop *loop)
+{
+	struct ws_http *h = ws_alloc(1, sizeof(*h));
+
+	h->loop = loop;
+	h->multi = curl_multi_init();
+	WS_INVARIANT(h->multi);
+	ev_timer_init(&h->timer, on_timer, 0., 0.);
+	h->timer.data = h;
+	curl_multi_setopt(h->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
+	curl_multi_setopt(h->multi, CURLMOPT_SOCKETDATA, h);
+	curl_multi_setopt(h->multi, CURLMOPT_TIMERFUNCTION, set_timer);
+	curl_multi_setopt(h->multi, CURLMOPT_TIMERDATA, h);
+	curl_multi_setopt(h->multi, CURLMOPT_MAXCONNECTS, IDLE_CONNECTIONS);
+	return h;
+}
+
+/* Calls that are still open must have been cancelled. */
+void ws_http_free(struct ws_http *h)
+{
+	struct ws_http_call *c;
+	struct watched *w;
+
+	if (!h)
+		return;
+	while ((c = h->free_calls)) {
+		h->free_calls = c->next_free;
+		destroy_call(c);
+	}
+	curl_multi_cleanup(h->multi);
+	ev_timer_stop(h->loop, &h->timer);
+	while ((w = h->free_watched)) {
+		h->free_watched = w->next;
+		free(w);
+	}
+	free(h);
+}
+
+uint64_t ws_http_connections(const struct ws_http *h)
+{
+	return h->connections;
+}
--- /dev/null
+++ b/lib/io/ws_log_client.c
@@ -0,0 +1,244 @@
+#include "io/ws_log_client.h"
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "codec/ws_codec.h"
+#include "io/ws_admin.h"
+#include "io/ws_http.h"
+#include "io/ws_logline.h"
+#include "io/ws_trust.h"
+
+/* A silent log connection is closed and replaced after this time. */
+#define LOG_TIMEOUT (2 * WS_SECOND)
+#define LONG_POLL_MS 200
+#define PAGE_RECORDS 200
+#define PAGE_MAX ((size_t)16 * 1024 * 1024)
+#define URL_MAX 384
+
+struct exchange {
+	struct ws_log_client *owner;
+	struct ws_http_call *call;
+	ws_us started;
+	ws_offset from; /* reads */
+	uint64_t uid; /* appends */
+	char *text; /* appends */
+};
+
+struct ws_log_client {
+	struct ws_shell *sh;
+	GHashTable *open; /* set of struct exchange */
+	struct curl_slist *headers;
+};
+
+/* ===== Exchanges ===== */
+
+static void end_exchange(struct exchange *x)
+{
+	g_hash_table_remove(x->owner->open, x);
+	free(x->text);
+	free(x);
+}
+
+static struct exchange *new_exchange(struct ws_log_client *c)
+{
+	struct exchange *x = ws_alloc(1, sizeof(*x));
+
+	x->owner = c;
+	x->started = ws_shell_now();
+	g_hash_table_add(c->open, x);
+	return x;
+}
+
+static void start_exchange(struct exchange *x, const char *url,
+			   const char *method, ws_http_fn done)
+{
+	x->call =
+		ws_http_start(x->owner->sh->http,
+			      &(struct ws_http_request){
+				      .url = url,
+				      .method = method,
+				      .headers = x->owner->headers,
+				      .data = x->text,
+				      .data_len = x->text ? strlen(x->text) : 0,
+				      .timeout = LOG_TIMEOUT,
+				      .max_answer = PAGE_MAX,
+				      .done = done,
+				      .arg = x,
+			      });
+}
+
+static bool is_ok(const struct ws_http_result *res)
+{
+	return res->end == WS_HTTP_DONE && res->answer.status == 200;
+}
+
+/* ===== Appends ===== */
+
+static ws_offset read_offset(const struct ws_http_result *res)
+{
+	json_t *o = json_loadb(res->answer.data, res->answer.data_len, 0, NULL);
+	json_int_t v = json_integer_value(json_object_get(o, "offset"));
+
+	json_decref(o);
+	return v > 0 ? (ws_offset)v : 0;
+}
+
+/*
+ * Only a request that was never sent, or that the log refused as malformed, is
+ * known to be absent from the log.
+ */
+static bool may_be_applied(const struct ws_http_result *res)
+{
+	if (res->end == WS_HTTP_NOT_SENT)
+		return false;
+	return res->end != WS_HTTP_DONE || res->answer.status < 400 ||
+	       res->answer.status >= 500;
+}
+
+static void on_appended(void *arg, const struct ws_http_result *res)
+{
+	struct exchange *x = arg;
+	struct ws_shell *sh = x->owner->sh;
+	struct ws_event ev = { .kind = WS_EV_APPENDED };
+	ws_offset offset = is_ok(res) ? read_offset(res) : 0;
+
+	if (offset) {
+		ev.u.appended.uid = x->uid;
+		ev.u.appended.offset = offset;
+	} else {
+		ev.kind = WS_EV_APPEND_FAILED;
+		ev.u.append_failed.uid = x->uid;
+		ev.u.append_failed.unknown = may_be_applied(res);
+	}
+	end_exchange(x);
+	ws_shell_feed(sh, &ev);
+}
+
+static void fail_append(struct ws_log_client *c, const struct ws_record *rec,
+			int error)
+{
+	struct ws_event ev = { .kind = WS_EV_APPEND_FAILED };
+
+	ws_logline(WS_LOG_BAD_RECORD, c->sh->self, rec->kind, error,
+		   "own record could not be written");
+	ev.u.append_failed.uid = rec->uid;
+	ws_shell_later(c->sh, &ev);
+}
+
+void ws_log_client_append(struct ws_log_client *c, const struct ws_record *rec)
+{
+	char url[URL_MAX];
+	char *text = NULL;
+	struct exchange *x;
+	int res = ws_codec_record_write(rec, &text);
+
+	if (ws_is_error(res)) {
+		fail_append(c, rec, res);
+		return;
+	}
+	x = new_exchange(c);
+	x->uid = rec->uid;
+	x->text = text;
+	snprintf(url, sizeof(url), "%s/log/append", c->sh->conf->log);
+	start_exchange(x, url, "POST", on_appended);
+}
+
+/* ===== Reads ===== */
+
+static bool read_page(const struct ws_http_result *res,
+		      struct ws_log_page *page)
+{
+	struct ws_reason why;
+	char *text;
+	int err;
+
+	if (!is_ok(res))
+		return false;
+	text = g_strndup(res->answer.data, res->answer.data_len);
+	err = ws_codec_log_page_parse(text, page, &why);
+	g_free(text);
+	if (ws_is_error(err))
+		ws_logline(WS_LOG_BAD_RECORD, 0, 0, err, why.text);
+	return !ws_is_error(err);
+}
+
+static void feed_page(struct exchange *x, struct ws_log_page *page)
+{
+	struct ws_shell *sh = x->owner->sh;
+	struct ws_event ev = { .kind = WS_EV_LOG_READ };
+
+	ws_trust_open_records(page->records, page->n_records);
+	ws_admin_note_records(sh->admin, page->records, page->n_records);
+	ev.u.log_read.started = x->started;
+	ev.u.log_read.from = x->from;
+	ev.u.log_read.oldest = page->oldest;
+	ev.u.log_read.head = page->head;
+	ev.u.log_read.n_records = page->n_records;
+	ev.u.log_read.records = page->records;
+	ws_shell_feed(sh, &ev);
+}
+
+static void on_read(void *arg, const struct ws_http_result *res)
+{
+	struct exchange *x = arg;
+	struct ws_event failed = { .kind = WS_EV_LOG_FAILED };
+	struct ws_log_page page;
+
+	if (read_page(res, &page)) {
+		feed_page(x, &page);
+		ws_codec_log_page_clear(&page);
+	} else {
+		ws_shell_feed(x->owner->sh, &failed);
+	}
+	end_exchange(x);
+}
+
+void ws_log_client_read(struct ws_log_client *c, ws_offset from)
+{
+	struct exchange *x = new_exchange(c);
+	char url[URL_MAX];
+
+	x->from = from;
+	snprintf(url, sizeof(url),
+		 "%s/log/read?from=%" PRIu64 "&max=%d&wait_ms=%d",
+		 c->sh->conf->log, from, PAGE_RECORDS, LONG_POLL_MS);
+	start_exchange(x, url, "GET", on_read);
+}
+
+/* ===== Life ===== */
+
+struct ws_log_client *ws_log_client_new(struct ws_shell *sh)
+{
+	struct ws_log_client *c = ws_alloc(1, sizeof(*c));
+
+	c->sh = sh;
+	c->open = g_hash_table_new(g_direct_hash, g_direct_equal);
+	c->headers = curl_slist_append(NULL, "Content-Type: application/json");
+	return c;
+}
+
+void ws_log_client_free(struct ws_log_client *c)
+{
+	GHashTableIter it;
+	gpointer key;
+
+	if (!c)
+		return;
+	g_hash_table_iter_init(&it, c->open);
+	while (g_hash_table_iter_next(&it, &key, NULL)) {
+		struct exchange *x = key;
+
+		ws_http_cancel(x->call);
+		free(x->text);
+		free(x);
+	}
+	g_hash_table_destroy(c->open);
+	curl_slist_free_all(c->headers);
+	free(c);
+}
--- /dev/null
+++ b/lib/wire/ws_wire.c
@@ -0,0 +1,354 @@
+#include "wire/ws_wire.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "wire/ws_wire_conv.h"
+
+#define BUFFER_START ((size_t)16 * 1024)
+
+/* Storage that the generated form points to while it is encoded. */
+struct outgoing {
+	wsx_message x;
+	wsx_payload payload;
+	wsx_payload *spare; /* HANDOVER */
+};
+
+/* ===== Encoding ===== */
+
+static void call_out(const struct ws_conv *c, const struct ws_call *in,
+		     wsx_call *out, wsx_payload *room)
+{
+	out->service = in->service;
+	out->customer = in->customer;
+	out->key = in->key;
+	out->request_id_high = in->request_id[0];
+	out->request_id_low = in->request_id[1];
+	out->fingerprint = in->fingerprint;
+	out->idempotent = in->idempotent;
+	out->left_us = in->deadline - c->now;
+	out->payload = ws_conv_payload_out(c, in->payload, room);
+}
+
+static void forward_out(const struct ws_conv *c, const struct ws_msg *msg,
+			struct outgoing *o)
+{
+	wsx_forward *f = &o->x.wsx_message_u.forward;
+
+	f->ref = msg->u.forward.ref;
+	f->stage = msg->u.forward.stage;
+	f->target = msg->u.forward.target;
+	f->incarnation = msg->u.forward.incarnation;
+	f->fence = msg->u.forward.fence;
+	call_out(c, &msg->u.forward.call, &f->call, &o->payload);
+}
+
+static void answer_out(const struct ws_conv *c, const struct ws_msg *msg,
+		       struct outgoing *o)
+{
+	wsx_answered *a = &o->x.wsx_message_u.answered;
+	const struct ws_answer *in = &msg->u.answer.answer;
+
+	a->ref = msg->u.answer.ref;
+	a->answer.outcome = in->outcome;
+	a->answer.error = in->error;
+	a->answer.status = in->status;
+	a->answer.retry_after_us = in->retry_after;
+	a->answer.payload = ws_conv_payload_out(c, in->payload, &o->payload);
+	ws_conv_load_out(&msg->u.answer.load, &a->load);
+}
+
+static void heartbeat_out(const struct ws_msg *msg, struct outgoing *o)
+{
+	wsx_heartbeat *h = &o->x.wsx_message_u.heartbeat;
+
+	h->zone = msg->u.heartbeat.zone;
+	h->folded = msg->u.heartbeat.folded;
+	h->bundle_version = msg->u.heartbeat.bundle_version;
+	h->wall_ms = msg->u.heartbeat.wall_ms;
+	h->ready = msg->u.heartbeat.ready;
+	h->leaving = msg->u.heartbeat.leaving;
+	h->health.health_len = (u_int)msg->u.heartbeat.n_health;
+	h->health.health_val = ws_conv_health_out(msg);
+}
+
+static void tail_out(struct ws_conv *c, const struct ws_msg *msg,
+		     struct outgoing *o)
+{
+	wsx_tail *t = &o->x.wsx_message_u.tail;
+
+	t->from = msg->u.tail.from;
+	if (msg->kind == WS_MSG_TAIL_ASK)
+		return;
+	t->records.records_len = (u_int)msg->u.tail.n_records;
+	t->records.records_val = ws_conv_records_out(c, msg);
+}
+
+static void handover_out(const struct ws_conv *c, const struct ws_msg *msg,
+			 struct outgoing *o)
+{
+	wsx_handover *h = &o->x.wsx_message_u.handover;
+
+	h->partition = msg->u.handover.partition;
+	h->fence = msg->u.handover.fence;
+	h->last = msg->u.handover.last;
+	h->entries.entries_len = (u_int)msg->u.handover.n_entries;
+	h->entries.entries_val = ws_conv_entries_out(c, msg, &o->spare);
+}
+
+/* The members of the union for asking and answering have the same layout. */
+static void message_out(struct ws_conv *c, const struct ws_msg *msg,
+			struct outgoing *o)
+{
+	wsx_message *x = &o->x;
+
+	x->kind = msg->kind;
+	switch (msg->kind) {
+	case WS_MSG_HEARTBEAT:
+		heartbeat_out(msg, o);
+		break;
+	case WS_MSG_FRESH_ASK:
+	case WS_MSG_FRESH_ANSWER:
+		x->wsx_message_u.fresh_ask.round = msg->u.fresh.round;
+		x->wsx_message_u.fresh_ask.folded = msg->u.fresh.folded;
+		break;
+	case WS_MSG_TAIL_ASK:
+	case WS_MSG_TAIL:
+		tail_out(c, msg, o);
+		break;
+	case WS_MSG_TOKEN_ASK:
+	case WS_MSG_TOKEN_GIVE:
+		x->wsx_message_u.token_ask.ref = msg->u.token.ref;
+		x->wsx_message_u.token_ask.customer = msg->u.token.customer;
+		x->wsx_message_u.token_ask.tokens = msg->u.token.tokens;
+		x->wsx_message_u.token_ask.balance = msg->u.token.balance;
+		break;
+	case WS_MSG_FORWARD:
+		forward_out(c, msg, o);
+		break;
+	case WS_MSG_ANSWER:
+		answer_out(c, msg, o);
+		break;
+	case WS_MSG_CANCEL:
+		x->wsx_message_u.cancel = msg->u.cancel.ref;
+		break;
+	case WS_MSG_STRIKE:
+		x->wsx_message_u.strike.fingerprint = msg->u.strike.fingerprint;
+		x->wsx_message_u.strike.strike_id = msg->u.strike.strike_id;
+		break;
+	case WS_MSG_HANDOVER:
+		handover_out(c, msg, o);
+		break;
+	default:
+		WS_INVARIANT(!"message of unknown kind");
+	}
+}
+
+static void free_outgoing(struct outgoing *o)
+{
+	switch (o->x.kind) {
+	case WSX_HEARTBEAT:
+		free(o->x.wsx_message_u.heartbeat.health.health_val);
+		break;
+	case WSX_TAIL:
+		ws_conv_records_free(
+			o->x.wsx_message_u.tail.records.records_val,
+			o->x.wsx_message_u.tail.records.records_len);
+		break;
+	case WSX_HANDOVER:
+		free(o->x.wsx_message_u.handover.entries.entries_val);
+		free(o->spare);
+		break;
+	default:
+		break;
+	}
+}
+
+static bool try_encode(struct ws_wire_buf *buf, wsx_message *x)
+{
+	XDR xdrs;
+	bool ok;
+
+	xdrmem_create(&xdrs, buf->data, (u_int)buf->cap, XDR_ENCODE);
+	ok = xdr_wsx_message(&xdrs, x);
+	buf->len = ok ? xdr_getpos(&xdrs) : 0;
+	xdr_destroy(&xdrs);
+	return ok;
+}
+
+/* Grows the buffer until the message fits or the bound is reached. */
+static int encode_grown(struct ws_wire_buf *buf, wsx_message *x)
+{
+	size_t need = buf->cap ? buf->cap : BUFFER_START;
+
+	for (;;) {
+		ws_grow(&buf->data, &buf->cap, need, 1);
+		if (try_encode(buf, x))
+			return buf->len <= WS_WIRE_MAX ? 0 : WS_ERR_TOO_LARGE;
+		if (buf->cap >= WS_WIRE_MAX)
+			return WS_ERR_TOO_LARGE;
+		need = buf->cap * 2;
+	}
+}
+
+int ws_wire_encode(struct ws_wire_buf *buf, const struct ws_payloads *table,
+		   const struct ws_msg *msg, ws_us now)
+{
+	struct ws_conv c = {
+		.table = (struct ws_payloads *)(uintptr_t)table,
+		.now = now,
+	};
+	struct outgoing o;
+	int res;
+
+	memset(&o, 0, sizeof(o));
+	message_out(&c, msg, &o);
+	res = c.error ? c.error : encode_grown(buf, &o.x);
+	free_outgoing(&o);
+	return res;
+}
+
+/* ===== Decoding ===== */
+
+static void call_in(struct ws_conv *c, const wsx_call *in, struct ws_call *out)
+{
+	out->service = in->service;
+	out->customer = in->customer;
+	out->key = in->key;
+	out->request_id[0] = in->request_id_high;
+	out->request_id[1] = in->request_id_low;
+	out->fingerprint = in->fingerprint;
+	out->idempotent = in->idempotent;
+	out->deadline = c->now + in->left_us;
+	if (in->left_us < -WS_SECOND || in->left_us > 86400 * WS_SECOND)
+		c->error = WS_ERR_SYNTAX;
+	out->payload = ws_conv_payload_in(c, in->payload);
+}
+
+static void forward_in(struct ws_conv *c, const wsx_forward *in,
+		       struct ws_msg *out)
+{
+	out->u.forward.ref = in->ref;
+	out->u.forward.stage = (uint8_t)in->stage;
+	out->u.forward.target = in->target;
+	out->u.forward.incarnation = in->incarnation;
+	out->u.forward.fence = in->fence;
+	if (in->stage != WS_STAGE_HOME && in->stage != WS_STAGE_DISPATCH)
+		c->error = WS_ERR_SYNTAX;
+	call_in(c, &in->call, &out->u.forward.call);
+	if (!in->call.payload)
+		c->error = WS_ERR_SYNTAX;
+}
+
+static void answer_in(struct ws_conv *c, const wsx_answered *in,
+		      struct ws_msg *out)
+{
+	struct ws_answer *a = &out->u.answer.answer;
+
+	out->u.answer.ref = in->ref;
+	a->outcome = (uint8_t)in->answer.outcome;
+	a->error = in->answer.error;
+	a->status = (uint16_t)in->answer.status;
+	a->retry_after = in->answer.retry_after_us;
+	a->payload = ws_conv_payload_in(c, in->answer.payload);
+	ws_conv_load_in(&in->load, &out->u.answer.load);
+	if (in->answer.outcome < WS_OUT_DONE ||
+	    in->answer.outcome > WS_OUT_UNKNOWN || a->error > 0 ||
+	    a->error < WS_ERROR_LAST)
+		c->error = WS_ERR_SYNTAX;
+	if (a->outcome == WS_OUT_DONE && !in->answer.payload)
+		c->error = WS_ERR_SYNTAX;
+}
+
+static void message_in(struct ws_conv *c, const wsx_message *x,
+		       struct ws_msg *msg)
+{
+	msg->kind = (uint8_t)x->kind;
+	switch (x->kind) {
+	case WSX_HEARTBEAT:
+		ws_conv_heartbeat_in(&x->wsx_message_u.heartbeat, msg);
+		break;
+	case WSX_FRESH_ASK:
+	case WSX_FRESH_ANSWER:
+		msg->u.fresh.round = x->wsx_message_u.fresh_ask.round;
+		msg->u.fresh.folded = x->wsx_message_u.fresh_ask.folded;
+		break;
+	case WSX_TAIL_ASK:
+		msg->u.tail.from = x->wsx_message_u.tail_ask.from;
+		break;
+	case WSX_TAIL:
+		ws_conv_tail_in(c, &x->wsx_message_u.tail, msg);
+		break;
+	case WSX_TOKEN_ASK:
+	case WSX_TOKEN_GIVE:
+		msg->u.token.ref = x->wsx_message_u.token_ask.ref;
+		msg->u.token.customer = x->wsx_message_u.token_ask.customer;
+		msg->u.token.tokens = x->wsx_message_u.token_ask.tokens;
+		msg->u.token.balance = x->wsx_message_u.token_ask.balance;
+		break;
+	case WSX_FORWARD:
+		forward_in(c, &x->wsx_message_u.forward, msg);
+		break;
+	case WSX_ANSWER:
+		answer_in(c, &x->wsx_message_u.answered, msg);
+		break;
+	case WSX_CANCEL:
+		msg->u.cancel.ref = x->wsx_message_u.cancel;
+		break;
+	case WSX_STRIKE:
+		msg->u.strike.fingerprint = x->wsx_message_u.strike.fingerprint;
+		msg->u.strike.strike_id = x->wsx_message_u.strike.strike_id;
+		break;
+	case WSX_HANDOVER:
+		ws_conv_handover_in(c, &x->wsx_message_u.handover, msg);
+		break;
+	}
+}
+
+int ws_wire_decode(const char *data, size_t len, struct ws_payloads *table,
+		   struct ws_msg *msg, ws_us now)
+{
+	struct ws_conv c = { .table = table, .now = now };
+	wsx_message x;
+	XDR xdrs;
+	bool ok;
+
+	memset(msg, 0, sizeof(*msg));
+	memset(&x, 0, sizeof(x));
+	if (len > WS_WIRE_MAX)
+		return WS_ERR_SYNTAX;
+	xdrmem_create(&xdrs, (char *)(uintptr_t)data, (u_int)len, XDR_DECODE);
+	ok = xdr_wsx_message(&xdrs, &x) && xdr_getpos(&xdrs) == len;
+	xdr_destroy(&xdrs);
+	if (ok)
+		message_in(&c, &x, msg);
+	else
+		c.error = WS_ERR_SYNTAX;
+	xdr_free((xdrproc_t)xdr_wsx_message, (char *)&x);
+	if (!c.error)
+		return 0;
+	ws_wire_drop_payloads(table, msg);
+	if (c.error != WS_ERR_LIMIT)
+		ws_msg_clear(msg);
+	return c.error;
+}
+
+static void drop(struct ws_payloads *table, ws_payload *h)
+{
+	if (*h)
+		ws_payload_unref(table, *h);
+	*h = 0;
+}
+
+void ws_wire_drop_payloads(struct ws_payloads *table, struct ws_msg *msg)
+{
+	size_t i;
+
+	if (msg->kind == WS_MSG_FORWARD)
+		drop(table, &msg->u.forward.call.payload);
+	if (msg->kind == WS_MSG_ANSWER)
+		drop(table, &msg->u.answer.answer.payload);
+	if (msg->kind == WS_MSG_HANDOVER)
+		for (i = 0; i < msg->u.handover.n_entries; i++)
+			drop(table, &msg->u.handover.entries[i].payload);
+}
