--- a/lib/core/ws_types.h
+++ b/lib/core/ws_types.h
@@ -82,6 +82,7 @@
 	struct ws_assignment *assignments;
 	size_t n_gone; /* RECOVER */
 	ws_id *gone;
+	uint8_t signer[32]; /* RECOVER: key whose signature was verified */
 	uint64_t bundle_version; /* BUNDLE, SNAPSHOT */
 	uint64_t bundle_base; /* BUNDLE: version that it builds on */
 	struct ws_bundle *bundle; /* parsed and verified; NULL: invalid */
@@ -356,6 +357,7 @@
 	WS_FX_LOG, /* numbered log event */
 	WS_FX_PUBLISHED, /* result of WS_EV_PUBLISH */
 	WS_FX_DRAINED, /* graceful shutdown is complete */
+	WS_FX_RETAIN, /* one more reference to a payload; uses release */
 	/* From module to module; consumed inside ws_core_step() */
 	WS_FX_ADMITTED = 64, /* ws_adm: a token is spent for the call */
 	WS_FX_ADMIT_REFUSED,
