Rename the core's record of decisions on bundles

Cause: the core and the administration listener both had a struct named ws_audit; the headers could not be included together.

Change: the core's entries are ws_verdict now.

Conclusion: one name, one thing.

--- a/lib/core/ws_core.h
+++ b/lib/core/ws_core.h
@@ -70,8 +70,8 @@
 const struct ws_disp *ws_core_disp(const struct ws_core *c);
 const struct ws_idem *ws_core_idem(const struct ws_core *c);
 
-/* One entry of the audit trail: a bundle that was accepted or refused. */
-struct ws_audit {
+/* What this instance decided on one bundle; a part of the audit trail. */
+struct ws_verdict {
 	ws_offset offset; /* of its record; 0: refused before the log */
 	int64_t wall_ms; /* when this instance decided */
 	ws_id writer; /* instance that submitted it */
@@ -82,11 +82,11 @@
 };
 
 /* Entries that an instance keeps in memory; the log has the older ones. */
-#define WS_AUDIT_MAX 256
+#define WS_VERDICTS_MAX 256
 
 /* Number of entries kept, and the i-th in order of time. */
-size_t ws_core_audit_count(const struct ws_core *c);
-const struct ws_audit *ws_core_audit(const struct ws_core *c, size_t i);
+size_t ws_core_verdict_count(const struct ws_core *c);
+const struct ws_verdict *ws_core_verdict(const struct ws_core *c, size_t i);
 
 /* Ready to take callers: has a bundle, is fresh, not draining, zone in. */
 bool ws_core_ready(const struct ws_core *c, ws_us now);
--- a/lib/core/ws_core_internal.h
+++ b/lib/core/ws_core_internal.h
@@ -135,8 +135,8 @@
 	bool drained;
 	bool member_dirty;
 
-	struct ws_audit audit[WS_AUDIT_MAX];
-	size_t n_audit; /* ever added */
+	struct ws_verdict verdicts[WS_VERDICTS_MAX];
+	size_t n_verdicts; /* ever added */
 };
 
 /* ===== ws_core_calls.c: requests at the frontend and at home ===== */
--- a/lib/core/ws_core_log.c
+++ b/lib/core/ws_core_log.c
@@ -17,11 +17,12 @@
 /* A released dispatch waits this long for requests in flight. */
 #define HOLD_MAX (5 * WS_SECOND)
 
-/* ===== Audit trail ===== */
+/* ===== Verdicts on bundles ===== */
 
-static void audit(struct ws_core *c, const struct ws_record *rec, int error)
+static void note_verdict(struct ws_core *c, const struct ws_record *rec,
+			 int error)
 {
-	struct ws_audit *a = &c->audit[c->n_audit % WS_AUDIT_MAX];
+	struct ws_verdict *a = &c->verdicts[c->n_verdicts % WS_VERDICTS_MAX];
 
 	memset(a, 0, sizeof(*a));
 	a->offset = rec->offset;
@@ -32,20 +33,21 @@
 	a->base = rec->bundle_base;
 	if (rec->bundle)
 		memcpy(a->signer, rec->bundle->signer, sizeof(a->signer));
-	c->n_audit++;
+	c->n_verdicts++;
 }
 
-size_t ws_core_audit_count(const struct ws_core *c)
+size_t ws_core_verdict_count(const struct ws_core *c)
 {
-	return c->n_audit < WS_AUDIT_MAX ? c->n_audit : WS_AUDIT_MAX;
+	return c->n_verdicts < WS_VERDICTS_MAX ? c->n_verdicts :
+						 WS_VERDICTS_MAX;
 }
 
-const struct ws_audit *ws_core_audit(const struct ws_core *c, size_t i)
+const struct ws_verdict *ws_core_verdict(const struct ws_core *c, size_t i)
 {
-	size_t first = c->n_audit - ws_core_audit_count(c);
+	size_t first = c->n_verdicts - ws_core_verdict_count(c);
 
-	WS_INVARIANT(i < ws_core_audit_count(c));
-	return &c->audit[(first + i) % WS_AUDIT_MAX];
+	WS_INVARIANT(i < ws_core_verdict_count(c));
+	return &c->verdicts[(first + i) % WS_VERDICTS_MAX];
 }
 
 /* ===== Bundles ===== */
@@ -131,7 +133,7 @@
 	else
 		ws_fx_log(c->out, WS_LOG_BUNDLE_REFUSED, rec->writer,
 			  (int64_t)rec->bundle_version, res);
-	audit(c, rec, res);
+	note_verdict(c, rec, res);
 	if (c->publish.uid && c->publish.uid == rec->uid) {
 		c->publish.uid = 0;
 		publish_result(c, c->publish.ref, res);
@@ -146,7 +148,7 @@
 	if (!res && c->publish.uid)
 		res = WS_ERR_IN_PROGRESS;
 	if (res) {
-		audit(c, ev->u.publish.record, res);
+		note_verdict(c, ev->u.publish.record, res);
 		publish_result(c, ev->u.publish.ref, res);
 		return;
 	}
