--- a/lib/core/ws_core.c
+++ b/lib/core/ws_core.c
@@ -187,7 +187,6 @@
 	struct ws_core *c = ws_alloc(1, sizeof(*c));
 
 	c->conf = *conf;
-	c->next_bundle = 1;
 	c->cap_calls = power_of_two_above(conf->max_calls * 2);
 	c->calls = ws_alloc(c->cap_calls, sizeof(*c->calls));
 	c->timers = ws_timer_new();
@@ -215,15 +214,15 @@
 	if (!c)
 		return;
 	free_modules(c);
-	for (i = 0; i < c->n_doubt; i++)
-		ws_record_clear(&c->doubt[i]);
+	for (i = 0; i < c->n_backlog; i++)
+		ws_record_clear(&c->backlog[i]);
 	for (i = 0; i < c->n_held; i++) {
 		ws_record_clear(c->held[i].record);
 		free(c->held[i].record);
 	}
 	ws_fx_free(&c->work);
 	ws_bundle_unref(c->bundle);
-	free(c->doubt);
+	free(c->backlog);
 	free(c->held);
 	free(c->calls);
 	free(c->forwards);
--- a/lib/core/ws_core_internal.h
+++ b/lib/core/ws_core_internal.h
@@ -119,12 +119,9 @@
 	/* Log */
 	bool reading;
 	ws_us next_read;
-	ws_offset next_bundle; /* all bundles below are folded */
-	bool gap; /* records before gap_end are missing */
-	ws_offset gap_end;
-	struct ws_record *doubt; /* bundles that came after a gap */
-	size_t n_doubt;
-	size_t cap_doubt;
+	struct ws_record *backlog; /* records after a gap */
+	size_t n_backlog;
+	size_t cap_backlog;
 
 	struct core_publish publish;
 	struct core_held_append *held;
--- a/lib/core/ws_core_log.c
+++ b/lib/core/ws_core_log.c
@@ -163,55 +163,6 @@
 	ws_core_append(c, rec);
 }
 
-/* ===== Bundles after a gap ===== */
-
-/*
- * While records are missing, it cannot be known which bundles are valid: they
- * are kept until a snapshot tells which one was in force at its offset.
- */
-static void keep_in_doubt(struct ws_core *c, const struct ws_record *rec)
-{
-	ws_grow(&c->doubt, &c->cap_doubt, c->n_doubt + 1, sizeof(*c->doubt));
-	ws_record_copy(&c->doubt[c->n_doubt++], rec);
-}
-
-static void settle_doubt(struct ws_core *c, ws_offset covered)
-{
-	size_t i;
-
-	for (i = 0; i < c->n_doubt; i++) {
-		if (c->doubt[i].offset >= covered)
-			fold_bundle(c, &c->doubt[i]);
-		ws_record_clear(&c->doubt[i]);
-	}
-	c->n_doubt = 0;
-}
-
-/* A signer is trusted by the bundle in force here, or by the settings. */
-static bool snapshot_trusted(const struct ws_core *c, const struct ws_bundle *b)
-{
-	return is_trusted(c, b->signer) ||
-	       !memcmp(c->conf.seed_operator, b->signer, 32);
-}
-
-static void take_snapshot(struct ws_core *c, const struct ws_record *rec)
-{
-	const struct ws_bundle *b = rec->bundle;
-	bool copied = rec->target_offset == rec->offset + 1;
-
-	if (!c->gap && !(copied && rec->target_offset > c->next_bundle))
-		return;
-	if (!copied && rec->target_offset < c->gap_end)
-		return;
-	if (b && b->version > version_in_force(c)) {
-		if (!snapshot_trusted(c, b))
-			return;
-		adopt_bundle(c, rec->bundle);
-	}
-	c->gap = false;
-	settle_doubt(c, rec->target_offset);
-}
-
 /* ===== Folding ===== */
 
 /* A statement that instances are gone counts only from an operator. */
@@ -240,43 +191,100 @@
 	}
 }
 
-static void fold_in_order(struct ws_core *c, const struct ws_record *rec)
+static void fold(struct ws_core *c, const struct ws_record *rec)
 {
-	if (rec->offset > c->next_bundle) {
-		c->gap = true;
-		c->gap_end = rec->offset;
-	}
-	c->next_bundle = rec->offset + 1;
+	struct ws_record r = checked(c, rec);
+
+	WS_INVARIANT(rec->offset == ws_own_folded(c->own));
 	c->counters.records_folded++;
-	if (rec->kind == WS_REC_BUNDLE && c->gap)
-		keep_in_doubt(c, rec);
-	else if (rec->kind == WS_REC_BUNDLE)
+	if (rec->kind == WS_REC_BUNDLE)
 		fold_bundle(c, rec);
 	else if (rec->kind == WS_REC_ASSIGN)
 		note_partitions(c, rec);
-	else if (rec->kind == WS_REC_SNAPSHOT)
-		take_snapshot(c, rec);
+	ws_own_fold(c->own, ws_core_fx(c), c->now, &r);
+	c->member_dirty = true;
+}
+
+/* ===== Snapshots ===== */
+
+/* A signer is trusted by the bundle in force here, or by the settings. */
+static bool snapshot_trusted(const struct ws_core *c, const struct ws_bundle *b)
+{
+	return !b || is_trusted(c, b->signer) ||
+	       !memcmp(c->conf.seed_operator, b->signer, 32);
 }
 
+/* Loads a snapshot that covers more than was folded here. */
+static bool load_snapshot(struct ws_core *c, const struct ws_record *rec)
+{
+	if (rec->target_offset <= ws_own_folded(c->own) ||
+	    !snapshot_trusted(c, rec->bundle))
+		return false;
+	if (rec->bundle && rec->bundle->version > version_in_force(c))
+		adopt_bundle(c, rec->bundle);
+	ws_own_load(c->own, ws_core_fx(c), c->now, rec);
+	c->member_dirty = true;
+	return true;
+}
+
+/* ===== Records after a gap ===== */
+
 /*
- * Gives a record to the modules that fold it. Both sides ignore what they have
- * folded already and find gaps by themselves.
+ * The log may have dropped records that were never folded here. What comes
+ * after the gap is kept until a snapshot covers the gap.
  */
-static void fold(struct ws_core *c, const struct ws_record *rec)
+static void drop_backlog(struct ws_core *c)
 {
-	struct ws_record r = checked(c, rec);
-	bool copied = rec->kind == WS_REC_SNAPSHOT &&
-		      rec->target_offset == rec->offset + 1;
-
-	if (copied) {
-		take_snapshot(c, rec);
-		if (rec->target_offset > c->next_bundle)
-			c->next_bundle = rec->target_offset;
-	} else if (rec->offset >= c->next_bundle) {
-		fold_in_order(c, rec);
+	size_t i;
+
+	for (i = 0; i < c->n_backlog; i++)
+		ws_record_clear(&c->backlog[i]);
+	c->n_backlog = 0;
+}
+
+static ws_offset next_wanted(struct ws_core *c)
+{
+	if (c->n_backlog)
+		return c->backlog[c->n_backlog - 1].offset + 1;
+	return ws_own_folded(c->own);
+}
+
+static void fold_backlog(struct ws_core *c)
+{
+	size_t i;
+
+	for (i = 0; i < c->n_backlog; i++)
+		if (c->backlog[i].offset == ws_own_folded(c->own))
+			fold(c, &c->backlog[i]);
+	drop_backlog(c);
+}
+
+static void keep_backlog(struct ws_core *c, const struct ws_record *rec)
+{
+	if (rec->offset != next_wanted(c))
+		drop_backlog(c);
+	ws_grow(&c->backlog, &c->cap_backlog, c->n_backlog + 1,
+		sizeof(*c->backlog));
+	ws_record_copy(&c->backlog[c->n_backlog++], rec);
+	if (rec->kind == WS_REC_SNAPSHOT &&
+	    rec->target_offset >= c->backlog[0].offset && load_snapshot(c, rec))
+		fold_backlog(c);
+}
+
+static void take_record(struct ws_core *c, const struct ws_record *rec)
+{
+	ws_offset next = ws_own_folded(c->own);
+
+	if (rec->offset < next)
+		return;
+	if (rec->offset > next) {
+		keep_backlog(c, rec);
+		return;
 	}
-	ws_own_fold(c->own, ws_core_fx(c), c->now, &r);
-	c->member_dirty = true;
+	/* A peer may have filled the gap meanwhile. */
+	fold(c, rec);
+	if (c->n_backlog && c->backlog[0].offset <= ws_own_folded(c->own))
+		fold_backlog(c);
 }
 
 void ws_core_log_read(struct ws_core *c, const struct ws_event *ev)
@@ -286,8 +294,8 @@
 	c->reading = false;
 	c->next_read = c->now;
 	for (i = 0; i < ev->u.log_read.n_records; i++)
-		fold(c, &ev->u.log_read.records[i]);
-	if (c->next_bundle >= ev->u.log_read.head)
+		take_record(c, &ev->u.log_read.records[i]);
+	if (ws_own_folded(c->own) >= ev->u.log_read.head)
 		ws_own_log_evidence(c->own, ws_core_fx(c), c->now,
 				    ev->u.log_read.started,
 				    ev->u.log_read.head);
@@ -299,13 +307,23 @@
 	c->next_read = c->now + READ_RETRY;
 }
 
-/* Records that a peer has folded; folded here in the same order. */
+/*
+ * Records that a peer has folded; folded here in the same order. A snapshot
+ * that covers its own offset stands for all records up to it.
+ */
 void ws_core_tail(struct ws_core *c, const struct ws_msg *msg)
 {
 	size_t i;
 
-	for (i = 0; i < msg->u.tail.n_records; i++)
-		fold(c, &msg->u.tail.records[i]);
+	for (i = 0; i < msg->u.tail.n_records; i++) {
+		const struct ws_record *rec = &msg->u.tail.records[i];
+
+		if (rec->kind == WS_REC_SNAPSHOT &&
+		    rec->target_offset > rec->offset)
+			load_snapshot(c, rec);
+		else if (rec->offset == ws_own_folded(c->own))
+			fold(c, rec);
+	}
 }
 
 /* ===== Appends ===== */
@@ -407,7 +425,7 @@
 		return;
 	c->reading = true;
 	e = ws_fx_add(c->out, WS_FX_LOG_READ);
-	e->u.log_read.from = c->next_bundle;
+	e->u.log_read.from = next_wanted(c);
 }
 
 void ws_core_log_tick(struct ws_core *c)
--- a/tests/fake_internal.h
+++ b/tests/fake_internal.h
@@ -195,6 +195,6 @@
 
 /* fake_calls.c */
 void fake_caller(struct fake *f);
-void fake_reply(struct fake *f, int call, const struct ws_answer *answer);
+void fake_reply(struct fake *f, int k, const struct ws_answer *answer);
 
 #endif
