Add admission: token buckets by partition, pulls and waiting calls

Cause: a customer's rate and burst must hold in the sum over all instances while arrivals are skewed and partitions move.

Change: ws_adm mints 1/n of the rate per partition held.

--- /dev/null
+++ b/lib/core/ws_adm_priv.h
@@ -0,0 +1,212 @@
+#ifndef WS_ADM_PRIV_H
+#define WS_ADM_PRIV_H
+
+#include "core/ws_adm.h"
+#include "core/ws_slots.h"
+
+/*
+ * Shared by the parts of ws_adm: buckets and pulled tokens (ws_adm_bucket.c),
+ * pulls (ws_adm_pull.c), waiting calls (ws_adm_wait.c), the rest (ws_adm.c).
+ *
+ * Tokens are counted in units so that no division rounds: one token is
+ * 1,000,000 * partitions units. A partition then mints `rate` units in a
+ * microsecond and has room for burst * 1,000,000 units. Messages carry
+ * 1/1000 tokens, "milli".
+ */
+
+#define WS_ADM_MILLI 1000
+
+/* Expiry of given tokens is rounded up to this. */
+#define WS_ADM_SLOT (10 * WS_MS)
+#define WS_ADM_SLOTS 22
+
+/* Pulls whose tokens are not spent yet, for one customer. */
+#define WS_ADM_MAX_PULLED 32
+
+/* One partition's bucket for one customer. */
+struct ws_adm_bucket {
+	int64_t level; /* units */
+	ws_us at; /* minted up to this time; may lie ahead */
+	int64_t out; /* units given away that may still be spent */
+	int64_t slot; /* number of the last slot that has expired */
+	uint32_t given[WS_ADM_SLOTS]; /* milli, by expiry */
+};
+
+struct ws_adm_pulled {
+	int64_t units;
+	ws_us expires;
+};
+
+/* What is known of a customer's balance at a peer. */
+struct ws_adm_known {
+	int64_t balance; /* milli, as told */
+	ws_us at;
+	uint32_t growth; /* share of what it mints that is left, in 1/1000 */
+	uint32_t expect; /* milli expected from the pull under way */
+	uint64_t ref; /* pull under way; 0: none */
+	ws_us sent;
+	ws_us not_before; /* silent: no pull until then */
+	uint8_t silent; /* pulls without answer in a row */
+};
+
+/* A peer that holds partitions. */
+struct ws_adm_peer {
+	ws_id id;
+	uint32_t share; /* 1/1000 partitions */
+	bool alive;
+};
+
+/* A budget of messages, refilled over time. */
+struct ws_adm_budget {
+	int64_t level; /* 1/1,000,000 messages */
+	ws_us at;
+};
+
+struct ws_adm_customer {
+	ws_id id;
+	uint32_t rate;
+	uint32_t burst;
+	bool seen; /* scratch: listed by the bundle */
+	struct ws_adm_bucket *buckets; /* one for each of ws_adm.parts */
+	struct ws_adm_known *known; /* one for each of ws_adm.peers */
+	struct ws_adm_pulled *pulled; /* by expiry */
+	size_t n_pulled;
+	size_t cap_pulled;
+	uint32_t arrivals; /* since demand_at */
+	int64_t demand; /* milli a second, smoothed */
+	ws_us demand_at;
+	uint32_t first_wait;
+	uint32_t last_wait;
+	uint32_t n_wait;
+	struct ws_adm_budget budget;
+	uint64_t spent;
+};
+
+struct ws_adm_part {
+	uint32_t index;
+	ws_offset fence;
+};
+
+/* A call that waits for a token; linked in its customer's queue. */
+struct ws_adm_wait {
+	uint64_t id;
+	struct ws_call call;
+	ws_us until;
+	uint32_t customer;
+	uint32_t next;
+	uint32_t prev;
+};
+
+struct ws_adm {
+	ws_id self;
+	uint64_t next_ref;
+	ws_us last_tick;
+	uint64_t bundle_version;
+	bool has_bundle;
+	int64_t partitions; /* of the bundle; 1 before there is one */
+	struct ws_adm_part *parts;
+	size_t n_parts;
+	ws_us mint_until;
+	struct ws_adm_peer *peers;
+	size_t n_peers;
+	bool holders_told;
+	struct ws_slots customer_index;
+	struct ws_adm_customer *customers;
+	size_t customers_cap;
+	struct ws_slots wait_index;
+	struct ws_adm_wait *waits;
+	size_t waits_cap;
+	ws_payload *dropped; /* of cancelled calls */
+	size_t n_dropped;
+	size_t cap_dropped;
+	struct ws_adm_budget budget;
+	struct ws_adm_stats stats;
+};
+
+/* Units of a whole token, and of 1/1000 of one. */
+static inline int64_t ws_adm_token(const struct ws_adm *a)
+{
+	return 1000000 * a->partitions;
+}
+
+static inline int64_t ws_adm_milli(const struct ws_adm *a)
+{
+	return 1000 * a->partitions;
+}
+
+/* ===== Buckets and pulled tokens (ws_adm_bucket.c) ===== */
+
+/* Mints up to now. */
+void ws_adm_refill(const struct ws_adm *a, struct ws_adm_customer *c,
+		   ws_us now);
+
+/* Puts a rate and burst in force. */
+void ws_adm_set_rate(const struct ws_adm *a, struct ws_adm_customer *c,
+		     ws_us now, uint32_t rate, uint32_t burst);
+
+/* Units that may be spent here now: of buckets, and of all. */
+int64_t ws_adm_own_units(const struct ws_adm *a,
+			 const struct ws_adm_customer *c, ws_us now);
+int64_t ws_adm_all_units(const struct ws_adm *a,
+			 const struct ws_adm_customer *c, ws_us now);
+
+/* Spends one token if there is one. */
+bool ws_adm_spend(const struct ws_adm *a, struct ws_adm_customer *c, ws_us now);
+
+/* Takes up to milli out of the buckets for a peer; returns what was taken. */
+uint32_t ws_adm_take_for_peer(const struct ws_adm *a, struct ws_adm_customer *c,
+			      ws_us now, uint32_t milli, ws_us expires);
+
+void ws_adm_add_pulled(struct ws_adm_customer *c, int64_t units, ws_us expires);
+void ws_adm_expire_pulled(struct ws_adm *a, struct ws_adm_customer *c,
+			  ws_us now);
+
+/* ===== Pulls (ws_adm_pull.c) ===== */
+
+/* Follows the live instances when holders are not told. */
+void ws_adm_update_peers(struct ws_adm *a, const struct ws_view *view,
+			 ws_us now);
+
+/* Pulls for waiting calls and ahead of the demand. */
+void ws_adm_pull(struct ws_adm *a, struct ws_fx *fx, struct ws_adm_customer *c,
+		 ws_us now);
+
+/* Forgets pulls without answer. */
+void ws_adm_expire_asks(struct ws_adm *a, struct ws_adm_customer *c, ws_us now);
+
+/* Smooths the arrivals of the last period into the demand. */
+void ws_adm_note_demand(struct ws_adm_customer *c, ws_us now);
+
+void ws_adm_on_ask(struct ws_adm *a, struct ws_fx *fx,
+		   struct ws_adm_customer *c, ws_us now, ws_id from,
+		   const struct ws_msg *msg);
+void ws_adm_on_give(struct ws_adm *a, struct ws_adm_customer *c, ws_us now,
+		    ws_id from, const struct ws_msg *msg);
+
+/* ===== Waiting calls (ws_adm_wait.c) ===== */
+
+void ws_adm_admit(struct ws_adm *a, struct ws_fx *fx, uint64_t id,
+		  const struct ws_call *call);
+void ws_adm_refuse(struct ws_adm *a, struct ws_fx *fx, uint64_t id,
+		   const struct ws_call *call, int error, ws_us retry_after);
+
+/* Time after which a refused call may find a token. */
+ws_us ws_adm_retry_after(const struct ws_adm_customer *c);
+
+/* Queues a call; returns false when too many wait. */
+bool ws_adm_wait(struct ws_adm *a, uint32_t customer, uint64_t id,
+		 const struct ws_call *call, ws_us now);
+
+/* Admits waiting calls while there are tokens. */
+void ws_adm_serve(struct ws_adm *a, struct ws_fx *fx, struct ws_adm_customer *c,
+		  ws_us now);
+
+/* Refuses calls whose wait is over. */
+void ws_adm_expire_waits(struct ws_adm *a, struct ws_fx *fx,
+			 struct ws_adm_customer *c, ws_us now);
+
+/* Refuses all calls of a customer that has left the bundle. */
+void ws_adm_refuse_all(struct ws_adm *a, struct ws_fx *fx,
+		       struct ws_adm_customer *c);
+
+#endif
--- a/lib/core/ws_idem.c
+++ b/lib/core/ws_idem.c
@@ -267,12 +267,13 @@
 	/* The former home may have proved "not run", and the id run since. */
 	if (it->state == WS_IDEM_ELSEWHERE)
 		outcome = WS_OUT_UNKNOWN;
-#ifndef WS_MUTANT_ID_REUSE_UNCHECKED
+#ifdef WS_MUTANT_ID_REUSE_UNCHECKED
+	it->fingerprint = call->fingerprint;
+#endif
 	if (it->fingerprint != call->fingerprint) {
 		refuse(fx, id, outcome, WS_ERR_ID_REUSED);
 		return true;
 	}
-#endif
 #ifdef WS_MUTANT_RERUN_UNKNOWN
 	if (it->state == WS_IDEM_UNKNOWN)
 		return false;
