Look only at calls that wait for a home in each tick

Change: ids of such calls are kept in a list. A refusal for lack of tokens in an instance without evidence is now "stale_instance", because the rate is not used up. The fake's request ids were not valid UUIDs in half of the cases (variant bits) and the random runs print errors by kind.

--- a/lib/core/ws_core.c
+++ b/lib/core/ws_core.c
@@ -225,6 +225,7 @@
 	free(c->backlog);
 	free(c->held);
 	free(c->calls);
+	free(c->homebound);
 	free(c->forwards);
 	free(c->sent);
 	free(c->deferred);
--- a/lib/core/ws_core_calls.c
+++ b/lib/core/ws_core_calls.c
@@ -310,6 +310,13 @@
 		       owner_of(c, &copy), ws_core_members(c));
 }
 
+static void add_homebound(struct ws_core *c, uint64_t id)
+{
+	ws_grow(&c->homebound, &c->cap_homebound, c->n_homebound + 1,
+		sizeof(*c->homebound));
+	c->homebound[c->n_homebound++] = id;
+}
+
 /* Starts an admitted call on its way. */
 static void start_call(struct ws_core *c, struct core_call *call)
 {
@@ -318,6 +325,7 @@
 		start_routing(c, call);
 		return;
 	}
+	add_homebound(c, call->id);
 	call->wait_until = c->now + HOME_WAIT;
 	if (call->wait_until > call->call.deadline)
 		call->wait_until = call->call.deadline;
@@ -387,8 +395,14 @@
 {
 	struct core_call *call = ws_core_find_call(c, e->u.reply.id);
 
-	if (call && call->state == CALL_ADMISSION)
-		end_call(c, call, &e->u.reply.answer);
+	struct ws_answer answer = e->u.reply.answer;
+
+	if (!call || call->state != CALL_ADMISSION)
+		return;
+	/* Without evidence there are no tokens; the rate is not used up. */
+	if (answer.error == WS_ERR_RATE && !ws_core_fresh(c))
+		answer.error = WS_ERR_STALE;
+	end_call(c, call, &answer);
 }
 
 void ws_core_home_run(struct ws_core *c, const struct ws_effect *e)
@@ -410,6 +424,8 @@
 		return false;
 	if (answer->outcome == WS_OUT_UNKNOWN)
 		call->doubt = true;
+	if (call->state == CALL_HOME_LOCAL)
+		add_homebound(c, call->id);
 	call->state = CALL_HOME_WAIT;
 	return true;
 }
@@ -526,53 +542,40 @@
 	}
 }
 
-/* Ids of calls in a state; entries move when others are removed. */
-static size_t collect(struct ws_core *c, uint8_t state, ws_id peer,
-		      uint64_t *ids, size_t max)
+/* Calls that wait for a home or its answer; others have left the list. */
+static bool waits_for_home(const struct core_call *call)
 {
-	size_t n = 0;
-	size_t i;
-
-	for (i = 0; i < c->cap_calls && n < max; i++) {
-		struct core_call *call = &c->calls[i];
-
-		if (call->state != state)
-			continue;
-		if (!peer || call->sent_to == peer)
-			ids[n++] = call->id;
-	}
-	return n;
+	return call &&
+	       (call->state == CALL_HOME_WAIT || call->state == CALL_HOME_SENT);
 }
 
-/* Most calls looked at in one go; the rest follows in the next tick. */
-#define COLLECT_MAX 256
-
 void ws_core_calls_tick(struct ws_core *c)
 {
-	static const uint8_t states[] = { CALL_HOME_WAIT, CALL_HOME_SENT };
-	uint64_t ids[COLLECT_MAX];
-	size_t s;
-	size_t n;
+	size_t kept = 0;
+	size_t n = c->n_homebound;
 	size_t i;
 
-	if (!c->n_calls)
-		return;
-	for (s = 0; s < sizeof(states); s++) {
-		n = collect(c, states[s], 0, ids, COLLECT_MAX);
-		for (i = 0; i < n; i++)
-			tick_call(c, ws_core_find_call(c, ids[i]));
+	for (i = 0; i < n; i++) {
+		uint64_t id = c->homebound[i];
+		struct core_call *call = ws_core_find_call(c, id);
+
+		if (waits_for_home(call))
+			tick_call(c, call);
+		if (waits_for_home(ws_core_find_call(c, id)))
+			c->homebound[kept++] = id;
 	}
+	c->n_homebound = kept;
 }
 
 void ws_core_calls_peer_down(struct ws_core *c, ws_id peer)
 {
-	uint64_t ids[COLLECT_MAX];
-	size_t n;
 	size_t i;
 
-	do {
-		n = collect(c, CALL_HOME_SENT, peer, ids, COLLECT_MAX);
-		for (i = 0; i < n; i++)
-			end_unknown(c, ws_core_find_call(c, ids[i]));
-	} while (n == COLLECT_MAX);
+	for (i = 0; i < c->n_homebound; i++) {
+		struct core_call *call = ws_core_find_call(c, c->homebound[i]);
+
+		if (call && call->state == CALL_HOME_SENT &&
+		    call->sent_to == peer)
+			end_unknown(c, call);
+	}
 }
--- a/lib/core/ws_core_internal.h
+++ b/lib/core/ws_core_internal.h
@@ -100,6 +100,9 @@
 	struct core_call *calls;
 	size_t cap_calls; /* power of two */
 	size_t n_calls;
+	uint64_t *homebound; /* ids of calls that wait for a home */
+	size_t n_homebound;
+	size_t cap_homebound;
 
 	struct core_forward *forwards;
 	size_t n_forwards;
--- a/tests/fake_calls.c
+++ b/tests/fake_calls.c
@@ -16,7 +16,7 @@
 	uint64_t ms = (uint64_t)(WALL_START_MS + f->now / 1000) + skew - 300;
 
 	id[0] = ms << 16 | 0x7000 | ws_rand_below(&f->rand, 0x1000);
-	id[1] = ws_rand_next(&f->rand) | (uint64_t)1 << 63;
+	id[1] = ws_rand_next(&f->rand) >> 2 | (uint64_t)2 << 62;
 }
 
 static void send_call(struct fake *f, int k, int instance)
--- a/tests/test_core_random.c
+++ b/tests/test_core_random.c
@@ -24,6 +24,10 @@
 
 static void add_counts(struct totals *t, const struct fake_report *r)
 {
+	int e;
+
+	for (e = 0; e <= -WS_ERROR_LAST; e++)
+		t->r.errors[e] += r->errors[e];
 	t->r.events += r->events;
 	t->r.calls += r->calls;
 	t->r.done += r->done;
@@ -88,6 +92,18 @@
 	fake_free(f);
 }
 
+static void print_errors(const struct fake_report *r)
+{
+	int e;
+
+	printf("errors:");
+	for (e = 1; e <= -WS_ERROR_LAST; e++)
+		if (r->errors[e])
+			printf(" %s %llu", ws_error_name(-e),
+			       (unsigned long long)r->errors[e]);
+	printf("\n");
+}
+
 static void print_totals(const struct totals *t)
 {
 	const struct fake_report *r = &t->r;
@@ -107,6 +123,7 @@
 	       (unsigned long long)r->target_freezes,
 	       (unsigned long long)r->cold_turns,
 	       (unsigned long long)r->bundles);
+	print_errors(r);
 	printf("violations %llu in %llu seeds\n",
 	       (unsigned long long)r->violations,
 	       (unsigned long long)t->failed_seeds);
