--- a/lib/core/ws_adm_pull.c
+++ b/lib/core/ws_adm_pull.c
@@ -435,7 +435,7 @@
 		share = 50;
 	if (share > 1000)
 		share = 1000;
-	k->growth = (uint32_t)((k->growth * 3 + share) / 4);
+	k->growth = (uint32_t)(((int64_t)k->growth * 3 + share) / 4);
 	k->balance = msg->u.token.balance;
 	k->at = now;
 }
