common: use size_t for the histogram's sizes

The linter reports the macro's 32-bit product as a comparison bound. The constants are sizes and now have that type; the histogram is unchanged.

--- a/lib/common/ws_hist.h
+++ b/lib/common/ws_hist.h
@@ -10,7 +10,7 @@
  */
 
 #define WS_HIST_SUB_BITS 5
-#define WS_HIST_SUB (1U << WS_HIST_SUB_BITS)
+#define WS_HIST_SUB ((size_t)1 << WS_HIST_SUB_BITS)
 #define WS_HIST_MAX_BITS 36
 #define WS_HIST_BUCKETS \
 	(WS_HIST_SUB * (WS_HIST_MAX_BITS - WS_HIST_SUB_BITS + 1))
