--- /dev/null
+++ b/lib/cli/ws_cli_http.c
@@ -0,0 +1,163 @@
+#include "cli/ws_cli_int.h"
+
+#include <curl/curl.h>
+#include <sodium.h>
+#include <string.h>
+
+#define ANSWER_MAX ((size_t)64 * 1024 * 1024)
+#define TOKEN_MAX 4096
+#define CONNECT_TIMEOUT_MS 2000L
+/* An instance decides on a bundle within 8 s. */
+#define TIMEOUT_MS 12000L
+
+/* ===== Exchange ===== */
+
+static size_t on_data(char *data, size_t size, size_t n, void *arg)
+{
+	GString *body = arg;
+
+	if (body->len + n > ANSWER_MAX)
+		return 0;
+	g_string_append_len(body, data, (gssize)(size * n));
+	return size * n;
+}
+
+/* Header with the token; NULL after a message. */
+static struct curl_slist *authorization(const struct ws_cli *cli)
+{
+	char *token = ws_cli_read(cli->token_file, TOKEN_MAX);
+	struct curl_slist *list = NULL;
+	char *line;
+
+	if (!token)
+		return NULL;
+	token[strcspn(token, "\r\n")] = '\0';
+	line = g_strdup_printf("Authorization: Bearer %s", token);
+	list = curl_slist_append(NULL, line);
+	list = curl_slist_append(list, "Content-Type: application/json");
+	sodium_memzero(token, strlen(token));
+	sodium_memzero(line, strlen(line));
+	g_free(line);
+	g_free(token);
+	return list;
+}
+
+static void set_options(CURL *curl, const char *url, struct curl_slist *headers,
+			const char *body, GString *answer)
+{
+	curl_easy_setopt(curl, CURLOPT_URL, url);
+	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
+	curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(curl, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, TIMEOUT_MS);
+	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_data);
+	curl_easy_setopt(curl, CURLOPT_WRITEDATA, answer);
+	if (body)
+		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
+}
+
+static int perform(const struct ws_cli *cli, CURL *curl,
+		   struct ws_cli_reply *reply)
+{
+	CURLcode res = curl_easy_perform(curl);
+
+	if (res != CURLE_OK)
+		return ws_cli_fail(WS_CLI_UNREACHABLE,
+				   "%s does not answer (%s); check --admin and "
+				   "that the instance runs",
+				   cli->admin, curl_easy_strerror(res));
+	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &reply->status);
+	return WS_CLI_OK;
+}
+
+int ws_cli_exchange(const struct ws_cli *cli, const char *page,
+		    const char *body, struct ws_cli_reply *reply)
+{
+	struct curl_slist *headers = authorization(cli);
+	char *url;
+	CURL *curl;
+	int code;
+
+	memset(reply, 0, sizeof(*reply));
+	if (!headers)
+		return WS_CLI_USAGE;
+	reply->body = g_string_new(NULL);
+	url = g_strdup_printf("%s/admin/v1%s", cli->admin, page);
+	curl = curl_easy_init();
+	WS_INVARIANT(curl);
+	set_options(curl, url, headers, body, reply->body);
+	code = perform(cli, curl, reply);
+	curl_easy_cleanup(curl);
+	curl_slist_free_all(headers);
+	g_free(url);
+	if (code != WS_CLI_OK)
+		ws_cli_reply_clear(reply);
+	return code;
+}
+
+void ws_cli_reply_clear(struct ws_cli_reply *reply)
+{
+	if (reply->body)
+		g_string_free(reply->body, TRUE);
+	reply->body = NULL;
+}
+
+/* ===== Answers ===== */
+
+static const char *text_of(const json_t *o, const char *field)
+{
+	const char *text = json_string_value(json_object_get(o, field));
+
+	return text ? text : "";
+}
+
+/* Names what an instance without its own explanation may have meant. */
+static int explain_status(long status)
+{
+	return ws_cli_fail(WS_CLI_REFUSED,
+			   "the instance answered with status %ld; check that "
+			   "--admin names an administration listener",
+			   status);
+}
+
+int ws_cli_refused(const struct ws_cli_reply *reply)
+{
+	json_t *o = json_loadb(reply->body->str, reply->body->len, 0, NULL);
+	json_t *version = json_object_get(o, "version_in_force");
+	const char *detail = text_of(o, "detail");
+
+	if (!json_object_get(o, "error")) {
+		json_decref(o);
+		return explain_status(reply->status);
+	}
+	ws_cli_fail(0, "%s: %s%s%s; %s", text_of(o, "error"),
+		    text_of(o, "message"), detail[0] ? ": " : "", detail,
+		    text_of(o, "remedy"));
+	if (json_is_integer(version) && json_integer_value(version))
+		ws_cli_fail(0, "version in force: %lld",
+			    (long long)json_integer_value(version));
+	json_decref(o);
+	return WS_CLI_REFUSED;
+}
+
+json_t *ws_cli_fetch(const struct ws_cli *cli, const char *page, int *code)
+{
+	struct ws_cli_reply reply;
+	json_t *o = NULL;
+
+	*code = ws_cli_exchange(cli, page, NULL, &reply);
+	if (*code != WS_CLI_OK)
+		return NULL;
+	if (reply.status / 100 == 2)
+		o = json_loadb(reply.body->str, reply.body->len, 0, NULL);
+	if (reply.status / 100 != 2)
+		*code = ws_cli_refused(&reply);
+	else if (!json_is_object(o))
+		*code = explain_status(reply.status);
+	ws_cli_reply_clear(&reply);
+	if (*code == WS_CLI_OK)
+		return o;
+	json_decref(o);
+	return NULL;
+}
