--- a/lib/core/ws_disp_send.c
+++ b/lib/core/ws_disp_send.c
@@ -156,7 +156,8 @@
 	e->state = WS_ENTRY_IN_FLIGHT;
 	e->sent = now;
 	e->epoch = t->limit.epoch;
-	if (!e->incarnation || !e->fence)
+	/* Any incarnation may serve an open service; the one known here is. */
+	if (t->incarnation && (!e->incarnation || !e->fence))
 		e->incarnation = t->incarnation;
 	ws_list_append(d, &t->in_flight, slot);
 	s->u.attempt.attempt = d->slots.handle[slot];
