--- a/lib/standin/ws_jcheck.c
+++ b/lib/standin/ws_jcheck.c
@@ -70,6 +70,7 @@
 	g_hash_table_destroy(c->open);
 	g_ptr_array_unref(c->runs);
 	g_ptr_array_unref(c->texts);
+	g_free(c->watched);
 	g_free(c);
 }
 
@@ -270,6 +271,12 @@
 
 /* ===== Conclusions ===== */
 
+void ws_jcheck_watch(struct ws_jcheck *c, const char *service, const char *key)
+{
+	g_free(c->watched);
+	c->watched = g_strdup_printf("%s key %s", service, key);
+}
+
 void ws_jcheck_finish(struct ws_jcheck *c)
 {
 	c->counts.interrupted = g_hash_table_size(c->open);
@@ -305,21 +312,22 @@
 
 static json_t *report_counts(const struct ws_jcheck_counts *n)
 {
-	return json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,"
-			 "s:f,s:I}",
-			 "lines", (json_int_t)n->lines, "torn",
-			 (json_int_t)n->torn, "incarnations",
-			 (json_int_t)n->incarnations, "crashes",
-			 (json_int_t)n->crashes, "begun", (json_int_t)n->begun,
-			 "ran", (json_int_t)n->ran, "aborted",
-			 (json_int_t)n->aborted, "interrupted",
-			 (json_int_t)n->interrupted, "rejected",
-			 (json_int_t)n->rejected, "non_idempotent",
-			 (json_int_t)n->non_idempotent, "resources",
-			 (json_int_t)n->resources, "owner_changes",
-			 (json_int_t)n->owner_changes, "longest_pause_ms",
-			 (double)n->longest_pause / (double)WS_MS,
-			 "frozen_overlaps", (json_int_t)n->frozen_overlaps);
+	return json_pack(
+		"{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,"
+		"s:f,s:I,s:I,s:f}",
+		"lines", (json_int_t)n->lines, "torn", (json_int_t)n->torn,
+		"incarnations", (json_int_t)n->incarnations, "crashes",
+		(json_int_t)n->crashes, "begun", (json_int_t)n->begun, "ran",
+		(json_int_t)n->ran, "aborted", (json_int_t)n->aborted,
+		"interrupted", (json_int_t)n->interrupted, "rejected",
+		(json_int_t)n->rejected, "non_idempotent",
+		(json_int_t)n->non_idempotent, "resources",
+		(json_int_t)n->resources, "owner_changes",
+		(json_int_t)n->owner_changes, "longest_pause_ms",
+		(double)n->longest_pause / (double)WS_MS, "frozen_overlaps",
+		(json_int_t)n->frozen_overlaps, "watched_changes",
+		(json_int_t)n->watched_changes, "watched_pause_ms",
+		(double)n->watched_pause / (double)WS_MS);
 }
 
 json_t *ws_jcheck_report(const struct ws_jcheck *c)
--- a/lib/standin/ws_jcheck.h
+++ b/lib/standin/ws_jcheck.h
@@ -28,7 +28,9 @@
 	uint64_t non_idempotent; /* ran */
 	uint64_t resources; /* shards and hot keys that were used */
 	uint64_t owner_changes; /* of them */
-	ws_us longest_pause; /* between runs of one key at two owners */
+	ws_us longest_pause; /* of any key, idle time included */
+	uint64_t watched_changes; /* owners of the watched key, minus one */
+	ws_us watched_pause; /* longest between its runs at two owners */
 	uint64_t frozen_overlaps; /* run while frozen; no lease can stop it */
 };
 
@@ -66,6 +68,9 @@
 void ws_jcheck_line(struct ws_jcheck *c, const char *source, const char *line,
 		    bool whole);
 
+/* Names a key whose changes of owner are counted separately. */
+void ws_jcheck_watch(struct ws_jcheck *c, const char *service, const char *key);
+
 /* Draws the conclusions; to be called once after the last line. */
 void ws_jcheck_finish(struct ws_jcheck *c);
 
--- a/lib/standin/ws_jcheck_parts.h
+++ b/lib/standin/ws_jcheck_parts.h
@@ -28,6 +28,7 @@
 
 struct ws_jcheck {
 	bool unique_bodies;
+	char *watched; /* as in struct ws_jrun; NULL: none */
 	struct ws_jcheck_counts counts;
 	uint64_t violations[WS_JCHECK_KINDS];
 	GPtrArray *texts; /* char * */
--- a/lib/standin/ws_jcheck_rules.c
+++ b/lib/standin/ws_jcheck_rules.c
@@ -139,10 +139,21 @@
 	}
 }
 
+static void note_pause(struct ws_jcheck *c, const char *key, ws_us pause)
+{
+	if (pause > c->counts.longest_pause)
+		c->counts.longest_pause = pause;
+	if (!c->watched || strcmp(c->watched, key) != 0)
+		return;
+	c->counts.watched_changes++;
+	if (pause > c->counts.watched_pause)
+		c->counts.watched_pause = pause;
+}
+
 /* Counts changes of owner and the pauses that they made for callers. */
-static void count_changes(struct ws_jcheck *c, GPtrArray *runs, bool keys)
+static void count_changes(struct ws_jcheck *c, const char *name,
+			  GPtrArray *runs, bool keys)
 {
-	ws_us pause;
 	guint i;
 
 	for (i = 1; i < runs->len; i++) {
@@ -151,11 +162,10 @@
 
 		if (strcmp(a->owner, b->owner) == 0)
 			continue;
-		pause = b->start - a->end;
-		if (!keys)
+		if (keys)
+			note_pause(c, name, b->start - a->end);
+		else
 			c->counts.owner_changes++;
-		else if (pause > c->counts.longest_pause)
-			c->counts.longest_pause = pause;
 	}
 }
 
@@ -195,7 +205,7 @@
 	g_hash_table_iter_init(&it, groups);
 	while (g_hash_table_iter_next(&it, &name, &runs)) {
 		check_group(c, name, runs, !keys);
-		count_changes(c, runs, keys);
+		count_changes(c, name, runs, keys);
 	}
 	if (!keys)
 		c->counts.resources = g_hash_table_size(groups);
--- a/lib/standin/ws_standin_check.c
+++ b/lib/standin/ws_standin_check.c
@@ -11,6 +11,7 @@
 struct options {
 	gboolean json;
 	gboolean unique_bodies;
+	char *key;
 };
 
 /* ===== Reading ===== */
@@ -44,7 +45,7 @@
 
 /* ===== Printing ===== */
 
-static void print_text(const struct ws_jcheck *c)
+static void print_text(const struct options *o, const struct ws_jcheck *c)
 {
 	const struct ws_jcheck_counts *n = ws_jcheck_counts(c);
 	const char *text;
@@ -64,8 +65,11 @@
 	printf("shards and hot keys    %llu (%llu changes of owner)\n",
 	       (unsigned long long)n->resources,
 	       (unsigned long long)n->owner_changes);
-	printf("longest pause of a key %.1f ms, at a change of owner\n",
-	       (double)n->longest_pause / (double)WS_MS);
+	if (o->key)
+		printf("key %-18s %llu changes of owner, longest pause "
+		       "%.1f ms\n",
+		       o->key, (unsigned long long)n->watched_changes,
+		       (double)n->watched_pause / (double)WS_MS);
 	printf("overlaps while frozen  %llu\n",
 	       (unsigned long long)n->frozen_overlaps);
 	printf("violations             %llu\n",
@@ -92,6 +96,8 @@
 		  "Print the report as JSON", NULL },
 		{ "unique-bodies", 0, 0, G_OPTION_ARG_NONE, &o->unique_bodies,
 		  "Non-idempotent requests never have equal bodies", NULL },
+		{ "key", 'k', 0, G_OPTION_ARG_STRING, &o->key,
+		  "Key whose changes of owner are reported", "SERVICE/KEY" },
 		G_OPTION_ENTRY_NULL
 	};
 	GOptionContext *context = g_option_context_new("FILE...");
@@ -115,10 +121,28 @@
 	return ok;
 }
 
+static bool watch(const struct options *o, struct ws_jcheck *c)
+{
+	const char *slash = o->key ? strchr(o->key, '/') : NULL;
+	char *service;
+
+	if (!o->key)
+		return true;
+	if (!slash) {
+		fprintf(stderr, "check-journals: --key: expected SERVICE/KEY; "
+				"see --help\n");
+		return false;
+	}
+	service = g_strndup(o->key, (gsize)(slash - o->key));
+	ws_jcheck_watch(c, service, slash + 1);
+	g_free(service);
+	return true;
+}
+
 static int check(const struct options *o, char **files)
 {
 	struct ws_jcheck *c = ws_jcheck_new(o->unique_bodies);
-	int code = EXIT_SUCCESS;
+	int code = watch(o, c) ? EXIT_SUCCESS : WS_STANDIN_USAGE;
 
 	for (; *files && code == EXIT_SUCCESS; files++)
 		if (!read_file(c, *files))
@@ -128,7 +152,7 @@
 		if (o->json)
 			print_json(c);
 		else
-			print_text(c);
+			print_text(o, c);
 		if (ws_jcheck_all(c))
 			code = EXIT_VIOLATION;
 	}
@@ -138,7 +162,8 @@
 
 int ws_standin_check(int argc, char **argv)
 {
-	struct options o = { FALSE, FALSE };
+	struct options o = { FALSE, FALSE, NULL };
+	int code;
 
 	if (!parse(&o, &argc, &argv))
 		return WS_STANDIN_USAGE;
@@ -147,5 +172,7 @@
 				"see --help\n");
 		return WS_STANDIN_USAGE;
 	}
-	return check(&o, argv + 1);
+	code = check(&o, argv + 1);
+	g_free(o.key);
+	return code;
 }
--- a/tests/test_standin.c
+++ b/tests/test_standin.c
@@ -354,6 +354,7 @@
 	add_run(c, "run", "t2", "g", ON_SHARD ",\"idempotent\":true", 6, 400,
 		500);
 	ws_jcheck_line(c, "j:9", "{\"event\":\"be", false);
+	ws_jcheck_watch(c, "w", "k");
 	ws_jcheck_finish(c);
 	ck_assert_msg(!ws_jcheck_all(c), "%s", ws_jcheck_text(c, 0));
 	ck_assert_uint_eq(ws_jcheck_counts(c)->ran, 4);
@@ -361,6 +362,8 @@
 	ck_assert_uint_eq(ws_jcheck_counts(c)->torn, 1);
 	ck_assert_uint_eq(ws_jcheck_counts(c)->owner_changes, 1);
 	ck_assert_int_eq(ws_jcheck_counts(c)->longest_pause, 100);
+	ck_assert_uint_eq(ws_jcheck_counts(c)->watched_changes, 1);
+	ck_assert_int_eq(ws_jcheck_counts(c)->watched_pause, 100);
 	ws_jcheck_free(c);
 }
 END_TEST
