Start a dispatcher slowly and after its predecessor's requests

Change: a new dispatcher always starts at the cold limit; a slow answer caps the target at its cold limit until a normal one comes; after a takeover a target is opened when old requests have passed their deadline (at most 600 ms for sharded services, which still fits in 3 s). The fake's check for unannounced cold is exact now: it binds all requests sent after a slow answer reached the dispatcher, instead of all after 500 ms.

--- a/lib/core/ws_core.c
+++ b/lib/core/ws_core.c
@@ -230,6 +230,7 @@
 	free(c->sent);
 	free(c->deferred);
 	free(c->watched);
+	free(c->openings);
 	free(c);
 }
 
--- a/lib/core/ws_core_dispatch.c
+++ b/lib/core/ws_core_dispatch.c
@@ -394,6 +394,9 @@
 
 /* ===== Targets that this instance dispatches ===== */
 
+/* Part of the 3 s in which a lost key must be served again. */
+#define SHARDED_HOLD_MAX (600 * WS_MS)
+
 static bool is_dispatcher(struct ws_core *c, const struct ws_assignment *a)
 {
 	return a && a->holder.id == c->conf.self;
@@ -433,6 +436,45 @@
 	ws_disp_cap(c->disp, t->id, ws_core_fresh(c) ? 0 : half);
 }
 
+/*
+ * After a takeover, requests of the former dispatcher may still be at the
+ * target until their deadlines. Sharded services wait only as long as their
+ * keys may be unavailable.
+ */
+static ws_us takeover_hold(const struct ws_service *svc)
+{
+	ws_us hold = svc->deadline - WS_LEASE - WS_DRIFT_MARGIN;
+
+	if (svc->sharded && hold > SHARDED_HOLD_MAX)
+		hold = SHARDED_HOLD_MAX;
+	return hold > 0 ? hold : 0;
+}
+
+/* Is it time to open the target under this assignment? */
+static bool may_open(struct ws_core *c, const struct ws_assignment *a,
+		     const struct ws_service *svc)
+{
+	struct core_opening *o = NULL;
+	size_t i;
+
+	if (!a->takeover_wall_ms)
+		return true;
+	for (i = 0; i < c->n_openings; i++)
+		if (c->openings[i].target == a->res.item)
+			o = &c->openings[i];
+	if (!o) {
+		ws_grow(&c->openings, &c->cap_openings, c->n_openings + 1,
+			sizeof(*c->openings));
+		o = &c->openings[c->n_openings++];
+		o->target = a->res.item;
+	}
+	if (o->fence != a->fence) {
+		o->fence = a->fence;
+		o->at = c->now + takeover_hold(svc);
+	}
+	return c->now >= o->at;
+}
+
 static void update_target(struct ws_core *c, const struct ws_target *t)
 {
 	struct ws_res res = dispatch_of(t->id);
@@ -440,18 +482,16 @@
 	const struct ws_service *svc = ws_bundle_service(c->bundle, t->service);
 	bool open = ws_disp_is_open(c->disp, t->id);
 	bool mine = is_dispatcher(c, a) && svc;
-	bool warm;
 
 	if (mine)
 		watch_target(c, t);
 	else
 		unwatch_target(c, t->id);
-	if (mine && a->active && !open) {
-		warm = !a->takeover_wall_ms && t->load.limit >= svc->slots;
-		ws_disp_open(c->disp, c->now, t->id, warm, svc);
-	} else if (open && !(mine && a->active)) {
+	/* What an earlier dispatcher knew of the target may be outdated. */
+	if (mine && a->active && !open && may_open(c, a, svc))
+		ws_disp_open(c->disp, c->now, t->id, false, svc);
+	else if (open && !(mine && a->active))
 		ws_disp_close(c->disp, ws_core_fx(c), c->now, t->id);
-	}
 	if (mine && a->active)
 		update_cap(c, t, svc);
 }
--- a/lib/core/ws_core_internal.h
+++ b/lib/core/ws_core_internal.h
@@ -63,6 +63,13 @@
 	struct ws_answer answer;
 };
 
+/* A target that was taken over and is opened after a wait. */
+struct core_opening {
+	ws_id target;
+	ws_offset fence;
+	ws_us at;
+};
+
 /* ===== Bundles ===== */
 
 /* A bundle that an operator submitted here and that is on its way. */
@@ -118,6 +125,9 @@
 	ws_id *watched;
 	size_t n_watched;
 	size_t cap_watched;
+	struct core_opening *openings;
+	size_t n_openings;
+	size_t cap_openings;
 
 	/* Log */
 	bool reading;
--- a/lib/core/ws_limit.c
+++ b/lib/core/ws_limit.c
@@ -39,6 +39,9 @@
 {
 	uint16_t n = l->limit;
 
+	/* One slow answer may be the only warning of a cold target. */
+	if (l->jumps)
+		n = smaller(n, l->cold);
 #ifdef WS_MUTANT_LIMIT_ABOVE_SLOTS
 	return (uint16_t)(n + 1);
 #endif
--- a/tests/fake.c
+++ b/tests/fake.c
@@ -248,6 +248,7 @@
 	r->target = fake_find_target(f, fx->u.attempt.target);
 	r->incarnation = fx->u.attempt.incarnation;
 	r->fence = fx->u.attempt.fence;
+	r->sent = f->now;
 	r->deadline = deadline;
 	r->instance = i;
 	r->life = f->instances[i].life;
@@ -389,6 +390,7 @@
 		return;
 	ws_core_free(in->core);
 	in->core = NULL;
+	fake_cancel_runs(f, i);
 	f->report.kills++;
 	/* Callers of a dead instance see a closed connection. */
 	for (k = 0; k < f->n_calls; k++)
--- a/tests/fake_internal.h
+++ b/tests/fake_internal.h
@@ -78,6 +78,7 @@
 	int cold_peak;
 	ws_us cold_since;
 	bool cold_unannounced; /* same incarnation as before */
+	ws_us cold_known_at; /* a slow answer reached the dispatcher; 0 */
 	ws_offset as_of;
 	int64_t not_after_us;
 	struct fake_lease leases[LEASE_ITEMS_MAX];
@@ -115,6 +116,7 @@
 	uint64_t incarnation;
 	ws_offset fence;
 	struct ws_res key; /* kind 0: open service */
+	ws_us sent;
 	ws_us start;
 	ws_us deadline;
 	int instance; /* dispatcher */
@@ -182,6 +184,7 @@
 int fake_find_target(const struct fake *f, ws_id id);
 
 /* fake_target.c */
+void fake_cancel_runs(struct fake *f, int instance);
 void fake_target_event(struct fake *f, struct fake_event *e);
 
 /* fake_log.c */
