--- a/lib/config/ws_config.h
+++ b/lib/config/ws_config.h
@@ -12,14 +12,13 @@
  */
 
 #define WS_CONFIG_TEXT_MAX 256
-#define WS_CONFIG_KEYS_MAX 2
 
 enum ws_setting_type {
 	WS_SET_NAME, /* lower-case letters, digits and '-' */
 	WS_SET_ADDRESS, /* ip:port */
 	WS_SET_URL, /* http://ip:port */
 	WS_SET_FILE, /* absolute path */
-	WS_SET_PUBLIC_KEYS, /* Ed25519 public keys, comma separated */
+	WS_SET_PUBLIC_KEY, /* Ed25519 public key */
 	WS_SET_COUNT, /* whole number */
 	WS_SET_SIZE, /* number with KiB or MiB */
 	WS_SET_TIME, /* number with ms or s */
@@ -42,7 +41,7 @@
 	/* [instance] */
 	char name[WS_CONFIG_TEXT_MAX];
 	char zone[WS_CONFIG_TEXT_MAX];
-	char seed_operator_key[WS_CONFIG_KEYS_MAX * 66];
+	char seed_operator_key[WS_CONFIG_TEXT_MAX];
 	/* [listen] */
 	char callers[WS_CONFIG_TEXT_MAX];
 	char internal[WS_CONFIG_TEXT_MAX]; /* empty: no such listener */
@@ -68,8 +67,7 @@
 	char level[WS_CONFIG_TEXT_MAX];
 
 	/* Derived from seed_operator_key */
-	uint8_t seed_keys[WS_CONFIG_KEYS_MAX][32];
-	size_t n_seed_keys;
+	uint8_t seed_key[32];
 };
 
 /* What was refused, where, what was expected and how to mend it. */
--- a/lib/config/ws_settings.c
+++ b/lib/config/ws_settings.c
@@ -20,10 +20,9 @@
 	  .help = "name of the instance, unique in the system" },
 	{ "instance", "zone", WS_SET_NAME, AT(zone),
 	  .help = "availability zone that the instance runs in" },
-	{ "instance", "seed_operator_key", WS_SET_PUBLIC_KEYS,
+	{ "instance", "seed_operator_key", WS_SET_PUBLIC_KEY,
 	  AT(seed_operator_key),
-	  .help = "operator keys that may sign the first bundle and the "
-		  "bundle of a snapshot" },
+	  .help = "operator key that signs the first bundle" },
 	{ "listen", "callers", WS_SET_ADDRESS, AT(callers),
 	  .help = "listener for public services" },
 	{ "listen", "internal", WS_SET_ADDRESS, .standard = "", AT(internal),
@@ -193,26 +192,12 @@
 	return !strncmp(text, "0.0.0.0:", 8) || !strncmp(text, "[::]:", 5);
 }
 
-static int store_keys(const char *value, struct ws_config *out)
+static int store_key(const char *value, struct ws_config *out)
 {
-	const char *p = value;
-	size_t n = 0;
-
-	for (;;) {
-		size_t len = strcspn(p, ",");
-
-		if (n == WS_CONFIG_KEYS_MAX || len != 64)
-			return WS_ERR_CONFIG;
-		if (sodium_hex2bin(out->seed_keys[n], 32, p, len, NULL, NULL,
-				   NULL))
-			return WS_ERR_CONFIG;
-		n++;
-		if (!p[len])
-			break;
-		p += len + 1;
-		p += strspn(p, " ");
-	}
-	out->n_seed_keys = n;
+	if (strlen(value) != 64)
+		return WS_ERR_CONFIG;
+	if (sodium_hex2bin(out->seed_key, 32, value, 64, NULL, NULL, NULL))
+		return WS_ERR_CONFIG;
 	return 0;
 }
 
@@ -286,17 +271,12 @@
 int ws_settings_store(const struct ws_setting *s, const char *value,
 		      struct ws_config *out)
 {
-	size_t room = WS_CONFIG_TEXT_MAX;
-
 	if (s->type == WS_SET_COUNT || s->type == WS_SET_SIZE ||
 	    s->type == WS_SET_TIME)
 		return store_number(s, value, out);
-	if (s->type == WS_SET_PUBLIC_KEYS) {
-		room = sizeof(out->seed_operator_key);
-		if (store_keys(value, out))
-			return WS_ERR_CONFIG;
-	}
-	if (strlen(value) >= room || !is_text_valid(s, value))
+	if (s->type == WS_SET_PUBLIC_KEY && store_key(value, out))
+		return WS_ERR_CONFIG;
+	if (strlen(value) >= WS_CONFIG_TEXT_MAX || !is_text_valid(s, value))
 		return WS_ERR_CONFIG;
 	memcpy((char *)out + s->offset, value, strlen(value) + 1);
 	return 0;
@@ -333,9 +313,8 @@
 		return "http://ip:port, such as http://10.0.0.1:9000";
 	case WS_SET_FILE:
 		return "an absolute path of a file";
-	case WS_SET_PUBLIC_KEYS:
-		return "1 or 2 public keys of 64 hexadecimal digits, "
-		       "separated by a comma";
+	case WS_SET_PUBLIC_KEY:
+		return "a public key of 64 hexadecimal digits";
 	case WS_SET_COUNT:
 		return "a whole number without unit";
 	case WS_SET_SIZE:
--- a/lib/io/ws_exec.c
+++ b/lib/io/ws_exec.c
@@ -47,6 +47,9 @@
 	case WS_FX_REPLY:
 		ws_front_reply(sh->front, e->u.reply.id, &e->u.reply.answer);
 		break;
+	case WS_FX_RETAIN:
+		ws_payload_ref(sh->payloads, e->u.release.payload);
+		break;
 	case WS_FX_RELEASE:
 		ws_payload_unref(sh->payloads, e->u.release.payload);
 		break;
--- a/lib/io/ws_shell.c
+++ b/lib/io/ws_shell.c
@@ -158,6 +158,7 @@
 		.max_queued = (size_t)conf->max_queued,
 	};
 
+	memcpy(cc.seed_operator, conf->seed_key, sizeof(cc.seed_operator));
 	randombytes_buf(&cc.seed, sizeof(cc.seed));
 	return ws_core_new(&cc);
 }
--- a/lib/io/ws_targets.c
+++ b/lib/io/ws_targets.c
@@ -10,7 +10,8 @@
 
 #define ANSWER_MAX ((size_t)4 * 1024 * 1024)
 #define CONTROL_ANSWER_MAX ((size_t)64 * 1024)
-#define CONTROL_TIMEOUT (600 * WS_MS)
+/* The core expects the result of a grant within 400 ms. */
+#define CONTROL_TIMEOUT (380 * WS_MS)
 #define URL_MAX 8448
 
 struct attempt {
