route: give back the payload of a failed attempt once

An answer of outcome NOT_RUN that carried a payload released it and then handed it to the caller too; one of outcome UNKNOWN that was retried kept it. Dispatchers send no payload with such answers today, so nothing was seen to go wrong. Both now release it and answer without.

--- a/lib/core/ws_route_run.c
+++ b/lib/core/ws_route_run.c
@@ -136,11 +136,14 @@
 			const struct ws_view *view)
 {
 	struct ws_route_call *c = &r->calls[slot];
+	struct ws_answer plain = *answer;
 	bool may_repeat = c->call.idempotent;
 
 #ifdef WS_MUTANT_RETRY_AFTER_DISPATCH
 	may_repeat = true;
 #endif
+	ws_route_release(fx, answer->payload);
+	plain.payload = 0;
 	c->maybe_run = true;
 	c->last_error = answer->error;
 	if (c->n_attempts) {
@@ -150,7 +153,7 @@
 	}
 	if (!may_repeat || c->unknown_retries >= WS_ROUTE_CRASH_RETRIES ||
 	    !ws_route_spend(r, 0)) {
-		ws_route_finish(r, fx, slot, answer);
+		ws_route_finish(r, fx, slot, &plain);
 		return;
 	}
 	c->unknown_retries++;
@@ -217,17 +220,19 @@
 			const struct ws_view *view)
 {
 	struct ws_route_call *c = &r->calls[slot];
+	struct ws_answer plain = *answer;
 
 	ws_route_release(fx, answer->payload);
+	plain.payload = 0;
 	c->last_error = answer->error;
 	if (c->n_attempts)
 		return;
 	switch (reaction_to(answer->error)) {
 	case REACT_ANSWER:
-		ws_route_finish(r, fx, slot, answer);
+		ws_route_finish(r, fx, slot, &plain);
 		return;
 	case REACT_OTHER:
-		try_other(r, fx, slot, answer, view);
+		try_other(r, fx, slot, &plain, view);
 		return;
 	case REACT_WAIT:
 		break;
