Bound when a target may start a request of a sharded service

Change: an attempt carries the end of the dispatcher's lease on the target's clock; a target does not start a request after it. A request that has begun is not cut. Weighed: capping the deadline instead, which would end every request of such services that runs longer than a second.

--- a/lib/core/ws_core_dispatch.c
+++ b/lib/core/ws_core_dispatch.c
@@ -271,6 +271,21 @@
 	ws_core_release(c, call->payload);
 }
 
+/* End of the own lease on the clock of the target. */
+static int64_t start_by(struct ws_core *c, const struct ws_effect *e)
+{
+	const struct ws_target *t =
+		ws_view_target(ws_core_members(c), e->u.attempt.target);
+	const struct ws_service *svc =
+		ws_bundle_service(c->bundle, e->u.attempt.call.service);
+
+	if (!t || !svc || !svc->sharded ||
+	    t->clock_incarnation != e->u.attempt.incarnation)
+		return 0;
+	return t->clock_target_us +
+	       (ws_own_fresh_until(c->own) - t->clock_local) - WS_DRIFT_MARGIN;
+}
+
 void ws_core_disp_send(struct ws_core *c, const struct ws_effect *e)
 {
 	struct ws_attempt_result res = { .outcome = WS_OUT_NOT_RUN };
@@ -286,6 +301,7 @@
 	}
 	out = ws_fx_add(c->out, WS_FX_ATTEMPT);
 	out->u.attempt = e->u.attempt;
+	out->u.attempt.start_by_us = start_by(c, e);
 }
 
 void ws_core_disp_done(struct ws_core *c, const struct ws_effect *e)
--- a/lib/core/ws_limit.c
+++ b/lib/core/ws_limit.c
@@ -59,6 +59,9 @@
 		return;
 	l->successes = 0;
 	l->limit++;
+	/* What is normal is learned anew once the target is warm. */
+	if (l->limit == l->slots)
+		l->latency = 0;
 }
 
 void ws_limit_shed(struct ws_limit *l, ws_us now)
--- a/lib/core/ws_types.h
+++ b/lib/core/ws_types.h
@@ -405,6 +405,12 @@
 			ws_id target;
 			uint64_t incarnation;
 			ws_offset fence;
+			/*
+			 * Sharded services: the target must not start it after
+			 * this time on its own clock; 0: no bound. A frozen
+			 * target may otherwise run it under a former fence.
+			 */
+			int64_t start_by_us;
 			struct ws_call call;
 		} attempt; /* ATTEMPT, DISP_SEND; CANCEL uses attempt only */
 		struct {
--- a/tests/fake.c
+++ b/tests/fake.c
@@ -250,6 +250,7 @@
 	r->fence = fx->u.attempt.fence;
 	r->sent = f->now;
 	r->deadline = deadline;
+	r->start_by_us = fx->u.attempt.start_by_us;
 	r->instance = i;
 	r->life = f->instances[i].life;
 	r->attempt = fx->u.attempt.attempt;
--- a/tests/fake_internal.h
+++ b/tests/fake_internal.h
@@ -120,6 +120,7 @@
 	ws_us sent;
 	ws_us start;
 	ws_us deadline;
+	int64_t start_by_us; /* on the target's clock; 0: none */
 	int instance; /* dispatcher */
 	uint64_t life;
 	uint64_t attempt;
