route: learn more than the hedging delay from cancelled attempts

With hedging, an attempt at a slow target is cancelled after the hedging delay, and its age counted as the target's latency. That is too low to call the target slow, so it got more traffic than without hedging.

A cancelled attempt now counts as twice its age. The reserve of the budget falls from 50 to 20 requests an instance, so that retries after a burst of failures exceed the 5 % by less.

--- a/lib/core/ws_est.c
+++ b/lib/core/ws_est.c
@@ -106,6 +106,12 @@
 {
 	struct ws_est *t = &e->targets[slot];
 
+	/*
+	 * The answer was still to come. Without the factor, hedged calls to a
+	 * slow target would teach the hedging delay as its latency, which is
+	 * too low to call it slow.
+	 */
+	age *= WS_EST_CENSORED_FACTOR;
 	if (age > t->latency)
 		ws_ests_sample(e, now, slot, age);
 }
--- a/lib/core/ws_est.h
+++ b/lib/core/ws_est.h
@@ -25,6 +25,9 @@
 /* ... and with at most one of this many calls of the service. */
 #define WS_EST_PROBE_CALLS 200
 
+/* An attempt that was given up counts as this many times its age. */
+#define WS_EST_CENSORED_FACTOR 2
+
 #define WS_EST_MEDIAN_PERIOD (50 * WS_MS)
 
 struct ws_est {
--- a/lib/core/ws_route_int.h
+++ b/lib/core/ws_route_int.h
@@ -34,11 +34,12 @@
 
 /*
  * Budget of extra requests in 1/1000 requests: each call earns its 5 %.
- * Hedges leave the reserve to retries after failures.
+ * Hedges leave the reserve to retries after failures: a lost target has at
+ * most its slots in flight over all instances.
  */
 #define WS_ROUTE_EARN (10 * WS_RETRY_BUDGET_PERCENT)
-#define WS_ROUTE_RESERVE 50000
-#define WS_ROUTE_BUDGET_MAX 60000
+#define WS_ROUTE_RESERVE 20000
+#define WS_ROUTE_BUDGET_MAX 24000
 
 /* A hedge before this age could not be told from jitter. */
 #define WS_ROUTE_HEDGE_MIN (2 * WS_MS)
