Settle who gives back a request's body

Cause: the demo aborted in the payload table ("invariant broken: s"): the body of a refused request was given back by ws_adm and by the core, and a body at its home by ws_idem and by the core. The fake counted nothing.

Change: ws_adm holds the body until it admits or refuses; the core takes a reference of its own before ws_idem takes one over; answers that leave with a handover are given back after sending. The fake counts references by instance, and test_core_random fails on a double release or a leak.

--- a/lib/core/ws_core.c
+++ b/lib/core/ws_core.c
@@ -42,6 +42,16 @@
 	e->u.release.payload = payload;
 }
 
+void ws_core_retain(struct ws_core *c, ws_payload payload)
+{
+	struct ws_effect *e;
+
+	if (!payload)
+		return;
+	e = ws_fx_add(c->out, WS_FX_RETAIN);
+	e->u.release.payload = payload;
+}
+
 /* ===== Partitions ===== */
 
 static void update_partitions(struct ws_core *c)
--- a/lib/core/ws_core_calls.c
+++ b/lib/core/ws_core_calls.c
@@ -254,6 +254,8 @@
 	uint64_t id = call->id;
 
 	call->state = CALL_HOME_LOCAL;
+	/* ws_idem takes a reference over; this call keeps its own. */
+	ws_core_retain(c, copy.payload);
 	ws_idem_begin(c->idem, ws_core_fx(c), c->now, c->wall_ms, id, &copy, a);
 }
 
@@ -354,6 +356,9 @@
 	entry->shell_id = ev->u.request.id;
 	entry->call = call;
 	id = entry->id;
+	/* ws_adm holds the payload until it admits or refuses the call. */
+	if (call.customer)
+		entry->call.payload = 0;
 	if (call.customer)
 		ws_adm_request(c->adm, ws_core_fx(c), c->now, id, &call,
 			       ws_core_members(c));
@@ -387,8 +392,10 @@
 {
 	struct core_call *call = ws_core_find_call(c, e->u.call.id);
 
-	if (call && call->state == CALL_ADMISSION)
-		start_call(c, call);
+	if (!call || call->state != CALL_ADMISSION)
+		return;
+	call->call.payload = e->u.call.call.payload;
+	start_call(c, call);
 }
 
 void ws_core_admit_refused(struct ws_core *c, const struct ws_effect *e)
@@ -410,6 +417,7 @@
 	struct core_call *call = ws_core_find_call(c, e->u.call.id);
 
 	WS_INVARIANT(call);
+	ws_core_release(c, e->u.call.call.payload);
 	start_routing(c, call);
 }
 
--- a/lib/core/ws_core_internal.h
+++ b/lib/core/ws_core_internal.h
@@ -195,9 +195,12 @@
 /* Sends a message to one instance; returns it to be filled in. */
 struct ws_msg *ws_core_send(struct ws_core *c, ws_id to, uint8_t kind);
 
-/* Gives a payload back to the shell. */
+/* Gives a reference to a payload back to the shell. */
 void ws_core_release(struct ws_core *c, ws_payload payload);
 
+/* Takes one more reference to a payload. */
+void ws_core_retain(struct ws_core *c, ws_payload payload);
+
 /* Effects of modules are added here and worked off within the step. */
 static inline struct ws_fx *ws_core_fx(struct ws_core *c)
 {
--- a/lib/core/ws_core_log.c
+++ b/lib/core/ws_core_log.c
@@ -328,9 +328,28 @@
 
 /* ===== Appends ===== */
 
+/* Answers that went along with a handover are not kept here any more. */
+static void release_handed_over(struct ws_core *c, size_t from)
+{
+	size_t n = c->out->n;
+	size_t i;
+	size_t k;
+
+	for (i = from; i < n; i++) {
+		struct ws_msg m = c->out->items[i].u.send.msg;
+
+		if (c->out->items[i].kind != WS_FX_SEND ||
+		    m.kind != WS_MSG_HANDOVER)
+			continue;
+		for (k = 0; k < m.u.handover.n_entries; k++)
+			ws_core_release(c, m.u.handover.entries[k].payload);
+	}
+}
+
 /* Passes the memory of request ids on before a partition changes hands. */
 static void hand_over(struct ws_core *c, const struct ws_record *rec)
 {
+	size_t from = c->out->n;
 	size_t i;
 
 	for (i = 0; i < rec->n_items; i++) {
@@ -342,6 +361,7 @@
 				 c->bundle->partitions, it->expected_fence,
 				 it->holder.id);
 	}
+	release_handed_over(c, from);
 }
 
 /* Does a released dispatch still have requests at its target? */
--- a/tests/fake.c
+++ b/tests/fake.c
@@ -308,6 +308,65 @@
 	}
 }
 
+/* ===== References to payloads ===== */
+
+void fake_payload(struct fake *f, int i, ws_payload payload, int delta)
+{
+	struct fake_instance *in = &f->instances[i];
+	size_t k = 2 * (size_t)(payload & ~ANSWER_PAYLOAD) +
+		   (payload & ANSWER_PAYLOAD ? 1 : 0);
+
+	if (!payload)
+		return;
+	ws_grow(&in->refs, &in->cap_refs, k + 1, sizeof(*in->refs));
+	in->refs[k] += delta;
+	if (in->refs[k] < 0)
+		fake_violation(f, "payload given back twice", payload,
+			       (uint64_t)i);
+}
+
+/* A core takes over the references that come with an event. */
+static void count_event(struct fake *f, int i, const struct ws_event *ev)
+{
+	const struct ws_msg *m = ev->u.peer.msg;
+	size_t k;
+
+	if (ev->kind == WS_EV_REQUEST)
+		fake_payload(f, i, ev->u.request.call.payload, 1);
+	else if (ev->kind == WS_EV_ATTEMPT_DONE)
+		fake_payload(f, i, ev->u.attempt.result.payload, 1);
+	if (ev->kind != WS_EV_PEER_MSG)
+		return;
+	if (m->kind == WS_MSG_FORWARD)
+		fake_payload(f, i, m->u.forward.call.payload, 1);
+	else if (m->kind == WS_MSG_ANSWER)
+		fake_payload(f, i, m->u.answer.answer.payload, 1);
+	else if (m->kind == WS_MSG_HANDOVER)
+		for (k = 0; k < m->u.handover.n_entries; k++)
+			fake_payload(f, i, m->u.handover.entries[k].payload, 1);
+}
+
+static void count_effect(struct fake *f, int i, const struct ws_effect *fx)
+{
+	if (fx->kind == WS_FX_RELEASE)
+		fake_payload(f, i, fx->u.release.payload, -1);
+	else if (fx->kind == WS_FX_RETAIN)
+		fake_payload(f, i, fx->u.release.payload, 1);
+	else if (fx->kind == WS_FX_REPLY)
+		fake_payload(f, i, fx->u.reply.answer.payload, -1);
+}
+
+size_t fake_held_requests(const struct fake *f, int i)
+{
+	const struct fake_instance *in = &f->instances[i];
+	size_t held = 0;
+	size_t k;
+
+	for (k = 0; k < in->cap_refs; k += 2)
+		held += (size_t)in->refs[k];
+	return held;
+}
+
 /* ===== Instances ===== */
 
 static void check_version(struct fake *f, struct fake_instance *in)
@@ -333,10 +392,13 @@
 	ev->now = local_time(f, in);
 	ev->wall_ms = f->now / 1000 + in->wall_offset_ms + 1700000000000LL;
 	f->report.events++;
+	count_event(f, i, ev);
 	ws_core_step(in->core, ev, &fx);
 	check_version(f, in);
-	for (k = 0; k < fx.n && in->core; k++)
+	for (k = 0; k < fx.n && in->core; k++) {
+		count_effect(f, i, &fx.items[k]);
 		carry_out(f, i, &fx.items[k]);
+	}
 	ws_fx_free(&fx);
 }
 
@@ -365,6 +427,7 @@
 
 	if (in->core)
 		return;
+	free(in->refs);
 	memset(in, 0, sizeof(*in));
 	in->life = ++f->seq;
 	in->id = ws_mix(f->conf.seed + 17, in->life) | 1;
@@ -704,8 +767,10 @@
 	size_t k;
 	int i;
 
-	for (i = 0; i < f->n_instances; i++)
+	for (i = 0; i < f->n_instances; i++) {
 		ws_core_free(f->instances[i].core);
+		free(f->instances[i].refs);
+	}
 	for (k = 0; k < f->n_heap; k++)
 		free_event(&f->heap[k]);
 	for (k = 0; k < f->n_log; k++)
--- a/tests/fake.h
+++ b/tests/fake.h
@@ -109,6 +109,9 @@
 ws_us fake_local_now(const struct fake *f, int i);
 int fake_target_of(const struct fake *f, enum fake_service s, int n);
 
+/* References that instance i holds to bodies of requests. */
+size_t fake_held_requests(const struct fake *f, int i);
+
 /* Sends one call now; returns its number. A resend keeps the request id. */
 int fake_call(struct fake *f, enum fake_service s, uint64_t key, int customer,
 	      int instance);
--- a/tests/fake_internal.h
+++ b/tests/fake_internal.h
@@ -6,6 +6,7 @@
 /* Private to fake*.c. */
 
 #define LEASE_ITEMS_MAX 256
+#define ANSWER_PAYLOAD 0x40000000u
 #define COLD_RUNS 24 /* runs after which a target is warm */
 
 enum fake_event_kind {
@@ -52,6 +53,9 @@
 	uint64_t bundle_seen;
 	ws_us bundle_seen_at;
 	bool draining;
+	/* References to payloads: requests at even places, answers at odd */
+	int *refs;
+	size_t cap_refs;
 };
 
 /* A lease that a target honours; times are true time of the fake. */
@@ -185,6 +189,9 @@
 ws_us fake_target_clock(const struct fake *f, const struct fake_target *t);
 int fake_find_target(const struct fake *f, ws_id id);
 
+/* Counts references to a payload; a violation below zero. */
+void fake_payload(struct fake *f, int i, ws_payload payload, int delta);
+
 /* fake_target.c */
 void fake_cancel_runs(struct fake *f, int instance);
 void fake_target_event(struct fake *f, struct fake_event *e);
--- a/tests/fake_target.c
+++ b/tests/fake_target.c
@@ -551,7 +551,7 @@
 	}
 	leave_target(f, r);
 	t->warm_runs++;
-	res.payload = 0x40000000u | (uint32_t)(r->call + 1);
+	res.payload = ANSWER_PAYLOAD | (uint32_t)(r->call + 1);
 	if (f->now >= r->deadline || fake_chance(f, f->conf.reply_lost))
 		return;
 	known = tell(f, r, &res);
--- a/tests/test_core_random.c
+++ b/tests/test_core_random.c
@@ -68,6 +68,20 @@
 	return conf;
 }
 
+/* More bodies than calls can be open would mean that some are never freed. */
+#define OPEN_CALLS_MAX 300
+
+static void check_leaks(struct fake *f, int instances)
+{
+	int i;
+
+	for (i = 0; i < instances; i++)
+		if (fake_core(f, i) &&
+		    fake_held_requests(f, i) > OPEN_CALLS_MAX)
+			fake_violation(f, "bodies of requests are not freed",
+				       (uint64_t)i, fake_held_requests(f, i));
+}
+
 /* Faults for a while, then quiet, in which everything must work again. */
 static void run_seed(uint64_t seed, ws_us duration, struct totals *t)
 {
@@ -82,6 +96,7 @@
 		fake_run(f, fake_now(f) + FAULT_GAP);
 	}
 	fake_run(f, fake_now(f) + QUIET_TIME);
+	check_leaks(f, conf.instances);
 	add_counts(t, r);
 	if (r->violations) {
 		t->failed_seeds++;
