Refuse at once when the queue cannot be served within the wait

Cause: under overload every refused call waited 50 ms, because as many calls could wait as the burst allows.

Change: beyond what is minted during the wait, only as many calls wait as tokens may exist now. The measurement counts calls that were queued, no longer those refused at once.

--- a/lib/core/ws_adm_priv.h
+++ b/lib/core/ws_adm_priv.h
@@ -171,6 +171,10 @@
 void ws_adm_pull(struct ws_adm *a, struct ws_fx *fx, struct ws_adm_customer *c,
 		 ws_us now);
 
+/* Milli that all instances together may have now, at most. */
+int64_t ws_adm_reachable(const struct ws_adm *a,
+			 const struct ws_adm_customer *c, ws_us now);
+
 /* Forgets pulls without answer. */
 void ws_adm_expire_asks(struct ws_adm *a, struct ws_adm_customer *c, ws_us now);
 
--- a/lib/core/ws_adm_pull.c
+++ b/lib/core/ws_adm_pull.c
@@ -297,6 +297,18 @@
 	return k->balance + minted < most ? k->balance + minted : most;
 }
 
+int64_t ws_adm_reachable(const struct ws_adm *a,
+			 const struct ws_adm_customer *c, ws_us now)
+{
+	int64_t sum = ws_adm_all_units(a, c, now) / ws_adm_milli(a);
+	size_t i;
+
+	for (i = 0; i < a->n_peers; i++)
+		if (a->peers[i].alive)
+			sum += estimate(a, c, i, now);
+	return sum;
+}
+
 static int64_t least_yield(const struct ws_adm *a,
 			   const struct ws_adm_customer *c, size_t peer)
 {
--- a/lib/core/ws_adm_wait.c
+++ b/lib/core/ws_adm_wait.c
@@ -43,10 +43,18 @@
 	return ws_mix(id, 2);
 }
 
-/* More cannot be served within the wait. */
-static uint64_t most_waiting(const struct ws_adm_customer *c)
+/* More than what is minted during the wait and what there may be now. */
+static bool too_many_wait(const struct ws_adm *a,
+			  const struct ws_adm_customer *c, ws_us now)
 {
-	return (uint64_t)c->rate * WS_TOKEN_WAIT / WS_SECOND + c->burst + 1;
+	uint64_t minted = (uint64_t)c->rate * WS_TOKEN_WAIT / WS_SECOND + 1;
+
+	if (a->wait_index.count >= WS_ADM_MAX_WAITING)
+		return true;
+	if (c->n_wait < minted)
+		return false;
+	return (c->n_wait - minted) * WS_ADM_MILLI >=
+	       (uint64_t)ws_adm_reachable(a, c, now);
 }
 
 static ws_us wait_until(const struct ws_call *call, ws_us now)
@@ -64,8 +72,7 @@
 	struct ws_adm_customer *c = &a->customers[customer];
 	uint32_t s;
 
-	if (a->wait_index.count >= WS_ADM_MAX_WAITING ||
-	    c->n_wait >= most_waiting(c))
+	if (too_many_wait(a, c, now))
 		return false;
 	s = ws_slots_take(&a->wait_index, hash_of(id));
 	ws_grow(&a->waits, &a->waits_cap, a->wait_index.cap, sizeof(*a->waits));
--- a/programs/measure-adm.c
+++ b/programs/measure-adm.c
@@ -291,7 +291,7 @@
 	}
 	ws_adm_request(f->adm[node], &fx, f->now, f->n_requests++, &call,
 		       &f->view);
-	if (q->counted && !(fx.n && fx.items[0].kind == WS_FX_ADMITTED))
+	if (q->counted && (!fx.n || fx.items[0].kind == WS_FX_SEND))
 		f->counts[c].waited++;
 	take_effects(f, node, &fx);
 	ws_fx_free(&fx);
