Keep peers when holders are told again, tell the bound of waiting calls

Cause: the core may tell the holders at each tick, and each call rebuilt all known balances; a call refused at the bound of waiting calls got 429.

Change: equal holders are recognised. The bound gives WS_ERR_LIMIT. A test covers customers that leave the bundle.

--- a/lib/core/ws_adm.c
+++ b/lib/core/ws_adm.c
@@ -245,6 +245,7 @@
 		       uint64_t id, const struct ws_call *call, uint32_t s)
 {
 	struct ws_adm_customer *c = &a->customers[s];
+	int error = WS_ERR_RATE;
 
 	c->arrivals++;
 	ws_adm_refill(a, c, now);
@@ -253,8 +254,9 @@
 		return;
 	}
 	if (!ws_adm_wait(a, s, id, call, now)) {
-		ws_adm_refuse(a, fx, id, call, WS_ERR_RATE,
-			      ws_adm_retry_after(c));
+		if (a->wait_index.count >= WS_ADM_MAX_WAITING)
+			error = WS_ERR_LIMIT;
+		ws_adm_refuse(a, fx, id, call, error, ws_adm_retry_after(c));
 		return;
 	}
 	a->stats.waited++;
--- a/lib/core/ws_adm_pull.c
+++ b/lib/core/ws_adm_pull.c
@@ -95,6 +95,20 @@
 	a->n_peers = n;
 }
 
+static bool same_peers(const struct ws_adm *a, const struct ws_adm_peer *peers,
+		       size_t n)
+{
+	size_t i;
+
+	if (n != a->n_peers)
+		return false;
+	for (i = 0; i < n; i++)
+		if (peers[i].id != a->peers[i].id ||
+		    peers[i].share != a->peers[i].share)
+			return false;
+	return true;
+}
+
 void ws_adm_set_holders(struct ws_adm *a, const ws_id *holder, size_t n)
 {
 	struct ws_adm_peer *peers = ws_alloc(n, sizeof(*peers));
@@ -113,7 +127,10 @@
 		peers[j].share += 1000;
 	}
 	a->holders_told = true;
-	replace_peers(a, peers, count, a->last_tick);
+	if (same_peers(a, peers, count))
+		free(peers);
+	else
+		replace_peers(a, peers, count, a->last_tick);
 }
 
 static size_t count_alive(const struct ws_view *view)
@@ -133,7 +150,6 @@
 	size_t alive = count_alive(view);
 	struct ws_adm_peer *peers = ws_alloc(alive, sizeof(*peers));
 	size_t n = 0;
-	bool same = true;
 	size_t i;
 
 	for (i = 0; i < view->n_instances; i++) {
@@ -144,12 +160,9 @@
 		peers[n].share =
 			(uint32_t)(a->partitions * 1000 / (int64_t)alive);
 		peers[n].alive = true;
-		same = same && n < a->n_peers &&
-		       a->peers[n].id == peers[n].id &&
-		       a->peers[n].share == peers[n].share;
 		n++;
 	}
-	if (same && n == a->n_peers)
+	if (same_peers(a, peers, n))
 		free(peers);
 	else
 		replace_peers(a, peers, n, now);
--- a/tests/test_adm.c
+++ b/tests/test_adm.c
@@ -262,6 +262,29 @@
 }
 END_TEST
 
+/* A customer removed by a new bundle must not be served from old tokens. */
+START_TEST(customer_that_left_the_bundle_is_refused)
+{
+	struct alone x;
+	const struct ws_effect *e;
+
+	start_alone(&x, 10, 1);
+	ck_assert_uint_eq(drain(&x, 10 * WS_SECOND), 1);
+	ws_fx_clear(&x.fx);
+	x.bundle.version = 2;
+	x.bundle.n_customers = 0;
+	ws_adm_tick(x.adm, &x.fx, 11 * WS_SECOND, &x.view);
+	ck_assert_uint_eq(x.fx.n, 2);
+	e = &x.fx.items[1];
+	ck_assert_uint_eq(e->kind, WS_FX_ADMIT_REFUSED);
+	ck_assert_int_eq(e->u.reply.answer.error, WS_ERR_BAD_KEY);
+	ws_adm_request(x.adm, &x.fx, 12 * WS_SECOND, 5,
+		       &(struct ws_call){ .customer = 1 }, &x.view);
+	ck_assert_int_eq(x.fx.items[2].u.reply.answer.error, WS_ERR_BAD_KEY);
+	end_alone(&x);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("adm");
@@ -275,6 +298,7 @@
 	tcase_add_test(tc, given_tokens_leave_no_room_until_they_expire);
 	tcase_add_test(tc, retry_after_is_true);
 	tcase_add_test(tc, cancelled_call_spends_nothing);
+	tcase_add_test(tc, customer_that_left_the_bundle_is_refused);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
 	srunner_run_all(sr, CK_NORMAL);
