Test the daemon with real processes and end the last instance

Cause: the last instance of a system has nobody to hand over to, so that its shutdown waited for shutdown_time.

Change: an idle instance without successor ends after two readings of the list. test_daemon starts the stand-ins and one daemon on loopback and covers keys, listeners, sizes, smuggled headers, paths, resends, rates, administration, payloads held and SIGTERM during a request.

--- a/lib/io/ws_shell.c
+++ b/lib/io/ws_shell.c
@@ -17,6 +17,12 @@
 #include "io/ws_peers.h"
 #include "io/ws_targets.h"
 
+/*
+ * The last instance cannot hand over. It waits for two readings of the list
+ * before it takes itself for the last one.
+ */
+#define SUCCESSOR_WAIT (1 * WS_SECOND)
+
 /* ===== Clocks ===== */
 
 ws_us ws_shell_now(void)
@@ -86,15 +92,31 @@
 
 /* ===== Time ===== */
 
+/* Tells whether another instance could take over what this one holds. */
+static bool has_successor(const struct ws_shell *sh)
+{
+	const struct ws_view *v = ws_core_view(sh->core);
+	size_t i;
+
+	for (i = 0; i < v->n_instances; i++)
+		if (v->instances[i].id != sh->self &&
+		    ws_view_eligible(v, &v->instances[i]))
+			return true;
+	return false;
+}
+
 /* The loop ends when the core is done and all answers have left. */
 static void end_if_drained(struct ws_shell *sh, ws_us now)
 {
 	ws_us most = sh->conf->shutdown_time * WS_MS;
+	ws_us spent = now - sh->drain_started;
+	bool idle;
 
 	if (!sh->draining)
 		return;
-	if ((sh->drained && !ws_front_open(sh->front)) ||
-	    now - sh->drain_started > most)
+	idle = !ws_front_open(sh->front) && !ws_targets_open(sh->targets);
+	if ((idle && sh->drained) || spent > most ||
+	    (idle && spent > SUCCESSOR_WAIT && !has_successor(sh)))
 		ev_break(sh->loop, EVBREAK_ALL);
 }
 
--- /dev/null
+++ b/tests/test_daemon.c
@@ -0,0 +1,317 @@
+#define _GNU_SOURCE /* strcasestr */
+#include <check.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "rig.h"
+
+#define MIB ((size_t)1024 * 1024)
+
+static const char *const with_key[] = {
+	"Authorization: Bearer " RIG_CALLER_KEY,
+	NULL,
+};
+
+static struct rig rig;
+
+static void setup(void)
+{
+	rig_start(&rig, 1000);
+}
+
+/* Slow targets, so that a request is still running when signals come. */
+static void setup_slow(void)
+{
+	rig_start(&rig, 400000);
+}
+
+static void teardown(void)
+{
+	rig_stop(&rig);
+}
+
+START_TEST(request_reaches_the_owner_and_its_answer_returns)
+{
+	struct rig_answer a;
+
+	rig_http(rig.callers, "GET", "/s/workshop/key%2D1/x?q=1", with_key,
+		 NULL, 0, &a);
+	ck_assert_int_eq(a.status, 200);
+	ck_assert_ptr_nonnull(strstr(a.body, "\"target\":\"t1\""));
+	ck_assert_ptr_nonnull(strstr(a.body, "\"customer\":\"acme\""));
+	ck_assert_ptr_null(strcasestr(a.headers, "x-wagtailshift"));
+}
+END_TEST
+
+/* Guarantee 5; a refusal must say that nothing ran and what to do. */
+START_TEST(request_without_valid_key_is_refused)
+{
+	const char *const wrong[] = { "Authorization: Bearer nothing", NULL };
+	const char *const basic[] = { "Authorization: Basic eDp5", NULL };
+	const char *const *cases[] = { NULL, wrong, basic };
+	struct rig_answer a;
+
+	rig_http(rig.callers, "GET", "/s/workshop/k", cases[_i], NULL, 0, &a);
+	ck_assert_msg(a.status == 401 || a.status == 403, "%ld", a.status);
+	ck_assert_ptr_nonnull(
+		strstr(a.headers, "X-Wagtailshift-Outcome: not-run"));
+	ck_assert_ptr_nonnull(strstr(a.body, "\"error\":"));
+	ck_assert_ptr_nonnull(strstr(a.body, "\"remedy\":"));
+}
+END_TEST
+
+START_TEST(internal_service_is_served_on_its_listener_only)
+{
+	struct rig_answer a;
+
+	rig_http(rig.internal, "GET", "/s/pages/a", NULL, NULL, 0, &a);
+	ck_assert_int_eq(a.status, 200);
+	rig_http(rig.callers, "GET", "/s/pages/a", with_key, NULL, 0, &a);
+	ck_assert_int_ge(a.status, 400);
+	ck_assert_ptr_null(strstr(a.body, "\"target\""));
+}
+END_TEST
+
+/* Both framings must be bounded, the second one has no length to look at. */
+START_TEST(body_above_one_mebibyte_is_refused)
+{
+	const char *const chunked[] = {
+		"Authorization: Bearer " RIG_CALLER_KEY,
+		"Transfer-Encoding: chunked",
+		NULL,
+	};
+	char *data = calloc(1, MIB + 1);
+	struct rig_answer a;
+
+	rig_http(rig.internal, "POST", "/s/pages/a", NULL, data, MIB, &a);
+	ck_assert_int_eq(a.status, 200);
+	rig_http(rig.internal, "POST", "/s/pages/a", NULL, data, MIB + 1, &a);
+	ck_assert_int_eq(a.status, 413);
+	rig_http(rig.internal, "POST", "/s/pages/a", chunked, data, MIB + 1,
+		 &a);
+	ck_assert_int_eq(a.status, 413);
+	ck_assert_ptr_nonnull(
+		strstr(a.headers, "X-Wagtailshift-Outcome: not-run"));
+	free(data);
+}
+END_TEST
+
+static const char *const smuggled[] = {
+	"Content-Length: 3\r\nContent-Length: 3",
+	"Content-Length: 3\r\nContent-Length: 4",
+	"Content-Length: 3\r\nTransfer-Encoding: chunked",
+	"Transfer-Encoding: chunked\r\nContent-Length: 3",
+	"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+	"Transfer-Encoding: gzip, chunked",
+	"Content-Length: +3",
+	"Content-Length: 3, 3",
+	"Content-Length: 3\r\nX-Wagtailshift-Customer: other",
+	"Content-Length: 3\r\nx-wagtailshift-fence: 9",
+	"Content-Length: 3\r\nHost: second",
+};
+
+/* A target must not read another request than the one that was checked. */
+START_TEST(smuggled_header_is_refused)
+{
+	char request[512];
+	char answer[2048];
+	int fd;
+
+	snprintf(request, sizeof(request),
+		 "POST /s/pages/a HTTP/1.1\r\nHost: a\r\n%s\r\n\r\nabc",
+		 smuggled[_i]);
+	fd = rig_send(rig.internal, request);
+	rig_read(fd, answer, sizeof(answer), 300);
+	close(fd);
+	ck_assert_msg(!strncmp(answer, "HTTP/1.1 400", 12), "%s", answer);
+	ck_assert_ptr_null(strstr(answer, "\"target\""));
+}
+END_TEST
+
+static const char *const bad_paths[] = {
+	"/s/workshop/../pages/a", "/s/workshop/%2e%2e/a", "/s/workshop/a%",
+	"/s/workshop/a%00b",	  "/s/workshop/a%2Fb",	  "/s/workshop",
+};
+
+/* A target that normalises a path would serve another key. */
+START_TEST(ambiguous_path_is_refused)
+{
+	struct rig_answer a;
+
+	rig_http(rig.callers, "GET", bad_paths[_i], with_key, NULL, 0, &a);
+	ck_assert_int_eq(a.status, 400);
+}
+END_TEST
+
+/* A UUID version 7 of this moment. */
+static void make_request_id(char *line, size_t size)
+{
+	struct timespec ts;
+	uint64_t ms;
+	uint32_t r[3];
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	ms = (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+	randombytes_buf(r, sizeof(r));
+	snprintf(line, size, "Idempotency-Key: %08x-%04x-7%03x-8%03x-%04x%08x",
+		 (unsigned)(ms >> 16), (unsigned)(ms & 0xffff), r[0] & 0xfff,
+		 r[0] >> 20, r[1] & 0xffff, r[2]);
+}
+
+/* Guarantee 9: a resend must neither run again nor end the process. */
+START_TEST(resent_request_gets_the_first_answer)
+{
+	char id[80];
+	const char *const headers[] = { with_key[0], id, NULL };
+	struct rig_answer first;
+	struct rig_answer again;
+
+	make_request_id(id, sizeof(id));
+	rig_http(rig.callers, "POST", "/s/workshop/k", headers, "a", 1, &first);
+	ck_assert_int_eq(first.status, 200);
+	rig_http(rig.callers, "POST", "/s/workshop/k", headers, "a", 1, &again);
+	ck_assert_int_eq(again.status, 200);
+	ck_assert_str_eq(first.body, again.body);
+	rig_http(rig.callers, "POST", "/s/workshop/k", headers, "b", 1, &again);
+	ck_assert_int_eq(again.status, 422);
+}
+END_TEST
+
+/* Guarantee 6; the customer's burst over 24 partitions is below one token. */
+START_TEST(request_above_the_rate_is_refused_with_a_time)
+{
+	const char *const key[] = {
+		"Authorization: Bearer " RIG_CALLER_KEY "-2",
+		NULL,
+	};
+	struct rig_answer a;
+	int i;
+
+	for (i = 0; i < 3; i++)
+		rig_http(rig.callers, "GET", "/s/workshop/k", key, NULL, 0, &a);
+	ck_assert_int_eq(a.status, 429);
+	ck_assert_ptr_nonnull(strstr(a.headers, "Retry-After: "));
+	ck_assert_ptr_nonnull(
+		strstr(a.headers, "X-Wagtailshift-Outcome: not-run"));
+}
+END_TEST
+
+START_TEST(administration_needs_the_token)
+{
+	const char *const good[] = { "Authorization: Bearer " RIG_TOKEN, NULL };
+	const char *const bad[] = { "Authorization: Bearer " RIG_TOKEN "x",
+				    NULL };
+	static const char *const pages[] = { "/status",	 "/owners", "/shares",
+					     "/targets", "/bundle", "/history",
+					     "/audit" };
+	char path[64];
+	struct rig_answer a;
+	size_t i;
+
+	for (i = 0; i < sizeof(pages) / sizeof(pages[0]); i++) {
+		snprintf(path, sizeof(path), "/admin/v1%s", pages[i]);
+		rig_http(rig.admin, "GET", path, bad, NULL, 0, &a);
+		ck_assert_int_eq(a.status, 401);
+		rig_http(rig.admin, "GET", path, NULL, NULL, 0, &a);
+		ck_assert_int_eq(a.status, 401);
+		rig_http(rig.admin, "GET", path, good, NULL, 0, &a);
+		ck_assert_int_eq(a.status, 200);
+		ck_assert_int_eq(a.body[0], '{');
+	}
+	rig_http(rig.admin, "GET", "/readyz", NULL, NULL, 0, &a);
+	ck_assert_int_eq(a.status, 200);
+	rig_http(rig.admin, "GET", "/metrics", NULL, NULL, 0, &a);
+	ck_assert_ptr_nonnull(
+		strstr(a.body, "wagtailshift_request_seconds_bucket{le="));
+}
+END_TEST
+
+static long payload_bytes(void)
+{
+	static const char name[] = "\nwagtailshift_payload_bytes ";
+	struct rig_answer a;
+	const char *p;
+
+	rig_http(rig.admin, "GET", "/metrics", NULL, NULL, 0, &a);
+	p = strstr(a.body, name);
+	ck_assert_ptr_nonnull(p);
+	return strtol(p + sizeof(name) - 1, NULL, 10);
+}
+
+/* Every payload must be given back, or memory is not bounded. */
+START_TEST(no_payload_is_held_after_the_answers)
+{
+	struct rig_answer a;
+	long before = payload_bytes();
+	int i;
+
+	for (i = 0; i < 50; i++) {
+		rig_http(rig.callers, "GET", "/s/workshop/k", with_key, NULL, 0,
+			 &a);
+		ck_assert_int_eq(a.status, 200);
+	}
+	ck_assert_int_eq(payload_bytes(), before);
+}
+END_TEST
+
+/* Guarantee 11. */
+START_TEST(shutdown_while_a_request_runs_cuts_nothing_off)
+{
+	char answer[4096];
+	int fd = rig_send(rig.callers,
+			  "GET /s/workshop/k HTTP/1.1\r\nHost: a\r\n"
+			  "Authorization: Bearer " RIG_CALLER_KEY "\r\n\r\n");
+
+	usleep(100000);
+	kill(rig.daemon, SIGTERM);
+	rig_read(fd, answer, sizeof(answer), 3000);
+	close(fd);
+	ck_assert_msg(!strncmp(answer, "HTTP/1.1 200", 12), "%s", answer);
+	ck_assert_ptr_nonnull(strstr(answer, "\"target\":\"t1\""));
+	ck_assert_int_eq(rig_wait_daemon(&rig, 15000), 0);
+}
+END_TEST
+
+int main(int argc, char **argv)
+{
+	Suite *s = suite_create("daemon");
+	TCase *tc = tcase_create("serving");
+	TCase *stop = tcase_create("stopping");
+	SRunner *sr;
+	int failed;
+
+	(void)argc;
+	if (sodium_init() < 0)
+		return EXIT_FAILURE;
+	rig_programs(argv[0]);
+	tcase_add_unchecked_fixture(tc, setup, teardown);
+	tcase_set_timeout(tc, 60);
+	tcase_add_test(tc, request_reaches_the_owner_and_its_answer_returns);
+	tcase_add_loop_test(tc, request_without_valid_key_is_refused, 0, 3);
+	tcase_add_test(tc, internal_service_is_served_on_its_listener_only);
+	tcase_add_test(tc, body_above_one_mebibyte_is_refused);
+	tcase_add_loop_test(tc, smuggled_header_is_refused, 0,
+			    sizeof(smuggled) / sizeof(smuggled[0]));
+	tcase_add_loop_test(tc, ambiguous_path_is_refused, 0,
+			    sizeof(bad_paths) / sizeof(bad_paths[0]));
+	tcase_add_test(tc, resent_request_gets_the_first_answer);
+	tcase_add_test(tc, request_above_the_rate_is_refused_with_a_time);
+	tcase_add_test(tc, administration_needs_the_token);
+	tcase_add_test(tc, no_payload_is_held_after_the_answers);
+	/* Only the process that started the daemon can wait for its end. */
+	tcase_add_checked_fixture(stop, setup_slow, teardown);
+	tcase_set_timeout(stop, 60);
+	tcase_add_test(stop, shutdown_while_a_request_runs_cuts_nothing_off);
+	suite_add_tcase(s, tc);
+	suite_add_tcase(s, stop);
+	sr = srunner_create(s);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
