--- a/lib/core/ws_own_append.c
+++ b/lib/core/ws_own_append.c
@@ -45,7 +45,7 @@
 		    weight(topic, x->id) > mine)
 			rank++;
 	}
-	return rank;
+	return rank < OWN_RANK_MAX ? rank : OWN_RANK_MAX;
 }
 
 /* ===== Appends ===== */
--- a/lib/core/ws_own_fold.c
+++ b/lib/core/ws_own_fold.c
@@ -175,6 +175,7 @@
 	e->since = now;
 	e->given_up = 0;
 	e->moved_at = 0;
+	e->forget = false;
 	if (!active)
 		pending_note(o, now, rec->offset, rec->writer, &it->res);
 }
--- a/lib/core/ws_own_internal.h
+++ b/lib/core/ws_own_internal.h
@@ -31,6 +31,8 @@
 #define OWN_RETAKE (WS_LEASE + 500 * WS_MS)
 /* The next in rank acts when the one before it has not. */
 #define OWN_RANK_DELAY (500 * WS_MS)
+/* Later ones do not wait longer; their duplicates are harmless. */
+#define OWN_RANK_MAX 8
 #define OWN_APPEND_WAIT (600 * WS_MS)
 #define OWN_APPEND_RETRY (100 * WS_MS)
 #define OWN_GRANT_PERIOD (300 * WS_MS)
@@ -39,6 +41,11 @@
 /* Planned moves wait until the view has not changed for this time. */
 #define OWN_STABLE (1000 * WS_MS)
 #define OWN_SCAN_PERIOD (100 * WS_MS)
+/*
+ * Added for each entry of the table: a plan costs about half a microsecond an
+ * entry, and repeating it may take only a small share of a core.
+ */
+#define OWN_SCAN_PER_ENTRY ((ws_us)4)
 /* A bin with less than this share of the mean number of items is filled up. */
 #define OWN_UNEVEN_PERCENT 60
 #define OWN_TOPIC_PARTITIONS 1001
@@ -79,6 +86,7 @@
 	/* Fence that this process has given up; never used again by it. */
 	ws_offset given_up;
 	struct ws_holder move_to; /* who gets what is given up */
+	bool forget; /* released to nobody: its target is gone */
 	ws_us moved_at; /* last append of the release; 0: not yet */
 	ws_offset drop_tenure; /* dispatch fence to which drop_seq belongs */
 	uint64_t drop_seq; /* first grant without it */
@@ -310,7 +318,10 @@
 		      struct own_topic *t, struct ws_record *rec);
 void own_append_seen(struct ws_own *o, uint64_t uid);
 void own_append_expire(struct ws_own *o, ws_us now);
-/* Rank of this instance among the eligible ones for a topic; 0 is first. */
+/*
+ * Rank of this instance among the eligible ones for a topic, 0 is first; at
+ * most OWN_RANK_MAX.
+ */
 unsigned own_rank(const struct ws_own *o, const struct ws_view *view,
 		  uint64_t topic);
 
@@ -376,6 +387,8 @@
 /* Whether this instance may start planned moves now. */
 bool own_may_plan(const struct ws_own *o, ws_us now,
 		  const struct ws_view *view);
+/* Time between two plans while nothing has changed but work is left. */
+ws_us own_scan_period(const struct ws_own *o);
 /* Gives up a shard or hot key of an own target in favour of another one. */
 void own_move(struct ws_own *o, struct own_entry *e,
 	      const struct ws_holder *to);
--- a/lib/core/ws_own_move.c
+++ b/lib/core/ws_own_move.c
@@ -22,6 +22,7 @@
 void own_move(struct ws_own *o, struct own_entry *e, const struct ws_holder *to)
 {
 	e->move_to = *to;
+	e->forget = false;
 	if (own_given_up(e))
 		return;
 	own_give_up(o, e);
@@ -52,6 +53,43 @@
 	}
 }
 
+/* ===== Forgetting ===== */
+
+static bool owns_shards(const struct ws_own *o, ws_id target)
+{
+	size_t i;
+
+	for (i = 0; i < o->n; i++)
+		if (o->entries[i].a.res.kind >= WS_RES_SHARD &&
+		    o->entries[i].a.holder.id == target)
+			return true;
+	return false;
+}
+
+/* The dispatch of a target that no longer exists is given back to nobody. */
+static void forget_targets(struct ws_own *o, ws_us now,
+			   const struct ws_view *view)
+{
+	size_t i;
+
+	for (i = 0; i < o->n; i++) {
+		struct own_entry *e = &o->entries[i];
+		const struct ws_target *t;
+
+		if (e->a.res.kind != WS_RES_DISPATCH || own_given_up(e) ||
+		    !mine(o, now, e))
+			continue;
+		t = ws_view_target(view, e->a.res.item);
+		if ((t && t->listed) || owns_shards(o, e->a.res.item))
+			continue;
+		e->forget = true;
+		e->move_to = (struct ws_holder){ 0 };
+		own_give_up(o, e);
+	}
+}
+
+/* ===== Planning ===== */
+
 /*
  * Load is evened out when neither view nor table has changed for a while: the
  * other instances may know of a leaving member that this one has not heard of.
@@ -69,13 +107,15 @@
 	bool same = o->moved_version == o->version &&
 		    o->moved_sum == o->view_sum && o->moved_level == level;
 
-	if (same && (now - o->moved_at < OWN_SCAN_PERIOD ||
+	if (same && (now - o->moved_at < own_scan_period(o) ||
 		     !(o->moves_left || o->work_left)))
 		return;
 	o->moved_at = now;
 	o->moved_sum = o->view_sum;
 	o->moved_level = level;
 	own_plan_all(o, fx, now, view, true, level, choose);
+	if (view->n_targets)
+		forget_targets(o, now, view);
 	o->moved_version = o->version;
 }
 
@@ -88,7 +128,8 @@
 
 static bool releasable(struct ws_own *o, ws_us now, struct own_entry *e)
 {
-	if (!own_given_up(e) || !e->move_to.id || !mine(o, now, e))
+	if (!own_given_up(e) || !(e->move_to.id || e->forget) ||
+	    !mine(o, now, e))
 		return false;
 	if (e->moved_at && now - e->moved_at < OWN_APPEND_WAIT)
 		return false;
--- a/lib/core/ws_own_propose.c
+++ b/lib/core/ws_own_propose.c
@@ -186,12 +186,17 @@
 	flush(o, fx, now, topic, &rec);
 }
 
+ws_us own_scan_period(const struct ws_own *o)
+{
+	return OWN_SCAN_PERIOD + (ws_us)o->n * OWN_SCAN_PER_ENTRY;
+}
+
 static bool scan_due(const struct ws_own *o, ws_us now)
 {
 	if (o->version != o->scanned_version || o->view_sum != o->scanned_sum)
 		return true;
 	return (o->work_left || o->n_pending) &&
-	       now - o->scanned_at >= OWN_SCAN_PERIOD;
+	       now - o->scanned_at >= own_scan_period(o);
 }
 
 void own_propose_tick(struct ws_own *o, struct ws_fx *fx, ws_us now,
--- a/lib/core/ws_own_tail.c
+++ b/lib/core/ws_own_tail.c
@@ -12,12 +12,28 @@
 	return &o->tail[off % OWN_TAIL_RECORDS];
 }
 
+/* Folding a snapshot needs no more than what it covers; its table is large. */
+static struct ws_record without_table(const struct ws_record *rec)
+{
+	struct ws_record r = {
+		.kind = rec->kind,
+		.offset = rec->offset,
+		.uid = rec->uid,
+		.writer = rec->writer,
+		.wall_ms = rec->wall_ms,
+		.target_offset = rec->target_offset,
+	};
+
+	return rec->kind == WS_REC_SNAPSHOT ? r : *rec;
+}
+
 void own_tail_keep(struct ws_own *o, const struct ws_record *rec)
 {
 	struct ws_record *slot = tail_slot(o, rec->offset);
+	struct ws_record kept = without_table(rec);
 
 	ws_record_clear(slot);
-	ws_record_copy(slot, rec);
+	ws_record_copy(slot, &kept);
 	if (!o->tail_from)
 		o->tail_from = rec->offset;
 	if (rec->offset - o->tail_from >= OWN_TAIL_RECORDS)
--- a/tests/own_sim.c
+++ b/tests/own_sim.c
@@ -241,7 +241,7 @@
 
 void sim_log_append(struct sim *s, struct ws_record *rec)
 {
-	ws_offset fences[2 * RES_MAX];
+	ws_offset fences[2 * RES_MAX] = { 0 };
 	struct ws_fx fx = { 0 };
 	struct ws_record *r = &s->log[s->head];
 
--- a/tests/test_own.c
+++ b/tests/test_own.c
@@ -431,6 +431,42 @@
 }
 END_TEST
 
+/* With a majority silent for good, waiting ends after the outage limit. */
+START_TEST(activation_without_answers_waits_for_the_outage_limit)
+{
+	ws_us start = now;
+	ws_offset d;
+
+	own_t1();
+	d = assign_one(2, false, WS_RES_DISPATCH, T2, 0, 2);
+	assign_one(SELF, false, WS_RES_DISPATCH, T2, d, SELF);
+	while (!appended(WS_REC_ACTIVATE) && now < start + 700 * WS_SECOND) {
+		ws_fx_clear(&fx);
+		tick_for(WS_SECOND, true);
+	}
+	ck_assert_int_gt(now, start + 600 * WS_SECOND + WS_LEASE);
+	ck_assert_int_lt(now, start + 650 * WS_SECOND);
+}
+END_TEST
+
+/* Else the table would keep every target that has ever existed. */
+START_TEST(dispatch_of_a_vanished_target_is_forgotten)
+{
+	struct ws_record *r;
+
+	own_t1();
+	assign_one(SELF, false, WS_RES_DISPATCH, T2, 0, SELF);
+	view.n_targets = 1;
+	tick_for(1500 * WS_MS, true);
+	r = appended(WS_REC_ASSIGN);
+	ck_assert(r && r->released);
+	ck_assert_uint_eq(r->items[0].res.item, T2);
+	fold(r);
+	ck_assert_ptr_null(find(WS_RES_DISPATCH, T2));
+	ck_assert_ptr_nonnull(find(WS_RES_DISPATCH, T1));
+}
+END_TEST
+
 /* ===== Leases and sending ===== */
 
 /* A grant that outlives the evidence overlaps with a takeover. */
@@ -607,6 +643,9 @@
 	tcase_add_test(tc, holder_with_a_release_under_way_does_not_answer);
 	tcase_add_test(tc, activation_waits_for_answers_and_a_lease);
 	tcase_add_test(tc, recover_replaces_answers_of_gone_instances);
+	tcase_add_test(tc,
+		       activation_without_answers_waits_for_the_outage_limit);
+	tcase_add_test(tc, dispatch_of_a_vanished_target_is_forgotten);
 	tcase_add_test(tc, grant_ends_before_the_evidence);
 	tcase_add_test(tc, may_send_checks_everything);
 	tcase_add_test(tc, leaving_target_releases_after_its_answer);
