Tell the next home how a request ended that ran during the handover

Cause: the new home of a partition answered "in progress" until the end of the retention for ids that ran at the old home when it handed over.

Change: finish() sends the result in a HANDOVER message with a number of messages of 0; the new home takes it only for the run that was handed over under the same fence, and forgets the id when it was proved not to have run.

Conclusion: a resend after a handover gets the answer.

--- a/lib/core/ws_idem.c
+++ b/lib/core/ws_idem.c
@@ -30,6 +30,7 @@
 	for (i = 0; i < d->homes_cap; i++)
 		free(d->homes[i].in_seen);
 	free(d->homes);
+	free(d->moves);
 	free(d->items);
 	free(d->askers);
 	ws_slots_free(&d->item_index);
@@ -239,6 +240,7 @@
 	it->state = answer->outcome == WS_OUT_DONE ? WS_IDEM_DONE :
 						     WS_IDEM_UNKNOWN;
 	reply_all(d, fx, item, answer);
+	ws_idem_tell_result(d, fx, item, answer);
 	if (forget)
 		ws_idem_drop(d, fx, item);
 }
--- a/lib/core/ws_idem.h
+++ b/lib/core/ws_idem.h
@@ -31,10 +31,12 @@
 	WS_IDEM_DONE = 2, /* the answer is kept */
 	WS_IDEM_UNKNOWN = 3, /* dispatched, outcome unknown */
 	WS_IDEM_ELSEWHERE = 4, /* dispatched by a former home */
+	WS_IDEM_NOT_RUN = 5, /* in a message: proved, forget the id */
 	/*
 	 * First entry of each HANDOVER message: request_id is {index of the
 	 * message, number of messages}; ids stamped before stamp_ms may have
-	 * been dispatched although they are not listed.
+	 * been dispatched although they are not listed. A number of messages
+	 * of 0 marks the result of a request that ran during the handover.
 	 */
 	WS_IDEM_CHUNK = 255,
 };
@@ -117,8 +119,8 @@
 
 /*
  * Sends the table of a partition to its next holder. From here on begin()
- * starts nothing under this fence; requests that run are finished here.
- * The next holder answers "in progress" for them.
+ * starts nothing under this fence; requests that run are finished here, and
+ * finish() tells the next holder, which answers "in progress" until then.
  */
 void ws_idem_handover(struct ws_idem *d, struct ws_fx *fx, uint32_t partition,
 		      uint32_t partitions, ws_offset fence, ws_id to);
--- a/lib/core/ws_idem_home.c
+++ b/lib/core/ws_idem_home.c
@@ -122,7 +122,7 @@
 
 /* Returns false when the table is full. */
 static bool import(struct ws_idem *d, struct ws_fx *fx,
-		   const struct ws_idem_entry *e)
+		   const struct ws_idem_entry *e, ws_offset fence)
 {
 	uint8_t state = state_here(e->state);
 	uint32_t item = ws_idem_find(d, e->customer, e->request_id);
@@ -138,6 +138,7 @@
 		ws_idem_release(fx, e->payload);
 		return false;
 	}
+	d->items[item].ran_under = fence;
 	a = &d->items[item].answer;
 	a->payload = e->payload;
 	a->status = e->status;
@@ -176,11 +177,47 @@
 		h->in_bound_ms = chunk->stamp_ms;
 }
 
+/*
+ * The result of a request that ran at the former home during the handover.
+ * It counts only for the very run that was handed over, because an id that
+ * was proved not to have run may have run again since.
+ */
+static void import_result(struct ws_idem *d, struct ws_fx *fx,
+			  const struct ws_idem_entry *e, ws_offset fence)
+{
+	uint32_t item = ws_idem_find(d, e->customer, e->request_id);
+	struct ws_idem_item *it = NULL;
+
+	if (item != WS_SLOT_NONE)
+		it = &d->items[item];
+#ifdef WS_MUTANT_RESULT_OF_ANY_RUN
+	fence = it ? it->ran_under : 0;
+#endif
+	if (!it || it->state != WS_IDEM_ELSEWHERE || it->ran_under != fence) {
+		ws_idem_release(fx, e->payload);
+		return;
+	}
+	if (e->state == WS_IDEM_NOT_RUN) {
+		ws_idem_release(fx, e->payload);
+		ws_idem_drop(d, fx, item);
+		return;
+	}
+	if (e->state == WS_IDEM_UNKNOWN)
+		it->state = WS_IDEM_UNKNOWN;
+	merge(d, fx, item, e, e->state);
+}
+
+static bool is_result(const struct ws_idem_entry *first)
+{
+	return first->state == WS_IDEM_CHUNK && !first->request_id[1];
+}
+
 void ws_idem_msg(struct ws_idem *d, struct ws_fx *fx, ws_us now, ws_id from,
 		 const struct ws_msg *msg)
 {
 	const struct ws_idem_entry *e = msg->u.handover.entries;
 	size_t n = msg->u.handover.n_entries;
+	ws_offset fence = msg->u.handover.fence;
 	bool whole = true;
 	size_t i;
 
@@ -188,12 +225,15 @@
 	(void)from;
 	if (msg->kind != WS_MSG_HANDOVER || !n)
 		return;
-	for (i = 1; i < n; i++)
-		whole = import(d, fx, &e[i]) && whole;
+	for (i = 1; i < n; i++) {
+		if (is_result(&e[0]))
+			import_result(d, fx, &e[i], fence);
+		else
+			whole = import(d, fx, &e[i], fence) && whole;
+	}
 	if (whole && e[0].state == WS_IDEM_CHUNK &&
 	    msg->u.handover.partition < WS_IDEM_MAX_PARTITIONS)
-		count_chunk(d, msg->u.handover.partition, msg->u.handover.fence,
-			    &e[0]);
+		count_chunk(d, msg->u.handover.partition, fence, &e[0]);
 }
 
 /* ===== Sending a handover ===== */
@@ -229,19 +269,33 @@
 	ws_idem_drop(d, fx, item);
 }
 
+static void note_move(struct ws_idem *d, uint32_t item,
+		      const struct ws_idem_move *where)
+{
+	struct ws_idem_move *m;
+
+	ws_grow(&d->moves, &d->moves_cap, d->n_moves + 1, sizeof(*d->moves));
+	m = &d->moves[d->n_moves++];
+	*m = *where;
+	m->item = item;
+}
+
 static void export_partition(struct ws_idem *d, struct ws_fx *fx,
-			     struct export *x, uint32_t partition,
-			     uint32_t partitions)
+			     struct export *x, uint32_t partitions,
+			     const struct ws_idem_move *where)
 {
 	const struct ws_idem_item *it;
 	uint32_t s;
 
 	for (s = 0; s < d->item_index.cap; s++) {
 		it = &d->items[s];
-		if (d->item_index.slot[s].used &&
+		if (!d->item_index.slot[s].used ||
 		    ws_idem_partition(it->customer, it->request_id,
-				      partitions) == partition)
-			export_item(d, fx, x, s);
+				      partitions) != where->partition)
+			continue;
+		if (it->state == WS_IDEM_RUNNING)
+			note_move(d, s, where);
+		export_item(d, fx, x, s);
 	}
 }
 
@@ -276,6 +330,9 @@
 		      uint32_t partitions, ws_offset fence, ws_id to)
 {
 	struct ws_idem_home *h = ws_idem_home(d, partition);
+	struct ws_idem_move where = { .partition = partition,
+				      .fence = fence,
+				      .to = to };
 	struct export x = { 0 };
 	int64_t bound_ms = bound_to_hand_over(d, h, fence);
 	uint64_t total;
@@ -284,7 +341,7 @@
 	if (fence <= h->given)
 		return;
 	h->given = fence;
-	export_partition(d, fx, &x, partition, partitions);
+	export_partition(d, fx, &x, partitions, &where);
 	total = x.n ? (x.n + WS_IDEM_CHUNK_ENTRIES - 1) /
 				WS_IDEM_CHUNK_ENTRIES :
 		      1;
@@ -292,3 +349,51 @@
 		send_chunk(fx, to, partition, fence, &x, i, total, bound_ms);
 	free(x.entries);
 }
+
+/* ===== Results after a handover ===== */
+
+static void send_result(struct ws_fx *fx, const struct ws_idem_move *m,
+			const struct ws_idem_item *it,
+			const struct ws_answer *answer)
+{
+	struct ws_idem_entry *entries = ws_alloc(2, sizeof(*entries));
+	struct ws_effect *e;
+
+	if (answer->payload) {
+		e = ws_fx_add(fx, WS_FX_RETAIN);
+		e->u.release.payload = answer->payload;
+	}
+	entries[0].state = WS_IDEM_CHUNK;
+	entries[1].request_id[0] = it->request_id[0];
+	entries[1].request_id[1] = it->request_id[1];
+	entries[1].customer = it->customer;
+	entries[1].fingerprint = it->fingerprint;
+	entries[1].stamp_ms = ws_idem_stamp(it->request_id);
+	entries[1].state = answer->outcome == WS_OUT_NOT_RUN ? WS_IDEM_NOT_RUN :
+							       it->state;
+	entries[1].status = answer->status;
+	entries[1].payload = answer->payload;
+	e = ws_fx_add(fx, WS_FX_SEND);
+	e->u.send.to = m->to;
+	e->u.send.msg.kind = WS_MSG_HANDOVER;
+	e->u.send.msg.u.handover.partition = m->partition;
+	e->u.send.msg.u.handover.fence = m->fence;
+	e->u.send.msg.u.handover.last = true;
+	e->u.send.msg.u.handover.n_entries = 2;
+	e->u.send.msg.u.handover.entries = entries;
+}
+
+void ws_idem_tell_result(struct ws_idem *d, struct ws_fx *fx, uint32_t item,
+			 const struct ws_answer *answer)
+{
+	size_t i = 0;
+
+	while (i < d->n_moves) {
+		if (d->moves[i].item != item) {
+			i++;
+			continue;
+		}
+		send_result(fx, &d->moves[i], &d->items[item], answer);
+		d->moves[i] = d->moves[--d->n_moves];
+	}
+}
--- a/lib/core/ws_idem_priv.h
+++ b/lib/core/ws_idem_priv.h
@@ -18,6 +18,7 @@
 	ws_id customer;
 	uint64_t fingerprint;
 	struct ws_answer answer; /* DONE and UNKNOWN */
+	ws_offset ran_under; /* ELSEWHERE: fence of the home that told it */
 	uint32_t askers; /* first of a list of askers */
 	uint8_t state;
 };
@@ -31,6 +32,14 @@
 	bool gone;
 };
 
+/* A request that runs here although its partition was handed over. */
+struct ws_idem_move {
+	uint32_t item;
+	uint32_t partition;
+	ws_offset fence;
+	ws_id to;
+};
+
 /* What is known of one partition. */
 struct ws_idem_home {
 	ws_offset fence; /* highest assignment to this instance */
@@ -57,6 +66,9 @@
 	struct ws_slots asker_index;
 	struct ws_idem_asker *askers;
 	size_t askers_cap;
+	struct ws_idem_move *moves;
+	size_t n_moves;
+	size_t moves_cap;
 	struct ws_idem_home *homes;
 	size_t homes_cap;
 	int64_t wall_ms; /* latest wall clock seen */
@@ -97,4 +109,8 @@
  */
 int64_t ws_idem_bound(struct ws_idem *d, const struct ws_assignment *part);
 
+/* Tells the next holder how a request ended that ran during a handover. */
+void ws_idem_tell_result(struct ws_idem *d, struct ws_fx *fx, uint32_t item,
+			 const struct ws_answer *answer);
+
 #endif
--- a/tests/test_idem.c
+++ b/tests/test_idem.c
@@ -491,7 +491,7 @@
  */
 START_TEST(answers_agree_with_a_record_of_all_runs)
 {
-	struct seed_range s = seed_range_get(4000);
+	struct seed_range s = seed_range_get(10000);
 	uint64_t n[6] = { 0 };
 	uint64_t seed;
 
@@ -551,6 +551,40 @@
 }
 END_TEST
 
+/* A resend at the new home must get the answer of the run at the old one. */
+START_TEST(result_follows_a_request_that_ran_during_the_handover)
+{
+	struct ws_idem *from = ws_idem_new(10, 10);
+	struct ws_idem *to = ws_idem_new(10, 10);
+	struct ws_answer ans = { .outcome = WS_OUT_DONE, .status = 201 };
+	struct ws_assignment part = { .res = { .kind = WS_RES_PARTITION },
+				      .fence = 1 };
+	struct ws_call call = { .customer = 1 };
+	struct ws_fx fx = { 0 };
+	struct ws_fx out = { 0 };
+
+	call.request_id[0] = (uint64_t)1000000 << 16 | 0x7000;
+	call.request_id[1] = 2ULL << 62;
+	ws_idem_assigned(from, 1000000, 0, 1, 0);
+	ws_idem_begin(from, &fx, 0, 1000000, 1, &call, &part);
+	ws_fx_clear(&fx);
+	ws_idem_handover(from, &fx, 0, 1, 1, 9);
+	ws_idem_finish(from, &fx, 0, 1, &ans);
+	ck_assert_uint_eq(fx.n, 3);
+	ws_idem_msg(to, &out, 0, 8, &fx.items[0].u.send.msg);
+	ws_idem_msg(to, &out, 0, 8, &fx.items[2].u.send.msg);
+	ws_idem_assigned(to, 1000000, 0, 2, 1);
+	part.fence = 2;
+	ws_idem_begin(to, &out, 0, 1000001, 1, &call, &part);
+	ck_assert_uint_eq(out.n, 1);
+	ck_assert_uint_eq(out.items[0].u.reply.answer.status, 201);
+	ws_fx_free(&fx);
+	ws_fx_free(&out);
+	ws_idem_free(from);
+	ws_idem_free(to);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("idem");
@@ -561,6 +595,8 @@
 	tcase_set_timeout(tc, 0);
 	tcase_add_test(tc, answers_agree_with_a_record_of_all_runs);
 	tcase_add_test(tc, handover_in_parts_counts_only_when_whole);
+	tcase_add_test(tc,
+		       result_follows_a_request_that_ran_during_the_handover);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
 	srunner_run_all(sr, CK_NORMAL);
