--- a/lib/core/ws_disp.h
+++ b/lib/core/ws_disp.h
@@ -71,6 +71,9 @@
 /* Present state of a target; false when it is not open here. */
 bool ws_disp_load(const struct ws_disp *d, ws_id target, struct ws_load *load);
 
+/* Has the target finished its slow start, with no slow answer since? */
+bool ws_disp_is_warm(const struct ws_disp *d, ws_id target);
+
 /* Attempts at a target that are not over, also after ws_disp_close(). */
 size_t ws_disp_in_flight(const struct ws_disp *d, ws_id target);
 
--- a/lib/core/ws_disp_end.c
+++ b/lib/core/ws_disp_end.c
@@ -83,10 +83,13 @@
 	}
 	if (r->outcome == WS_OUT_NOT_RUN && r->error == WS_ERR_TARGET_FAILED)
 		ws_disp_turn_cold(fx, t);
-	if (r->outcome == WS_OUT_NOT_RUN || r->shed || e->cancelled)
+	if (r->outcome == WS_OUT_NOT_RUN || r->shed)
+		return;
+	/* A cancelled attempt tells how long it took at least. */
+	if (e->cancelled && !ws_limit_is_slow(&t->limit, now - e->sent))
 		return;
 	ws_disp_note_latency(fx, now, t, now - e->sent);
-	if (r->outcome == WS_OUT_DONE && r->status < 500)
+	if (r->outcome == WS_OUT_DONE && r->status < 500 && !e->cancelled)
 		ws_limit_success(&t->limit, e->epoch);
 }
 
--- a/lib/core/ws_limit.c
+++ b/lib/core/ws_limit.c
@@ -81,10 +81,15 @@
 		l->baseline += (latency - l->baseline) / 16;
 }
 
-bool ws_limit_sample(struct ws_limit *l, ws_us now, ws_us latency)
+bool ws_limit_is_slow(const struct ws_limit *l, ws_us latency)
 {
 	ws_us bound = l->baseline * WS_LIMIT_JUMP_FACTOR + WS_LIMIT_JUMP_SLACK;
 
+	return l->latency && latency > bound;
+}
+
+bool ws_limit_sample(struct ws_limit *l, ws_us now, ws_us latency)
+{
 	if (latency < 1)
 		latency = 1;
 	l->answered = now;
@@ -94,7 +99,7 @@
 		return false;
 	}
 	l->latency += (latency - l->latency) / 4;
-	if (latency <= bound) {
+	if (!ws_limit_is_slow(l, latency)) {
 		l->jumps = 0;
 		learn_baseline(l, latency);
 		return false;
--- a/lib/core/ws_limit.h
+++ b/lib/core/ws_limit.h
@@ -50,6 +50,9 @@
 /* A shed answer: pauses, longer each time until a success. */
 void ws_limit_shed(struct ws_limit *l, ws_us now);
 
+/* Is a service time far above what is normal for the target? */
+bool ws_limit_is_slow(const struct ws_limit *l, ws_us latency);
+
 /*
  * Notes a service time.
  * @return true when it is the last of a latency jump
