Send targets the end of the dispatcher's lease

Cause: the core bounds when a target may start a request of a sharded service, but the daemon did not say so and the stand-in target did not look.

Conclusion: the real path carries the bound.

--- a/Makefile
+++ b/Makefile
@@ -85,10 +85,10 @@
 	@sh scripts/demo.sh $(BUILD)
 
 format:
-	clang-format -i $(FORMAT_SRCS)
+	@clang-format -i $(FORMAT_SRCS)
 
 format-check:
-	clang-format --dry-run --Werror $(FORMAT_SRCS)
+	@clang-format --dry-run --Werror $(FORMAT_SRCS)
 
 lint:
 	@sh scripts/lint.sh $(LIB_SRCS) $(PROGRAM_SRCS) $(PROGRAM_PARTS) \
--- a/lib/io/ws_attempt.c
+++ b/lib/io/ws_attempt.c
@@ -81,6 +81,9 @@
 	if (!svc || !svc->sharded)
 		return;
 	add_line(h, "X-Wagtailshift-Fence: %" PRIu64, e->u.attempt.fence);
+	if (e->u.attempt.start_by_us)
+		add_line(h, "X-Wagtailshift-Start-By-Us: %" PRId64,
+			 e->u.attempt.start_by_us);
 	a = ws_own_key(ws_core_own(sh->core), svc, call->key);
 	if (a && a->res.kind == WS_RES_HOT_KEY &&
 	    a->fence == e->u.attempt.fence)
--- a/lib/standin/ws_standin_target.c
+++ b/lib/standin/ws_standin_target.c
@@ -79,6 +79,7 @@
 	read_key(t, call->path, req);
 	req->body_hash = ws_codec_hash(call->body, call->body_len);
 	req->for_incarnation = hex_header(call, "X-Wagtailshift-Incarnation");
+	req->start_by = int_header(call, "X-Wagtailshift-Start-By-Us", 0);
 	req->fence = (uint64_t)int_header(call, "X-Wagtailshift-Fence", 0);
 	req->shard = int_header(call, "X-Wagtailshift-Shard", -1);
 	req->has_hot_key = ws_shttp_get(call, "X-Wagtailshift-Hot-Key") != NULL;
