Borrow the payload of a result told to the next home

Cause: the core gives back the handles of handed over entries after sending them, but not that of a result sent by ws_idem_finish(), which kept its own reference for ever.

Change: such a message borrows the handle; the item holds it or gives it back later in the same list of effects.

--- a/lib/core/ws_idem.h
+++ b/lib/core/ws_idem.h
@@ -45,9 +45,10 @@
  * Payload handles. A function that gets a handle takes it over, always:
  * begin() that of the call, finish() that of the answer, msg() those of all
  * entries. They leave with HOME_RUN (the call), HOME_DONE (one reference for
- * each asker, made by WS_FX_RETAIN) and the entries of a sent HANDOVER. What
- * is not passed on is given back by WS_FX_RELEASE; a kept answer holds one
- * reference until it is forgotten. ws_idem_free() releases nothing.
+ * each asker, made by WS_FX_RETAIN) and the entries of a HANDOVER sent by
+ * handover(); one sent by finish() borrows its handle. What is not passed on
+ * is given back by WS_FX_RELEASE; a kept answer holds one reference until it
+ * is forgotten. ws_idem_free() releases nothing.
  */
 
 struct ws_idem;
--- a/lib/core/ws_idem_home.c
+++ b/lib/core/ws_idem_home.c
@@ -352,6 +352,7 @@
 
 /* ===== Results after a handover ===== */
 
+/* The message borrows the payload: the item holds it or releases it later. */
 static void send_result(struct ws_fx *fx, const struct ws_idem_move *m,
 			const struct ws_idem_item *it,
 			const struct ws_answer *answer)
@@ -359,10 +360,6 @@
 	struct ws_idem_entry *entries = ws_alloc(2, sizeof(*entries));
 	struct ws_effect *e;
 
-	if (answer->payload) {
-		e = ws_fx_add(fx, WS_FX_RETAIN);
-		e->u.release.payload = answer->payload;
-	}
 	entries[0].state = WS_IDEM_CHUNK;
 	entries[1].request_id[0] = it->request_id[0];
 	entries[1].request_id[1] = it->request_id[1];
