--- a/lib/core/ws_own_move.c
+++ b/lib/core/ws_own_move.c
@@ -19,6 +19,17 @@
 	return ws_own_holds(o, now, &d);
 }
 
+void own_move(struct ws_own *o, struct own_entry *e, const struct ws_holder *to)
+{
+	e->move_to = *to;
+	e->forget = false;
+	if (own_given_up(e))
+		return;
+	own_give_up(o, e);
+	if (e->a.res.kind >= WS_RES_SHARD)
+		own_lease_drop(o, e);
+}
+
 static void choose(struct ws_own *o, struct ws_fx *fx, ws_us now,
 		   const struct ws_view *view, struct own_plan *p,
 		   uint64_t topic)
@@ -34,36 +45,77 @@
 		if (!e || p->items[i].to == p->items[i].from ||
 		    p->status[i] == OWN_LOST || !mine(o, now, e))
 			continue;
-		e->move_to = p->bins.holders[p->items[i].to];
-		if (own_given_up(e))
+		/* What was given up for a reason of load keeps its aim. */
+		if (own_given_up(e) &&
+		    own_bins_find(&p->bins, &e->move_to) != WS_PLACE_NONE)
 			continue;
+		own_move(o, e, &p->bins.holders[p->items[i].to]);
+	}
+}
+
+/* ===== Forgetting ===== */
+
+static bool owns_shards(const struct ws_own *o, ws_id target)
+{
+	size_t i;
+
+	for (i = 0; i < o->n; i++)
+		if (o->entries[i].a.res.kind >= WS_RES_SHARD &&
+		    o->entries[i].a.holder.id == target)
+			return true;
+	return false;
+}
+
+/* The dispatch of a target that no longer exists is given back to nobody. */
+static void forget_targets(struct ws_own *o, ws_us now,
+			   const struct ws_view *view)
+{
+	size_t i;
+
+	for (i = 0; i < o->n; i++) {
+		struct own_entry *e = &o->entries[i];
+		const struct ws_target *t;
+
+		if (e->a.res.kind != WS_RES_DISPATCH || own_given_up(e) ||
+		    !mine(o, now, e))
+			continue;
+		t = ws_view_target(view, e->a.res.item);
+		if ((t && t->listed) || owns_shards(o, e->a.res.item))
+			continue;
+		e->forget = true;
+		e->move_to = (struct ws_holder){ 0 };
 		own_give_up(o, e);
-		if (e->a.res.kind == WS_RES_SHARD ||
-		    e->a.res.kind == WS_RES_HOT_KEY)
-			own_lease_drop(o, e);
 	}
 }
 
+/* ===== Planning ===== */
+
+/*
+ * Load is evened out when neither view nor table has changed for a while: the
+ * other instances may know of a leaving member that this one has not heard of.
+ */
 static bool stable(const struct ws_own *o, ws_us now)
 {
-	return now - o->view_since >= OWN_STABLE && !o->n_pending;
+	return now - o->view_since >= OWN_STABLE &&
+	       now - o->table_since >= OWN_STABLE && !o->n_pending;
 }
 
 static void plan_moves(struct ws_own *o, struct ws_fx *fx, ws_us now,
 		       const struct ws_view *view)
 {
 	bool level = stable(o, now);
+	bool same = o->moved_version == o->version &&
+		    o->moved_sum == o->view_sum && o->moved_level == level;
 
-	if (o->moved_version == o->version && o->moved_sum == o->view_sum &&
-	    o->moved_level == level && now - o->moved_at < OWN_SCAN_PERIOD)
-		return;
-	if (o->moved_version == o->version && o->moved_sum == o->view_sum &&
-	    o->moved_level == level && !o->moves_left && !o->work_left)
+	if (same && (now - o->moved_at < own_scan_period(o) ||
+		     !(o->moves_left || o->work_left)))
 		return;
 	o->moved_at = now;
 	o->moved_sum = o->view_sum;
 	o->moved_level = level;
 	own_plan_all(o, fx, now, view, true, level, choose);
+	if (view->n_targets)
+		forget_targets(o, now, view);
 	o->moved_version = o->version;
 }
 
@@ -76,7 +128,8 @@
 
 static bool releasable(struct ws_own *o, ws_us now, struct own_entry *e)
 {
-	if (!own_given_up(e) || !e->move_to.id || !mine(o, now, e))
+	if (!own_given_up(e) || !(e->move_to.id || e->forget) ||
+	    !mine(o, now, e))
 		return false;
 	if (e->moved_at && now - e->moved_at < OWN_APPEND_WAIT)
 		return false;
@@ -187,11 +240,16 @@
 
 /* ===== Tick ===== */
 
+bool own_may_plan(const struct ws_own *o, ws_us now, const struct ws_view *view)
+{
+	return own_fresh(o, now) && own_log_recent(o, now) && view->bundle &&
+	       now - o->awake_since >= OWN_SETTLE;
+}
+
 void own_move_tick(struct ws_own *o, struct ws_fx *fx, ws_us now,
 		   const struct ws_view *view)
 {
-	if (!own_fresh(o, now) || !own_log_recent(o, now) || !view->bundle ||
-	    now - o->awake_since < OWN_SETTLE)
+	if (!own_may_plan(o, now, view))
 		return;
 	plan_moves(o, fx, now, view);
 	release_all(o, fx, now);
