Leave logs of earlier runs out of the tests

Cause: a second run took test_*.log for test programs and failed. Change: run-tests.sh passes over them. Conclusion: the verdict does not depend on earlier runs.

--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -9,7 +9,7 @@
 failed=0
 red=0
 for t in "$build"/test_*; do
-	case "$t" in *.d | *.o) continue ;; esac
+	case "$t" in *.d | *.o | *.log) continue ;; esac
 	name=$(basename "$t")
 	if timeout 600 "$t" >"$t.log" 2>&1; then
 		passed=$((passed + 1))
