Suspect an instance only when no reachable peer hears it

Cause: with two of three zones cut off from each other, both took each other's instances for lost and took over their partitions and dispatches, although the third zone heard all of them.

Change: heartbeats list whom the sender hears and how long ago; liveness uses the latest word from anywhere, forwarding uses direct word only. The wire also carries what a target says of itself (leaving), which it lost. ws_adm learns who holds each partition. ws_msg_copy replaces two copies.

Conclusion: partial partitions no longer move ownership.

--- a/lib/core/ws_core.c
+++ b/lib/core/ws_core.c
@@ -54,6 +54,24 @@
 
 /* ===== Partitions ===== */
 
+/* Tells ws_adm whom to ask for tokens. */
+static void update_holders(struct ws_core *c)
+{
+	ws_id holder[WS_PARTITIONS_MAX];
+	struct ws_res res = { .kind = WS_RES_PARTITION };
+	size_t n = c->bundle ? c->bundle->partitions : 0;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		const struct ws_assignment *a;
+
+		res.item = i;
+		a = ws_own_find(c->own, &res);
+		holder[i] = a && a->active ? a->holder.id : 0;
+	}
+	ws_adm_set_holders(c->adm, holder, n);
+}
+
 static void update_partitions(struct ws_core *c)
 {
 	uint32_t index[WS_PARTITIONS_MAX];
@@ -62,6 +80,7 @@
 	size_t n;
 	size_t i;
 
+	update_holders(c);
 	n = ws_own_partitions(c->own, index, WS_PARTITIONS_MAX);
 	for (i = 0; i < n; i++) {
 		res.item = index[i];
@@ -99,7 +118,7 @@
 		.leaving = c->draining,
 	};
 
-	ws_member_send_heartbeat(c->member, c->out, c->wall_ms, &self,
+	ws_member_send_heartbeat(c->member, c->out, now, c->wall_ms, &self,
 				 c->watched, c->n_watched);
 }
 
--- a/lib/core/ws_core_calls.c
+++ b/lib/core/ws_core_calls.c
@@ -284,7 +284,7 @@
 	if (!a || !a->active || a->holder.id == c->conf.self)
 		return;
 	i = ws_view_instance(ws_core_members(c), a->holder.id);
-	if (i && i->alive)
+	if (i && i->reachable)
 		send_home(c, call, a->holder.id);
 }
 
--- a/lib/core/ws_core_dispatch.c
+++ b/lib/core/ws_core_dispatch.c
@@ -224,7 +224,7 @@
 		return;
 	}
 	i = ws_view_instance(ws_core_members(c), a->holder.id);
-	if (i && i->alive)
+	if (i && i->reachable)
 		send_forward(c, a->holder.id, e, incarnation, fence);
 	else
 		defer_not_run(c, e->u.route_send.ref, WS_ERR_NOT_HOLDER);
--- a/lib/core/ws_member.c
+++ b/lib/core/ws_member.c
@@ -129,6 +129,7 @@
 	i->name = *name;
 	i->address = *address;
 	i->alive = true;
+	i->reachable = true;
 	return m;
 }
 
@@ -243,6 +244,23 @@
 			  t->id, 0, 0);
 }
 
+/*
+ * A peer hears an instance that may be cut off from here. The age tells when
+ * it spoke, so that its loss is noticed no later than by the peer.
+ */
+static void take_heard(struct ws_member *m, ws_us now, const struct ws_heard *h)
+{
+	struct ws_instance *i =
+		(struct ws_instance *)ws_view_instance(&m->view, h->id);
+	ws_us when = now - (ws_us)h->age_ms * WS_MS;
+
+	if (!i || h->id == m->view.self || when <= i->heard)
+		return;
+	i->heard = when;
+	if (now - when <= WS_INSTANCE_SUSPECT)
+		i->alive = true;
+}
+
 void ws_member_heartbeat(struct ws_member *m, struct ws_fx *fx, ws_us now,
 			 int64_t wall_ms, ws_id from, const struct ws_msg *msg)
 {
@@ -255,13 +273,17 @@
 	if (!i->alive)
 		ws_fx_log(fx, WS_LOG_INSTANCE_SEEN, from, 0, 0);
 	i->alive = true;
+	i->reachable = true;
 	i->heard = now;
+	i->heard_direct = now;
 	i->zone = msg->u.heartbeat.zone;
 	i->folded = msg->u.heartbeat.folded;
 	i->bundle_version = msg->u.heartbeat.bundle_version;
 	i->ready = msg->u.heartbeat.ready;
 	i->leaving = i->leaving || msg->u.heartbeat.leaving;
 	i->wall_offset_ms = msg->u.heartbeat.wall_ms - wall_ms;
+	for (k = 0; k < msg->u.heartbeat.n_heard; k++)
+		take_heard(m, now, &msg->u.heartbeat.heard[k]);
 	for (k = 0; k < msg->u.heartbeat.n_health; k++)
 		take_health(m, fx, now, &msg->u.heartbeat.health[k]);
 }
@@ -279,7 +301,26 @@
 	return h;
 }
 
-void ws_member_send_heartbeat(struct ws_member *m, struct ws_fx *fx,
+/* Whom this instance hears directly; what peers tell is not passed on. */
+static void fill_heard(const struct ws_member *m, ws_us now, struct ws_msg *msg)
+{
+	struct ws_heard *h = ws_alloc(m->n_instances, sizeof(*h));
+	size_t i;
+
+	msg->u.heartbeat.heard = h;
+	for (i = 0; i < m->n_instances; i++) {
+		const struct ws_instance *in = &m->instances[i];
+
+		if (in->id == m->view.self || !in->reachable)
+			continue;
+		h[msg->u.heartbeat.n_heard++] = (struct ws_heard){
+			.id = in->id,
+			.age_ms = (uint32_t)((now - in->heard_direct) / WS_MS),
+		};
+	}
+}
+
+void ws_member_send_heartbeat(struct ws_member *m, struct ws_fx *fx, ws_us now,
 			      int64_t wall_ms,
 			      const struct ws_member_self *self,
 			      const ws_id *watched, size_t n_watched)
@@ -295,6 +336,7 @@
 	msg->u.heartbeat.wall_ms = wall_ms;
 	msg->u.heartbeat.ready = self->ready;
 	msg->u.heartbeat.leaving = self->leaving;
+	fill_heard(m, now, msg);
 	msg->u.heartbeat.health =
 		ws_alloc(n_watched, sizeof(*msg->u.heartbeat.health));
 	for (i = 0; i < n_watched; i++) {
@@ -388,6 +430,8 @@
 
 		if (in->id == m->view.self || !in->alive)
 			continue;
+		if (now - in->heard_direct > WS_INSTANCE_SUSPECT)
+			in->reachable = false;
 		if (now - in->heard <= WS_INSTANCE_SUSPECT)
 			continue;
 		in->alive = false;
--- a/lib/core/ws_member.h
+++ b/lib/core/ws_member.h
@@ -24,9 +24,11 @@
 	struct ws_name address;
 	bool listed;
 	bool leaving;
-	bool alive; /* heard from within WS_INSTANCE_SUSPECT */
+	bool alive; /* heard from, here or by a peer, within the suspect time */
+	bool reachable; /* heard from directly within the suspect time */
 	bool ready;
-	ws_us heard;
+	ws_us heard; /* latest word of it, here or by a peer */
+	ws_us heard_direct;
 	ws_offset folded;
 	uint64_t bundle_version;
 	int64_t wall_offset_ms; /* its wall clock minus ours */
@@ -121,8 +123,11 @@
 void ws_member_tick(struct ws_member *m, struct ws_fx *fx, ws_us now,
 		    const ws_id *watched, size_t n_watched);
 
-/* Sends a heartbeat to all live instances. */
-void ws_member_send_heartbeat(struct ws_member *m, struct ws_fx *fx,
+/*
+ * Sends a heartbeat to all live instances. It lists whom this instance hears,
+ * so that a peer cut off from some of them does not take them for lost.
+ */
+void ws_member_send_heartbeat(struct ws_member *m, struct ws_fx *fx, ws_us now,
 			      int64_t wall_ms,
 			      const struct ws_member_self *self,
 			      const ws_id *watched, size_t n_watched);
--- a/lib/core/ws_types.c
+++ b/lib/core/ws_types.c
@@ -76,6 +76,7 @@
 	switch (msg->kind) {
 	case WS_MSG_HEARTBEAT:
 		free(msg->u.heartbeat.health);
+		free(msg->u.heartbeat.heard);
 		break;
 	case WS_MSG_TAIL:
 		clear_tail(msg);
@@ -89,6 +90,36 @@
 	memset(msg, 0, sizeof(*msg));
 }
 
+static void copy_tail(struct ws_msg *to, const struct ws_msg *from)
+{
+	size_t n = from->u.tail.n_records;
+	size_t i;
+
+	to->u.tail.records = ws_alloc(n, sizeof(struct ws_record));
+	for (i = 0; i < n; i++)
+		ws_record_copy(&to->u.tail.records[i],
+			       &from->u.tail.records[i]);
+}
+
+void ws_msg_copy(struct ws_msg *to, const struct ws_msg *from)
+{
+	*to = *from;
+	if (from->kind == WS_MSG_TAIL)
+		copy_tail(to, from);
+	if (from->kind == WS_MSG_HANDOVER)
+		to->u.handover.entries = copy_array(
+			from->u.handover.entries, from->u.handover.n_entries,
+			sizeof(*from->u.handover.entries));
+	if (from->kind != WS_MSG_HEARTBEAT)
+		return;
+	to->u.heartbeat.health = copy_array(from->u.heartbeat.health,
+					    from->u.heartbeat.n_health,
+					    sizeof(*from->u.heartbeat.health));
+	to->u.heartbeat.heard = copy_array(from->u.heartbeat.heard,
+					   from->u.heartbeat.n_heard,
+					   sizeof(*from->u.heartbeat.heard));
+}
+
 /* ===== Effects ===== */
 
 struct ws_effect *ws_fx_add(struct ws_fx *fx, uint8_t kind)
--- a/lib/core/ws_types.h
+++ b/lib/core/ws_types.h
@@ -155,6 +155,12 @@
 	struct ws_load load;
 };
 
+/* An instance that the sender hears directly, and how long ago. */
+struct ws_heard {
+	ws_id id;
+	uint32_t age_ms;
+};
+
 /* ===== Messages between instances ===== */
 
 enum ws_msg_kind {
@@ -200,6 +206,8 @@
 			bool leaving;
 			size_t n_health;
 			struct ws_target_health *health;
+			size_t n_heard;
+			struct ws_heard *heard;
 		} heartbeat;
 		struct {
 			uint64_t round;
@@ -481,8 +489,9 @@
 void ws_record_clear(struct ws_record *rec);
 void ws_msg_clear(struct ws_msg *msg);
 
-/* Deep copy; the bundle is shared by reference count. */
+/* Deep copies; bundles are shared by reference count. */
 void ws_record_copy(struct ws_record *to, const struct ws_record *from);
+void ws_msg_copy(struct ws_msg *to, const struct ws_msg *from);
 
 bool ws_res_equal(const struct ws_res *a, const struct ws_res *b);
 uint64_t ws_res_hash(const struct ws_res *res);
--- a/lib/wire/ws_peer.x
+++ b/lib/wire/ws_peer.x
@@ -13,6 +13,7 @@
 const WSX_RECORD_MAX = 1048576;
 const WSX_RECORDS_MAX = 1024;
 const WSX_HEALTH_MAX = 4096;
+const WSX_HEARD_MAX = 8192;
 const WSX_ENTRIES_MAX = 65536;
 
 struct wsx_payload {
@@ -55,9 +56,15 @@
 	unsigned hyper target;
 	unsigned hyper incarnation;
 	unsigned int state;
+	bool told_leaving;
 	wsx_load load;
 };
 
+struct wsx_heard {
+	unsigned hyper instance;
+	unsigned int age_ms;
+};
+
 struct wsx_heartbeat {
 	unsigned hyper zone;
 	unsigned hyper folded;
@@ -66,6 +73,7 @@
 	bool ready;
 	bool leaving;
 	wsx_health health<WSX_HEALTH_MAX>;
+	wsx_heard heard<WSX_HEARD_MAX>;
 };
 
 struct wsx_fresh {
--- a/lib/wire/ws_peer_xdr.c
+++ b/lib/wire/ws_peer_xdr.c
@@ -182,11 +182,25 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->state))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->told_leaving))
+		 return FALSE;
 	 if (!xdr_wsx_load (xdrs, &objp->load))
 		 return FALSE;
 	return TRUE;
 }
 
+bool_t
+xdr_wsx_heard (XDR *xdrs, wsx_heard *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->instance))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_wsx_heartbeat (XDR *xdrs, wsx_heartbeat *objp)
 {
@@ -207,6 +221,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->health.health_val, (u_int *) &objp->health.health_len, WSX_HEALTH_MAX,
 		sizeof (wsx_health), (xdrproc_t) xdr_wsx_health))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->heard.heard_val, (u_int *) &objp->heard.heard_len, WSX_HEARD_MAX,
+		sizeof (wsx_heard), (xdrproc_t) xdr_wsx_heard))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/lib/wire/ws_peer_xdr.h
+++ b/lib/wire/ws_peer_xdr.h
@@ -20,6 +20,7 @@
 #define WSX_RECORD_MAX 1048576
 #define WSX_RECORDS_MAX 1024
 #define WSX_HEALTH_MAX 4096
+#define WSX_HEARD_MAX 8192
 #define WSX_ENTRIES_MAX 65536
 
 struct wsx_payload {
@@ -72,10 +73,17 @@
 	u_quad_t target;
 	u_quad_t incarnation;
 	u_int state;
+	bool_t told_leaving;
 	wsx_load load;
 };
 typedef struct wsx_health wsx_health;
 
+struct wsx_heard {
+	u_quad_t instance;
+	u_int age_ms;
+};
+typedef struct wsx_heard wsx_heard;
+
 struct wsx_heartbeat {
 	u_quad_t zone;
 	u_quad_t folded;
@@ -87,6 +95,10 @@
 		u_int health_len;
 		wsx_health *health_val;
 	} health;
+	struct {
+		u_int heard_len;
+		wsx_heard *heard_val;
+	} heard;
 };
 typedef struct wsx_heartbeat wsx_heartbeat;
 
@@ -211,6 +223,7 @@
 extern  bool_t xdr_wsx_load (XDR *, wsx_load*);
 extern  bool_t xdr_wsx_answer (XDR *, wsx_answer*);
 extern  bool_t xdr_wsx_health (XDR *, wsx_health*);
+extern  bool_t xdr_wsx_heard (XDR *, wsx_heard*);
 extern  bool_t xdr_wsx_heartbeat (XDR *, wsx_heartbeat*);
 extern  bool_t xdr_wsx_fresh (XDR *, wsx_fresh*);
 extern  bool_t xdr_wsx_record (XDR *, wsx_record*);
@@ -230,6 +243,7 @@
 extern bool_t xdr_wsx_load ();
 extern bool_t xdr_wsx_answer ();
 extern bool_t xdr_wsx_health ();
+extern bool_t xdr_wsx_heard ();
 extern bool_t xdr_wsx_heartbeat ();
 extern bool_t xdr_wsx_fresh ();
 extern bool_t xdr_wsx_record ();
--- a/lib/wire/ws_wire.c
+++ b/lib/wire/ws_wire.c
@@ -70,6 +70,8 @@
 	h->leaving = msg->u.heartbeat.leaving;
 	h->health.health_len = (u_int)msg->u.heartbeat.n_health;
 	h->health.health_val = ws_conv_health_out(msg);
+	h->heard.heard_len = (u_int)msg->u.heartbeat.n_heard;
+	h->heard.heard_val = ws_conv_heard_out(msg);
 }
 
 static void tail_out(struct ws_conv *c, const struct ws_msg *msg,
@@ -149,6 +151,7 @@
 	switch (o->x.kind) {
 	case WSX_HEARTBEAT:
 		free(o->x.wsx_message_u.heartbeat.health.health_val);
+		free(o->x.wsx_message_u.heartbeat.heard.heard_val);
 		break;
 	case WSX_TAIL:
 		ws_conv_records_free(
--- a/lib/wire/ws_wire_conv.c
+++ b/lib/wire/ws_wire_conv.c
@@ -107,11 +107,39 @@
 		out[i].target = h->target;
 		out[i].incarnation = h->incarnation;
 		out[i].state = h->state;
+		out[i].told_leaving = h->told_leaving;
 		ws_conv_load_out(&h->load, &out[i].load);
 	}
 	return out;
 }
 
+wsx_heard *ws_conv_heard_out(const struct ws_msg *msg)
+{
+	size_t n = msg->u.heartbeat.n_heard;
+	wsx_heard *out = ws_alloc(n + 1, sizeof(*out));
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		out[i].instance = msg->u.heartbeat.heard[i].id;
+		out[i].age_ms = msg->u.heartbeat.heard[i].age_ms;
+	}
+	return out;
+}
+
+static void heard_in(const wsx_heartbeat *in, struct ws_msg *out)
+{
+	size_t n = in->heard.heard_len;
+	struct ws_heard *h = ws_alloc(n + 1, sizeof(*h));
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		h[i].id = in->heard.heard_val[i].instance;
+		h[i].age_ms = in->heard.heard_val[i].age_ms;
+	}
+	out->u.heartbeat.n_heard = n;
+	out->u.heartbeat.heard = h;
+}
+
 void ws_conv_heartbeat_in(const wsx_heartbeat *in, struct ws_msg *out)
 {
 	size_t n = in->health.health_len;
@@ -124,6 +152,7 @@
 		h[i].target = x->target;
 		h[i].incarnation = x->incarnation;
 		h[i].state = (uint8_t)x->state;
+		h[i].told_leaving = x->told_leaving;
 		ws_conv_load_in(&x->load, &h[i].load);
 	}
 	out->u.heartbeat.zone = in->zone;
@@ -134,6 +163,7 @@
 	out->u.heartbeat.leaving = in->leaving;
 	out->u.heartbeat.n_health = n;
 	out->u.heartbeat.health = h;
+	heard_in(in, out);
 }
 
 /* ===== Records ===== */
--- a/lib/wire/ws_wire_conv.h
+++ b/lib/wire/ws_wire_conv.h
@@ -28,6 +28,7 @@
 
 /* Arrays; those going out are malloc'ed, with the element count returned. */
 wsx_health *ws_conv_health_out(const struct ws_msg *msg);
+wsx_heard *ws_conv_heard_out(const struct ws_msg *msg);
 void ws_conv_heartbeat_in(const wsx_heartbeat *in, struct ws_msg *out);
 wsx_record *ws_conv_records_out(struct ws_conv *c, const struct ws_msg *msg);
 void ws_conv_records_free(wsx_record *recs, size_t n);
--- a/tests/fake.c
+++ b/tests/fake.c
@@ -127,33 +127,6 @@
 	e->ev = *ev;
 }
 
-static void copy_msg(struct ws_msg *to, const struct ws_msg *from)
-{
-	size_t i;
-	size_t n;
-
-	*to = *from;
-	if (from->kind == WS_MSG_HEARTBEAT) {
-		n = from->u.heartbeat.n_health;
-		to->u.heartbeat.health =
-			ws_alloc(n, sizeof(*to->u.heartbeat.health));
-		memcpy(to->u.heartbeat.health, from->u.heartbeat.health,
-		       n * sizeof(*to->u.heartbeat.health));
-	} else if (from->kind == WS_MSG_TAIL) {
-		n = from->u.tail.n_records;
-		to->u.tail.records = ws_alloc(n, sizeof(struct ws_record));
-		for (i = 0; i < n; i++)
-			ws_record_copy(&to->u.tail.records[i],
-				       &from->u.tail.records[i]);
-	} else if (from->kind == WS_MSG_HANDOVER) {
-		n = from->u.handover.n_entries;
-		to->u.handover.entries =
-			ws_alloc(n, sizeof(struct ws_idem_entry));
-		memcpy(to->u.handover.entries, from->u.handover.entries,
-		       n * sizeof(struct ws_idem_entry));
-	}
-}
-
 /* Deadlines travel as the time that is left. */
 static ws_us *deadline_of(struct ws_msg *msg)
 {
@@ -177,7 +150,7 @@
 	e->life = b->life;
 	e->ev.kind = WS_EV_PEER_MSG;
 	e->ev.u.peer.from = a->id;
-	copy_msg(&e->msg, msg);
+	ws_msg_copy(&e->msg, msg);
 	deadline = deadline_of(&e->msg);
 	if (deadline)
 		*deadline -= local_time(f, a);
--- a/tests/own_sim_node.c
+++ b/tests/own_sim_node.c
@@ -53,29 +53,6 @@
 	n->next_list = n->next_tick;
 }
 
-static void copy_msg(struct ws_msg *to, const struct ws_msg *from)
-{
-	size_t i;
-
-	*to = *from;
-	if (from->kind == WS_MSG_HEARTBEAT) {
-		size_t n = from->u.heartbeat.n_health;
-
-		to->u.heartbeat.health =
-			ws_alloc(n, sizeof(struct ws_target_health));
-		if (n)
-			memcpy(to->u.heartbeat.health, from->u.heartbeat.health,
-			       n * sizeof(struct ws_target_health));
-	}
-	if (from->kind != WS_MSG_TAIL)
-		return;
-	to->u.tail.records =
-		ws_alloc(from->u.tail.n_records, sizeof(struct ws_record));
-	for (i = 0; i < from->u.tail.n_records; i++)
-		ws_record_copy(&to->u.tail.records[i],
-			       &from->u.tail.records[i]);
-}
-
 static void send_one(struct sim *s, const struct node *from,
 		     const struct node *to, const struct ws_msg *msg)
 {
@@ -89,13 +66,13 @@
 	}
 	e = sim_push_from(s, to, EV_MSG, sim_delay(s));
 	e->from = from->id;
-	copy_msg(&e->msg, msg);
+	ws_msg_copy(&e->msg, msg);
 	if (!sim_chance(s, 10))
 		return;
 	sim_fault(s, SIM_MSG_DUPLICATE);
 	e = sim_push_from(s, to, EV_MSG, sim_delay(s));
 	e->from = from->id;
-	copy_msg(&e->msg, msg);
+	ws_msg_copy(&e->msg, msg);
 }
 
 static void send_msg(struct sim *s, const struct node *from, ws_id to,
@@ -229,8 +206,9 @@
 	struct ws_member_self self = { .folded = ws_own_folded(n->own),
 				       .leaving = n->draining };
 
-	ws_member_send_heartbeat(n->member, fx, s->now / WS_MS, &self,
-				 n->watched, n->n_watched);
+	ws_member_send_heartbeat(n->member, fx, sim_node_clock(s, n),
+				 s->now / WS_MS, &self, n->watched,
+				 n->n_watched);
 }
 
 /* Work on one key if this node may send it to its owner. */
