Check that a rolling restart of instances moves no shard

Cause: churn was measured for ws_place alone, not for several dispatchers that plan at the same time.

Change: three scenarios in test_own_random: rolling restart of instances, a target that joins, owners of two hot keys of one shard.

--- a/tests/own_sim.c
+++ b/tests/own_sim.c
@@ -236,6 +236,9 @@
 
 		if (it->expected_fence != fences[i] && now != fences[i])
 			sim_violate(s, "void item folded", r->offset, i);
+		if (it->res.kind == WS_RES_SHARD && fences[i] &&
+		    now != fences[i])
+			s->shard_moves++;
 	}
 }
 
@@ -437,6 +440,11 @@
 	sim_log_append(s, &rec);
 }
 
+void sim_start_node(struct sim *s, int i)
+{
+	sim_node_start(s, &s->nodes[i]);
+}
+
 void sim_kill_target(struct sim *s, int i)
 {
 	s->targets[i].up = false;
@@ -639,6 +647,19 @@
 	return s->faults[f];
 }
 
+size_t sim_shard_moves(const struct sim *s)
+{
+	return s->shard_moves;
+}
+
+ws_id sim_heated_owner(const struct sim *s, int i)
+{
+	const struct ws_assignment *a =
+		ws_own_key(s->oracle, &s->services[0], s->heated[i]);
+
+	return a ? a->holder.id : 0;
+}
+
 size_t sim_hot_keys(const struct sim *s)
 {
 	return s->n_hot;
--- a/tests/own_sim.h
+++ b/tests/own_sim.h
@@ -52,6 +52,7 @@
 
 /* Single faults, used by the scenarios. */
 void sim_kill_node(struct sim *s, int i);
+void sim_start_node(struct sim *s, int i);
 void sim_kill_target(struct sim *s, int i);
 void sim_kill_zone(struct sim *s, int zone);
 void sim_drain_node(struct sim *s, int i);
@@ -75,6 +76,10 @@
 uint64_t sim_events(const struct sim *s);
 uint64_t sim_hash(const struct sim *s);
 uint64_t sim_faults(const struct sim *s, enum sim_fault f);
+/* Shards that got another owner, since the start. */
+size_t sim_shard_moves(const struct sim *s);
+/* Target that owns the first (0) or second (1) heated key. */
+ws_id sim_heated_owner(const struct sim *s, int i);
 size_t sim_hot_keys(const struct sim *s);
 const char *sim_violation(const struct sim *s);
 
--- a/tests/own_sim_internal.h
+++ b/tests/own_sim_internal.h
@@ -125,6 +125,7 @@
 	uint64_t heated[2];
 	ws_us served_at[RES_MAX];
 	size_t served;
+	size_t shard_moves;
 	ws_us gap;
 	char violation[160];
 };
--- a/tests/test_own_random.c
+++ b/tests/test_own_random.c
@@ -214,6 +214,52 @@
 }
 END_TEST
 
+/* Keys must not change servers because the router is updated. */
+START_TEST(rolling_restart_of_instances_moves_no_shard)
+{
+	struct sim *s = sim_new(8, 6, 10);
+	size_t before;
+	int i;
+
+	settle(s, 8);
+	before = sim_shard_moves(s);
+	for (i = 0; i < 6; i++) {
+		sim_drain_node(s, i);
+		sim_run(s, 2 * WS_SECOND, 0);
+		ck_assert(sim_drained(s, i));
+		sim_kill_node(s, i);
+		sim_start_node(s, i);
+		sim_run(s, 4 * WS_SECOND, 0);
+	}
+	expect_gap(s, 8, "rolling restart", MOVE_MAX, &totals.move);
+	ck_assert_uint_eq(sim_shard_moves(s), before);
+	printf("rolling restart: longest gap %lld ms\n",
+	       (long long)(totals.move / WS_MS));
+	sim_free(s);
+}
+END_TEST
+
+/* Several dispatchers fill up a target that joins; together not too much. */
+START_TEST(target_that_joins_gets_its_share_only)
+{
+	size_t share = (SIM_SHARDS + 4) / 5;
+	struct sim *s = sim_new(9, 6, 10);
+	size_t before;
+
+	settle(s, 9);
+	sim_kill_target(s, 4);
+	sim_run(s, 5 * WS_SECOND, 0);
+	before = sim_shard_moves(s);
+	settle(s, 9);
+	sim_run(s, 10 * WS_SECOND, 0);
+	printf("target joined: %zu shards moved\n",
+	       sim_shard_moves(s) - before);
+	ck_assert_uint_ge(sim_shard_moves(s) - before, share - 1);
+	ck_assert_uint_le(sim_shard_moves(s) - before, share);
+	sim_free(s);
+}
+END_TEST
+
 /*
  * A zone that loses the others first and the log just when its targets are
  * taken over has the latest evidence that is possible.
@@ -269,6 +315,7 @@
 	sim_run(s, 30 * WS_SECOND, 0);
 	expect_ok(s, 7);
 	ck_assert_uint_eq(sim_hot_keys(s), 2);
+	ck_assert_uint_ne(sim_heated_owner(s, 0), sim_heated_owner(s, 1));
 	sim_run(s, 20 * WS_SECOND, 2);
 	expect_ok(s, 7);
 	sim_heat_keys(s, false);
@@ -292,6 +339,8 @@
 	tcase_add_test(tc, same_seed_gives_the_same_run);
 	tcase_add_test(tc, log_outage_stops_nothing);
 	tcase_add_test(tc, lost_zone_is_served_again);
+	tcase_add_test(tc, rolling_restart_of_instances_moves_no_shard);
+	tcase_add_test(tc, target_that_joins_gets_its_share_only);
 	tcase_add_test(tc, zone_cut_off_in_steps_keeps_one_owner);
 	tcase_add_test(tc, takeover_needs_answers_not_only_heartbeats);
 	tcase_add_test(tc, hot_key_moves_alone);
