--- a/lib/io/ws_front.c
+++ b/lib/io/ws_front.c
@@ -68,6 +68,10 @@
 	size_t open;
 	size_t arriving; /* bytes of bodies not yet given to the core */
 	int timer;
+	/* Work space of find_gone() */
+	GPtrArray *polled; /* of struct request */
+	struct pollfd *fds;
+	size_t cap_fds;
 };
 
 /* ===== Requests ===== */
@@ -432,32 +436,59 @@
 
 /* ===== Callers that go away ===== */
 
-static bool has_closed(struct request *r)
+static int connection_fd(const struct request *r)
 {
-	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-		r->con, MHD_CONNECTION_INFO_CONNECTION_FD);
-	struct pollfd p = { .fd = info->connect_fd, .events = POLLRDHUP };
+	return MHD_get_connection_info(r->con,
+				       MHD_CONNECTION_INFO_CONNECTION_FD)
+		->connect_fd;
+}
+
+/* Fills the room for polling with the requests that have waited for long. */
+static size_t collect_waiting(struct ws_front *f, ws_us now)
+{
+	GHashTableIter it;
+	gpointer value;
+	size_t n = 0;
+
+	g_ptr_array_set_size(f->polled, 0);
+	g_hash_table_iter_init(&it, f->waiting);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct request *r = value;
 
-	return poll(&p, 1, 0) > 0;
+		if (now - r->started < GONE_PERIOD)
+			continue;
+		ws_grow(&f->fds, &f->cap_fds, n + 1, sizeof(*f->fds));
+		g_ptr_array_add(f->polled, r);
+		f->fds[n++] = (struct pollfd){
+			.fd = connection_fd(r),
+			.events = POLLRDHUP,
+		};
+	}
+	return n;
 }
 
-/* libmicrohttpd does not watch suspended connections. */
+/*
+ * libmicrohttpd does not watch suspended connections. A caller that shuts
+ * down its sending side only is taken for gone as well.
+ */
 static void find_gone(void *arg, ws_us now)
 {
 	struct ws_front *f = arg;
-	GList *all = g_hash_table_get_values(f->waiting);
-	GList *i;
+	size_t n = collect_waiting(f, now);
+	size_t i;
 
-	for (i = all; i; i = i->next) {
-		struct request *r = i->data;
+	if (!n || poll(f->fds, n, 0) <= 0)
+		return;
+	for (i = 0; i < n; i++) {
+		struct request *r = g_ptr_array_index(f->polled, i);
 
-		if (now - r->started < GONE_PERIOD || !has_closed(r))
+		/* Ending one request may have answered another one. */
+		if (!f->fds[i].revents || r->stage != STAGE_WAITING)
 			continue;
 		report_gone(f, r);
 		r->suspended = false;
 		ws_mhd_resume(r->listener->mhd, r->con);
 	}
-	g_list_free(all);
 }
 
 /* ===== Life ===== */
@@ -494,6 +525,7 @@
 
 	f->sh = sh;
 	f->waiting = g_hash_table_new(g_int64_hash, g_int64_equal);
+	f->polled = g_ptr_array_new();
 	f->timer = ws_timer_every(sh->timers, ws_shell_now(), GONE_PERIOD,
 				  find_gone, f);
 	res = open_listener(f, &f->listeners[0], sh->conf->callers, false, why);
@@ -538,6 +570,8 @@
 	}
 	g_hash_table_destroy(f->waiting);
 	ws_headers_free(&f->headers);
+	g_ptr_array_free(f->polled, TRUE);
+	free(f->fds);
 	free(f);
 }
 
--- a/tests/test_daemon.c
+++ b/tests/test_daemon.c
@@ -259,6 +259,32 @@
 }
 END_TEST
 
+static bool metrics_have(const char *word)
+{
+	char page[16384];
+	int fd =
+		rig_send(rig.admin, "GET /metrics HTTP/1.0\r\nHost: a\r\n\r\n");
+
+	rig_read(fd, page, sizeof(page), 500);
+	close(fd);
+	return strstr(page, word) != NULL;
+}
+
+/* A target must not go on working for callers that have left. */
+START_TEST(request_of_a_caller_that_left_is_cancelled)
+{
+	int fd = rig_send(rig.callers,
+			  "GET /s/workshop/k HTTP/1.1\r\nHost: a\r\n"
+			  "Authorization: Bearer " RIG_CALLER_KEY "\r\n\r\n");
+
+	usleep(100000);
+	ck_assert(metrics_have("\nwagtailshift_attempts_open 1\n"));
+	close(fd);
+	usleep(150000);
+	ck_assert(metrics_have("\nwagtailshift_attempts_open 0\n"));
+}
+END_TEST
+
 /* Guarantee 11. */
 START_TEST(shutdown_while_a_request_runs_cuts_nothing_off)
 {
@@ -306,6 +332,7 @@
 	/* Only the process that started the daemon can wait for its end. */
 	tcase_add_checked_fixture(stop, setup_slow, teardown);
 	tcase_set_timeout(stop, 60);
+	tcase_add_test(stop, request_of_a_caller_that_left_is_cancelled);
 	tcase_add_test(stop, shutdown_while_a_request_runs_cuts_nothing_off);
 	suite_add_tcase(s, tc);
 	suite_add_tcase(s, stop);
