Show decisions on bundles and test that no request is sent twice

Cause: the history page listed bundles of the log without the reason of a refusal, and only trials showed that a lost reply is not answered by a second sending.

--- a/lib/io/ws_admin.c
+++ b/lib/io/ws_admin.c
@@ -170,13 +170,10 @@
 	else if (!strcmp(page, "/bundle"))
 		serve_bundle(r);
 	else if (!strcmp(page, "/history"))
-		set_json(r, 200,
-			 json_pack("{s:o}", "history",
-				   ws_audit_json(a->audit, true)));
+		set_json(r, 200, ws_status_history(a->sh));
 	else if (!strcmp(page, "/audit"))
 		set_json(r, 200,
-			 json_pack("{s:o}", "audit",
-				   ws_audit_json(a->audit, false)));
+			 json_pack("{s:o}", "audit", ws_audit_json(a->audit)));
 	else if (!strcmp(page, "/explain"))
 		serve_explain(r);
 	else
--- a/lib/io/ws_admin.h
+++ b/lib/io/ws_admin.h
@@ -15,7 +15,7 @@
 void ws_admin_published(struct ws_admin *a, uint64_t ref, int error,
 			uint64_t version);
 
-/* Records of the log were read; kept for /audit and /history. */
+/* Records of the log were read; kept for /audit. */
 void ws_admin_note_records(struct ws_admin *a, const struct ws_record *records,
 			   size_t n);
 
--- a/lib/io/ws_audit.c
+++ b/lib/io/ws_audit.c
@@ -101,16 +101,13 @@
 			 ws_error_name(e->error));
 }
 
-json_t *ws_audit_json(const struct ws_audit *a, bool bundles_only)
+json_t *ws_audit_json(const struct ws_audit *a)
 {
 	json_t *list = json_array();
 	size_t i = a->count > WS_AUDIT_MAX ? a->count - WS_AUDIT_MAX : 0;
 
-	for (; i < a->count; i++) {
-		const struct entry *e = &a->entries[i % WS_AUDIT_MAX];
-
-		if (!bundles_only || e->kind == WS_REC_BUNDLE)
-			json_array_append_new(list, entry_json(e));
-	}
+	for (; i < a->count; i++)
+		json_array_append_new(
+			list, entry_json(&a->entries[i % WS_AUDIT_MAX]));
 	return list;
 }
--- a/lib/io/ws_audit.h
+++ b/lib/io/ws_audit.h
@@ -24,7 +24,7 @@
 void ws_audit_request(struct ws_audit *a, int64_t wall_ms, const char *what,
 		      int error);
 
-/* Array of entries, oldest first; with bundles_only those of BUNDLE records. */
-json_t *ws_audit_json(const struct ws_audit *a, bool bundles_only);
+/* Array of entries, oldest first. */
+json_t *ws_audit_json(const struct ws_audit *a);
 
 #endif
--- a/lib/io/ws_status.c
+++ b/lib/io/ws_status.c
@@ -230,6 +230,29 @@
 	return json_pack("{s:o}", "targets", list);
 }
 
+/* ===== History of bundles ===== */
+
+static json_t *verdict_json(const struct ws_verdict *v)
+{
+	return json_pack("{s:s, s:I, s:I, s:o, s:I, s:I, s:s}", "what",
+			 "bundle", "wall_ms", (json_int_t)v->wall_ms, "offset",
+			 (json_int_t)v->offset, "writer", hex(v->writer),
+			 "version", (json_int_t)v->version, "base",
+			 (json_int_t)v->base, "error", ws_error_name(v->error));
+}
+
+json_t *ws_status_history(const struct ws_shell *sh)
+{
+	size_t n = ws_core_verdict_count(sh->core);
+	json_t *list = json_array();
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		json_array_append_new(
+			list, verdict_json(ws_core_verdict(sh->core, i)));
+	return json_pack("{s:o}", "history", list);
+}
+
 /* ===== Explanation of a key ===== */
 
 static void explain_dispatcher(const struct ws_shell *sh, json_t *o,
--- a/tests/rig.c
+++ b/tests/rig.c
@@ -290,13 +290,16 @@
 	int sharded, open;
 
 	snprintf(us, sizeof(us), "%d", service_us);
+	snprintf(r->journal, sizeof(r->journal), "%s/t1.journal", r->dir);
 	r->log_port = start_standin(r, "log.out", log);
 	r->list_port = start_standin(r, "list.out", list);
 	sharded = start_standin(
 		r, "t1.out",
 		(const char *[]){ "target", "--name", "t1", "--service",
 				  "workshop", "--zone", "z1", "--sharded",
-				  "--slots", "6", "--service-us", us, NULL });
+				  "--slots", "6", "--service-us", us,
+				  "--journal", r->journal, NULL });
+	r->target = sharded;
 	open = start_standin(r, "t2.out",
 			     (const char *[]){ "target", "--name", "t2",
 					       "--service", "pages", "--zone",
@@ -398,9 +401,10 @@
 
 static void remove_files(struct rig *r)
 {
-	static const char *const names[] = { "secret",	"token",     "ws.ini",
-					     "log.out", "list.out",  "t1.out",
-					     "t2.out",	"daemon.out" };
+	static const char *const names[] = {
+		"secret", "token",  "ws.ini",	  "log.out",   "list.out",
+		"t1.out", "t2.out", "daemon.out", "t1.journal"
+	};
 	char file[128];
 	size_t i;
 
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -20,6 +20,8 @@
 	pid_t daemon;
 	int log_port;
 	int list_port;
+	int target; /* of the sharded service */
+	char journal[128]; /* of that target */
 	int callers;
 	int internal;
 	int peers;
--- a/tests/test_daemon.c
+++ b/tests/test_daemon.c
@@ -182,6 +182,44 @@
 }
 END_TEST
 
+/* Executions of a path in the journal of the sharded service's target. */
+static int count_runs(const char *path)
+{
+	char line[2048];
+	int n = 0;
+	FILE *in = fopen(rig.journal, "re");
+
+	ck_assert_ptr_nonnull(in);
+	while (fgets(line, sizeof(line), in))
+		n += strstr(line, "\"run\"") && strstr(line, path);
+	fclose(in);
+	return n;
+}
+
+/*
+ * libcurl by itself sends a request again when a reused connection closes
+ * without an answer, which would run it twice.
+ */
+START_TEST(lost_reply_is_unknown_and_not_sent_again)
+{
+	char id[80];
+	const char *const headers[] = { with_key[0], id, NULL };
+	static const char fault[] = "{\"lose_replies\":1}";
+	struct rig_answer a;
+
+	rig_http(rig.callers, "GET", "/s/workshop/warm", with_key, NULL, 0, &a);
+	ck_assert_int_eq(a.status, 200);
+	rig_http(rig.target, "POST", "/fault", NULL, fault, strlen(fault), &a);
+	ck_assert_int_eq(a.status, 200);
+	make_request_id(id, sizeof(id));
+	rig_http(rig.callers, "POST", "/s/workshop/lost", headers, "a", 1, &a);
+	ck_assert_int_ge(a.status, 500);
+	ck_assert_ptr_nonnull(
+		strstr(a.headers, "X-Wagtailshift-Outcome: unknown"));
+	ck_assert_int_eq(count_runs("lost"), 1);
+}
+END_TEST
+
 /* Guarantee 6; the customer's burst over 24 partitions is below one token. */
 START_TEST(request_above_the_rate_is_refused_with_a_time)
 {
@@ -326,6 +364,7 @@
 	tcase_add_loop_test(tc, ambiguous_path_is_refused, 0,
 			    sizeof(bad_paths) / sizeof(bad_paths[0]));
 	tcase_add_test(tc, resent_request_gets_the_first_answer);
+	tcase_add_test(tc, lost_reply_is_unknown_and_not_sent_again);
 	tcase_add_test(tc, request_above_the_rate_is_refused_with_a_time);
 	tcase_add_test(tc, administration_needs_the_token);
 	tcase_add_test(tc, no_payload_is_held_after_the_answers);
