--- a/tests/test_daemon.c
+++ b/tests/test_daemon.c
@@ -182,6 +182,44 @@
 }
 END_TEST
 
+/* Executions of a path in the journal of the sharded service's target. */
+static int count_runs(const char *path)
+{
+	char line[2048];
+	int n = 0;
+	FILE *in = fopen(rig.journal, "re");
+
+	ck_assert_ptr_nonnull(in);
+	while (fgets(line, sizeof(line), in))
+		n += strstr(line, "\"run\"") && strstr(line, path);
+	fclose(in);
+	return n;
+}
+
+/*
+ * libcurl by itself sends a request again when a reused connection closes
+ * without an answer, which would run it twice.
+ */
+START_TEST(lost_reply_is_unknown_and_not_sent_again)
+{
+	char id[80];
+	const char *const headers[] = { with_key[0], id, NULL };
+	static const char fault[] = "{\"lose_replies\":1}";
+	struct rig_answer a;
+
+	rig_http(rig.callers, "GET", "/s/workshop/warm", with_key, NULL, 0, &a);
+	ck_assert_int_eq(a.status, 200);
+	rig_http(rig.target, "POST", "/fault", NULL, fault, strlen(fault), &a);
+	ck_assert_int_eq(a.status, 200);
+	make_request_id(id, sizeof(id));
+	rig_http(rig.callers, "POST", "/s/workshop/lost", headers, "a", 1, &a);
+	ck_assert_int_ge(a.status, 500);
+	ck_assert_ptr_nonnull(
+		strstr(a.headers, "X-Wagtailshift-Outcome: unknown"));
+	ck_assert_int_eq(count_runs("lost"), 1);
+}
+END_TEST
+
 /* Guarantee 6; the customer's burst over 24 partitions is below one token. */
 START_TEST(request_above_the_rate_is_refused_with_a_time)
 {
@@ -259,6 +297,32 @@
 }
 END_TEST
 
+static bool metrics_have(const char *word)
+{
+	char page[16384];
+	int fd =
+		rig_send(rig.admin, "GET /metrics HTTP/1.0\r\nHost: a\r\n\r\n");
+
+	rig_read(fd, page, sizeof(page), 500);
+	close(fd);
+	return strstr(page, word) != NULL;
+}
+
+/* A target must not go on working for callers that have left. */
+START_TEST(request_of_a_caller_that_left_is_cancelled)
+{
+	int fd = rig_send(rig.callers,
+			  "GET /s/workshop/k HTTP/1.1\r\nHost: a\r\n"
+			  "Authorization: Bearer " RIG_CALLER_KEY "\r\n\r\n");
+
+	usleep(100000);
+	ck_assert(metrics_have("\nwagtailshift_attempts_open 1\n"));
+	close(fd);
+	usleep(150000);
+	ck_assert(metrics_have("\nwagtailshift_attempts_open 0\n"));
+}
+END_TEST
+
 /* Guarantee 11. */
 START_TEST(shutdown_while_a_request_runs_cuts_nothing_off)
 {
@@ -300,12 +364,14 @@
 	tcase_add_loop_test(tc, ambiguous_path_is_refused, 0,
 			    sizeof(bad_paths) / sizeof(bad_paths[0]));
 	tcase_add_test(tc, resent_request_gets_the_first_answer);
+	tcase_add_test(tc, lost_reply_is_unknown_and_not_sent_again);
 	tcase_add_test(tc, request_above_the_rate_is_refused_with_a_time);
 	tcase_add_test(tc, administration_needs_the_token);
 	tcase_add_test(tc, no_payload_is_held_after_the_answers);
 	/* Only the process that started the daemon can wait for its end. */
 	tcase_add_checked_fixture(stop, setup_slow, teardown);
 	tcase_set_timeout(stop, 60);
+	tcase_add_test(stop, request_of_a_caller_that_left_is_cancelled);
 	tcase_add_test(stop, shutdown_while_a_request_runs_cuts_nothing_off);
 	suite_add_tcase(s, tc);
 	suite_add_tcase(s, stop);
