Reject bundles that change shards, tell handovers the time

Cause: shards divide keys, as partitions divide ids; a bundle that changes either would give keys a second owner. A handover told a bound by the time of the module's last event, which may be a second old.

Conclusion: no change of a divisor can reach a running fleet.

--- a/lib/common/ws_common.c
+++ b/lib/common/ws_common.c
@@ -103,6 +103,10 @@
 	ERROR_TEXT(WS_ERR_LIMIT, "limit_reached", 503,
 		   "a memory bound of the instance is reached",
 		   "retry later, or raise the named limit"),
+	ERROR_TEXT(WS_ERR_FIXED, "fixed_value", 409,
+		   "the bundle changes partitions or the shards of a service",
+		   "keep these numbers; for other shards define a service "
+		   "with a new name"),
 };
 
 static const struct error_text *find_text(int res)
--- a/lib/common/ws_common.h
+++ b/lib/common/ws_common.h
@@ -67,9 +67,10 @@
 	WS_ERR_IN_PROGRESS = -26,
 	WS_ERR_TRUNCATED = -27,
 	WS_ERR_LIMIT = -28,
+	WS_ERR_FIXED = -29,
 };
 
-#define WS_ERROR_LAST WS_ERR_LIMIT
+#define WS_ERROR_LAST WS_ERR_FIXED
 
 /* Tells whether a result is one of enum ws_error's failures. */
 static inline bool ws_is_error(int res)
--- a/lib/core/ws_core_log.c
+++ b/lib/core/ws_core_log.c
@@ -69,6 +69,29 @@
 	return false;
 }
 
+/*
+ * Partitions divide ids and rates, shards divide keys: a change would give
+ * keys and ids a second owner.
+ */
+static int check_fixed(const struct ws_bundle *now, const struct ws_bundle *b)
+{
+	size_t i;
+
+	if (!now)
+		return WS_OK;
+	if (b->partitions != now->partitions)
+		return WS_ERR_FIXED;
+	for (i = 0; i < now->n_services; i++) {
+		const struct ws_service *was = &now->services[i];
+		const struct ws_service *is = ws_bundle_service(b, was->id);
+
+		if (is &&
+		    (is->sharded != was->sharded || is->shards != was->shards))
+			return WS_ERR_FIXED;
+	}
+	return WS_OK;
+}
+
 /* Would this bundle be accepted as the next one? */
 static int check_bundle(const struct ws_core *c, const struct ws_bundle *b)
 {
@@ -78,10 +101,7 @@
 		return WS_ERR_SIGNATURE;
 	if (b->base != version_in_force(c) || b->version != b->base + 1)
 		return WS_ERR_VERSION;
-	/* The number of partitions is the divisor of ids and rates. */
-	if (c->bundle && b->partitions != c->bundle->partitions)
-		return WS_ERR_VERSION;
-	return WS_OK;
+	return check_fixed(c->bundle, b);
 }
 
 /* Targets of a zone that returns start slowly. */
@@ -357,9 +377,9 @@
 
 		if (it->res.kind != WS_RES_PARTITION)
 			continue;
-		ws_idem_handover(c->idem, c->out, (uint32_t)it->res.item,
-				 c->bundle->partitions, it->expected_fence,
-				 it->holder.id);
+		ws_idem_handover(c->idem, c->out, c->wall_ms,
+				 (uint32_t)it->res.item, c->bundle->partitions,
+				 it->expected_fence, it->holder.id);
 	}
 	release_handed_over(c, from);
 }
--- a/lib/core/ws_idem.h
+++ b/lib/core/ws_idem.h
@@ -123,8 +123,9 @@
  * starts nothing under this fence; requests that run are finished here, and
  * finish() tells the next holder, which answers "in progress" until then.
  */
-void ws_idem_handover(struct ws_idem *d, struct ws_fx *fx, uint32_t partition,
-		      uint32_t partitions, ws_offset fence, ws_id to);
+void ws_idem_handover(struct ws_idem *d, struct ws_fx *fx, int64_t wall_ms,
+		      uint32_t partition, uint32_t partitions, ws_offset fence,
+		      ws_id to);
 
 /* Forgets entries older than the retention, a part of the table each time. */
 void ws_idem_tick(struct ws_idem *d, struct ws_fx *fx, ws_us now,
--- a/lib/core/ws_idem_home.c
+++ b/lib/core/ws_idem_home.c
@@ -75,8 +75,8 @@
 }
 
 /* The bound that the next holder must observe. */
-static int64_t bound_to_hand_over(const struct ws_idem *d,
-				  const struct ws_idem_home *h, ws_offset fence)
+static int64_t bound_to_hand_over(const struct ws_idem_home *h, ws_offset fence,
+				  int64_t wall_ms)
 {
 	int64_t bound_ms;
 
@@ -84,9 +84,7 @@
 		return bound_ms;
 	if (h->bound_fence == fence)
 		return h->bound_ms;
-	if (!d->wall_ms)
-		return INT64_MAX;
-	return d->wall_ms + WS_IDEM_TAKEOVER_MS;
+	return wall_ms + WS_IDEM_TAKEOVER_MS;
 }
 
 /* ===== Receiving a handover ===== */
@@ -326,15 +324,16 @@
 	e->u.send.msg.u.handover.entries = entries;
 }
 
-void ws_idem_handover(struct ws_idem *d, struct ws_fx *fx, uint32_t partition,
-		      uint32_t partitions, ws_offset fence, ws_id to)
+void ws_idem_handover(struct ws_idem *d, struct ws_fx *fx, int64_t wall_ms,
+		      uint32_t partition, uint32_t partitions, ws_offset fence,
+		      ws_id to)
 {
 	struct ws_idem_home *h = ws_idem_home(d, partition);
 	struct ws_idem_move where = { .partition = partition,
 				      .fence = fence,
 				      .to = to };
 	struct export x = { 0 };
-	int64_t bound_ms = bound_to_hand_over(d, h, fence);
+	int64_t bound_ms = bound_to_hand_over(h, fence, wall_ms);
 	uint64_t total;
 	uint64_t i;
 
--- a/tests/test_idem.c
+++ b/tests/test_idem.c
@@ -389,8 +389,8 @@
 	for (q = 0; q < IDS; q++)
 		w->id[q].moved = w->id[q].moved || w->id[q].state == OPEN;
 	if (rand_percent(&w->r, 70)) {
-		ws_idem_handover(w->home[old], &w->fx, (uint32_t)p, PARTITIONS,
-				 w->part[p].a.fence, (ws_id)to);
+		ws_idem_handover(w->home[old], &w->fx, w->wall, (uint32_t)p,
+				 PARTITIONS, w->part[p].a.fence, (ws_id)to);
 		arrived = take_effects(w, old, 0);
 		arrived = arrived && ws_idem_count(w->home[to]) < TABLE;
 		hold(w, p, to, true, arrived);
@@ -529,7 +529,7 @@
 		ws_idem_finish(from, &fx, 0, i, &ans);
 	}
 	ws_fx_clear(&fx);
-	ws_idem_handover(from, &fx, 0, 1, 1, 9);
+	ws_idem_handover(from, &fx, 1000000, 0, 1, 1, 9);
 	ck_assert_uint_eq(fx.n, 3);
 	ck_assert_uint_eq(ws_idem_count(from), 0);
 	ws_idem_msg(to, &out, 0, 8, &fx.items[2].u.send.msg);
@@ -571,7 +571,7 @@
 	ws_idem_assigned(from, 1000000, 0, 1, 0);
 	ws_idem_begin(from, &fx, 0, 1000000, 1, &call, &part);
 	ws_fx_clear(&fx);
-	ws_idem_handover(from, &fx, 0, 1, 1, 9);
+	ws_idem_handover(from, &fx, 1000000, 0, 1, 1, 9);
 	ws_idem_finish(from, &fx, 0, 1, &ans);
 	ck_assert_uint_eq(fx.n, 3);
 	ws_idem_msg(to, &out, 0, 8, &fx.items[0].u.send.msg);
