Prove a peer with a short record before longer ones

Cause: a connection without the cluster secret could make the receiver buffer 6 MiB for a first record that never opens. Change: the initiator sends a record of one byte first; until it opens, the acceptor refuses every longer one. Conclusion: unknown senders cost at most one read buffer each.

--- a/lib/io/ws_guest.c
+++ b/lib/io/ws_guest.c
@@ -61,7 +61,23 @@
 	return 0;
 }
 
-/* The first message that opens proves that the peer has the secret. */
+/*
+ * The first record that opens proves that the peer has the secret. Until then
+ * nothing long is buffered.
+ */
+static int take_proof(struct ws_guest *g)
+{
+	uint8_t proof[WS_LINK_PROOF];
+	int len = ws_stream_pull(&g->stream, &g->seal, proof, sizeof(proof));
+
+	if (len <= 0)
+		return len;
+	g->proved = true;
+	g->peer = g->seal.peer;
+	ws_peers_replace_guest(g->owner, g);
+	return 0;
+}
+
 static int take_messages(struct ws_guest *g)
 {
 	size_t max;
@@ -69,11 +85,6 @@
 	int len;
 
 	while ((len = ws_stream_pull(&g->stream, &g->seal, room, max)) > 0) {
-		if (!g->proved) {
-			g->proved = true;
-			g->peer = g->seal.peer;
-			ws_peers_replace_guest(g->owner, g);
-		}
 		g->received++;
 		g->ack_due = true;
 		ws_peers_receive(g->owner, g->peer, room, (size_t)len);
@@ -93,7 +104,9 @@
 		res = take_hello(g);
 	if (!res && g->state == WS_GUEST_HEADER)
 		res = take_header(g);
-	if (!res && g->state == WS_GUEST_UP)
+	if (!res && g->state == WS_GUEST_UP && !g->proved)
+		res = take_proof(g);
+	if (!res && g->proved)
 		res = take_messages(g);
 	if (g->closed)
 		return;
--- a/lib/io/ws_guest.h
+++ b/lib/io/ws_guest.h
@@ -12,7 +12,7 @@
 
 struct ws_guest {
 	struct ws_peers *owner;
-	ws_id peer; /* proved once a message was received */
+	ws_id peer; /* set once it is proved */
 	enum {
 		WS_GUEST_HELLO = 0,
 		WS_GUEST_HEADER,
--- a/lib/io/ws_link.c
+++ b/lib/io/ws_link.c
@@ -63,6 +63,14 @@
 	ws_stream_flush(&l->stream);
 }
 
+/* The acceptor takes nothing longer before it knows the sender. */
+static void send_proof(struct ws_link *l)
+{
+	static const uint8_t proof[WS_LINK_PROOF];
+
+	ws_stream_push(&l->stream, &l->seal, proof, sizeof(proof));
+}
+
 static int take_reply(struct ws_link *l)
 {
 	const struct ws_secrets *secrets = ws_peers_secrets(l->owner);
@@ -77,6 +85,7 @@
 	if (l->seal.peer != l->peer)
 		return WS_ERR_PEER;
 	ws_stream_write(&l->stream, header, sizeof(header));
+	send_proof(l);
 	l->state = WS_LINK_UP;
 	l->waiting_since = ws_shell_now();
 	send_pending(l);
--- a/lib/io/ws_link.h
+++ b/lib/io/ws_link.h
@@ -11,6 +11,9 @@
 
 #define WS_LINK_SILENCE (1 * WS_SECOND)
 
+/* Length of the first record, which proves the sender and is not counted. */
+#define WS_LINK_PROOF 1
+
 struct ws_peers;
 
 struct ws_link {
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -177,11 +177,15 @@
 }
 END_TEST
 
-/* A length beyond the bound must not make the receiver wait or allocate. */
+/*
+ * A length beyond the bound must not make the receiver wait or allocate, above
+ * all not before the sender is known.
+ */
 START_TEST(record_beyond_its_bound_ends_the_connection)
 {
 	static const uint8_t marks[][4] = {
 		{ 0xff, 0xff, 0xff, 0xff }, /* too long */
+		{ 0x80, 0x00, 0x00, 0x40 }, /* longer than a proof */
 		{ 0x80, 0x00, 0x00, 0x01 }, /* shorter than its overhead */
 		{ 0x00, 0x00, 0x00, 0x40 }, /* not the last fragment */
 	};
@@ -220,7 +224,7 @@
 	tcase_add_test(tc, reply_of_another_instance_is_rejected);
 	tcase_add_test(tc, hello_under_another_secret_is_rejected);
 	tcase_add_loop_test(tc, record_beyond_its_bound_ends_the_connection, 0,
-			    3);
+			    4);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
 	srunner_run_all(sr, CK_NORMAL);
