Raise the descriptor limit of the daemon

Cause: the usual soft limit of 1,024 descriptors is below max_connections. Change: the soft limit is raised to the hard one at the start.

--- a/lib/io/ws_daemon.c
+++ b/lib/io/ws_daemon.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include "config/ws_config.h"
 #include "config/ws_secret.h"
@@ -87,6 +88,20 @@
 	ev_signal_start(loop, &watchers[1]);
 }
 
+/*
+ * The usual soft limit of 1,024 descriptors is below max_connections. Without
+ * descriptors new connections are refused; those that are open go on.
+ */
+static void raise_descriptor_limit(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit))
+		return;
+	limit.rlim_cur = limit.rlim_max;
+	setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 static int run(const struct ws_config *conf)
 {
 	struct ev_loop *loop = ev_default_loop(0);
@@ -127,6 +142,7 @@
 		return EXIT_SUCCESS;
 	}
 	signal(SIGPIPE, SIG_IGN);
+	raise_descriptor_limit();
 	ws_logline_init(read_level(conf.level), conf.name);
 	return run(&conf);
 }
