Log when the log service and the list fail and come back

Cause: nothing wrote events 504 and 505, and a refused registration was logged again after each reading of the list. Change: the log client notes both changes; readings and registrations of the list have a state each. Conclusion: outages of the platform are visible in the log lines.

--- a/lib/io/ws_list_client.c
+++ b/lib/io/ws_list_client.c
@@ -23,7 +23,8 @@
 	struct ws_http_call *reading;
 	struct ws_http_call *registering;
 	bool again; /* register once more after the present one */
-	bool down;
+	bool down; /* the last reading failed */
+	bool refused; /* the last registration failed */
 	char *text; /* of the registration */
 	char url[WS_CONFIG_TEXT_MAX + 8];
 	struct curl_slist *headers;
@@ -32,12 +33,12 @@
 
 /* ===== Reading ===== */
 
-static void note_state(struct ws_list_client *c, bool down, int error,
-		       const char *detail)
+/* Logs a failure once, until it has gone. */
+static void note_state(bool *state, bool down, int error, const char *detail)
 {
-	if (down && !c->down)
+	if (down && !*state)
 		ws_logline(WS_LOG_LIST_DOWN, 0, 0, error, detail);
-	c->down = down;
+	*state = down;
 }
 
 static void feed_list(struct ws_list_client *c, const char *text)
@@ -47,7 +48,7 @@
 	int res = ws_codec_list_parse(text, &ev.u.list.entries,
 				      &ev.u.list.n_entries, &why);
 
-	note_state(c, ws_is_error(res), res, why.text);
+	note_state(&c->down, ws_is_error(res), res, why.text);
 	if (ws_is_error(res))
 		return;
 	ws_shell_feed(c->sh, &ev);
@@ -61,7 +62,7 @@
 
 	c->reading = NULL;
 	if (res->end != WS_HTTP_DONE || res->answer.status != 200) {
-		note_state(c, true, 0, "no answer");
+		note_state(&c->down, true, WS_ERR_DEADLINE, "no answer");
 		return;
 	}
 	text = g_strndup(res->answer.data, res->answer.data_len);
@@ -112,8 +113,9 @@
 	struct ws_list_client *c = arg;
 
 	c->registering = NULL;
-	if (res->end != WS_HTTP_DONE || res->answer.status >= 300)
-		note_state(c, true, 0, "registration was refused");
+	note_state(&c->refused,
+		   res->end != WS_HTTP_DONE || res->answer.status >= 300,
+		   WS_ERR_PEER, "registration failed");
 	if (!c->again)
 		return;
 	c->again = false;
--- a/lib/io/ws_log_client.c
+++ b/lib/io/ws_log_client.c
@@ -34,6 +34,7 @@
 	struct ws_shell *sh;
 	GHashTable *open; /* set of struct exchange */
 	struct curl_slist *headers;
+	bool down; /* the last read failed */
 };
 
 /* ===== Exchanges ===== */
@@ -184,6 +185,14 @@
 	ws_shell_feed(sh, &ev);
 }
 
+static void note_state(struct ws_log_client *c, bool down)
+{
+	if (down != c->down)
+		ws_logline(down ? WS_LOG_LOG_DOWN : WS_LOG_LOG_UP, 0, 0,
+			   down ? WS_ERR_LOG : 0, c->sh->conf->log);
+	c->down = down;
+}
+
 static void on_read(void *arg, const struct ws_http_result *res)
 {
 	struct exchange *x = arg;
@@ -191,9 +200,11 @@
 	struct ws_log_page page;
 
 	if (read_page(res, &page)) {
+		note_state(x->owner, false);
 		feed_page(x, &page);
 		ws_codec_log_page_clear(&page);
 	} else {
+		note_state(x->owner, true);
 		ws_shell_feed(x->owner->sh, &failed);
 	}
 	end_exchange(x);
