demo: count the resent order in the journals and stop cleanly

Cause: the demo had not run to its end, and a failed run left a sleep and its traffic loops behind for a while. Change: the script requires that the resent order ran once by the journals, stops its loops, waits for its processes by state and bounds the shutdown.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -24,10 +24,11 @@
 # Stops what was started, by process id; gives instances time to drain.
 cleanup() {
 	trap - EXIT INT TERM
+	touch "$work/stop"
 	[ -n "$watchdog" ] && kill "$watchdog" 2>/dev/null
 	for p in $pids; do kill "$p" 2>/dev/null; done
 	n=0
-	while [ $n -lt 30 ] && any_alive; do
+	while [ $n -lt 50 ] && any_alive; do
 		sleep 0.1
 		n=$((n + 1))
 	done
@@ -36,8 +37,11 @@
 	pids=""
 }
 
+# A process that has ended but was not waited for is in state Z.
 any_alive() {
-	for p in $pids; do kill -0 "$p" 2>/dev/null && return 0; done
+	for p in $pids; do
+		grep -q ') [^Z] ' "/proc/$p/stat" 2>/dev/null && return 0
+	done
 	return 1
 }
 
@@ -165,6 +169,8 @@
 secret_file = $work/secret
 [admin]
 token_file = $work/token
+[limits]
+shutdown_time = 2 s
 END
 }
 
@@ -245,7 +251,7 @@
 # Asks for the key until the file "stop" appears, without a pause.
 ask_for_key() {
 	n=0
-	while [ ! -e "$work/stop" ] && [ $n -lt 3000 ]; do
+	while [ ! -e "$work/stop" ] && [ $n -lt 2000 ]; do
 		get $((n % 4 + 1)) "workshop/$key/state" >/dev/null ||
 			sleep 0.02
 		n=$((n + 1))
@@ -269,6 +275,9 @@
 	echo "order sent to instance 1: $(echo "$first" | tail -n 1), again to" \
 		"instance 3: $(echo "$again" | tail -n 1)"
 	[ "$first" = "$again" ] || fail "the answers differ: $first / $again"
+	runs=$(cat "$work"/*.journal | grep '"event":"run"' | grep -c "$id")
+	echo "runs of this order in the journals: $runs"
+	[ "$runs" -eq 1 ] || fail "the order ran $runs times"
 }
 
 summary() {
@@ -284,7 +293,16 @@
 mkdir -p "$work" || exit 2
 trap 'cleanup; exit 1' INT TERM
 trap cleanup EXIT
-(sleep $limit_s && kill -TERM $$) 2>/dev/null &
+# Short naps, so that no long sleep is left behind.
+(
+	n=0
+	while [ $n -lt $limit_s ]; do
+		sleep 1
+		n=$((n + 1))
+	done
+	echo "demo: not done after $limit_s s" >&2
+	kill -TERM $$
+) &
 watchdog=$!
 
 start_platform
@@ -304,6 +322,7 @@
 traffic_b=$!
 ask_for_key &
 asker=$!
+pids="$pids $traffic_a $traffic_b $asker"
 sleep 1.5
 kill_owner
 sleep 4
