demo: take a zone out of service and back under traffic

Cause: the demo showed nothing of the guarantee that operators use most. Change: targets note on request that their zone left service; check-journals finds work that begins more than 3 s later; the demo moves zone z2 out and in.

--- a/lib/standin/ws_jcheck.c
+++ b/lib/standin/ws_jcheck.c
@@ -17,6 +17,7 @@
 		[WS_JCHECK_ABOVE_LIMIT] = "above_limit",
 		[WS_JCHECK_COLLAPSE] = "collapse",
 		[WS_JCHECK_LEAVING_WORK] = "work_while_leaving",
+		[WS_JCHECK_ZONE_WORK] = "work_out_of_service",
 	};
 
 	WS_INVARIANT(kind < WS_JCHECK_KINDS);
@@ -61,6 +62,7 @@
 	c->unique_bodies = unique_bodies;
 	c->texts = g_ptr_array_new_with_free_func(g_free);
 	c->runs = g_ptr_array_new_with_free_func(free_run);
+	c->out = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->open = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return c;
 }
@@ -68,6 +70,7 @@
 void ws_jcheck_free(struct ws_jcheck *c)
 {
 	g_hash_table_destroy(c->open);
+	g_hash_table_destroy(c->out);
 	g_ptr_array_unref(c->runs);
 	g_ptr_array_unref(c->texts);
 	g_free(c->watched);
@@ -168,6 +171,35 @@
 			      (long long)(int_of(o, "leaving_us") / WS_MS));
 }
 
+/* Lines of one target are in the order of time. */
+static void on_zone(struct ws_jcheck *c, const json_t *o, bool out)
+{
+	ws_us *since;
+
+	if (!out) {
+		g_hash_table_remove(c->out, text_of(o, "target"));
+		return;
+	}
+	since = g_new(ws_us, 1);
+	*since = int_of(o, "start_us");
+	g_hash_table_replace(c->out, g_strdup(text_of(o, "target")), since);
+}
+
+static void check_zone(struct ws_jcheck *c, const json_t *o, const char *source)
+{
+	const ws_us *since = g_hash_table_lookup(c->out, text_of(o, "target"));
+	ws_us late;
+
+	if (!since)
+		return;
+	late = int_of(o, "start_us") - *since;
+	if (late > WS_JCHECK_LEAVING)
+		ws_jcheck_add(c, WS_JCHECK_ZONE_WORK,
+			      "%s: new work %lld ms after zone %s left service",
+			      source, (long long)(late / WS_MS),
+			      text_of(o, "zone"));
+}
+
 static void check_authorization(struct ws_jcheck *c, const json_t *o,
 				const char *source)
 {
@@ -185,6 +217,7 @@
 
 	c->counts.begun++;
 	check_start(c, o, source);
+	check_zone(c, o, source);
 	check_authorization(c, o, source);
 	g_ptr_array_add(c->runs, r);
 	g_hash_table_replace(c->open, open_name(r), r);
@@ -240,6 +273,10 @@
 		on_end(c, o, source, false);
 	else if (strcmp(event, "collapse") == 0)
 		on_collapse(c, o, source);
+	else if (strcmp(event, "zone_out") == 0)
+		on_zone(c, o, true);
+	else if (strcmp(event, "zone_in") == 0)
+		on_zone(c, o, false);
 	else if (strcmp(event, "start") == 0)
 		c->counts.incarnations++;
 	else if (strcmp(event, "crash") == 0)
--- a/lib/standin/ws_jcheck.h
+++ b/lib/standin/ws_jcheck.h
@@ -11,7 +11,7 @@
  * time, and whether targets were overloaded or saw a caller key.
  */
 
-/* A target may get new work for so long after it began to leave. */
+/* New work may come for so long after a target or its zone leaves service. */
 #define WS_JCHECK_LEAVING (3 * WS_SECOND)
 
 struct ws_jcheck_counts {
@@ -45,6 +45,7 @@
 	WS_JCHECK_ABOVE_LIMIT,
 	WS_JCHECK_COLLAPSE,
 	WS_JCHECK_LEAVING_WORK,
+	WS_JCHECK_ZONE_WORK,
 	WS_JCHECK_KINDS,
 };
 
--- a/lib/standin/ws_jcheck_parts.h
+++ b/lib/standin/ws_jcheck_parts.h
@@ -33,6 +33,7 @@
 	uint64_t violations[WS_JCHECK_KINDS];
 	GPtrArray *texts; /* char * */
 	GPtrArray *runs; /* struct ws_jrun * */
+	GHashTable *out; /* target -> time when its zone left service */
 	GHashTable *open; /* begin without end: char * -> struct ws_jrun * */
 };
 
--- a/lib/standin/ws_starget.h
+++ b/lib/standin/ws_starget.h
@@ -96,6 +96,7 @@
 	bool checks; /* verifies leases and fences */
 	bool ready;
 	ws_us leaving_since; /* 0: not leaving */
+	bool out_of_service; /* noted in the journal only */
 	ws_us frozen_until;
 	ws_us froze_at; /* start of the latest freeze */
 	ws_us down_until;
--- a/lib/standin/ws_starget_fault.c
+++ b/lib/standin/ws_starget_fault.c
@@ -35,16 +35,21 @@
 	ws_us frozen = t->frozen_until;
 	bool leaving = t->leaving_since != 0;
 	bool silence = false;
+	bool out = t->out_of_service;
 
 	if (ws_standin_until(j, "frozen_ms", now, &frozen) ||
 	    ws_standin_until(j, "down_ms", now, &t->down_until) ||
 	    read_flag(j, "leaving", &leaving) ||
 	    read_flag(j, "ready", &t->ready) ||
+	    read_flag(j, "out_of_service", &out) ||
 	    read_flag(j, "silence_connections", &silence))
 		return WS_ERR_SYNTAX;
 	if (frozen != t->frozen_until)
 		t->froze_at = now;
 	t->frozen_until = frozen;
+	if (out != t->out_of_service)
+		ws_starget_note(t, now, out ? "zone_out" : "zone_in");
+	t->out_of_service = out;
 	if (silence)
 		t->silent_before = now;
 	if (!leaving)
@@ -143,30 +148,21 @@
 
 static int read_faults(const struct ws_json *j, struct ws_starget *t, ws_us now)
 {
-	static const char *const fields[] = { "frozen_ms",
-					      "down_ms",
-					      "leaving",
-					      "ready",
-					      "silence_connections",
-					      "false_load",
-					      "load_lag_ms",
-					      "slow",
-					      "cold_slow",
-					      "shed",
-					      "cold",
-					      "cold_limit",
-					      "warm_step",
-					      "warning_ms",
-					      "lose_replies",
-					      "silent",
-					      "truncate",
-					      "wrong_id",
-					      "checks",
-					      "crash",
-					      "crash_mode",
-					      "crash_word",
-					      "crash_down_ms",
-					      NULL };
+	static const char *const fields[] = {
+		"frozen_ms",  "down_ms",
+		"leaving",    "out_of_service",
+		"ready",      "silence_connections",
+		"false_load", "load_lag_ms",
+		"slow",	      "cold_slow",
+		"shed",	      "cold",
+		"cold_limit", "warm_step",
+		"warning_ms", "lose_replies",
+		"silent",     "truncate",
+		"wrong_id",   "checks",
+		"crash",      "crash_mode",
+		"crash_word", "crash_down_ms",
+		NULL
+	};
 
 	if (ws_json_only(j, fields) || read_presence(j, t, now) ||
 	    read_load(j, t) || read_cold(j, t, now) || read_answers(j, t) ||
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -280,6 +280,34 @@
 	[ "$runs" -eq 1 ] || fail "the order ran $runs times"
 }
 
+# tell_zone ZONE true|false: notes in the journals what operators did
+tell_zone() {
+	for f in "$work"/*-"$1"-*.out; do
+		a=$(sed -n 's/^listening on //p' "$f")
+		curl -s -m 1 -d "{\"out_of_service\":$2}" "http://$a/fault" \
+			>/dev/null
+	done
+}
+
+# Takes a zone out of service under traffic and puts it back.
+move_zone() {
+	"$tool" zone out z2 --key "$work/operator" --admin "$(admin 1)" \
+		>/dev/null || fail "zone z2 was not taken out of service"
+	tell_zone z2 true
+	echo "zone z2 is out of service"
+	end=$(($(date +%s) + 6))
+	batch=0
+	while [ "$(date +%s)" -lt $end ]; do
+		send_traffic "c$batch" 20
+		batch=$((batch + 1))
+	done
+	"$tool" zone in z2 --key "$work/operator" --admin "$(admin 1)" \
+		>/dev/null || fail "zone z2 was not put into service"
+	tell_zone z2 false
+	send_traffic d 10
+	echo "zone z2 is in service again"
+}
+
 summary() {
 	echo
 	echo "answers by status:"
@@ -329,6 +357,7 @@
 touch "$work/stop"
 wait $traffic_a $traffic_b $asker
 resend_order
+move_zone
 summary
 code=$?
 [ $code -eq 0 ] && echo "demo: done" || echo "demo: FAILED"
--- a/tests/test_standin.c
+++ b/tests/test_standin.c
@@ -455,6 +455,36 @@
 }
 END_TEST
 
+static void add_line(struct ws_jcheck *c, const char *event, const char *target,
+		     int start)
+{
+	char line[200];
+
+	snprintf(line, sizeof(line),
+		 "{\"event\":\"%s\",\"target\":\"%s\",\"request\":\"%d\","
+		 "\"start_us\":%d}",
+		 event, target, start, start);
+	ws_jcheck_line(c, "j:1", line, true);
+}
+
+/* Work in a zone out of service is the fault that operators fear most. */
+START_TEST(work_out_of_service_is_found_after_3_s_and_until_return)
+{
+	struct ws_jcheck *c = ws_jcheck_new(false);
+
+	add_line(c, "zone_out", "t1", 1000000);
+	add_line(c, "begin", "t1", 4000000);
+	add_line(c, "begin", "t2", 9000000);
+	ck_assert_uint_eq(ws_jcheck_all(c), 0);
+	add_line(c, "begin", "t1", 4000001);
+	ck_assert_uint_eq(ws_jcheck_violations(c, WS_JCHECK_ZONE_WORK), 1);
+	add_line(c, "zone_in", "t1", 5000000);
+	add_line(c, "begin", "t1", 5000001);
+	ck_assert_uint_eq(ws_jcheck_all(c), 1);
+	ws_jcheck_free(c);
+}
+END_TEST
+
 /* What targets write must be what the checker reads. */
 static void feed_checker(void *arg, json_t *line)
 {
@@ -516,6 +546,8 @@
 	tcase_add_test(tc, good_journal_has_no_violation);
 	tcase_add_loop_test(tc, bad_journal_is_found, 0, n_bad);
 	tcase_add_test(tc, overload_and_unreadable_lines_are_found);
+	tcase_add_test(tc,
+		       work_out_of_service_is_found_after_3_s_and_until_return);
 	tcase_add_test(tc, checker_reads_what_a_target_writes);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
