Add make prove and make mutants

Cause: long runs and mutations need one command each. Change: make prove SEEDS=a..b; scripts/mutants.sh builds each mutation of tests/MUTANTS.* and expects its test to fail.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 	$(PROGRAM_PARTS) $(wildcard programs/*/*.h) $(wildcard tests/*.[ch])
 FORMAT_SRCS = $(filter-out lib/wire/ws_peer_xdr.h,$(OUR_SRCS))
 
-.PHONY: all build deps check check-asan demo format format-check lint clean
+.PHONY: all build deps check check-asan prove mutants demo format format-check lint clean
 
 all: deps
 	$(MAKE) build
@@ -80,6 +80,16 @@
 		SAN="-fsanitize=address,undefined -fno-sanitize-recover=all" build
 	@sh scripts/run-tests.sh build-asan
 
+# Long randomised runs of the whole core: make prove SEEDS=1..1000
+SEEDS ?= 1..100
+prove: deps
+	$(MAKE) build
+	WS_SEEDS=$(SEEDS) $(BUILD)/test_core_random
+
+# Build-time mutations that the tests must catch.
+mutants: deps
+	@sh scripts/mutants.sh
+
 demo: deps
 	$(MAKE) build
 	@sh scripts/demo.sh $(BUILD)
--- /dev/null
+++ b/scripts/mutants.sh
@@ -0,0 +1,47 @@
+#!/bin/sh
+# Builds each mutation of tests/MUTANTS.* and checks that its test fails.
+# A mutation that the test does not notice is a fault of the test.
+# Usage: mutants.sh [NAME...]
+set -u
+root=$(cd "$(dirname "$0")/.." && pwd)
+cd "$root" || exit 1
+out=build-mutants
+mkdir -p "$out"
+
+# One mutation in a build folder of its own, so that several run at a time.
+try_mutant() {
+	name=$1
+	test=$2
+	dir=$out/$name-$test
+	if ! make -s BUILD="$dir" OPT="-O1" \
+		MUTANT="-DWS_MUTANT_$name -Wno-error" "$dir/$test" \
+		>"$dir.log" 2>&1; then
+		echo "$name $test: BUILD FAILED"
+		return
+	fi
+	if timeout 300 "$dir/$test" >"$dir.log" 2>&1; then
+		echo "$name $test: MISSED"
+	else
+		echo "$name $test: caught"
+	fi
+	rm -rf "$dir"
+}
+
+if [ "${WS_MUTANT_ONE:-}" ]; then
+	try_mutant "$1" "$2"
+	exit 0
+fi
+
+# Lines "NAME test_program" of all lists, without comments.
+cat tests/MUTANTS.* | grep -v '^#' | grep -v '^$' >"$out/list"
+if [ $# -gt 0 ]; then
+	for n in "$@"; do grep "^$n " "$out/list"; done >"$out/chosen"
+else
+	cp "$out/list" "$out/chosen"
+fi
+
+xargs -P 4 -n 2 env WS_MUTANT_ONE=1 sh "$0" <"$out/chosen" | tee "$out/result"
+caught=$(grep -c ': caught$' "$out/result")
+missed=$(grep -vc ': caught$' "$out/result")
+echo "mutants: $caught caught, $missed missed"
+[ "$missed" -eq 0 ] && [ "$caught" -gt 0 ]
