disp: keep the slot of a cancelled attempt until the target is done

Under load with hedging, targets shed requests although no dispatcher sent more than the slots: the shell reports a cancelled attempt as over at once, but the target notices up to 20 ms later or runs it to its end, and the next request was one too many. Each shed answer cost a slow start.

* A cancelled attempt that ends without an answer now lingers in its slot until it would be three latencies old, 5 to 200 ms.
* A frontend whose choice in the own zone has no free slot now chooses among all zones.

--- a/lib/core/ws_disp_end.c
+++ b/lib/core/ws_disp_end.c
@@ -93,6 +93,30 @@
 		ws_limit_success(&t->limit, e->epoch);
 }
 
+static bool is_out(const struct ws_entry *e)
+{
+	return e->state == WS_ENTRY_IN_FLIGHT || e->state == WS_ENTRY_ANSWERED;
+}
+
+/* The exchange is over, but the target may not have noticed yet. */
+static bool may_run_on(const struct ws_entry *e,
+		       const struct ws_attempt_result *r)
+{
+	return e->state == WS_ENTRY_ANSWERED && r->outcome == WS_OUT_UNKNOWN &&
+	       !r->crashed && !r->shed;
+}
+
+static void linger(struct ws_entry *e, const struct ws_disp_target *t,
+		   ws_us now)
+{
+	e->state = WS_ENTRY_LINGERING;
+	e->linger_until = e->sent + t->limit.latency * WS_DISP_LINGER_LATENCIES;
+	if (e->linger_until > now + WS_DISP_LINGER_MAX)
+		e->linger_until = now + WS_DISP_LINGER_MAX;
+	if (e->linger_until < now + WS_DISP_LINGER_MIN)
+		e->linger_until = now + WS_DISP_LINGER_MIN;
+}
+
 void ws_disp_attempt_done(struct ws_disp *d, struct ws_fx *fx, ws_us now,
 			  uint64_t attempt,
 			  const struct ws_attempt_result *result)
@@ -102,13 +126,17 @@
 	struct ws_answer a;
 
 	d->now = now;
-	if (slot == WS_SLOT_NONE || d->entries[slot].state == WS_ENTRY_QUEUED) {
+	if (slot == WS_SLOT_NONE || !is_out(&d->entries[slot])) {
 		emit_release(fx, result->payload);
 		return;
 	}
 	t = &d->targets[d->entries[slot].target];
-	ws_list_remove(d, &t->in_flight, slot);
 	learn(fx, now, t, &d->entries[slot], result);
+	if (may_run_on(&d->entries[slot], result)) {
+		linger(&d->entries[slot], t, now);
+		return;
+	}
+	ws_list_remove(d, &t->in_flight, slot);
 	a = to_answer(t, result);
 	if (a.payload != result->payload ||
 	    d->entries[slot].state == WS_ENTRY_ANSWERED)
@@ -145,6 +173,11 @@
 		next = e->next;
 		if (e->state == WS_ENTRY_IN_FLIGHT && now >= e->call.deadline)
 			expire_attempt(d, fx, now, slot);
+		if (e->state == WS_ENTRY_LINGERING && now >= e->linger_until) {
+			ws_list_remove(d, &t->in_flight, slot);
+			ws_handles_give(&d->slots, slot);
+			continue;
+		}
 		if (!e->cancelled || now < e->cancelled + WS_DISP_CANCEL_GRACE)
 			continue;
 		ws_list_remove(d, &t->in_flight, slot);
--- a/lib/core/ws_disp_int.h
+++ b/lib/core/ws_disp_int.h
@@ -13,6 +13,16 @@
  */
 #define WS_DISP_CANCEL_GRACE (1 * WS_SECOND)
 
+/*
+ * A target learns of a cancelled exchange late, or runs the request to its
+ * end. Freed at once, the slot's next request was shed by a full target, which
+ * counted as a cold start. The slot stays counted until the request would be
+ * old by this many latencies, within bounds.
+ */
+#define WS_DISP_LINGER_LATENCIES 3
+#define WS_DISP_LINGER_MIN (5 * WS_MS)
+#define WS_DISP_LINGER_MAX (200 * WS_MS)
+
 /* Without an answer for this long, reported load and readiness count. */
 #define WS_DISP_OWN_VIEW (1 * WS_SECOND)
 
@@ -23,6 +33,7 @@
 	WS_ENTRY_QUEUED = 1,
 	WS_ENTRY_IN_FLIGHT = 2,
 	WS_ENTRY_ANSWERED = 3, /* asker answered, slot still counted */
+	WS_ENTRY_LINGERING = 4, /* cancelled, the target may run it still */
 };
 
 struct ws_entry {
@@ -37,6 +48,7 @@
 	struct ws_call call;
 	ws_us sent;
 	ws_us cancelled; /* 0: not */
+	ws_us linger_until;
 	/* In the lane while queued, in the target's list while in flight */
 	uint32_t prev;
 	uint32_t next;
--- a/lib/core/ws_est.c
+++ b/lib/core/ws_est.c
@@ -147,6 +147,13 @@
 	return t->load_at && now - t->load_at <= WS_EST_LOAD_AGE;
 }
 
+uint16_t ws_ests_limit(const struct ws_est *t, ws_us now, uint16_t slots)
+{
+	uint16_t limit = told(t, now) ? t->load.limit : slots;
+
+	return limit ? limit : 1;
+}
+
 uint32_t ws_ests_load(const struct ws_est *t, ws_us now)
 {
 	uint32_t n = 0;
@@ -169,13 +176,11 @@
 		   ws_us now, uint16_t slots)
 {
 	ws_us latency = ws_ests_latency(t, now);
-	uint16_t limit = told(t, now) ? t->load.limit : slots;
 
 	if (!t->latency && latency < assumed_latency(t, s, now))
 		latency = assumed_latency(t, s, now);
-	if (!limit)
-		limit = 1;
-	return latency * ((ws_us)ws_ests_load(t, now) + 1) / limit;
+	return latency * ((ws_us)ws_ests_load(t, now) + 1) /
+	       ws_ests_limit(t, now, slots);
 }
 
 /* ===== Medians ===== */
--- a/lib/core/ws_est.h
+++ b/lib/core/ws_est.h
@@ -91,6 +91,9 @@
 ws_us ws_ests_cost(const struct ws_est *t, const struct ws_svc_est *s,
 		   ws_us now, uint16_t slots);
 
+/* Concurrency limit of a target as told, else its slots; at least 1. */
+uint16_t ws_ests_limit(const struct ws_est *t, ws_us now, uint16_t slots);
+
 /* In flight and queued at a target, from whichever source says more. */
 uint32_t ws_ests_load(const struct ws_est *t, ws_us now);
 
--- a/lib/core/ws_limit.c
+++ b/lib/core/ws_limit.c
@@ -61,7 +61,7 @@
 	l->limit++;
 	/* What is normal is learned anew once the target is warm. */
 	if (l->limit == l->slots)
-		l->latency = 0;
+		l->relearn = true;
 }
 
 void ws_limit_shed(struct ws_limit *l, ws_us now)
@@ -98,6 +98,10 @@
 		l->baseline = latency;
 		return false;
 	}
+	/* A warm target is faster; a slower answer may mean a cold one. */
+	if (l->relearn && latency < l->baseline)
+		l->baseline = latency;
+	l->relearn = false;
 	l->latency += (latency - l->latency) / 4;
 	if (!ws_limit_is_slow(l, latency)) {
 		l->jumps = 0;
--- a/lib/core/ws_limit.h
+++ b/lib/core/ws_limit.h
@@ -30,6 +30,7 @@
 	uint32_t jumps; /* slow answers in a row */
 	ws_us latency; /* smoothed; 0: unknown */
 	ws_us baseline; /* what counts as normal */
+	bool relearn; /* the baseline dates from the slow start */
 	ws_us answered; /* time of the last answer; 0: none */
 	ws_us hold_until; /* nothing is sent before */
 	ws_us hold;
--- a/lib/core/ws_pick.h
+++ b/lib/core/ws_pick.h
@@ -11,6 +11,7 @@
 	uint32_t in_flight; /* own, or as the dispatcher told if more */
 	uint64_t last_pick; /* grows with each pick; 0: never picked */
 	bool slow; /* much slower than the other targets */
+	bool full; /* a further call would have to wait */
 };
 
 struct ws_picker;
--- a/lib/core/ws_route_choose.c
+++ b/lib/core/ws_route_choose.c
@@ -72,6 +72,7 @@
 	c->in_flight = ws_ests_load(t, r->now);
 	c->last_pick = t->last_pick;
 	c->slow = ws_ests_slow(t, s, r->now);
+	c->full = c->in_flight >= ws_ests_limit(t, r->now, slots);
 	r->candidate_ests[n] = est;
 }
 
@@ -150,6 +151,29 @@
 	return n;
 }
 
+/* The policy's choice among the first n candidates. */
+static size_t pick(struct ws_route *r, size_t n)
+{
+	return r->picker->ops->choose(r->picker, r->candidates, n);
+}
+
+/*
+ * The own zone first; the others when it is loaded in the mean, or when the
+ * target chosen in it has no free slot now.
+ */
+static size_t pick_by_zone(struct ws_route *r, const struct zone_load *z,
+			   size_t n)
+{
+	size_t at;
+
+	if (zone_loaded(z))
+		return pick(r, n);
+	at = pick(r, z->n_own);
+	if (!r->candidates[at].full || z->n_own == n)
+		return at;
+	return pick(r, n);
+}
+
 ws_id ws_route_choose(struct ws_route *r, const struct ws_route_call *c,
 		      const struct ws_view *view)
 {
@@ -160,12 +184,8 @@
 	if (!n)
 		return 0;
 	at = find_probe(r, c, n);
-	if (at == n && !zone_loaded(&z))
-		n = z.n_own;
-	else if (at < n)
-		n = 0;
-	if (n)
-		at = r->picker->ops->choose(r->picker, r->candidates, n);
+	if (at == n)
+		at = pick_by_zone(r, &z, n);
 	r->ests.targets[r->candidate_ests[at]].last_pick = ++r->ests.n_picks;
 	return r->candidates[at].target;
 }
--- a/tests/test_disp.c
+++ b/tests/test_disp.c
@@ -158,6 +158,39 @@
 }
 END_TEST
 
+/* The first slow answer after a slow start would set a wrong baseline. */
+START_TEST(slow_answer_right_after_the_slow_start_is_noticed)
+{
+	struct ws_disp *d = new_disp(100, false);
+
+	serve(d, 0, 1, 24);
+	submit(d, WS_SECOND, 50, 1, 9 * WS_SECOND);
+	end(d, WS_SECOND + 70 * WS_MS, last(WS_FX_DISP_SEND)->u.attempt.attempt,
+	    200);
+	ck_assert_uint_eq(burst(d, 2 * WS_SECOND, 100), 1);
+	ws_disp_free(d);
+}
+END_TEST
+
+/* A cancelled request may run on; the next one would be one too many. */
+START_TEST(cancelled_attempt_lingers_in_its_slot)
+{
+	struct ws_attempt_result r = { .outcome = WS_OUT_UNKNOWN };
+	struct ws_disp *d = new_disp(100, false);
+	uint64_t attempt;
+
+	submit(d, 0, 2, 1, WS_SECOND);
+	attempt = last(WS_FX_DISP_SEND)->u.attempt.attempt;
+	submit(d, 0, 3, 1, WS_SECOND);
+	ws_disp_cancel(d, &fx, WS_MS, ORIGIN, 2);
+	ws_disp_attempt_done(d, &fx, WS_MS, attempt, &r);
+	ck_assert_uint_eq(count(WS_FX_DISP_SEND), 1);
+	ws_disp_tick(d, &fx, 10 * WS_MS);
+	ck_assert_uint_eq(count(WS_FX_DISP_SEND), 2);
+	ws_disp_free(d);
+}
+END_TEST
+
 /* Slots of requests sent before a cold start must stay counted. */
 START_TEST(in_flight_requests_count_after_a_cold_start)
 {
@@ -350,6 +383,8 @@
 	tcase_add_test(tc, limit_never_exceeds_the_slots);
 	tcase_add_test(tc,
 		       new_incarnation_shed_answer_and_latency_jump_turn_cold);
+	tcase_add_test(tc, slow_answer_right_after_the_slow_start_is_noticed);
+	tcase_add_test(tc, cancelled_attempt_lingers_in_its_slot);
 	tcase_add_test(tc, in_flight_requests_count_after_a_cold_start);
 	tcase_add_test(tc, queue_serves_customers_by_weight);
 	tcase_add_test(tc, full_queue_refuses_the_largest_user);
