standin: compare start-by on the clock that the target shows

Cause: a target's clock differs from the machine's by a random offset, and the bound from the header was compared with the machine's clock, so it refused nothing for nearly all offsets. Change: the comparison uses the clock shown; tests for the bound and for overlaps after a freeze. Conclusion: a request delivered after the lease's end is refused.

--- a/lib/standin/ws_starget.c
+++ b/lib/standin/ws_starget.c
@@ -247,7 +247,7 @@
 	req->leaving_for = t->leaving_since ? now - t->leaving_since : 0;
 	if (req->for_incarnation && req->for_incarnation != t->incarnation)
 		return reject(t, now, req, a, 409, "other_incarnation", true);
-	if (req->start_by && now > req->start_by)
+	if (req->start_by && now + t->conf.clock_offset > req->start_by)
 		return reject(t, now, req, a, 409, "start_by_passed", true);
 	error = ws_starget_lease_error(t, now, req);
 	if (error)
--- a/lib/standin/ws_starget.h
+++ b/lib/standin/ws_starget.h
@@ -39,7 +39,7 @@
 	char path[WS_STARGET_TEXT];
 	uint64_t body_hash;
 	uint64_t for_incarnation; /* 0: any */
-	int64_t start_by; /* on the own clock; 0: no bound */
+	ws_us start_by; /* on the clock shown; 0: no bound */
 	uint64_t fence; /* 0: none */
 	int64_t shard; /* -1: none */
 	uint64_t hot_key;
--- a/tests/test_standin.c
+++ b/tests/test_standin.c
@@ -243,6 +243,22 @@
 }
 END_TEST
 
+/* A request that waited in a frozen target belongs to a former fence. */
+START_TEST(request_delivered_late_is_not_started)
+{
+	struct ws_starget *t = new_target(false);
+	struct ws_starget_req req = request(-1, 0);
+	struct ws_starget_answer a;
+
+	req.start_by = 2100;
+	ck_assert(!ws_starget_begin(t, 2001, &req, "", &a));
+	ck_assert_str_eq(a.error, "start_by_passed");
+	ck_assert(a.not_run);
+	ck_assert(ws_starget_begin(t, 2000, &req, "", &a));
+	ws_starget_free(t);
+}
+END_TEST
+
 static bool begin(struct ws_starget *t, ws_us now, struct ws_starget_req *req,
 		  struct ws_starget_answer *a)
 {
@@ -432,6 +448,20 @@
 }
 END_TEST
 
+/* No lease stops a frozen target that does not check; others still count. */
+START_TEST(overlap_after_a_freeze_is_counted_apart)
+{
+	struct ws_jcheck *c = ws_jcheck_new(false);
+
+	add_run(c, "run", "t1", "a", "\"shard\":1,\"frozen\":true", 5, 1, 9);
+	add_run(c, "run", "t2", "b", "\"shard\":1", 6, 5, 6);
+	ws_jcheck_finish(c);
+	ck_assert_uint_eq(ws_jcheck_counts(c)->frozen_overlaps, 1);
+	ck_assert_uint_eq(ws_jcheck_all(c), 0);
+	ws_jcheck_free(c);
+}
+END_TEST
+
 START_TEST(overload_and_unreadable_lines_are_found)
 {
 	struct ws_jcheck *c = ws_jcheck_new(true);
@@ -537,6 +567,7 @@
 	tcase_add_test(tc, target_honours_leases_as_designed);
 	tcase_add_test(tc, hot_key_and_shard_of_one_number_differ);
 	tcase_add_test(tc, request_without_lease_at_its_end_has_no_effect);
+	tcase_add_test(tc, request_delivered_late_is_not_started);
 	tcase_add_test(tc,
 		       cold_target_collapses_above_its_limit_and_journals_it);
 	tcase_add_test(
@@ -545,6 +576,7 @@
 	tcase_add_test(tc, crash_word_begins_a_new_incarnation);
 	tcase_add_test(tc, good_journal_has_no_violation);
 	tcase_add_loop_test(tc, bad_journal_is_found, 0, n_bad);
+	tcase_add_test(tc, overlap_after_a_freeze_is_counted_apart);
 	tcase_add_test(tc, overload_and_unreadable_lines_are_found);
 	tcase_add_test(tc,
 		       work_out_of_service_is_found_after_3_s_and_until_return);
