Name the remedies of the administration listener, log outages of the log

Cause: an operator's walk through the real programs met refusals of the administration listener with remedies meant for callers ("remove duplicate or conflicting headers" for an unknown page, "the request has no caller key" for a wrong token, "look the request up in the service" for a bundle during a log outage), zeros in the instance's own row of status, 401 for HEAD /readyz, and no line for events 504 and 505, which docs/EVENTS.md documents.

Change: own refusals in ws_admin.c, HEAD on the open pages, own state in the status page, 504 and 505 written by the log client. An unknown page now answers 404 instead of 400.

--- a/lib/io/ws_admin.c
+++ b/lib/io/ws_admin.c
@@ -70,6 +70,21 @@
 			   ws_error_remedy(error)));
 }
 
+/* A refusal that only this listener gives, with a remedy of its own. */
+static void refuse(struct request *r, unsigned status, const char *error,
+		   const char *message, const char *remedy)
+{
+	set_json(r, status,
+		 json_pack("{s:s, s:s, s:s}", "error", error, "message",
+			   message, "remedy", remedy));
+}
+
+static void refuse_page(struct request *r)
+{
+	refuse(r, 404, "no_such_page", "this listener has no such page",
+	       "use a page of docs/ADMIN-API.md with its method");
+}
+
 static enum MHD_Result queue_response(struct request *r)
 {
 	enum MHD_Result res =
@@ -132,8 +147,9 @@
 	json_t *o;
 
 	if (!service || !key) {
-		set_error(r, WS_ERR_BAD_REQUEST,
-			  "expected ?service=NAME&key=KEY");
+		refuse(r, 400, "bad_request",
+		       "the page needs a service and a key",
+		       "ask for /admin/v1/explain?service=NAME&key=KEY");
 		return;
 	}
 	o = ws_status_explain(r->owner->sh, service, key);
@@ -180,7 +196,7 @@
 	else if (!strcmp(page, "/explain"))
 		serve_explain(r);
 	else
-		set_error(r, WS_ERR_BAD_REQUEST, "no such page");
+		refuse_page(r);
 }
 
 /* ===== Changes ===== */
@@ -190,7 +206,12 @@
 	struct ws_admin *a = r->owner;
 
 	ws_audit_request(a->audit, ws_shell_wall_ms(), "publish", error);
-	if (error)
+	if (error == WS_ERR_UNKNOWN_OUTCOME)
+		refuse(r, 504, ws_error_name(error),
+		       "the log did not answer; the bundle may come into force",
+		       "wait until the log answers, then read the bundle in "
+		       "force before publishing again");
+	else if (error)
 		set_json(r, (unsigned)ws_error_http_status(error),
 			 json_pack("{s:s, s:s, s:s, s:I}", "error",
 				   ws_error_name(error), "message",
@@ -266,29 +287,38 @@
 		ws_shell_drain(a->sh);
 		set_json(r, 202, json_pack("{s:b}", "draining", 1));
 	} else {
-		set_error(r, WS_ERR_BAD_REQUEST, "no such page");
+		refuse_page(r);
 	}
 }
 
 /* ===== Requests ===== */
 
+/* Load balancers may probe with HEAD. */
+static bool is_probe(const char *method)
+{
+	return !strcmp(method, "GET") || !strcmp(method, "HEAD");
+}
+
 static void serve(struct request *r, const char *url, const char *method)
 {
-	if (!strcmp(method, "GET") && serve_open(r, url))
+	if (is_probe(method) && serve_open(r, url))
 		return;
 	if (!may_administer(r)) {
 		ws_logline(WS_LOG_ADMIN_DENIED, 0, 0, WS_ERR_NO_KEY, url);
-		set_error(r, WS_ERR_NO_KEY, "");
+		refuse(r, 401, "bad_admin_token",
+		       "the administration token is missing or wrong",
+		       "send Authorization: Bearer with the line of the "
+		       "instance's token_file");
 		return;
 	}
 	if (strncmp(url, PREFIX "/", sizeof(PREFIX)) != 0)
-		set_error(r, WS_ERR_BAD_REQUEST, "no such page");
+		refuse_page(r);
 	else if (!strcmp(method, "GET"))
 		serve_page(r, url + sizeof(PREFIX) - 1);
 	else if (!strcmp(method, "POST"))
 		serve_change(r, url + sizeof(PREFIX) - 1);
 	else
-		set_error(r, WS_ERR_BAD_REQUEST, "use GET or POST");
+		refuse_page(r);
 }
 
 static enum MHD_Result finish_request(struct request *r, const char *url,
--- a/lib/io/ws_log_client.c
+++ b/lib/io/ws_log_client.c
@@ -33,6 +33,7 @@
 struct ws_log_client {
 	struct ws_shell *sh;
 	GHashTable *open; /* set of struct exchange */
+	bool down; /* the last read failed */
 	struct curl_slist *headers;
 };
 
@@ -184,12 +185,21 @@
 	ws_shell_feed(sh, &ev);
 }
 
+static void note_state(struct ws_log_client *c, bool down)
+{
+	if (down != c->down)
+		ws_logline(down ? WS_LOG_LOG_DOWN : WS_LOG_LOG_UP, 0, 0, 0,
+			   c->sh->conf->log);
+	c->down = down;
+}
+
 static void on_read(void *arg, const struct ws_http_result *res)
 {
 	struct exchange *x = arg;
 	struct ws_event failed = { .kind = WS_EV_LOG_FAILED };
 	struct ws_log_page page;
 
+	note_state(x->owner, !is_ok(res));
 	if (read_page(res, &page)) {
 		feed_page(x, &page);
 		ws_codec_log_page_clear(&page);
--- a/lib/io/ws_status.c
+++ b/lib/io/ws_status.c
@@ -46,6 +46,22 @@
 
 /* ===== Status ===== */
 
+/* The view holds heartbeats of others; this instance's own state is added. */
+static struct ws_instance with_own_state(const struct ws_shell *sh,
+					 const struct ws_instance *i)
+{
+	const struct ws_bundle *b = ws_core_view(sh->core)->bundle;
+	struct ws_instance x = *i;
+
+	if (i->id != sh->self)
+		return x;
+	x.ready = ws_core_ready(sh->core, ws_shell_now());
+	x.leaving = sh->draining;
+	x.folded = ws_own_folded(ws_core_own(sh->core));
+	x.bundle_version = b ? b->version : 0;
+	return x;
+}
+
 static json_t *instance_json(const struct ws_view *v,
 			     const struct ws_instance *i)
 {
@@ -83,8 +99,11 @@
 	json_t *list = json_array();
 	size_t i;
 
-	for (i = 0; i < v->n_instances; i++)
-		json_array_append_new(list, instance_json(v, &v->instances[i]));
+	for (i = 0; i < v->n_instances; i++) {
+		struct ws_instance x = with_own_state(sh, &v->instances[i]);
+
+		json_array_append_new(list, instance_json(v, &x));
+	}
 	return json_pack(
 		"{s:o, s:s, s:s, s:b, s:b, s:I, s:I, s:I, s:I, s:o, s:o}", "id",
 		hex(sh->self), "name", sh->conf->name, "zone", sh->conf->zone,
--- a/tests/test_daemon.c
+++ b/tests/test_daemon.c
@@ -231,6 +231,92 @@
 }
 END_TEST
 
+/* A refusal without the right remedy misleads who is on call. */
+START_TEST(administration_refusals_name_their_own_remedy)
+{
+	const char *const good[] = { "Authorization: Bearer " RIG_TOKEN, NULL };
+	struct rig_answer a;
+
+	rig_http(rig.admin, "GET", "/admin/v1/status", NULL, NULL, 0, &a);
+	ck_assert_ptr_nonnull(strstr(a.body, "token_file"));
+	rig_http(rig.admin, "GET", "/admin/v1/nothing", good, NULL, 0, &a);
+	ck_assert_int_eq(a.status, 404);
+	ck_assert_ptr_nonnull(strstr(a.body, "no_such_page"));
+	rig_http(rig.admin, "GET", "/admin/v1/explain", good, NULL, 0, &a);
+	ck_assert_int_eq(a.status, 400);
+	ck_assert_ptr_nonnull(strstr(a.body, "service=NAME&key=KEY"));
+}
+END_TEST
+
+/* Zeros in the instance's own row look like a fault to who is on call. */
+START_TEST(status_shows_own_state_among_the_instances)
+{
+	const char *const good[] = { "Authorization: Bearer " RIG_TOKEN, NULL };
+	struct rig_answer a;
+	const char *row;
+
+	rig_http(rig.admin, "GET", "/admin/v1/status", good, NULL, 0, &a);
+	row = strstr(a.body, "\"instances\"");
+	ck_assert_ptr_nonnull(row);
+	ck_assert_ptr_nonnull(strstr(row, "\"ready\": true"));
+	ck_assert_ptr_nonnull(strstr(row, "\"bundle_version\": 1"));
+}
+END_TEST
+
+/* Load balancers that probe with HEAD took every instance for unhealthy. */
+START_TEST(open_pages_answer_head)
+{
+	char buf[512] = "";
+	int fd = rig_send(rig.admin, "HEAD /readyz HTTP/1.1\r\nHost: x\r\n"
+				     "Connection: close\r\n\r\n");
+
+	rig_read(fd, buf, sizeof(buf) - 1, 2000);
+	close(fd);
+	ck_assert_ptr_nonnull(strstr(buf, " 200 OK"));
+}
+END_TEST
+
+static bool daemon_logged(const char *symbol)
+{
+	static char text[1 << 20];
+	char path[128];
+	FILE *f;
+	size_t n;
+
+	snprintf(path, sizeof(path), "%s/daemon.out", rig.dir);
+	f = fopen(path, "r");
+	ck_assert_ptr_nonnull(f);
+	n = fread(text, 1, sizeof(text) - 1, f);
+	fclose(f);
+	text[n] = '\0';
+	return strstr(text, symbol) != NULL;
+}
+
+static bool logged_within(const char *symbol, int ms)
+{
+	for (; ms > 0; ms -= 50) {
+		if (daemon_logged(symbol))
+			return true;
+		usleep(50000);
+	}
+	return false;
+}
+
+/* The events 504 and 505 were documented, but nothing wrote them. */
+START_TEST(log_outage_is_logged_with_its_end)
+{
+	static const char fault[] = "{\"down_ms\":1000}";
+	struct rig_answer a;
+
+	ck_assert(!daemon_logged("\"LOG_DOWN\""));
+	rig_http(rig.log_port, "POST", "/fault", NULL, fault, sizeof(fault) - 1,
+		 &a);
+	ck_assert_int_eq(a.status, 200);
+	ck_assert(logged_within("\"LOG_DOWN\"", 3000));
+	ck_assert(logged_within("\"LOG_UP\"", 5000));
+}
+END_TEST
+
 static long payload_bytes(void)
 {
 	static const char name[] = "\nwagtailshift_payload_bytes ";
@@ -302,6 +388,10 @@
 	tcase_add_test(tc, resent_request_gets_the_first_answer);
 	tcase_add_test(tc, request_above_the_rate_is_refused_with_a_time);
 	tcase_add_test(tc, administration_needs_the_token);
+	tcase_add_test(tc, administration_refusals_name_their_own_remedy);
+	tcase_add_test(tc, open_pages_answer_head);
+	tcase_add_test(tc, log_outage_is_logged_with_its_end);
+	tcase_add_test(tc, status_shows_own_state_among_the_instances);
 	tcase_add_test(tc, no_payload_is_held_after_the_answers);
 	/* Only the process that started the daemon can wait for its end. */
 	tcase_add_checked_fixture(stop, setup_slow, teardown);
