--- a/lib/io/ws_admin.c
+++ b/lib/io/ws_admin.c
@@ -311,9 +311,11 @@
 		       "instance's token_file");
 		return;
 	}
-	if (strncmp(url, PREFIX "/", sizeof(PREFIX)) != 0)
+	if (strncmp(url, PREFIX "/", sizeof(PREFIX)) != 0) {
 		refuse_page(r);
-	else if (!strcmp(method, "GET"))
+		return;
+	}
+	if (!strcmp(method, "GET"))
 		serve_page(r, url + sizeof(PREFIX) - 1);
 	else if (!strcmp(method, "POST"))
 		serve_change(r, url + sizeof(PREFIX) - 1);
