Race operators in the random runs, add mutations of the core

Cause: the mutation that accepts bundles of any base was missed, because bundles of the same base never raced, and no check asked whether all instances end with the bundle in force.

Change: a random fault publishes two bundles of one base through two instances; after the quiet time each instance must have the version that the log says is in force. Mutations of the core: SEND_UNCHECKED, ZONE_IGNORED, BUNDLE_ANY_BASE, NO_START_BY, with seeds where needed.

--- a/lib/core/ws_core_dispatch.c
+++ b/lib/core/ws_core_dispatch.c
@@ -282,6 +282,9 @@
 	const struct ws_service *svc =
 		ws_bundle_service(c->bundle, e->u.attempt.call.service);
 
+#if defined(WS_MUTANT_NO_START_BY) || defined(WS_MUTANT_SEND_UNCHECKED)
+	return 0;
+#endif
 	if (!t || !svc || !svc->sharded ||
 	    t->clock_incarnation != e->u.attempt.incarnation)
 		return 0;
@@ -297,6 +300,9 @@
 	res.error = check_permission(c, e->u.attempt.target,
 				     e->u.attempt.incarnation,
 				     e->u.attempt.fence, &e->u.attempt.call);
+#ifdef WS_MUTANT_SEND_UNCHECKED
+	res.error = WS_OK;
+#endif
 	if (res.error) {
 		ws_disp_attempt_done(c->disp, ws_core_fx(c), c->now,
 				     e->u.attempt.attempt, &res);
--- a/lib/core/ws_core_log.c
+++ b/lib/core/ws_core_log.c
@@ -99,8 +99,10 @@
 		return WS_ERR_SYNTAX;
 	if (!is_trusted(c, b->signer))
 		return WS_ERR_SIGNATURE;
+#ifndef WS_MUTANT_BUNDLE_ANY_BASE
 	if (b->base != version_in_force(c) || b->version != b->base + 1)
 		return WS_ERR_VERSION;
+#endif
 	return check_fixed(c->bundle, b);
 }
 
--- a/lib/core/ws_member.c
+++ b/lib/core/ws_member.c
@@ -50,6 +50,9 @@
 {
 	const struct ws_zone *z = ws_bundle_zone(v->bundle, t->zone);
 
+#ifdef WS_MUTANT_ZONE_IGNORED
+	return t->state == WS_STATE_LIVE && !t->leaving && z;
+#endif
 	return t->state == WS_STATE_LIVE && !t->leaving && z && z->in_service;
 }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -19,6 +19,7 @@
 		echo "$name $test: BUILD FAILED"
 		return
 	fi
+	[ "$3" = - ] || export WS_SEEDS="$3"
 	if timeout 300 "$dir/$test" >"$dir.log" 2>&1; then
 		echo "$name $test: MISSED"
 	else
@@ -28,19 +29,20 @@
 }
 
 if [ "${WS_MUTANT_ONE:-}" ]; then
-	try_mutant "$1" "$2"
+	try_mutant "$1" "$2" "$3"
 	exit 0
 fi
 
-# Lines "NAME test_program" of all lists, without comments.
-cat tests/MUTANTS.* | grep -v '^#' | grep -v '^$' >"$out/list"
+# Lines "NAME test_program [seeds]" of all lists; "-" stands for no seeds.
+cat tests/MUTANTS.* | grep -v '^#' | grep -v '^$' |
+	awk '{ print $1, $2, $3 ? $3 : "-" }' >"$out/list"
 if [ $# -gt 0 ]; then
 	for n in "$@"; do grep "^$n " "$out/list"; done >"$out/chosen"
 else
 	cp "$out/list" "$out/chosen"
 fi
 
-xargs -P 4 -n 2 env WS_MUTANT_ONE=1 sh "$0" <"$out/chosen" | tee "$out/result"
+xargs -P 4 -n 3 env WS_MUTANT_ONE=1 sh "$0" <"$out/chosen" | tee "$out/result"
 caught=$(grep -c ': caught$' "$out/result")
 missed=$(grep -vc ': caught$' "$out/result")
 echo "mutants: $caught caught, $missed missed"
--- a/tests/fake.c
+++ b/tests/fake.c
@@ -553,7 +553,7 @@
 	int c = (int)ws_rand_below(&f->rand, FAKE_CUSTOMERS);
 	ws_us d = (ws_us)ws_rand_below(&f->rand, 4 * WS_SECOND);
 
-	switch (ws_rand_below(&f->rand, 16)) {
+	switch (ws_rand_below(&f->rand, 17)) {
 	case 0:
 		fake_kill_instance(f, i);
 		fake_push(f, f->now + d, FE_START_INSTANCE, i);
@@ -601,6 +601,11 @@
 	case 14:
 		fake_expire_log(f, 40);
 		break;
+	case 15:
+		/* Two operators race with bundles of the same base. */
+		fake_set_zone(f, i, a, f->zone_out_at[a] != 0);
+		fake_revoke_key(f, (i + 1) % f->n_instances, c);
+		break;
 	default:
 		fake_poison_calls(f, 0.01);
 		break;
--- a/tests/fake.h
+++ b/tests/fake.h
@@ -123,6 +123,9 @@
 /* Runs of the call at targets so far, and the target of the last one. */
 int fake_runs(const struct fake *f, int call, int *target);
 
+/* Version of the bundle that the log says is in force. */
+uint64_t fake_bundle_version(const struct fake *f);
+
 /* Records a violation found by the caller. */
 void fake_violation(struct fake *f, const char *what, uint64_t a, uint64_t b);
 
--- a/tests/fake_log.c
+++ b/tests/fake_log.c
@@ -211,6 +211,11 @@
 	f->report.bundles++;
 }
 
+uint64_t fake_bundle_version(const struct fake *f)
+{
+	return f->bundle->version;
+}
+
 /* ===== The log ===== */
 
 void fake_log_outage(struct fake *f, ws_us duration)
--- a/tests/test_core_random.c
+++ b/tests/test_core_random.c
@@ -82,6 +82,22 @@
 				       (uint64_t)i, fake_held_requests(f, i));
 }
 
+/* After the quiet time every instance must have the bundle in force. */
+static void check_bundles(struct fake *f, int instances)
+{
+	const struct ws_bundle *b;
+	int i;
+
+	for (i = 0; i < instances; i++) {
+		if (!fake_core(f, i))
+			continue;
+		b = ws_core_view(fake_core(f, i))->bundle;
+		if (!b || b->version != fake_bundle_version(f))
+			fake_violation(f, "bundle not in force everywhere",
+				       (uint64_t)i, fake_bundle_version(f));
+	}
+}
+
 /* Faults for a while, then quiet, in which everything must work again. */
 static void run_seed(uint64_t seed, ws_us duration, struct totals *t)
 {
@@ -97,6 +113,7 @@
 	}
 	fake_run(f, fake_now(f) + QUIET_TIME);
 	check_leaks(f, conf.instances);
+	check_bundles(f, conf.instances);
 	add_counts(t, r);
 	if (r->violations) {
 		t->failed_seeds++;
