Let an operator state that instances are gone

Cause: when most holders of partitions are lost at once, nobody may take over what they held for ten minutes, and no command could tell the fleet that they are gone, although ws_own knows the RECOVER record.

Conclusion: the loss of a majority has a remedy, and it is one command.

--- a/Makefile
+++ b/Makefile
@@ -62,7 +62,8 @@
 # A program may have further parts in a folder of its own name.
 .SECONDEXPANSION:
 $(PROGRAMS): $(BUILD)/%: $(BUILD)/programs/%.o \
-		$$(patsubst %.c,$(BUILD)/%.o,$$(wildcard programs/$$*/*.c)) \
+		$$(addprefix $(BUILD)/,$$(addsuffix .o,$$(basename \
+		$$(wildcard programs/$$*/*.c)))) \
 		$(BUILD)/libwagtailshift.a
 	@echo "LD $@"
 	@$(CC) $(SAN) -o $@ $^ $(LDLIBS)
--- a/lib/cli/ws_cli.c
+++ b/lib/cli/ws_cli.c
@@ -63,6 +63,14 @@
 	  "The instance hands over what it holds, finishes its requests and "
 	  "exits.",
 	  ws_cli_drain },
+	{ "recover", "IDS", 1, PAGE | WS_CLI_KEY,
+	  "state that instances are gone",
+	  "States, signed with the key of --key, that the instances with these "
+	  "ids (16\nhexadecimal digits each, separated by commas) have ended. "
+	  "Only needed when more\nthan half of the partitions' holders were "
+	  "lost at once. Never name an instance\nthat may still run: its keys "
+	  "would get a second owner.",
+	  ws_cli_recover },
 	{ "zone out", "ZONE", 1, PAGE | WS_CLI_KEY,
 	  "take a zone out of service",
 	  "Fetches the bundle in force, marks the zone as out of service, "
--- a/lib/core/ws_core_log.c
+++ b/lib/core/ws_core_log.c
@@ -146,6 +146,16 @@
 	e->u.published.version = version_in_force(c);
 }
 
+/* Tells the submitter of a record what became of it. */
+static void settle_publish(struct ws_core *c, const struct ws_record *rec,
+			   int res)
+{
+	if (!c->publish.uid || c->publish.uid != rec->uid)
+		return;
+	c->publish.uid = 0;
+	publish_result(c, c->publish.ref, res);
+}
+
 static void fold_bundle(struct ws_core *c, const struct ws_record *rec)
 {
 	int res = check_bundle(c, rec->bundle);
@@ -156,16 +166,21 @@
 		ws_fx_log(c->out, WS_LOG_BUNDLE_REFUSED, rec->writer,
 			  (int64_t)rec->bundle_version, res);
 	note_verdict(c, rec, res);
-	if (c->publish.uid && c->publish.uid == rec->uid) {
-		c->publish.uid = 0;
-		publish_result(c, c->publish.ref, res);
-	}
+	settle_publish(c, rec, res);
+}
+
+/* A statement that instances are gone, or a bundle. */
+static int check_submitted(const struct ws_core *c, const struct ws_record *rec)
+{
+	if (rec->kind != WS_REC_RECOVER)
+		return check_bundle(c, rec->bundle);
+	return is_trusted(c, rec->signer) ? WS_OK : WS_ERR_SIGNATURE;
 }
 
 void ws_core_publish(struct ws_core *c, const struct ws_event *ev)
 {
 	struct ws_record *rec;
-	int res = check_bundle(c, ev->u.publish.record->bundle);
+	int res = check_submitted(c, ev->u.publish.record);
 
 	if (!res && c->publish.uid)
 		res = WS_ERR_IN_PROGRESS;
@@ -177,8 +192,10 @@
 	rec = ws_alloc(1, sizeof(*rec));
 	ws_record_copy(rec, ev->u.publish.record);
 	rec->uid = ws_mix(c->conf.self, ++c->next_id) | 1;
-	rec->bundle_version = rec->bundle->version;
-	rec->bundle_base = rec->bundle->base;
+	if (rec->bundle) {
+		rec->bundle_version = rec->bundle->version;
+		rec->bundle_base = rec->bundle->base;
+	}
 	c->publish.uid = rec->uid;
 	c->publish.ref = ev->u.publish.ref;
 	c->publish.deadline = c->now + PUBLISH_WAIT;
@@ -224,6 +241,8 @@
 	else if (rec->kind == WS_REC_ASSIGN)
 		note_partitions(c, rec);
 	ws_own_fold(c->own, ws_core_fx(c), c->now, &r);
+	if (rec->kind == WS_REC_RECOVER)
+		settle_publish(c, rec, r.n_gone ? WS_OK : WS_ERR_SIGNATURE);
 	c->member_dirty = true;
 }
 
--- a/lib/io/ws_admin.c
+++ b/lib/io/ws_admin.c
@@ -236,27 +236,53 @@
 	finish_publish(r, error, version);
 }
 
-static void feed_bundle(struct request *r, struct ws_bundle *b)
+/* Hands a signed record to the core and remembers who waits for the result. */
+static void feed_record(struct request *r, struct ws_record *rec)
 {
 	struct ws_admin *a = r->owner;
-	struct ws_record rec = { .kind = WS_REC_BUNDLE };
 	struct ws_event ev = { .kind = WS_EV_PUBLISH };
 
-	randombytes_buf(&rec.uid, sizeof(rec.uid));
-	rec.writer = a->sh->self;
-	rec.wall_ms = ws_shell_wall_ms();
-	rec.bundle = b;
-	rec.bundle_version = b->version;
-	rec.bundle_base = b->base;
-	rec.bundle_text = r->body->str;
+	randombytes_buf(&rec->uid, sizeof(rec->uid));
+	rec->writer = a->sh->self;
+	rec->wall_ms = ws_shell_wall_ms();
+	rec->bundle_text = r->body->str;
 	r->ref = ++a->next_ref;
 	r->submitted = ws_shell_now();
 	g_hash_table_insert(a->publishing, &r->ref, r);
 	ev.u.publish.ref = r->ref;
-	ev.u.publish.record = &rec;
+	ev.u.publish.record = rec;
 	ws_shell_feed(a->sh, &ev);
 }
 
+static void feed_bundle(struct request *r, struct ws_bundle *b)
+{
+	struct ws_record rec = {
+		.kind = WS_REC_BUNDLE,
+		.bundle = b,
+		.bundle_version = b->version,
+		.bundle_base = b->base,
+	};
+
+	feed_record(r, &rec);
+}
+
+/* A signed statement that instances are gone for good. */
+static void recover(struct request *r)
+{
+	struct ws_record rec = { .kind = WS_REC_RECOVER };
+	struct ws_reason why = { "" };
+	int res;
+
+	rec.bundle_text = r->body->str;
+	res = ws_codec_recover_open(&rec, NULL, 0, &why);
+	ws_audit_request(r->owner->audit, ws_shell_wall_ms(), "recover", res);
+	if (ws_is_error(res))
+		set_error(r, res, why.text);
+	else
+		feed_record(r, &rec);
+	free(rec.gone);
+}
+
 static void publish(struct request *r)
 {
 	struct ws_bundle *b = NULL;
@@ -279,6 +305,8 @@
 
 	if (!strcmp(page, "/bundle")) {
 		publish(r);
+	} else if (!strcmp(page, "/recover")) {
+		recover(r);
 	} else if (!strcmp(page, "/drain")) {
 		ws_audit_request(a->audit, ws_shell_wall_ms(), "drain", 0);
 		ws_shell_drain(a->sh);
--- a/tests/fake.c
+++ b/tests/fake.c
@@ -427,6 +427,8 @@
 		return;
 	ws_core_free(in->core);
 	in->core = NULL;
+	ws_grow(&f->gone, &f->cap_gone, f->n_gone + 1, sizeof(*f->gone));
+	f->gone[f->n_gone++] = in->id;
 	fake_cancel_runs(f, i);
 	f->report.kills++;
 	/* Callers of a dead instance see a closed connection. */
@@ -759,6 +761,7 @@
 	free(f->calls);
 	free(f->runs);
 	free(f->owners);
+	free(f->gone);
 	free(f);
 }
 
--- a/tests/fake.h
+++ b/tests/fake.h
@@ -96,6 +96,9 @@
 void fake_revoke_key(struct fake *f, int i, int customer);
 void fake_grant_key(struct fake *f, int i, int customer);
 
+/* An operator states through instance i that all killed instances are gone. */
+void fake_recover(struct fake *f, int i);
+
 /* Lets the log drop all records but the last n. */
 void fake_expire_log(struct fake *f, size_t n);
 
--- a/tests/fake_internal.h
+++ b/tests/fake_internal.h
@@ -172,6 +172,9 @@
 	struct fake_owner *owners;
 	size_t n_owners;
 	size_t cap_owners;
+	ws_id *gone; /* ids of killed instances */
+	size_t n_gone;
+	size_t cap_gone;
 	double poison_share;
 	int poison_left;
 };
--- a/tests/fake_log.c
+++ b/tests/fake_log.c
@@ -177,6 +177,20 @@
 	publish(f, i, b);
 }
 
+void fake_recover(struct fake *f, int i)
+{
+	struct ws_event ev = { .kind = WS_EV_PUBLISH };
+	struct ws_record *rec = ws_alloc(1, sizeof(*rec));
+
+	rec->kind = WS_REC_RECOVER;
+	rec->n_gone = f->n_gone;
+	rec->gone = copy(f->gone, f->n_gone, sizeof(*f->gone));
+	memcpy(rec->signer, f->bundle->operators[0], sizeof(rec->signer));
+	ev.u.publish.record = rec;
+	ev.u.publish.ref = 1;
+	fake_deliver(f, i, f->instances[i].life, f->now, &ev);
+}
+
 /* What the log says is in force; decided here apart from the core. */
 static bool has_key(const struct ws_bundle *b, int customer)
 {
