route: do not write through a moved table of estimates

ws_ests_note_load() took the address of the table before the call that may grow it, so the load of a ninth, 17th, ... target was written to freed memory. A new test of the zone preference crashed on it (segmentation fault); with the fix it passes.

--- a/lib/core/ws_est.c
+++ b/lib/core/ws_est.c
@@ -57,11 +57,14 @@
 void ws_ests_note_load(struct ws_ests *e, ws_us now, const struct ws_load *load)
 {
 	struct ws_est *t;
+	uint32_t slot;
 	int64_t util;
 
 	if (!load->target || !load->limit)
 		return;
-	t = &e->targets[ws_ests_target(e, load->target, 0)];
+	/* Adding may move the table, so it comes first. */
+	slot = ws_ests_target(e, load->target, 0);
+	t = &e->targets[slot];
 	util = ((int64_t)load->in_flight + load->queued) * 1000 / load->limit;
 	if (!t->load_at)
 		t->util = (uint32_t)util;
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -177,6 +177,32 @@
 }
 END_TEST
 
+/* Waiting in the own zone beside free slots elsewhere is a loss. */
+START_TEST(own_zone_is_left_when_its_targets_are_full)
+{
+	struct ws_load load = { .limit = 4, .latency = 100 };
+	uint64_t id;
+
+	new_route(false);
+	view.self_zone = 1;
+	for (load.target = 1; load.target <= 10; load.target++) {
+		load.in_flight = load.target % 2 ? 0 : 2;
+		ws_route_note_load(r, 1, &load);
+	}
+	start(1, 1, true);
+	ck_assert_uint_eq(last(WS_FX_ROUTE_SEND)->u.route_send.target % 2, 1);
+	load.in_flight = 4;
+	for (load.target = 1; load.target <= 9; load.target += 2)
+		ws_route_note_load(r, 1, &load);
+	for (id = 2; id < 20; id++) {
+		start(1, id, true);
+		if (last(WS_FX_ROUTE_SEND)->u.route_send.target % 2 == 0)
+			return;
+	}
+	ck_abort_msg("all calls wait in the own zone");
+}
+END_TEST
+
 /* Load reports lie; a slowed target would hold every tenth call. */
 START_TEST(slowed_target_is_found_soon_and_probed_sparingly)
 {
@@ -357,6 +383,7 @@
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, leaving_targets_and_closed_zones_are_never_chosen);
 	tcase_add_test(tc, own_zone_is_preferred_unless_loaded);
+	tcase_add_test(tc, own_zone_is_left_when_its_targets_are_full);
 	tcase_add_test(tc, slowed_target_is_found_soon_and_probed_sparingly);
 	tcase_add_test(tc, non_idempotent_call_is_resent_only_when_not_run);
 	tcase_add_test(tc, idempotent_call_is_retried_once_after_a_crash);
