Work out the capacity of each role from measured slopes

Cause: design.md names a size for two years from now, but nothing said what each role costs there.

Change: wagtailshift-capacity measures the real modules at three or more sizes, fits lines and works out the cost of each role, of mechanisms that are not built yet, and of the log. scripts/capacity.sh renews the tables of docs/CAPACITY.md. tests/test_capacity.c checks the fitting and the writing.

--- /dev/null
+++ b/lib/capacity/ws_cap_own.c
@@ -0,0 +1,213 @@
+#include "capacity/ws_cap_internal.h"
+
+#include <math.h>
+
+/* Ownership by shards, members and partitions. */
+
+#define WARM_UP 60
+#define TICKS 20
+#define ROUNDS 20
+#define SQUARE(n) ((size_t)(n) * (n))
+
+static double memory(size_t shards)
+{
+	struct ws_cap_fleet f;
+	double before;
+	double after;
+
+	ws_cap_fleet_init(&f, CAP_INSTANCES, CAP_TARGETS, (uint32_t)shards,
+			  CAP_PARTITIONS);
+	before = ws_cap_memory();
+	ws_cap_fleet_assign(&f);
+	ws_fx_free(&f.fx);
+	after = ws_cap_memory();
+	ws_cap_fleet_free(&f);
+	return after - before;
+}
+
+static double fold(size_t shards)
+{
+	struct ws_cap_fleet f;
+	double start;
+
+	ws_cap_fleet_init(&f, CAP_INSTANCES, CAP_TARGETS, (uint32_t)shards,
+			  CAP_PARTITIONS);
+	start = ws_cap_cpu();
+	ws_cap_fleet_assign(&f);
+	start = ws_cap_cpu() - start;
+	ws_cap_fleet_free(&f);
+	return start * 1e6;
+}
+
+/* A record that moves nothing makes every instance plan again. */
+static double plan(size_t shards)
+{
+	struct ws_record rec = { .kind = WS_REC_ASSIGN };
+	struct ws_cap_fleet f;
+	double start;
+	size_t i;
+
+	ws_cap_fleet_init(&f, CAP_INSTANCES, CAP_TARGETS, (uint32_t)shards,
+			  CAP_PARTITIONS);
+	ws_cap_fleet_assign(&f);
+	for (i = 0; i < WARM_UP; i++)
+		ws_cap_fleet_step(&f);
+	rec.offset = f.head++;
+	ws_own_fold(f.own, &f.fx, f.now, &rec);
+	start = ws_cap_cpu();
+	ws_cap_fleet_step(&f);
+	start = ws_cap_cpu() - start;
+	ws_cap_fleet_free(&f);
+	return start * 1e6;
+}
+
+static double idle_tick(size_t instances, size_t targets, uint32_t shards)
+{
+	struct ws_cap_fleet f;
+	double sum = 0;
+	double start;
+	size_t i;
+
+	ws_cap_fleet_init(&f, instances, targets, shards, CAP_PARTITIONS);
+	ws_cap_fleet_assign(&f);
+	for (i = 0; i < WARM_UP; i++)
+		ws_cap_fleet_step(&f);
+	for (i = 0; i < TICKS; i++) {
+		f.now += 50 * WS_MS;
+		ws_own_log_evidence(f.own, &f.fx, f.now, f.now, f.head);
+		start = ws_cap_cpu();
+		ws_own_tick(f.own, &f.fx, f.now, f.now / WS_MS, &f.view);
+		sum += ws_cap_cpu() - start;
+	}
+	ws_cap_fleet_free(&f);
+	return sum * 1e6 / TICKS;
+}
+
+static double tick_members(size_t members)
+{
+	return idle_tick(members / 3, members / 3 * 2, 4096);
+}
+
+static double tick_shards(size_t shards)
+{
+	return idle_tick(CAP_INSTANCES, CAP_TARGETS, (uint32_t)shards);
+}
+
+/* ===== Freshness rounds ===== */
+
+static uint64_t round_asked(const struct ws_fx *fx)
+{
+	size_t i;
+
+	for (i = 0; i < fx->n; i++)
+		if (fx->items[i].kind == WS_FX_SEND &&
+		    fx->items[i].u.send.msg.kind == WS_MSG_FRESH_ASK)
+			return fx->items[i].u.send.msg.u.fresh.round;
+	return 0;
+}
+
+/* Starts a round, as the log is silent, and takes the answers to it. */
+static double answers(struct ws_cap_fleet *f)
+{
+	struct ws_msg msg = { .kind = WS_MSG_FRESH_ANSWER };
+	double start;
+	size_t i;
+
+	f->now += WS_SECOND / 2;
+	ws_own_tick(f->own, &f->fx, f->now, f->now / WS_MS, &f->view);
+	msg.u.fresh.folded = f->head;
+	msg.u.fresh.round = round_asked(&f->fx);
+	WS_INVARIANT(msg.u.fresh.round != 0);
+	ws_fx_clear(&f->fx);
+	start = ws_cap_cpu();
+	for (i = 0; i < f->n_partitions; i++)
+		ws_own_msg(f->own, &f->fx, f->now, CAP_INSTANCE_ID + i, &msg,
+			   &f->view);
+	return ws_cap_cpu() - start;
+}
+
+static double freshness_round(size_t squared)
+{
+	struct ws_cap_fleet f;
+	double sum = 0;
+	size_t i;
+
+	ws_cap_fleet_init(&f, CAP_INSTANCES, CAP_TARGETS, 4096,
+			  (uint32_t)lround(sqrt((double)squared)));
+	ws_cap_fleet_assign(&f);
+	for (i = 0; i < WARM_UP; i++)
+		ws_cap_fleet_step(&f);
+	for (i = 0; i < ROUNDS; i++)
+		sum += answers(&f);
+	ws_cap_fleet_free(&f);
+	return sum * 1e6 / ROUNDS;
+}
+
+/* ===== Losses ===== */
+
+/*
+ * Ticks until nothing is left to be done: 20 s of virtual time, because one
+ * instance alone waits for its turn in each proposal.
+ */
+#define SETTLE 400
+
+static void lose(struct ws_cap_fleet *f, size_t instances, size_t targets)
+{
+	size_t i;
+
+	for (i = 0; i < instances; i++)
+		f->instances[i * CAP_ZONES].alive = false;
+	for (i = 0; i < targets; i++)
+		f->targets[i * CAP_ZONES].state = WS_STATE_LOST;
+}
+
+static void loss(struct ws_cap_results *r, enum ws_cap_loss_id id,
+		 const char *name, size_t instances, size_t targets)
+{
+	struct ws_cap_fleet f;
+	double start;
+	size_t i;
+
+	ws_cap_fleet_init(&f, CAP_INSTANCES, CAP_TARGETS, CAP_SHARDS,
+			  CAP_PARTITIONS);
+	ws_cap_fleet_assign(&f);
+	for (i = 0; i < WARM_UP; i++)
+		ws_cap_fleet_step(&f);
+	f.count = (struct ws_cap_loss){ .name = name,
+					.instances = instances,
+					.targets = targets };
+	start = ws_cap_cpu();
+	if (id == WS_CAP_LOSS_DRAIN)
+		ws_own_drain(f.own);
+	lose(&f, instances, targets);
+	for (i = 0; i < SETTLE; i++)
+		ws_cap_fleet_step(&f);
+	f.count.cpu = ws_cap_cpu() - start;
+	r->loss[id] = f.count;
+	ws_cap_fleet_free(&f);
+}
+
+void ws_cap_measure_loss(struct ws_cap_results *r)
+{
+	loss(r, WS_CAP_LOSS_INSTANCE, "one instance", 1, 0);
+	loss(r, WS_CAP_LOSS_RACK, "rack of 40 nodes", 13, 27);
+	loss(r, WS_CAP_LOSS_ZONE, "zone", CAP_INSTANCES / CAP_ZONES + 1,
+	     CAP_TARGETS / CAP_ZONES + 1);
+	loss(r, WS_CAP_LOSS_DRAIN, "graceful shutdown of one instance", 0, 0);
+}
+
+void ws_cap_measure_own(struct ws_cap_results *r)
+{
+	static const size_t shards[] = { 4096, 16384, 32768, 65536 };
+	static const size_t members[] = { 600, 1200, 2400, 4800 };
+	/* Each answer counts the votes of all, so the square decides. */
+	static const size_t partitions[] = { SQUARE(256), SQUARE(512),
+					     SQUARE(768), SQUARE(1024) };
+
+	ws_cap_run(r, WS_CAP_OWN_MEM, shards, 4, memory);
+	ws_cap_run(r, WS_CAP_OWN_FOLD, shards, 4, fold);
+	ws_cap_run(r, WS_CAP_OWN_PLAN, shards, 4, plan);
+	ws_cap_run(r, WS_CAP_OWN_TICK, members, 4, tick_members);
+	ws_cap_run(r, WS_CAP_OWN_TICK_SHARDS, shards, 4, tick_shards);
+	ws_cap_run(r, WS_CAP_ROUND, partitions, 4, freshness_round);
+}
--- /dev/null
+++ b/tests/test_capacity.c
@@ -0,0 +1,116 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "capacity/ws_capacity.h"
+#include "common/ws_common.h"
+
+/* The line fitting and the writing of the page. */
+
+/* A wrong slope would make every figure of the page wrong. */
+START_TEST(points_on_a_line_give_its_slope_and_base)
+{
+	const struct ws_cap_point p[] = { { 2, 165 },
+					  { 8, 453 },
+					  { 32, 1605 } };
+	struct ws_cap_fit fit;
+
+	ck_assert_int_eq(ws_cap_fit(p, 3, &fit), 0);
+	ck_assert_double_eq_tol(fit.slope, 48, 1e-6);
+	ck_assert_double_eq_tol(fit.base, 69, 1e-6);
+	ck_assert_double_eq_tol(fit.worst, 0, 1e-9);
+}
+END_TEST
+
+/* A curve must show up as a deviation, not pass as a line. */
+START_TEST(points_off_the_line_show_as_deviation)
+{
+	const struct ws_cap_point p[] = { { 10, 100 },
+					  { 20, 400 },
+					  { 40, 1600 } };
+	struct ws_cap_fit fit;
+
+	ck_assert_int_eq(ws_cap_fit(p, 3, &fit), 0);
+	ck_assert_double_gt(fit.worst, 0.1);
+}
+END_TEST
+
+/* Two sizes always lie on a line, so they prove nothing. */
+START_TEST(fewer_than_three_sizes_are_refused)
+{
+	const struct ws_cap_point p[] = { { 1, 1 }, { 1, 2 }, { 2, 3 } };
+	struct ws_cap_fit fit;
+
+	ck_assert_int_eq(ws_cap_fit(p, 3, &fit), WS_ERR_LIMIT);
+	ck_assert_int_eq(ws_cap_fit(p, 0, &fit), WS_ERR_LIMIT);
+}
+END_TEST
+
+/* One interrupted repeat must not shift a point, but must show as spread. */
+START_TEST(a_point_is_the_median_of_its_repeats)
+{
+	double samples[] = { 10, 90, 11, 9, 10 };
+	struct ws_cap_series s = { .n = 0 };
+
+	ws_cap_add(&s, 5, samples, 5);
+	ck_assert_uint_eq(s.n, 1);
+	ck_assert_double_eq_tol(s.points[0].y, 10, 1e-9);
+	ck_assert_double_eq_tol(s.spread, 8.1, 1e-9);
+}
+END_TEST
+
+/* Renewing the tables must keep the text around them, as often as it is run. */
+START_TEST(only_the_text_between_the_markers_is_replaced)
+{
+	struct ws_cap_text first = { .data = NULL };
+	struct ws_cap_text second = { .data = NULL };
+
+	ck_assert_int_eq(ws_cap_replace("a 100 %s\n" WS_CAP_BEGIN
+					"old\n" WS_CAP_END "b\n",
+					"new 5 %\n", &first),
+			 0);
+	ck_assert_str_eq(first.data, "a 100 %s\n" WS_CAP_BEGIN
+				     "new 5 %\n" WS_CAP_END "b\n");
+	ck_assert_int_eq(ws_cap_replace(first.data, "new 5 %\n", &second), 0);
+	ck_assert_str_eq(first.data, second.data);
+	ws_cap_text_free(&first);
+	ws_cap_text_free(&second);
+}
+END_TEST
+
+/* A page without both markers, once each and in order, must stay as it is. */
+START_TEST(a_page_with_wrong_markers_is_refused)
+{
+	const char *const pages[] = {
+		"no markers\n",
+		WS_CAP_BEGIN "x\n",
+		WS_CAP_END WS_CAP_BEGIN,
+		WS_CAP_BEGIN WS_CAP_BEGIN WS_CAP_END,
+	};
+	struct ws_cap_text out = { .data = NULL };
+
+	ck_assert_int_eq(ws_cap_replace(pages[_i], "x\n", &out), WS_ERR_SYNTAX);
+	ck_assert_uint_eq(out.len, 0);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("capacity");
+	TCase *tc = tcase_create("all");
+	SRunner *sr;
+	int failed;
+
+	tcase_add_test(tc, points_on_a_line_give_its_slope_and_base);
+	tcase_add_test(tc, points_off_the_line_show_as_deviation);
+	tcase_add_test(tc, fewer_than_three_sizes_are_refused);
+	tcase_add_test(tc, a_point_is_the_median_of_its_repeats);
+	tcase_add_test(tc, only_the_text_between_the_markers_is_replaced);
+	tcase_add_loop_test(tc, a_page_with_wrong_markers_is_refused, 0, 4);
+	suite_add_tcase(s, tc);
+	sr = srunner_create(s);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed != 0;
+}
