idem: Let later dispatches of an id outdate earlier ones

Cause: a home that kept an id from an earlier handover as dispatched elsewhere ignored what a newer handover said of it, unless that was an answer to the same body. If the earlier home had proved "not run", a late copy of that result then removed the id, and it ran a second time. Nothing of this depends on WS_IDEM_FUTURE_MS or WS_IDEM_TAKEOVER_MS.

Change: final states replace "dispatched elsewhere", and a dispatch known under a higher fence replaces one under a lower fence, with its body.

Before: all 3 tests of test_idem_moves fail with the present constants (the id runs twice), with each message delivered to its addressee only. All 23 test programs pass.

Conclusion: a fault of the module that needed a duplicated handover and a duplicated result. The constants stay at 2000 and 4000 ms.

--- a/lib/core/ws_idem_home.c
+++ b/lib/core/ws_idem_home.c
@@ -89,26 +89,49 @@
 
 /* ===== Receiving a handover ===== */
 
-/* Takes over the answer of a received entry if nothing better is known. */
+/*
+ * Tells whether a received entry says more of an id than the item here.
+ * Answers and unknown outcomes are final. A dispatch by a later home outdates
+ * that by an earlier one, whose late result must not make the id run again.
+ */
+static bool says_more(const struct ws_idem_item *it,
+		      const struct ws_idem_entry *e, uint8_t state,
+		      ws_offset fence)
+{
+	if (it->state == WS_IDEM_ELSEWHERE)
+		return state != WS_IDEM_ELSEWHERE || fence > it->ran_under;
+	return it->state == WS_IDEM_UNKNOWN && state == WS_IDEM_DONE &&
+	       it->fingerprint == e->fingerprint;
+}
+
+/* Takes over the content of a received entry. */
+static void fill(struct ws_idem_item *it, const struct ws_idem_entry *e,
+		 uint8_t state, ws_offset fence)
+{
+	bool done = state == WS_IDEM_DONE;
+
+	it->state = state;
+	it->fingerprint = e->fingerprint;
+	it->ran_under = fence;
+	it->answer = (struct ws_answer){
+		.outcome = done ? WS_OUT_DONE : WS_OUT_UNKNOWN,
+		.error = done ? 0 : WS_ERR_UNKNOWN_OUTCOME,
+		.status = e->status,
+		.payload = e->payload,
+	};
+}
+
 static void merge(struct ws_idem *d, struct ws_fx *fx, uint32_t item,
-		  const struct ws_idem_entry *e, uint8_t state)
+		  const struct ws_idem_entry *e, uint8_t state, ws_offset fence)
 {
 	struct ws_idem_item *it = &d->items[item];
-	bool better = state == WS_IDEM_DONE && it->state != WS_IDEM_DONE &&
-		      it->state != WS_IDEM_RUNNING &&
-		      it->fingerprint == e->fingerprint;
 
-	if (!better) {
+	if (!says_more(it, e, state, fence)) {
 		ws_idem_release(fx, e->payload);
 		return;
 	}
 	ws_idem_release(fx, it->answer.payload);
-	it->state = state;
-	it->answer = (struct ws_answer){
-		.outcome = WS_OUT_DONE,
-		.status = e->status,
-		.payload = e->payload,
-	};
+	fill(it, e, state, fence);
 }
 
 static uint8_t state_here(uint8_t state_there)
@@ -124,10 +147,9 @@
 {
 	uint8_t state = state_here(e->state);
 	uint32_t item = ws_idem_find(d, e->customer, e->request_id);
-	struct ws_answer *a;
 
 	if (item != WS_SLOT_NONE) {
-		merge(d, fx, item, e, state);
+		merge(d, fx, item, e, state, fence);
 		return true;
 	}
 	item = ws_idem_add(d, e->customer, e->request_id, e->fingerprint,
@@ -136,12 +158,7 @@
 		ws_idem_release(fx, e->payload);
 		return false;
 	}
-	d->items[item].ran_under = fence;
-	a = &d->items[item].answer;
-	a->payload = e->payload;
-	a->status = e->status;
-	a->outcome = state == WS_IDEM_DONE ? WS_OUT_DONE : WS_OUT_UNKNOWN;
-	a->error = state == WS_IDEM_DONE ? 0 : WS_ERR_UNKNOWN_OUTCOME;
+	fill(&d->items[item], e, state, fence);
 	return true;
 }
 
@@ -200,9 +217,7 @@
 		ws_idem_drop(d, fx, item);
 		return;
 	}
-	if (e->state == WS_IDEM_UNKNOWN)
-		it->state = WS_IDEM_UNKNOWN;
-	merge(d, fx, item, e, e->state);
+	merge(d, fx, item, e, state_here(e->state), fence);
 }
 
 static bool is_result(const struct ws_idem_entry *first)
