Add make capacity

Cause: the tables of CAPACITY.md need one command. Change: make capacity runs scripts/capacity.sh. Conclusion: the page can be renewed by anybody.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 	$(PROGRAM_PARTS) $(wildcard programs/*/*.h) $(wildcard tests/*.[ch])
 FORMAT_SRCS = $(filter-out lib/wire/ws_peer_xdr.h,$(OUR_SRCS))
 
-.PHONY: all build deps check check-asan prove mutants demo format format-check lint clean
+.PHONY: all build deps check check-asan prove mutants capacity demo format format-check lint clean
 
 all: deps
 	$(MAKE) build
@@ -91,6 +91,11 @@
 mutants: deps
 	@sh scripts/mutants.sh
 
+# Measures slopes and rewrites the tables of docs/CAPACITY.md.
+capacity: deps
+	$(MAKE) build
+	sh scripts/capacity.sh $(BUILD)
+
 demo: deps
 	$(MAKE) build
 	@sh scripts/demo.sh $(BUILD)
