Count grown arrays and points measured at the size itself

Cause: arrays double, so 602,000 request ids take the place of 1,048,576; the line through the memory of ws_own was 7 % below the point at 65,536 shards, and that of the freshness rounds fits badly.

Tests for the rows.

--- a/lib/capacity/ws_cap_cost.c
+++ b/lib/capacity/ws_cap_cost.c
@@ -10,6 +10,22 @@
 	return ws_cap_at(&r->series[id], x);
 }
 
+double ws_cap_cost_last(const struct ws_cap_results *r, enum ws_cap_id id)
+{
+	const struct ws_cap_series *s = &r->series[id];
+
+	return s->points[s->n - 1].y;
+}
+
+double ws_cap_grown(double n)
+{
+	double cap = 8;
+
+	while (cap < n)
+		cap *= 2;
+	return cap;
+}
+
 void ws_cap_cost_add(struct ws_cap_cost *sum, const struct ws_cap_cost *c)
 {
 	sum->messages += c->messages;
--- a/lib/capacity/ws_cap_cost.h
+++ b/lib/capacity/ws_cap_cost.h
@@ -33,6 +33,9 @@
 
 double ws_cap_cost_at(const struct ws_cap_results *r, enum ws_cap_id id,
 		      double x);
+/* The largest point, where it was measured at the size to design for. */
+double ws_cap_cost_last(const struct ws_cap_results *r, enum ws_cap_id id);
+
 void ws_cap_cost_add(struct ws_cap_cost *sum, const struct ws_cap_cost *c);
 void ws_cap_cost_head(struct ws_cap_text *out);
 
@@ -46,4 +49,7 @@
 double ws_cap_plans_a_day(const struct ws_cap_results *r);
 double ws_cap_ids_kept(void);
 
+/* Elements of an array that has grown by doubling to hold n. */
+double ws_cap_grown(double n);
+
 #endif
--- a/lib/capacity/ws_cap_remedy.c
+++ b/lib/capacity/ws_cap_remedy.c
@@ -18,7 +18,10 @@
 #define BATCHES PER_SECOND(150 * WS_MS)
 /* Customer, tokens and balance of a token message in ws_peer.x. */
 #define BATCH_ITEM 16.0
-/* Id of 16 bytes, time and state of an id whose answer is not kept. */
+/*
+ * Id of 16 bytes, time and state of an id whose answer is not kept; in blocks
+ * by time, which need not double.
+ */
 #define SHORT_ID 24.0
 #define FULL_ID_SECONDS 30.0
 /* Entries that an ordinary change of a bundle touches: an assumption. */
@@ -146,7 +149,7 @@
 	double full = ws_cap_ids_kept() * FULL_ID_SECONDS / seconds;
 
 	return (struct ws_cap_cost){
-		.mem = ws_cap_cost_at(r, WS_CAP_IDEM_MEM, full) +
+		.mem = ws_cap_cost_at(r, WS_CAP_IDEM_MEM, ws_cap_grown(full)) +
 		       (ws_cap_ids_kept() - full) * SHORT_ID,
 	};
 }
--- a/lib/capacity/ws_cap_roles.c
+++ b/lib/capacity/ws_cap_roles.c
@@ -48,7 +48,7 @@
 		.cpu = TICKS *
 		       ws_cap_cost_at(r, WS_CAP_OWN_TICK_SHARDS, CAP_SHARDS) /
 		       1e6,
-		.mem = ws_cap_cost_at(r, WS_CAP_OWN_MEM, CAP_SHARDS),
+		.mem = ws_cap_cost_last(r, WS_CAP_OWN_MEM),
 	};
 }
 
@@ -110,8 +110,11 @@
 
 static struct ws_cap_cost home(const struct ws_cap_results *r)
 {
-	return (struct ws_cap_cost){ .mem = ws_cap_cost_at(r, WS_CAP_IDEM_MEM,
-							   ws_cap_ids_kept()) };
+	double slots = ws_cap_grown(ws_cap_ids_kept());
+
+	return (struct ws_cap_cost){
+		.mem = ws_cap_cost_at(r, WS_CAP_IDEM_MEM, slots),
+	};
 }
 
 static struct ws_cap_cost dispatcher(const struct ws_cap_results *r)
@@ -131,9 +134,7 @@
 {
 	double out = ROUNDS * 2 * PEERS;
 	double in = ROUNDS * (CAP_PARTITIONS + PEERS);
-	const struct ws_cap_series *s = &r->series[WS_CAP_ROUND];
-	/* Measured at this very size; the line is less exact. */
-	double round = s->points[s->n - 1].y;
+	double round = ws_cap_cost_last(r, WS_CAP_ROUND);
 
 	return (struct ws_cap_cost){
 		.messages = out + in,
--- a/lib/capacity/ws_cap_state.c
+++ b/lib/capacity/ws_cap_state.c
@@ -183,14 +183,15 @@
 void ws_cap_measure_state(struct ws_cap_results *r)
 {
 	static const size_t instances[] = { 100, 400, 1600 };
+	static const size_t peers[] = { 50, 200, 1600 };
 	static const size_t customers[] = { 8, 16, 32, 64 };
 	/* Above about 24 customers the bound of pulls a second decides. */
 	static const size_t few[] = { 2, 4, 8, 16 };
-	static const size_t ids[] = { 16384, 65536, 262144 };
+	static const size_t ids[] = { 16384, 131072, 1048576 };
 
 	ws_cap_run(r, WS_CAP_ADM_MEM, instances, 3, admission_memory);
 	ws_cap_run(r, WS_CAP_ADM_ASKS, few, 4, admission_asks);
 	ws_cap_run(r, WS_CAP_ADM_CPU, customers, 4, admission_cpu);
-	ws_cap_run(r, WS_CAP_ADM_PEERS, instances, 3, admission_peers);
+	ws_cap_run(r, WS_CAP_ADM_PEERS, peers, 3, admission_peers);
 	ws_cap_run(r, WS_CAP_IDEM_MEM, ids, 3, idem_memory);
 }
--- a/tests/test_capacity.c
+++ b/tests/test_capacity.c
@@ -2,10 +2,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "capacity/ws_capacity.h"
+#include "capacity/ws_cap_cost.h"
 #include "common/ws_common.h"
 
-/* The line fitting and the writing of the page. */
+/* The line fitting, the rows of the tables and the writing of the page. */
 
 /* A wrong slope would make every figure of the page wrong. */
 START_TEST(points_on_a_line_give_its_slope_and_base)
@@ -94,6 +94,87 @@
 }
 END_TEST
 
+/* ===== Tables ===== */
+
+/* Results in which each series is the line y = x + 1. */
+static struct ws_cap_results made_up_results(void)
+{
+	struct ws_cap_results r = { .fresh_bytes = 41, .token_bytes = 49 };
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < WS_CAP_SERIES; i++) {
+		struct ws_cap_series *s = &r.series[i];
+
+		*s = (struct ws_cap_series){ "name", "x", "y", .n = 3 };
+		for (k = 0; k < 3; k++)
+			s->points[k] = (struct ws_cap_point){ (double)k + 1,
+							      (double)k + 2 };
+		ck_assert_int_eq(ws_cap_fit(s->points, s->n, &s->fit), 0);
+	}
+	for (i = 0; i < WS_CAP_LOSSES; i++)
+		r.loss[i].name = "loss";
+	return r;
+}
+
+static size_t count_bars(const char *line, size_t len)
+{
+	size_t n = 0;
+
+	while (len--)
+		n += line[len] == '|';
+	return n;
+}
+
+/* A row with a cell too many or too few breaks the page's table. */
+START_TEST(rows_have_as_many_cells_as_their_head)
+{
+	struct ws_cap_results r = made_up_results();
+	struct ws_cap_text out = { .data = NULL };
+	size_t bars = 0;
+	size_t rows = 0;
+	char *line;
+
+	ws_cap_tables(&r, &out);
+	for (line = out.data; *line; line += strcspn(line, "\n") + 1) {
+		size_t n = count_bars(line, strcspn(line, "\n"));
+
+		if (*line == '|' && bars)
+			ck_assert_uint_eq(n, bars);
+		rows += *line == '|';
+		bars = *line == '|' ? n : 0;
+	}
+	ck_assert_uint_gt(rows, WS_CAP_SERIES + WS_CAP_LOSSES);
+	ck_assert_ptr_null(strstr(out.data, "nan"));
+	ws_cap_text_free(&out);
+}
+END_TEST
+
+/* A row that exceeds one limit only must not pass for one that is carried. */
+START_TEST(a_row_names_the_limit_that_is_missed_most)
+{
+	struct ws_cap_cost c = { .net = 1e3, .cpu = 0.028, .mem = 1e6 };
+	struct ws_cap_text out = { .data = NULL };
+
+	ws_cap_cost_row(&out, "a", "b", "c", &c);
+	ck_assert_ptr_nonnull(strstr(out.data, "| misses by 2.0 |"));
+	ws_cap_text_free(&out);
+	c.cpu = 0.007;
+	ws_cap_cost_row(&out, "a", "b", "c", &c);
+	ck_assert_ptr_nonnull(strstr(out.data, "| 0.50 of the limit |"));
+	ws_cap_text_free(&out);
+}
+END_TEST
+
+/* Memory of a doubled array counted by its elements would be too small. */
+START_TEST(arrays_count_with_the_size_they_have_grown_to)
+{
+	ck_assert_double_eq(ws_cap_grown(3), 8);
+	ck_assert_double_eq(ws_cap_grown(1024), 1024);
+	ck_assert_double_eq(ws_cap_grown(602000), 1048576);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("capacity");
@@ -107,6 +188,9 @@
 	tcase_add_test(tc, a_point_is_the_median_of_its_repeats);
 	tcase_add_test(tc, only_the_text_between_the_markers_is_replaced);
 	tcase_add_loop_test(tc, a_page_with_wrong_markers_is_refused, 0, 4);
+	tcase_add_test(tc, rows_have_as_many_cells_as_their_head);
+	tcase_add_test(tc, a_row_names_the_limit_that_is_missed_most);
+	tcase_add_test(tc, arrays_count_with_the_size_they_have_grown_to);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
 	srunner_run_all(sr, CK_NORMAL);
