--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -7,131 +7,22 @@
 
 build=$(cd "$1" && pwd) || exit 2
 work=$build/demo
-tool=$build/wagtailshift
-standin=$build/wagtailshift-standin
 zones="z1 z2 z3"
+n_zones=3
 instances="1 2 3 4"
+services=orders
+sharded_services=workshop
+numbers="1 2"
+service_us=2000
+extra_settings=""
+self=demo
 limit_s=55
 key=hall-7
-pids=""
-watchdog=""
-# A loopback address of this run's own avoids ports that are in use.
-net=127.$(($$ / 250 % 250 + 1)).$(($$ % 250 + 1))
-export WAGTAILSHIFT_TOKEN_FILE="$work/token"
 
-# ===== Processes =====
+. "$(dirname "$0")/system.sh"
 
-# Stops what was started, by process id; gives instances time to drain.
-cleanup() {
-	trap - EXIT INT TERM
-	touch "$work/stop"
-	[ -n "$watchdog" ] && kill "$watchdog" 2>/dev/null
-	for p in $pids; do kill "$p" 2>/dev/null; done
-	n=0
-	while [ $n -lt 50 ] && any_alive; do
-		sleep 0.1
-		n=$((n + 1))
-	done
-	for p in $pids; do kill -9 "$p" 2>/dev/null; done
-	wait 2>/dev/null
-	pids=""
-}
-
-# A process that has ended but was not waited for is in state Z.
-any_alive() {
-	for p in $pids; do
-		grep -q ') [^Z] ' "/proc/$p/stat" 2>/dev/null && return 0
-	done
-	return 1
-}
-
-fail() {
-	echo "demo: $*" >&2
-	for f in "$work"/instance-*.err; do
-		[ -s "$f" ] && tail -n 5 "$f" >&2
-	done
-	cleanup
-	exit 1
-}
-
-# start NAME COMMAND...: runs in the background with output in the work folder
-start() {
-	name=$1
-	shift
-	"$@" >"$work/$name.out" 2>"$work/$name.err" &
-	echo $! >"$work/$name.pid"
-	pids="$pids $!"
-}
-
-# Waits for a stand-in to say where it listens.
-address_of() {
-	n=0
-	while [ $n -lt 50 ]; do
-		a=$(sed -n 's/^listening on //p' "$work/$1.out")
-		[ -n "$a" ] && echo "$a" && return 0
-		sleep 0.1
-		n=$((n + 1))
-	done
-	return 1
-}
-
-admin() { echo "http://$net.$1:7900"; }
-callers() { echo "http://$net.$1:7800"; }
-
-# ===== Platform =====
-
-start_platform() {
-	start log "$standin" log --listen 127.0.0.1:0
-	start list "$standin" list --listen 127.0.0.1:0
-	log=$(address_of log) || fail "the log stand-in did not start"
-	list=$(address_of list) || fail "the list stand-in did not start"
-}
-
-# start_target SERVICE ZONE NUMBER OPTION...
-start_target() {
-	service=$1 zone=$2 name=$1-$2-$3
-	shift 3
-	start "$name" "$standin" target --listen 127.0.0.1:0 --name "$name" \
-		--service "$service" --zone "$zone" --slots 4 \
-		--service-us 2000 --journal "$work/$name.journal" "$@"
-}
-
-start_targets() {
-	entries=""
-	for z in $zones; do
-		for n in 1 2; do
-			start_target orders "$z" $n
-			start_target workshop "$z" $n --sharded
-		done
-	done
-	for z in $zones; do
-		for s in orders workshop; do
-			for n in 1 2; do
-				a=$(address_of "$s-$z-$n") ||
-					fail "target $s-$z-$n did not start"
-				entries="$entries,{\"role\":\"target\",
-				\"name\":\"$s-$z-$n\",\"zone\":\"$z\",
-				\"address\":\"$a\",\"service\":\"$s\",
-				\"state\":\"live\"}"
-			done
-		done
-	done
-	curl -sf -d "{\"entries\":[${entries#,}]}" "http://$list/list" \
-		>/dev/null || fail "the list refused the targets"
-}
-
-# ===== Router =====
-
-random_hex() { od -An -tx1 -N"$1" /dev/urandom | tr -d ' \n'; }
-
-json_field() { sed -n "s/^ *\"$1\": \"\{0,1\}\([^\",]*\)\"\{0,1\},\{0,1\}\$/\1/p"; }
-
-write_bundle() {
-	"$tool" keygen "$work/operator" >/dev/null || fail "keygen failed"
-	"$tool" caller-key --json >"$work/caller.json" || fail "no caller key"
-	caller=$(json_field key <"$work/caller.json")
-	hash=$(json_field hash <"$work/caller.json")
-	cat >"$work/bundle.json" <<END
+bundle_text() {
+	cat <<END
 {"version": 1, "base": 0,
  "settings": {"partitions": 24},
  "services": [
@@ -146,71 +37,6 @@
   {"name": "z2", "in_service": true}, {"name": "z3", "in_service": true}],
  "operators": ["$(cat "$work/operator.pub")"]}
 END
-	"$tool" bundle sign "$work/bundle.json" --key "$work/operator" \
-		--out "$work/envelope.json" || fail "the bundle was refused"
-}
-
-# write_settings NUMBER ZONE
-write_settings() {
-	cat >"$work/instance-$1.ini" <<END
-[instance]
-name = instance-$1
-zone = $2
-seed_operator_key = $(cat "$work/operator.pub")
-[listen]
-callers = $net.$1:7800
-internal = $net.$1:7801
-peers = $net.$1:7802
-admin = $net.$1:7900
-[platform]
-log = http://$log
-list = http://$list
-[cluster]
-secret_file = $work/secret
-[admin]
-token_file = $work/token
-[limits]
-shutdown_time = 2 s
-END
-}
-
-start_instances() {
-	random_hex 32 >"$work/secret"
-	random_hex 32 >"$work/token"
-	for i in $instances; do
-		write_settings "$i" "z$(((i - 1) % 3 + 1))"
-		start "instance-$i" "$build/wagtailshiftd" \
-			--config "$work/instance-$i.ini"
-	done
-}
-
-# retry SECONDS COMMAND...: until it succeeds
-retry() {
-	tries=$(($1 * 10))
-	shift
-	while [ $tries -gt 0 ]; do
-		"$@" >/dev/null 2>&1 && return 0
-		sleep 0.1
-		tries=$((tries - 1))
-	done
-	return 1
-}
-
-publish() {
-	"$tool" bundle publish "$work/envelope.json" --admin "$(admin 1)"
-}
-
-bundle_in_force() {
-	for i in $instances; do
-		"$tool" status --json --admin "$(admin "$i")" |
-			grep -q '"bundle_version": 1' || return 1
-	done
-}
-
-all_ready() {
-	for i in $instances; do
-		curl -sf -m 1 "$(admin "$i")/readyz" || return 1
-	done
 }
 
 # ===== Traffic =====
