disp: say in the header that cancelled attempts linger

The contract of ws_disp_attempt_done() dated from before the change: the slot stays counted also while the target may not have noticed the cancellation. Comment only.

--- a/lib/core/ws_disp.h
+++ b/lib/core/ws_disp.h
@@ -47,7 +47,8 @@
 
 /*
  * An attempt named in WS_FX_DISP_SEND has ended. The shell reports the end of
- * cancelled attempts too; until then their slots stay counted. A payload that
+ * cancelled attempts too; until then, and while the target may not have noticed
+ * the cancellation, their slots stay counted. A payload that
  * nobody waits for any more is given back with WS_FX_RELEASE.
  */
 void ws_disp_attempt_done(struct ws_disp *d, struct ws_fx *fx, ws_us now,
