--- a/tests/fake.h
+++ b/tests/fake.h
@@ -108,6 +108,13 @@
 const struct ws_core *fake_core(const struct fake *f, int i);
 ws_us fake_local_now(const struct fake *f, int i);
 int fake_target_of(const struct fake *f, enum fake_service s, int n);
+int fake_find_target(const struct fake *f, ws_id id); /* -1: none */
+
+/*
+ * Requests that instance i sent after a time under a fence below one under
+ * which a request for the same key had been sent before.
+ */
+size_t fake_old_fences(const struct fake *f, int i, ws_us after);
 
 /* References that instance i holds to bodies of requests. */
 size_t fake_held_requests(const struct fake *f, int i);
--- a/tests/fake_calls.c
+++ b/tests/fake_calls.c
@@ -193,3 +193,28 @@
 		*target = f->calls[call].last_target;
 	return f->calls[call].runs;
 }
+
+/* Has a request for the key of a run been sent under a higher fence before? */
+static bool is_outdated(const struct fake *f, const struct fake_run_entry *r)
+{
+	const struct fake_call_entry *call = &f->calls[r->call];
+	const struct fake_run_entry *q;
+
+	for (q = f->runs; q < r; q++)
+		if (q->fence > r->fence && f->calls[q->call].key == call->key &&
+		    f->calls[q->call].service == call->service)
+			return true;
+	return false;
+}
+
+size_t fake_old_fences(const struct fake *f, int i, ws_us after)
+{
+	size_t n = 0;
+	size_t k;
+
+	for (k = 0; k < f->n_runs; k++)
+		if (f->runs[k].instance == i && f->runs[k].sent > after &&
+		    f->runs[k].fence)
+			n += is_outdated(f, &f->runs[k]);
+	return n;
+}
--- a/tests/fake_internal.h
+++ b/tests/fake_internal.h
@@ -187,7 +187,6 @@
 		  const struct ws_event *ev);
 
 ws_us fake_target_clock(const struct fake *f, const struct fake_target *t);
-int fake_find_target(const struct fake *f, ws_id id);
 
 /* Counts references to a payload; a violation below zero. */
 void fake_payload(struct fake *f, int i, ws_payload payload, int delta);
