Mend what stands twice, keep the own zone less strictly

With ten instances in three zones (4, 3, 3) the open service's imbalance was 1.141 against the bound of 1.10: at low load the slack of 5 % of a target's slots let the own zone take half more than its share.

The imbalance is measured again with the next run of scripts/bench.sh.

Conclusion: less to read; the imbalance is open until measured.

--- a/lib/cli/ws_cli_files.c
+++ b/lib/cli/ws_cli_files.c
@@ -48,12 +48,9 @@
 	return text;
 }
 
-/* Writes a new file with the given rights; never overwrites. */
-static int write_new(const char *path, const char *text, mode_t mode)
+/* Writes a line to an open file and closes it; f may be NULL. */
+static int write_line(FILE *f, const char *path, const char *text)
 {
-	int fd = open(path, O_WRONLY | O_CREAT | O_EXCL | O_CLOEXEC, mode);
-	FILE *f = fd < 0 ? NULL : fdopen(fd, "w");
-
 	if (!f)
 		return ws_cli_fail(WS_CLI_REFUSED,
 				   "%s: %s; choose another file", path,
@@ -67,25 +64,19 @@
 	return WS_CLI_OK;
 }
 
-int ws_cli_write(const char *path, const char *text)
+/* Writes a new file with the given rights; never overwrites. */
+static int write_new(const char *path, const char *text, mode_t mode)
 {
-	FILE *f;
+	int fd = open(path, O_WRONLY | O_CREAT | O_EXCL | O_CLOEXEC, mode);
 
-	if (!path) {
-		puts(text);
-		return WS_CLI_OK;
-	}
-	f = fopen(path, "we");
-	if (!f)
-		return ws_cli_fail(WS_CLI_REFUSED,
-				   "%s: %s; choose another file", path,
-				   g_strerror(errno));
-	fputs(text, f);
-	fputc('\n', f);
-	if (fclose(f))
-		return ws_cli_fail(WS_CLI_REFUSED,
-				   "%s: %s; check the file system", path,
-				   g_strerror(errno));
+	return write_line(fd < 0 ? NULL : fdopen(fd, "w"), path, text);
+}
+
+int ws_cli_write(const char *path, const char *text)
+{
+	if (path)
+		return write_line(fopen(path, "we"), path, text);
+	puts(text);
 	return WS_CLI_OK;
 }
 
--- a/lib/core/ws_route_choose.c
+++ b/lib/core/ws_route_choose.c
@@ -8,7 +8,7 @@
  * the 10 % that the design page allows.
  */
 #define ZONE_LOADED_FACTOR_PERMILLE 1050
-#define ZONE_LOADED_SLACK 50
+#define ZONE_LOADED_SLACK 5
 
 struct zone_load {
 	uint64_t own_util;
--- a/lib/standin/ws_sopts.c
+++ b/lib/standin/ws_sopts.c
@@ -35,3 +35,18 @@
 	g_option_context_free(context);
 	return ok;
 }
+
+bool ws_sopts_start_faults(const struct ws_sopts *o, const char *command,
+			   ws_us now, ws_sopts_fault_fn fn, void *server)
+{
+	struct ws_reason why = { "" };
+	char **text;
+
+	for (text = o->faults; text && *text; text++) {
+		if (!fn(server, now, *text, &why))
+			continue;
+		fprintf(stderr, "%s: --fault: %s\n", command, why.text);
+		return false;
+	}
+	return true;
+}
--- a/lib/standin/ws_standin_list.c
+++ b/lib/standin/ws_standin_list.c
@@ -48,17 +48,10 @@
 
 /* ===== Command ===== */
 
-static bool start_faults(struct ws_slist *l, char **faults)
+static int set_fault(void *server, ws_us now, const char *text,
+		     struct ws_reason *why)
 {
-	struct ws_reason why = { "" };
-
-	for (; faults && *faults; faults++) {
-		if (ws_slist_fault(l, ws_shttp_now(), *faults, &why)) {
-			fprintf(stderr, "list: --fault: %s\n", why.text);
-			return false;
-		}
-	}
-	return true;
+	return ws_slist_fault(server, now, text, why);
 }
 
 int ws_standin_list(int argc, char **argv)
@@ -73,7 +66,7 @@
 			    NULL))
 		return WS_STANDIN_USAGE;
 	l = ws_slist_new();
-	if (start_faults(l, o.faults))
+	if (ws_sopts_start_faults(&o, "list", ws_shttp_now(), set_fault, l))
 		code = ws_shttp_serve(o.listen, on_call, l);
 	ws_slist_free(l);
 	g_strfreev(o.faults);
--- a/lib/standin/ws_standin_target_cmd.c
+++ b/lib/standin/ws_standin_target_cmd.c
@@ -127,17 +127,10 @@
 
 /* ===== Command ===== */
 
-static bool start_faults(struct ws_starget *t, char **faults)
+static int set_fault(void *server, ws_us now, const char *text,
+		     struct ws_reason *why)
 {
-	struct ws_reason why = { "" };
-
-	for (; faults && *faults; faults++) {
-		if (ws_starget_fault(t, ws_shttp_now(), *faults, &why)) {
-			fprintf(stderr, "target: --fault: %s\n", why.text);
-			return false;
-		}
-	}
-	return true;
+	return ws_starget_fault(server, now, text, why);
 }
 
 static bool open_journal(struct ws_standin_target *st, const char *path)
@@ -167,7 +160,8 @@
 	if (o->answer_bytes)
 		st.padding = g_strnfill((gsize)o->answer_bytes, 'x');
 	st.t = ws_starget_new(&conf, seed, ws_shttp_now(), write_line, &st);
-	if (start_faults(st.t, o->shared.faults))
+	if (ws_sopts_start_faults(&o->shared, "target", ws_shttp_now(),
+				  set_fault, st.t))
 		code = ws_shttp_serve(o->shared.listen, ws_standin_target_call,
 				      &st);
 	ws_starget_free(st.t);
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Measures the policy under load with real processes on loopback: three zones,
-# six instances, one open idempotent, one open non-idempotent and one sharded
+# ten instances, one open idempotent, one open non-idempotent and one sharded
 # service. Writes CSV files and a table. Arguments: the build folder, and the
 # pick policy (two-choices by default; round-robin is the baseline).
 set -u
@@ -12,7 +12,7 @@
 work=$build/bench-$pick
 zones="z1 z2 z3"
 n_zones=3
-instances="1 2 3 4 5 6"
+instances="1 2 3 4 5 6 7 8 9 10"
 services="records collections"
 sharded_services=workshop
 numbers="1 2 3"
@@ -137,14 +137,15 @@
 skewed() {
 	(
 		sleep 4
-		kill -9 "$(cat "$work/instance-6.pid")"
+		kill -9 "$(cat "$work/instance-10.pid")"
 		sleep 3
-		start instance-6 "$build/wagtailshiftd" \
-			--config "$work/instance-6.ini"
+		start instance-10 "$build/wagtailshiftd" \
+			--config "$work/instance-10.ini"
 		echo $! >"$work/again.pid"
 	) &
-	load skewed 14 -u "$(callers 1)=80" -u "$(callers 2)=5" \
-		-u "$(callers 3)=5" -u "$(callers 4)=5" -u "$(callers 5)=5" \
+	load skewed 14 -u "$(callers 1)=80" -u "$(callers 2)=4" \
+		-u "$(callers 3)=4" -u "$(callers 4)=4" -u "$(callers 5)=4" \
+		-u "$(callers 6)=4" \
 		$(customers 900 360 90) -p '/s/records/{key}'
 	report skewed
 	[ -e "$work/again.pid" ] && pids="$pids $(cat "$work/again.pid")"
--- a/tests/fake_internal.h
+++ b/tests/fake_internal.h
@@ -191,6 +191,14 @@
 
 ws_us fake_target_clock(const struct fake *f, const struct fake_target *t);
 
+void fake_send_message(struct fake *f, int from, const struct ws_effect *fx);
+
+/* fake_effects.c */
+void fake_carry_out(struct fake *f, int i, struct ws_effect *fx);
+
+/* A core takes over the references to payloads that come with an event. */
+void fake_count_event(struct fake *f, int i, const struct ws_event *ev);
+
 /* Counts references to a payload; a violation below zero. */
 void fake_payload(struct fake *f, int i, ws_payload payload, int delta);
 
