--- a/lib/core/ws_core.c
+++ b/lib/core/ws_core.c
@@ -17,6 +17,9 @@
 /* Period at which request ids and strikes are forgotten. */
 #define FORGET_PERIOD WS_SECOND
 
+/* Longer than messages between instances take. */
+#define DRAIN_LINGER (500 * WS_MS)
+
 /* Bound on effects handled in one step; more means modules in a cycle. */
 #define STEP_EFFECTS_MAX 1000000
 
@@ -143,10 +146,28 @@
 	ws_quar_tick(c->quar, now);
 }
 
+/* Nothing is held, and no request is open here. */
+static bool is_idle(const struct ws_core *c)
+{
+	return !c->n_calls && !c->n_held && !ws_disp_busy(c->disp) &&
+	       ws_own_drained(c->own);
+}
+
+/*
+ * Requests that peers sent before they knew of the hand-over may still be on
+ * their way; they are answered as not run for a while before the end.
+ */
 static void check_drained(struct ws_core *c)
 {
-	if (!c->draining || c->drained || c->n_calls || c->n_held ||
-	    ws_disp_busy(c->disp) || !ws_own_drained(c->own))
+	if (!c->draining || c->drained)
+		return;
+	if (!is_idle(c)) {
+		c->idle_since = 0;
+		return;
+	}
+	if (!c->idle_since)
+		c->idle_since = c->now;
+	if (c->now - c->idle_since < DRAIN_LINGER)
 		return;
 	c->drained = true;
 	ws_fx_add(c->out, WS_FX_DRAINED);
--- a/lib/core/ws_core_dispatch.c
+++ b/lib/core/ws_core_dispatch.c
@@ -207,6 +207,8 @@
 	c->counters.attempts++;
 	if (!err && !home_still_held(c, &e->u.route_send.call))
 		err = WS_ERR_NOT_HOLDER;
+	if (ws_quar_refuses(c->quar, c->now, e->u.route_send.call.fingerprint))
+		err = WS_ERR_QUARANTINED;
 	if (!err && (!a || !a->active))
 		err = WS_ERR_NOT_HOLDER;
 	if (err) {
@@ -260,6 +262,8 @@
 				       msg->u.forward.fence, call);
 	if (!err && !ws_disp_is_open(c->disp, target))
 		err = WS_ERR_NOT_HOLDER;
+	if (ws_quar_refuses(c->quar, c->now, call->fingerprint))
+		err = WS_ERR_QUARANTINED;
 	if (!err) {
 		add_forward(c, from, msg->u.forward.ref, call->payload);
 		submit(c, from, msg->u.forward.ref, target,
@@ -419,9 +423,6 @@
 
 /* ===== Targets that this instance dispatches ===== */
 
-/* Part of the 3 s in which a lost key must be served again. */
-#define SHARDED_HOLD_MAX (600 * WS_MS)
-
 static bool is_dispatcher(struct ws_core *c, const struct ws_assignment *a)
 {
 	return a && a->holder.id == c->conf.self;
@@ -462,17 +463,17 @@
 }
 
 /*
- * After a takeover, requests of the former dispatcher may still be at the
- * target until their deadlines. Sharded services wait only as long as their
- * keys may be unavailable.
+ * After a takeover, requests of the former dispatcher may still wait at the
+ * target until their deadlines. Those of sharded services are bound by their
+ * start-by time, which has passed.
  */
 static ws_us takeover_hold(const struct ws_service *svc)
 {
 	ws_us hold = svc->deadline - WS_LEASE - WS_DRIFT_MARGIN;
 
-	if (svc->sharded && hold > SHARDED_HOLD_MAX)
-		hold = SHARDED_HOLD_MAX;
-	return hold > 0 ? hold : 0;
+	if (svc->sharded || hold < 0)
+		return 0;
+	return hold;
 }
 
 /* Is it time to open the target under this assignment? */
--- a/lib/core/ws_core_internal.h
+++ b/lib/core/ws_core_internal.h
@@ -143,6 +143,7 @@
 
 	bool draining;
 	bool drained;
+	ws_us idle_since; /* while draining; 0: not idle */
 	bool member_dirty;
 
 	struct ws_verdict verdicts[WS_VERDICTS_MAX];
