Add a command that states that instances are gone

Cause: after the loss of all instances every public request was refused (429) for the 777 s that were watched. The design has a signed RECOVER record for this, but no program could write one.

Conclusion: the loss of all instances has a way out; naming a process that still runs is unsafe, and the help says so.

--- a/lib/cli/ws_cli.c
+++ b/lib/cli/ws_cli.c
@@ -72,6 +72,14 @@
 	  "Fetches the bundle in force, marks the zone as in service, raises "
 	  "the version,\nsigns with the key of --key and publishes.",
 	  ws_cli_zone_in },
+	{ "recover", "IDS", 1, WS_CLI_KEY | WS_CLI_OUT,
+	  "state that instances are gone for good",
+	  "Prints a signed log record that states that the processes with "
+	  "these ids (16\nhexadecimal digits each, separated by commas) have "
+	  "ended and never come back. Append\nit with POST /log/append. Only "
+	  "for the loss of a majority of instances: naming a\nprocess that "
+	  "still runs lets keys have two owners.",
+	  ws_cli_recover },
 };
 
 #define N_COMMANDS (sizeof(commands) / sizeof(commands[0]))
--- a/lib/cli/ws_cli.h
+++ b/lib/cli/ws_cli.h
@@ -37,4 +37,13 @@
 int ws_cli_change_zone(const char *text, const char *zone, bool in_service,
 		       char **changed, struct ws_reason *why);
 
+/*
+ * Log record that states that instances are gone; the text is malloc'ed.
+ * @param ids their ids as 16 hexadecimal digits each, separated by commas
+ * @return 0, WS_ERR_SYNTAX, WS_ERR_SIGNATURE or WS_ERR_TOO_LARGE
+ */
+int ws_cli_recover_record(const char *ids, const uint8_t public_key[32],
+			  const uint8_t secret_key[64], char **text,
+			  struct ws_reason *why);
+
 #endif
--- a/lib/cli/ws_cli_int.h
+++ b/lib/cli/ws_cli_int.h
@@ -59,6 +59,7 @@
 int ws_cli_drain(const struct ws_cli *cli);
 int ws_cli_zone_out(const struct ws_cli *cli);
 int ws_cli_zone_in(const struct ws_cli *cli);
+int ws_cli_recover(const struct ws_cli *cli);
 
 /* ===== Errors ===== */
 
--- /dev/null
+++ b/lib/cli/ws_cli_recover.c
@@ -0,0 +1,80 @@
+#include "cli/ws_cli_int.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define ID_DIGITS 16
+
+static int64_t wall_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+/* Reads "ID,ID,..." of 16 hexadecimal digits each. */
+static int read_ids(const char *text, GArray *ids, struct ws_reason *why)
+{
+	char **words = g_strsplit(text, ",", -1);
+	int res = words[0] ? 0 : WS_ERR_SYNTAX;
+	size_t i;
+
+	for (i = 0; words[i] && !res; i++) {
+		ws_id id = strtoull(words[i], NULL, 16);
+
+		if (strlen(words[i]) != ID_DIGITS || !id ||
+		    strspn(words[i], "0123456789abcdef") != ID_DIGITS)
+			res = WS_ERR_SYNTAX;
+		g_array_append_val(ids, id);
+	}
+	g_strfreev(words);
+	if (res)
+		snprintf(why->text, sizeof(why->text),
+			 "'%.60s' is no list of instance ids; give 16 "
+			 "hexadecimal digits each, separated by commas, as "
+			 "HOLDER of 'owners' shows them",
+			 text);
+	return res;
+}
+
+int ws_cli_recover_record(const char *ids, const uint8_t public_key[32],
+			  const uint8_t secret_key[64], char **text,
+			  struct ws_reason *why)
+{
+	GArray *gone = g_array_new(FALSE, FALSE, sizeof(ws_id));
+	struct ws_record rec = { .kind = WS_REC_RECOVER };
+	int res = read_ids(ids, gone, why);
+
+	rec.wall_ms = wall_ms();
+	randombytes_buf(&rec.uid, sizeof(rec.uid));
+	rec.gone = (ws_id *)(void *)gone->data;
+	rec.n_gone = gone->len;
+	if (!res)
+		res = ws_codec_recover_sign(&rec, public_key, secret_key, why);
+	if (!res)
+		res = ws_codec_record_write(&rec, text);
+	free(rec.bundle_text);
+	g_array_free(gone, TRUE);
+	return res;
+}
+
+int ws_cli_recover(const struct ws_cli *cli)
+{
+	struct ws_reason why = { "" };
+	struct ws_cli_key key;
+	char *text = NULL;
+	int code;
+
+	if (!ws_cli_read_key(cli->key, &key))
+		return WS_CLI_USAGE;
+	if (ws_cli_recover_record(cli->args[0], key.public_key, key.secret_key,
+				  &text, &why))
+		return ws_cli_fail(WS_CLI_REFUSED, "%s", why.text);
+	code = ws_cli_write(cli->out, text);
+	free(text);
+	return code;
+}
--- a/tests/test_cli.c
+++ b/tests/test_cli.c
@@ -84,6 +84,44 @@
 	return ws_cli_main(argc, argv);
 }
 
+/* After the loss of all instances this record is the only way on in time. */
+START_TEST(recover_record_verifies_and_names_the_instances)
+{
+	static const char *const bad[] = {
+		"",
+		"12",
+		"00000000000000AB",
+		"0000000000000000",
+		"00000000000000ab,",
+		"00000000000000ab 0000000000000001"
+	};
+	uint8_t trusted[1][32];
+	uint8_t secret[64];
+	struct ws_reason why = { "" };
+	struct ws_record rec;
+	char *out;
+	size_t i;
+
+	crypto_sign_keypair(trusted[0], secret);
+	ck_assert_int_eq(
+		ws_cli_recover_record("00000000000000ab,ffffffffffffffff",
+				      trusted[0], secret, &out, &why),
+		0);
+	ck_assert_int_eq(ws_codec_record_parse(out, &rec, &why), 0);
+	ck_assert_int_eq(ws_codec_recover_open(&rec, trusted, 1, &why), 0);
+	ck_assert_uint_eq(rec.n_gone, 2);
+	ck_assert_uint_eq(rec.gone[0], 0xab);
+	ck_assert_uint_eq(rec.gone[1], UINT64_MAX);
+	ck_assert_uint_ne(rec.uid, 0);
+	ws_record_clear(&rec);
+	free(out);
+	for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		ck_assert_int_eq(ws_cli_recover_record(bad[i], trusted[0],
+						       secret, &out, &why),
+				 WS_ERR_SYNTAX);
+}
+END_TEST
+
 /* Scripts rely on the documented exit codes. */
 START_TEST(exit_codes_are_as_documented)
 {
@@ -111,6 +149,7 @@
 	tcase_add_test(tc,
 		       zone_change_refuses_unknown_zone_and_skips_no_change);
 	tcase_add_test(tc, key_file_is_private_and_never_overwritten);
+	tcase_add_test(tc, recover_record_verifies_and_names_the_instances);
 	tcase_add_test(tc, exit_codes_are_as_documented);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
