--- a/lib/core/ws_core.c
+++ b/lib/core/ws_core.c
@@ -62,15 +62,19 @@
 {
 	ws_id holder[WS_PARTITIONS_MAX];
 	struct ws_res res = { .kind = WS_RES_PARTITION };
+	const struct ws_instance *in;
 	size_t n = c->bundle ? c->bundle->partitions : 0;
 	size_t i;
 
+	c->n_live_partitions = 0;
 	for (i = 0; i < n; i++) {
 		const struct ws_assignment *a;
 
 		res.item = i;
 		a = ws_own_find(c->own, &res);
 		holder[i] = a && a->active ? a->holder.id : 0;
+		in = ws_view_instance(ws_core_members(c), holder[i]);
+		c->n_live_partitions += in && in->alive;
 	}
 	ws_adm_set_holders(c->adm, holder, n);
 }
@@ -572,6 +576,6 @@
 {
 	const struct ws_zone *z = ws_bundle_zone(c->bundle, c->conf.zone);
 
-	return z && z->in_service && !c->draining &&
+	return z && z->in_service && !c->draining && ws_core_has_rates(c) &&
 	       now < ws_own_fresh_until(c->own);
 }
--- a/lib/core/ws_core_calls.c
+++ b/lib/core/ws_core_calls.c
@@ -90,13 +90,21 @@
 	count_answer(c, answer);
 }
 
+/* Only what passes by itself is worth a retry of the same request. */
+static ws_us retry_after(int error)
+{
+	int status = ws_error_http_status(error);
+
+	return status == 429 || status == 503 ? WS_SECOND : 0;
+}
+
 static void refuse(struct ws_core *c, uint64_t shell_id, int error,
 		   ws_payload payload)
 {
 	struct ws_answer answer = {
 		.outcome = WS_OUT_NOT_RUN,
 		.error = error,
-		.retry_after = WS_SECOND,
+		.retry_after = retry_after(error),
 	};
 
 	reply(c, shell_id, &answer);
@@ -143,7 +151,7 @@
 	struct ws_answer answer = {
 		.outcome = WS_OUT_NOT_RUN,
 		.error = error,
-		.retry_after = WS_SECOND,
+		.retry_after = retry_after(error),
 	};
 
 	end_call(c, call, &answer);
@@ -406,8 +414,9 @@
 
 	if (!call || call->state != CALL_ADMISSION)
 		return;
-	/* Without evidence there are no tokens; the rate is not used up. */
-	if (answer.error == WS_ERR_RATE && !ws_core_fresh(c))
+	/* Without evidence or holders there are no tokens to be used up. */
+	if (answer.error == WS_ERR_RATE &&
+	    !(ws_core_fresh(c) && ws_core_has_rates(c)))
 		answer.error = WS_ERR_STALE;
 	end_call(c, call, &answer);
 }
@@ -480,7 +489,7 @@
 	msg->u.answer.ref = ref;
 	msg->u.answer.answer.outcome = WS_OUT_NOT_RUN;
 	msg->u.answer.answer.error = error;
-	msg->u.answer.answer.retry_after = WS_SECOND;
+	msg->u.answer.answer.retry_after = retry_after(error);
 }
 
 static int check_home(struct ws_core *c, const struct ws_call *call)
--- a/lib/core/ws_core_internal.h
+++ b/lib/core/ws_core_internal.h
@@ -141,6 +141,7 @@
 	size_t n_held;
 	size_t cap_held;
 
+	size_t n_live_partitions; /* held by instances that are alive */
 	bool draining;
 	bool drained;
 	ws_us idle_since; /* while draining; 0: not idle */
@@ -213,6 +214,12 @@
 	return ws_member_view(c->member);
 }
 
+/* With most partitions lost there are no rates to count requests against. */
+static inline bool ws_core_has_rates(const struct ws_core *c)
+{
+	return c->bundle && 2 * c->n_live_partitions > c->bundle->partitions;
+}
+
 static inline bool ws_core_fresh(const struct ws_core *c)
 {
 	return c->now < ws_own_fresh_until(c->own);
--- a/tests/test_recover.c
+++ b/tests/test_recover.c
@@ -43,6 +43,12 @@
 	return n;
 }
 
+static bool ready(struct fake *f)
+{
+	return ws_core_ready(fake_core(f, INSTANCES - 1),
+			     fake_local_now(f, INSTANCES - 1));
+}
+
 static void replace_most(struct fake *f)
 {
 	int i;
@@ -68,9 +74,11 @@
 	replace_most(f);
 	before = count_served(f);
 	ck_assert_int_lt(before, TRIES / 2);
+	ck_assert(!ready(f));
 	fake_recover(f, INSTANCES - 1);
 	fake_run(f, fake_now(f) + 8 * WS_SECOND);
 	ck_assert_int_eq(count_served(f), TRIES);
+	ck_assert(ready(f));
 	ck_assert_uint_eq(fake_report(f)->violations, 0);
 	fake_free(f);
 }
