Wait for a late handover at the new home

Change: a home whose predecessor's table is on its way waits for it up to 1 s; requests wait meanwhile.

--- a/lib/core/ws_core_calls.c
+++ b/lib/core/ws_core_calls.c
@@ -252,7 +252,8 @@
 
 static bool is_home_here(struct ws_core *c, const struct ws_assignment *a)
 {
-	return a && a->active && ws_own_holds(c->own, c->now, &a->res);
+	return a && a->active && ws_own_holds(c->own, c->now, &a->res) &&
+	       !ws_idem_awaits_handover(c->idem, a, c->wall_ms);
 }
 
 static void begin_home(struct ws_core *c, struct core_call *call,
--- a/lib/core/ws_idem.h
+++ b/lib/core/ws_idem.h
@@ -82,6 +82,16 @@
 void ws_idem_assigned(struct ws_idem *d, int64_t wall_ms, uint32_t partition,
 		      ws_offset fence, ws_offset former_fence);
 
+/* A home whose handover is late waits for it this long. */
+#define WS_IDEM_HANDOVER_WAIT_MS 1000
+
+/*
+ * Is the table of the former holder still on its way? Requests had better wait
+ * meanwhile, since older ids would be answered "unknown".
+ */
+bool ws_idem_awaits_handover(struct ws_idem *d,
+			     const struct ws_assignment *part, int64_t wall_ms);
+
 /*
  * A request reaches its home. Emits WS_FX_HOME_RUN when it must be routed now,
  * or WS_FX_HOME_DONE with an answer. While the request runs, further requests
--- a/lib/core/ws_idem_home.c
+++ b/lib/core/ws_idem_home.c
@@ -33,6 +33,20 @@
 	       h->in_count == h->in_total;
 }
 
+bool ws_idem_awaits_handover(struct ws_idem *d,
+			     const struct ws_assignment *part, int64_t wall_ms)
+{
+	const struct ws_idem_home *h =
+		ws_idem_home(d, (uint32_t)part->res.item);
+
+	if (part->takeover_wall_ms || h->fence != part->fence)
+		return false;
+	if (!h->former || h->former == WS_IDEM_FORMER_UNKNOWN ||
+	    handover_complete(h))
+		return false;
+	return wall_ms < h->since_ms + WS_IDEM_HANDOVER_WAIT_MS;
+}
+
 /*
  * What the table of the former holder, or the lack of one, says of ids that
  * are not listed. Returns false when it says nothing.
