Measure added latency, name the remedy of a missing secret file

Cause: an operator's trial ended in "/nonexistent:0: No such file or directory", which names neither the setting nor what to do; the bench had no experiment for the added latency, and demo and bench each their own watchdog.

Change: the message names the settings and the remedy; test_config covers secret files, which had no test; bench.sh takes names of experiments and has one for added latency; prepare() in system.sh serves both scripts.

Conclusion: a wrong path can be mended from the message alone.

--- a/lib/config/ws_secret.c
+++ b/lib/config/ws_secret.c
@@ -45,8 +45,14 @@
 	int res;
 
 	WS_INVARIANT(most <= WS_SECRET_LINES_MAX);
-	if (!in)
-		return refuse(why, path, 0, strerror(errno));
+	if (!in) {
+		snprintf(why->text, sizeof(why->text),
+			 "%s: %s; write a random text of at least 32 "
+			 "characters to this file, or correct secret_file or "
+			 "token_file in the settings",
+			 path, strerror(errno));
+		return WS_ERR_CONFIG;
+	}
 	res = read_lines(in, path, most, out, why);
 	fclose(in);
 	return res;
--- a/lib/core/ws_disp.h
+++ b/lib/core/ws_disp.h
@@ -20,7 +20,8 @@
 
 /*
  * This instance starts or stops being the dispatcher of a target. Starting
- * always begins at the cold limit unless warm is set (handed over). Stopping
+ * begins at the cold limit; warm is for simulations that need a target at its
+ * full limit, since what a former dispatcher knew may be outdated. Stopping
  * answers what is queued as not run; what is in flight goes on.
  */
 void ws_disp_open(struct ws_disp *d, ws_us now, ws_id target, bool warm,
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,12 +1,15 @@
 #!/bin/sh
 # Measures the policy under load with real processes on loopback: three zones,
 # ten instances, one open idempotent, one open non-idempotent and one sharded
-# service. Writes CSV files and a table. Arguments: the build folder, and the
-# pick policy (two-choices by default; round-robin is the baseline).
+# service. Writes CSV files and a table. Arguments: the build folder, the pick
+# policy (two-choices by default; round-robin is the baseline), and the names of
+# experiments (all by default).
 set -u
 
 build=$(cd "$1" && pwd) || exit 2
 pick=${2:-two-choices}
+chosen="steady added zone slowed flood skewed sharded"
+[ $# -gt 2 ] && shift 2 && chosen="$*"
 hedge=on
 [ "$pick" = round-robin ] && hedge=off
 work=$build/bench-$pick
@@ -100,9 +103,27 @@
 steady() {
 	load steady 12 $(all_urls) $(customers 600 240 60) -p '/s/records/{key}'
 	report steady
+	imbalance records
 }
 
-zone_out_and_back() {
+# Added latency: the same requests straight to three targets and through one
+# instance, one after the other.
+added() {
+	direct=""
+	for t in records-z1-1 records-z2-1 records-z3-1; do
+		a=$(sed -n 's/^listening on //p' "$work/$t.out")
+		direct="$direct -u http://$a"
+	done
+	for rate in 100 300; do
+		load direct-$rate 6 $direct -c big:$rate -p '/{key}'
+		report direct-$rate
+		load via-$rate 6 -u "$(callers 1)" -p '/s/records/{key}' \
+			-c big:$rate:@"$work/big.key"
+		report via-$rate
+	done
+}
+
+zone() {
 	(
 		sleep 5
 		"$tool" zone out z2 --key "$work/operator" \
@@ -156,32 +177,19 @@
 		-p '/s/workshop/{key}/refit' --distribution zipf \
 		--zipf-exponent 0.6 -k 2000
 	report sharded
+	imbalance workshop
 }
 
-# Requests run by each target of a service: largest over mean.
+# imbalance SERVICE: requests run by each of its targets, largest over mean
 imbalance() {
-	for s in records workshop; do
-		for f in "$work/$s"-*.journal; do
-			grep -c '"event":"run"' "$f"
-		done | awk -v s=$s '{ n++; sum += $1; if ($1 > max) max = $1 }
-		END { printf "imbalance %s: %d runs, max/mean %.3f\n", s, sum,
-			max * n / sum }'
-	done | tee -a "$table"
+	for f in "$work/$1"-*.journal; do
+		grep -c '"event":"run"' "$f"
+	done | awk -v s="$1" '{ n++; sum += $1; if ($1 > max) max = $1 }
+	END { printf "imbalance %s: %d runs, max/mean %.3f\n", s, sum,
+		max * n / sum }' | tee -a "$table"
 }
 
-rm -rf "$work"
-mkdir -p "$work" || exit 2
-trap 'cleanup; exit 1' INT TERM
-trap cleanup EXIT
-(
-	n=0
-	while [ $n -lt $limit_s ]; do
-		sleep 1
-		n=$((n + 1))
-	done
-	kill -TERM $$ 2>/dev/null
-) &
-watchdog=$!
+prepare
 
 start_platform
 start_targets
@@ -193,12 +201,5 @@
 sleep 2
 echo "policy      run       customer    due served_% p50_ms   p99_ms" |
 	tee "$table"
-steady
-imbalance
-zone_out_and_back
-slowed
-flood
-skewed
-sharded
-imbalance
+for e in $chosen; do $e; done
 "$standin" check-journals "$work"/*.journal | tee -a "$table"
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -143,21 +143,7 @@
 		"$work"/*.journal
 }
 
-rm -rf "$work"
-mkdir -p "$work" || exit 2
-trap 'cleanup; exit 1' INT TERM
-trap cleanup EXIT
-# Short naps, so that no long sleep is left behind.
-(
-	n=0
-	while [ $n -lt $limit_s ]; do
-		sleep 1
-		n=$((n + 1))
-	done
-	echo "demo: not done after $limit_s s" >&2
-	kill -TERM $$
-) &
-watchdog=$!
+prepare
 
 start_platform
 start_targets
--- a/scripts/system.sh
+++ b/scripts/system.sh
@@ -1,7 +1,7 @@
 # Parts of scripts that run a small system on loopback; to be sourced. They
 # need: self (name for messages), build, work, zones, n_zones, instances,
 # services, sharded_services, numbers (of the targets of a service in a zone),
-# service_us, and a function bundle_text that prints the first bundle.
+# service_us, limit_s, and a function bundle_text that prints the first bundle.
 
 pids=""
 watchdog=""
@@ -70,6 +70,25 @@
 admin() { echo "http://$net.$1:7900"; }
 callers() { echo "http://$net.$1:7800"; }
 
+# Makes the work folder; ends the script after limit_s and cleans up.
+prepare() {
+	rm -rf "$work"
+	mkdir -p "$work" || exit 2
+	trap 'cleanup; exit 1' INT TERM
+	trap cleanup EXIT
+	# Short naps, so that no long sleep is left behind.
+	(
+		n=0
+		while [ $n -lt "$limit_s" ]; do
+			sleep 1
+			n=$((n + 1))
+		done
+		echo "$self: not done after $limit_s s" >&2
+		kill -TERM $$
+	) &
+	watchdog=$!
+}
+
 # ===== Platform =====
 
 start_platform() {
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -2,8 +2,10 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "config/ws_config.h"
+#include "config/ws_secret.h"
 
 #define KEY "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
 
@@ -186,6 +188,39 @@
 }
 END_TEST
 
+static int read_secret(const char *text, struct ws_config_error *why)
+{
+	struct ws_secret_lines lines;
+	char path[] = "/tmp/ws_secret_XXXXXX";
+	int fd = mkstemp(path);
+	int res;
+
+	ck_assert_int_ge(fd, 0);
+	ck_assert_int_eq(write(fd, text, strlen(text)), (int)strlen(text));
+	close(fd);
+	res = ws_secret_read(path, WS_SECRET_LINES_MAX, &lines, why);
+	unlink(path);
+	return res;
+}
+
+/* A weak, empty or missing secret must not start an instance unprotected. */
+START_TEST(secret_files_are_checked_and_name_the_remedy)
+{
+	struct ws_config_error why;
+	struct ws_secret_lines lines;
+
+	ck_assert_int_eq(
+		read_secret("0123456789abcdef0123456789abcdef\n", &why), 0);
+	ck_assert_int_eq(read_secret("short\n", &why), WS_ERR_CONFIG);
+	ck_assert_ptr_nonnull(strstr(why.text, "expected 32 to 256"));
+	ck_assert_int_eq(read_secret("", &why), WS_ERR_CONFIG);
+	ck_assert_ptr_nonnull(strstr(why.text, "the file is empty"));
+	ck_assert_int_eq(ws_secret_read("/nonexistent", 1, &lines, &why),
+			 WS_ERR_CONFIG);
+	ck_assert_ptr_nonnull(strstr(why.text, "secret_file"));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("config");
@@ -198,6 +233,7 @@
 			    0, sizeof(bads) / sizeof(bads[0]));
 	tcase_add_test(tc, overlong_line_is_refused);
 	tcase_add_test(tc, absent_file_is_refused);
+	tcase_add_test(tc, secret_files_are_checked_and_name_the_remedy);
 	tcase_add_test(tc, page_lists_every_setting_exactly);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
