--- a/lib/core/ws_core_dispatch.c
+++ b/lib/core/ws_core_dispatch.c
@@ -98,7 +98,7 @@
 	if (!a || !a->active || a->holder.id != c->conf.self)
 		return false;
 	/* Two dispatchers must not warm up one target. */
-	if (!ws_disp_is_warm(c->disp, res->item))
+	if (!ws_disp_is_warm(c->disp, c->now, res->item))
 		return false;
 	return idempotent && !svc->sharded && svc->access == WS_ACCESS_INTERNAL;
 }
--- a/lib/core/ws_core_log.c
+++ b/lib/core/ws_core_log.c
@@ -300,6 +300,13 @@
 	drop_backlog(c);
 }
 
+/* Records from elsewhere may have reached the start of the backlog. */
+static void close_gap(struct ws_core *c)
+{
+	if (c->n_backlog && c->backlog[0].offset <= ws_own_folded(c->own))
+		fold_backlog(c);
+}
+
 static void keep_backlog(struct ws_core *c, const struct ws_record *rec)
 {
 	if (rec->offset != next_wanted(c))
@@ -324,8 +331,7 @@
 	}
 	/* A peer may have filled the gap meanwhile. */
 	fold(c, rec);
-	if (c->n_backlog && c->backlog[0].offset <= ws_own_folded(c->own))
-		fold_backlog(c);
+	close_gap(c);
 }
 
 void ws_core_log_read(struct ws_core *c, const struct ws_event *ev)
@@ -365,6 +371,7 @@
 		else if (rec->offset == ws_own_folded(c->own))
 			fold(c, rec);
 	}
+	close_gap(c);
 }
 
 /* ===== Appends ===== */
--- a/lib/core/ws_disp.h
+++ b/lib/core/ws_disp.h
@@ -73,8 +73,14 @@
 /* Present state of a target; false when it is not open here. */
 bool ws_disp_load(const struct ws_disp *d, ws_id target, struct ws_load *load);
 
-/* Has the target finished its slow start, with no slow answer since? */
-bool ws_disp_is_warm(const struct ws_disp *d, ws_id target);
+/* What is known of a target's warmth counts for this long. */
+#define WS_DISP_WARM_MEMORY WS_SECOND
+
+/*
+ * Has the target finished its slow start, with no slow answer since and a
+ * normal one within WS_DISP_WARM_MEMORY?
+ */
+bool ws_disp_is_warm(const struct ws_disp *d, ws_us now, ws_id target);
 
 /* Attempts at a target that are not over, also after ws_disp_close(). */
 size_t ws_disp_in_flight(const struct ws_disp *d, ws_id target);
--- a/lib/core/ws_disp_send.c
+++ b/lib/core/ws_disp_send.c
@@ -64,11 +64,13 @@
 	return d->slots.n_used;
 }
 
-bool ws_disp_is_warm(const struct ws_disp *d, ws_id target)
+bool ws_disp_is_warm(const struct ws_disp *d, ws_us now, ws_id target)
 {
 	const struct ws_disp_target *t = ws_disp_find_open(d, target);
 
-	return t && t->limit.limit >= t->limit.slots && !t->limit.jumps;
+	return t && t->limit.limit >= t->limit.slots && !t->limit.jumps &&
+	       t->limit.answered &&
+	       now - t->limit.answered <= WS_DISP_WARM_MEMORY;
 }
 
 size_t ws_disp_in_flight(const struct ws_disp *d, ws_id target)
