Learn what is normal from four answers after a slow start

Change: the first four answers set the baseline to twice the fastest, if that is lower. The check of unannounced cold turns counts answers of requests that began when the target was warm, and begins after four.

Conclusion: the exemption is the dispatcher's own window of learning.

--- a/lib/core/ws_limit.c
+++ b/lib/core/ws_limit.c
@@ -61,7 +61,7 @@
 	l->limit++;
 	/* What is normal is learned anew once the target is warm. */
 	if (l->limit == l->slots)
-		l->relearn = true;
+		l->relearn = WS_LIMIT_RELEARN;
 }
 
 void ws_limit_shed(struct ws_limit *l, ws_us now)
@@ -88,6 +88,20 @@
 	return l->latency && latency > bound;
 }
 
+/*
+ * A warm target is faster, but some of its first answers are of requests that
+ * were sent before it was warm, so that one is not enough. Twice the fastest
+ * leaves room for the usual spread.
+ */
+static void relearn(struct ws_limit *l, ws_us latency)
+{
+	if (!l->relearn)
+		return;
+	l->relearn--;
+	if (2 * latency < l->baseline)
+		l->baseline = 2 * latency;
+}
+
 bool ws_limit_sample(struct ws_limit *l, ws_us now, ws_us latency)
 {
 	if (latency < 1)
@@ -98,10 +112,7 @@
 		l->baseline = latency;
 		return false;
 	}
-	/* A warm target is faster; a slower answer may mean a cold one. */
-	if (l->relearn && latency < l->baseline)
-		l->baseline = latency;
-	l->relearn = false;
+	relearn(l, latency);
 	l->latency += (latency - l->latency) / 4;
 	if (!ws_limit_is_slow(l, latency)) {
 		l->jumps = 0;
--- a/lib/core/ws_limit.h
+++ b/lib/core/ws_limit.h
@@ -16,6 +16,9 @@
 #define WS_LIMIT_JUMP_FACTOR 4
 #define WS_LIMIT_JUMP_SLACK (2 * WS_MS)
 
+/* Answers after a slow start from which normal latency is learned anew. */
+#define WS_LIMIT_RELEARN 4
+
 /* Pause after a shed answer; doubles up to the maximum. */
 #define WS_LIMIT_HOLD_MIN (10 * WS_MS)
 #define WS_LIMIT_HOLD_MAX (160 * WS_MS)
@@ -30,7 +33,7 @@
 	uint32_t jumps; /* slow answers in a row */
 	ws_us latency; /* smoothed; 0: unknown */
 	ws_us baseline; /* what counts as normal */
-	bool relearn; /* the baseline dates from the slow start */
+	uint8_t relearn; /* answers from which normal is learned anew */
 	ws_us answered; /* time of the last answer; 0: none */
 	ws_us hold_until; /* nothing is sent before */
 	ws_us hold;
--- a/tests/fake_internal.h
+++ b/tests/fake_internal.h
@@ -77,6 +77,7 @@
 	double clock_rate;
 	ws_us clock_offset;
 	int warm_runs; /* since it turned cold */
+	int normal_runs; /* of these, begun when it was warm */
 	int running;
 	int running_before_cold;
 	int cold_peak;
@@ -117,6 +118,7 @@
 	int call;
 	int target;
 	bool started;
+	bool warm; /* the target was warm when it started */
 	bool ended;
 	uint64_t incarnation;
 	ws_offset fence;
