--- a/lib/common/ws_events.h
+++ b/lib/common/ws_events.h
@@ -5,9 +5,9 @@
 
 /*
  * Numbered log events. Each has a row in docs/EVENTS.md; a test compares the
- * two. Ranges: 100 ownership, 200 admission, 300 request ids and quarantine,
- * 400 routing and dispatch, 500 network and platform, 600 settings and
- * process, 700 bundles, 800 membership.
+ * two. Ranges: 100 ownership, 300 request ids and quarantine, 400 routing and
+ * dispatch, 500 network and platform, 600 settings and process, 700 bundles,
+ * 800 membership.
  */
 
 enum ws_log_level {
@@ -29,7 +29,6 @@
 	X(108, GRANT_REFUSED, WARNING, "target refused a grant")            \
 	X(109, SNAPSHOT_WRITTEN, NOTICE, "snapshot appended")               \
 	X(110, HOT_KEY, NOTICE, "key assigned on its own")                  \
-	X(201, TOKENS_LOST, DEBUG, "pulled tokens expired unused")          \
 	X(301, ID_TAKEOVER, WARNING, "request id from before takeover")     \
 	X(302, QUARANTINE, WARNING, "request quarantined")                  \
 	X(303, ID_TABLE_FULL, ERROR, "request id table is full")            \
--- a/lib/core/ws_core.c
+++ b/lib/core/ws_core.c
@@ -108,10 +108,23 @@
 	update_partitions(c);
 }
 
+/* Logs when the wall clock leaves or regains the bound. */
+static void check_clock(struct ws_core *c)
+{
+	int64_t error_ms = ws_member_clock_error_ms(c->member);
+	bool off = error_ms > WS_CLOCK_ERROR_MAX_MS ||
+		   error_ms < -WS_CLOCK_ERROR_MAX_MS;
+
+	if (off && !c->clock_off)
+		ws_fx_log(c->out, WS_LOG_CLOCK_OFF, c->conf.self, error_ms, 0);
+	c->clock_off = off;
+}
+
 static void member_timer(void *arg, ws_us now)
 {
 	struct ws_core *c = arg;
 
+	check_clock(c);
 	ws_member_tick(c->member, c->out, now, c->watched, c->n_watched);
 }
 
--- a/lib/core/ws_core_calls.c
+++ b/lib/core/ws_core_calls.c
@@ -252,7 +252,8 @@
 
 static bool is_home_here(struct ws_core *c, const struct ws_assignment *a)
 {
-	return a && a->active && ws_own_holds(c->own, c->now, &a->res) &&
+	return a && a->active && !c->clock_off &&
+	       ws_own_holds(c->own, c->now, &a->res) &&
 	       !ws_idem_awaits_handover(c->idem, a, c->wall_ms);
 }
 
@@ -499,9 +500,6 @@
 		return WS_ERR_NO_SERVICE;
 	if (!is_home_here(c, home_of(c, call)))
 		return WS_ERR_NOT_HOLDER;
-	if (ws_member_clock_error_ms(c->member) > WS_CLOCK_ERROR_MAX_MS ||
-	    ws_member_clock_error_ms(c->member) < -WS_CLOCK_ERROR_MAX_MS)
-		return WS_ERR_STALE;
 	if (ws_quar_refuses(c->quar, c->now, call->fingerprint))
 		return WS_ERR_QUARANTINED;
 	return WS_OK;
--- a/lib/core/ws_core_internal.h
+++ b/lib/core/ws_core_internal.h
@@ -146,6 +146,7 @@
 	bool drained;
 	ws_us idle_since; /* while draining; 0: not idle */
 	bool member_dirty;
+	bool clock_off; /* the wall clock differs too much from the peers' */
 
 	struct ws_verdict verdicts[WS_VERDICTS_MAX];
 	size_t n_verdicts; /* ever added */
