Start slowly when a dispatch went and came back in one step

Change: the fence under which a target was opened is remembered; a new one starts the target slowly.

--- a/lib/core/ws_core_dispatch.c
+++ b/lib/core/ws_core_dispatch.c
@@ -493,29 +493,39 @@
 	return hold;
 }
 
-/* Is it time to open the target under this assignment? */
-static bool may_open(struct ws_core *c, const struct ws_assignment *a,
-		     const struct ws_service *svc)
+/* The assignment under which a target was last seen as dispatched here. */
+static struct core_opening *need_opening(struct ws_core *c, ws_id target)
 {
-	struct core_opening *o = NULL;
+	struct core_opening *o;
 	size_t i;
 
-	if (!a->takeover_wall_ms)
-		return true;
 	for (i = 0; i < c->n_openings; i++)
-		if (c->openings[i].target == a->res.item)
-			o = &c->openings[i];
-	if (!o) {
-		ws_grow(&c->openings, &c->cap_openings, c->n_openings + 1,
-			sizeof(*c->openings));
-		o = &c->openings[c->n_openings++];
-		o->target = a->res.item;
-	}
-	if (o->fence != a->fence) {
-		o->fence = a->fence;
-		o->at = c->now + takeover_hold(svc);
-	}
-	return c->now >= o->at;
+		if (c->openings[i].target == target)
+			return &c->openings[i];
+	ws_grow(&c->openings, &c->cap_openings, c->n_openings + 1,
+		sizeof(*c->openings));
+	o = &c->openings[c->n_openings++];
+	o->target = target;
+	return o;
+}
+
+/*
+ * Notes a new assignment. It may have been another instance's in between, all
+ * folded in one step, so what was known of the target counts no more.
+ */
+static struct core_opening *note_opening(struct ws_core *c,
+					 const struct ws_assignment *a,
+					 const struct ws_service *svc)
+{
+	struct core_opening *o = need_opening(c, a->res.item);
+
+	if (o->fence == a->fence)
+		return o;
+	o->fence = a->fence;
+	o->at = a->takeover_wall_ms ? c->now + takeover_hold(svc) : c->now;
+	if (ws_disp_is_open(c->disp, o->target))
+		ws_disp_restart_slow(c->disp, c->now, o->target);
+	return o;
 }
 
 static void update_target(struct ws_core *c, const struct ws_target *t)
@@ -531,7 +541,7 @@
 	else
 		unwatch_target(c, t->id);
 	/* What an earlier dispatcher knew of the target may be outdated. */
-	if (mine && a->active && !open && may_open(c, a, svc))
+	if (mine && a->active && c->now >= note_opening(c, a, svc)->at && !open)
 		ws_disp_open(c->disp, c->now, t->id, false, svc);
 	else if (open && !(mine && a->active))
 		ws_disp_close(c->disp, ws_core_fx(c), c->now, t->id);
