--- a/Makefile
+++ b/Makefile
@@ -14,13 +14,14 @@
 PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null)
 CHECK_LIBS := $(shell pkg-config --libs check 2>/dev/null)
 
-CFLAGS = $(CSTD) $(WARN) $(OPT) $(SAN) $(MUTANT) -Ilib $(PKG_CFLAGS) -MMD -MP
+CFLAGS = $(CSTD) $(WARN) $(OPT) $(SAN) $(MUTANT) -I. -Ilib $(PKG_CFLAGS) -MMD -MP
 LDLIBS = $(PKG_LIBS) -lev -lm
 # rpcgen's output is not written to our warning level.
 GEN_CFLAGS = $(CSTD) -O2 -g $(SAN) -Ilib -Ilib/wire $(PKG_CFLAGS) -MMD -MP -w
 
 GEN_SRCS = $(wildcard lib/wire/*_xdr.c)
-LIB_SRCS = $(filter-out $(GEN_SRCS),$(wildcard lib/*/*.c))
+LIB_SRCS = $(filter-out $(GEN_SRCS),$(wildcard lib/*/*.c)) \
+	$(wildcard platform/*.c)
 PROGRAM_SRCS = $(wildcard programs/*.c)
 PROGRAM_PARTS = $(wildcard programs/*/*.c)
 TEST_SRCS = $(wildcard tests/test_*.c)
@@ -31,7 +32,7 @@
 PROGRAMS = $(patsubst programs/%.c,$(BUILD)/%,$(PROGRAM_SRCS))
 TESTS = $(patsubst tests/%.c,$(BUILD)/%,$(TEST_SRCS))
 
-OUR_SRCS = $(wildcard lib/*.h lib/*/*.h) $(LIB_SRCS) $(PROGRAM_SRCS) \
+OUR_SRCS = $(wildcard lib/*.h lib/*/*.h platform/*.h) $(LIB_SRCS) $(PROGRAM_SRCS) \
 	$(PROGRAM_PARTS) $(wildcard programs/*/*.h) $(wildcard tests/*.[ch])
 FORMAT_SRCS = $(filter-out lib/wire/ws_peer_xdr.h,$(OUR_SRCS))
 
@@ -61,6 +62,10 @@
 
 # A program may have further parts in a folder of its own name.
 .SECONDEXPANSION:
+EDGE = $(BUILD)/wagtailshift-edge
+$(EDGE): LDLIBS = $(shell pkg-config --libs libmicrohttpd libcurl glib-2.0 \
+	libtirpc jansson 2>/dev/null) -lev -lm
+
 $(PROGRAMS): $(BUILD)/%: $(BUILD)/programs/%.o \
 		$$(addprefix $(BUILD)/,$$(addsuffix .o,$$(basename \
 		$$(wildcard programs/$$*/*.c)))) \
--- a/lib/common/ws_events.h
+++ b/lib/common/ws_events.h
@@ -29,6 +29,10 @@
 	X(108, GRANT_REFUSED, WARNING, "target refused a grant")            \
 	X(109, SNAPSHOT_WRITTEN, NOTICE, "snapshot appended")               \
 	X(110, HOT_KEY, NOTICE, "key assigned on its own")                  \
+	X(111, LEADER, NOTICE, "this instance leads the servers' keys")     \
+	X(112, LEADER_LOST, NOTICE, "this instance no longer leads")        \
+	X(113, KEYS_LOST, WARNING, "server let its lease of keys run out")  \
+	X(114, MAP_WRITTEN, NOTICE, "map of keys written to the store")     \
 	X(301, ID_TAKEOVER, WARNING, "request id from before takeover")     \
 	X(302, QUARANTINE, WARNING, "request quarantined")                  \
 	X(303, ID_TABLE_FULL, ERROR, "request id table is full")            \
@@ -46,13 +50,18 @@
 	X(602, DRAINING, NOTICE, "graceful shutdown started")               \
 	X(603, STOPPED, NOTICE, "instance stopped")                         \
 	X(604, ADMIN_DENIED, WARNING, "administration request denied")      \
+	X(605, RELOADED, NOTICE, "settings read again")                     \
+	X(606, NO_METRICS, WARNING, "metrics address is taken")             \
+	X(607, BAD_SETTINGS, ERROR, "changed settings can't be used")       \
 	X(701, BUNDLE_IN_FORCE, NOTICE, "bundle in force")                  \
 	X(702, BUNDLE_REFUSED, WARNING, "bundle refused")                   \
 	X(801, INSTANCE_SEEN, NOTICE, "instance is alive")                  \
 	X(802, INSTANCE_SUSPECT, WARNING, "instance is silent")             \
 	X(803, TARGET_LIVE, NOTICE, "target is live")                       \
 	X(804, TARGET_LOST, WARNING, "target is lost")                      \
-	X(805, CLOCK_OFF, ERROR, "wall clock differs from the peers")
+	X(805, CLOCK_OFF, ERROR, "wall clock differs from the peers")       \
+	X(806, ZONE_OUT, NOTICE, "zone is out of service")                  \
+	X(807, ZONE_BACK, NOTICE, "zone is back in service")
 
 enum ws_log_number {
 #define WS_LOG_ENUM(number, symbol, level, text) WS_LOG_##symbol = (number),
--- /dev/null
+++ b/lib/edge/ws_ed_admit.c
@@ -0,0 +1,42 @@
+#include "edge/ws_ed_admit.h"
+
+/* Part of what is left of the objective that the expectation may fill. */
+#define IN_TIME_PART 0.9
+/* Part of the objective that a request may wait here for a free place. */
+#define WAIT_PART 0.12
+/* A late request is sent up to this load, and below this part of its time. */
+#define LATE_LOAD 1.25
+#define LATE_PART 0.7
+/* Beyond this part of its time a request can't be expected to be answered. */
+#define HOPELESS_PART 1.1
+#define RETRY_MIN (40 * WS_MS)
+#define RETRY_MAX (1 * WS_SECOND)
+
+enum ws_ed_verdict ws_ed_admit(const struct ws_ed_outlook *o)
+{
+	if ((double)o->expect > HOPELESS_PART * (double)o->left &&
+	    o->load > 1.0)
+		return WS_EDV_REFUSE;
+	if (o->load <= 1.0)
+		return WS_EDV_SEND;
+	if ((double)o->expect <= IN_TIME_PART * (double)o->objective_left)
+		return WS_EDV_SEND;
+	if ((double)o->waited < WAIT_PART * (double)o->objective)
+		return WS_EDV_WAIT;
+	if (o->load <= LATE_LOAD &&
+	    (double)o->expect <= LATE_PART * (double)o->left)
+		return WS_EDV_SEND;
+	return WS_EDV_REFUSE;
+}
+
+ws_us ws_ed_admit_retry(const struct ws_ed_outlook *o, double spread)
+{
+	double ahead = o->load > 1.0 ?
+			       (double)o->expect * (o->load - 1.0) / o->load :
+			       0.0;
+	ws_us time = (ws_us)(ahead * (0.6 + 0.8 * spread));
+
+	if (time < RETRY_MIN)
+		time = RETRY_MIN + (ws_us)(spread * (double)RETRY_MIN);
+	return time < RETRY_MAX ? time : RETRY_MAX;
+}
--- /dev/null
+++ b/lib/edge/ws_ed_admit.h
@@ -0,0 +1,38 @@
+#ifndef WS_ED_ADMIT_H
+#define WS_ED_ADMIT_H
+
+#include "common/ws_common.h"
+
+/*
+ * Whether a request is sent, waits or is refused. Answers the pattern "more
+ * arrives than the servers can answer in time": a request is sent while it is
+ * expected to meet its latency objective; beyond that a short wait here lets
+ * places become free; after that it is sent late only where this delays few
+ * others, and else refused at once, with the time when it may come back.
+ */
+
+struct ws_ed_outlook {
+	ws_us left; /* until the deadline */
+	ws_us objective_left; /* until the objective; negative: missed */
+	ws_us objective; /* what was left of it on arrival */
+	ws_us waited;
+	ws_us expect; /* time to the answer at the best server */
+	double load; /* of that server with this request, over its slots */
+};
+
+enum ws_ed_verdict {
+	WS_EDV_SEND = 1,
+	WS_EDV_WAIT,
+	WS_EDV_REFUSE,
+};
+
+enum ws_ed_verdict ws_ed_admit(const struct ws_ed_outlook *o);
+
+/*
+ * When a refused request may come back: about when the server has worked off
+ * what is ahead, spread so that refused requests do not return together.
+ * @param spread a random number from 0 to 1
+ */
+ws_us ws_ed_admit_retry(const struct ws_ed_outlook *o, double spread);
+
+#endif
--- /dev/null
+++ b/lib/edge/ws_ed_call.c
@@ -0,0 +1,599 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "edge/ws_ed_admit.h"
+#include "edge/ws_edge_int.h"
+
+/*
+ * Requests at this instance, from arrival to answer.
+ */
+
+/* Time for which a request waits for its key to get an owner. */
+#define OWNER_WAIT_PART 0.5
+#define OWNER_WAIT_MAX (600 * WS_MS)
+/* A key that its server does not hold is looked up again after this time. */
+#define MOVED_PAUSE (100 * WS_MS)
+#define UNREACHED_PAUSE (60 * WS_MS)
+/* Sendings of one request, those included that did not run. */
+#define SENDINGS_MAX 6
+/* A request with less time left than this is not sent any more. */
+#define SEND_MIN (10 * WS_MS)
+#define STALE_RETRY (500 * WS_MS)
+#define NO_SERVER_RETRY (300 * WS_MS)
+/* Other instances serve; the caller only has to connect anew. */
+#define DRAINING_RETRY (20 * WS_MS)
+#define CONFIG_RETRY (500 * WS_MS)
+#define DEADLINE_STANDARD (2 * WS_SECOND)
+/* Part of the bound on extra sendings that is used. */
+#define BUDGET_PART 0.75
+
+/* ===== Table ===== */
+
+static size_t slot_of(const struct ws_edge *e, uint64_t id)
+{
+	return ws_mix(id, 0) & (e->cap_calls - 1);
+}
+
+struct ed_call *ws_ed_call_find(const struct ws_edge *e, uint64_t id)
+{
+	size_t i = slot_of(e, id);
+
+	for (; e->calls[i].state; i = (i + 1) & (e->cap_calls - 1))
+		if (e->calls[i].id == id)
+			return &e->calls[i];
+	return NULL;
+}
+
+static struct ed_call *add_call(struct ws_edge *e, uint64_t id)
+{
+	size_t i = slot_of(e, id);
+
+	while (e->calls[i].state)
+		i = (i + 1) & (e->cap_calls - 1);
+	memset(&e->calls[i], 0, sizeof(e->calls[i]));
+	e->calls[i].id = id;
+	e->calls[i].state = CALL_WAITING;
+	e->n_calls++;
+	e->n_waiting++;
+	return &e->calls[i];
+}
+
+/* Removes a call; other calls may move, so no pointer to one stays valid. */
+static void remove_call(struct ws_edge *e, struct ed_call *c)
+{
+	size_t mask = e->cap_calls - 1;
+	size_t hole = (size_t)(c - e->calls);
+	size_t i = hole;
+
+	e->n_calls--;
+	if (c->state == CALL_WAITING)
+		e->n_waiting--;
+	c->state = CALL_FREE;
+	for (;;) {
+		size_t home;
+
+		i = (i + 1) & mask;
+		if (!e->calls[i].state)
+			return;
+		home = slot_of(e, e->calls[i].id);
+		if (((i - home) & mask) < ((i - hole) & mask))
+			continue;
+		e->calls[hole] = e->calls[i];
+		e->calls[i].state = CALL_FREE;
+		hole = i;
+	}
+}
+
+/* ===== Ends ===== */
+
+static void reply(struct ws_edge *e, uint64_t id, int status, ws_us retry_after,
+		  enum ws_ed_reason reason, struct ws_ed_fx *fx)
+{
+	struct ws_ed_effect *x = ws_ed_fx_add(fx, WS_EDFX_REPLY);
+
+	x->u.reply.request = id;
+	x->u.reply.status = status;
+	x->u.reply.retry_after = retry_after;
+	x->u.reply.reason = reason;
+	if (status == 502 || status == 504)
+		e->counters.lost++;
+	else
+		e->counters.refused[reason]++;
+}
+
+/* Ends a call that has certainly not run and will not. */
+static void refuse(struct ws_edge *e, struct ed_call *c, ws_us retry_after,
+		   enum ws_ed_reason reason, struct ws_ed_fx *fx)
+{
+	WS_INVARIANT(!c->may_have_run);
+	reply(e, c->id, 503, retry_after, reason, fx);
+	remove_call(e, c);
+}
+
+/* Ends a call that may have run. */
+static void fail(struct ws_edge *e, struct ed_call *c, int status,
+		 enum ws_ed_reason reason, struct ws_ed_fx *fx)
+{
+	reply(e, c->id, status, 0, reason, fx);
+	remove_call(e, c);
+}
+
+/* Ends a call for which no server can be used any more. */
+static void give_up(struct ws_edge *e, struct ed_call *c, ws_us retry_after,
+		    enum ws_ed_reason reason, struct ws_ed_fx *fx)
+{
+	if (c->may_have_run)
+		fail(e, c, 502, reason, fx);
+	else
+		refuse(e, c, retry_after, reason, fx);
+}
+
+/* ===== Extra sendings ===== */
+
+static struct ed_budget *budget_of(struct ws_edge *e, ws_id service)
+{
+	struct ed_budget *b;
+	size_t i;
+
+	for (i = 0; i < e->n_budgets; i++)
+		if (e->budgets[i].service == service)
+			return &e->budgets[i];
+	ws_grow(&e->budgets, &e->cap_budgets, e->n_budgets + 1,
+		sizeof(*e->budgets));
+	b = &e->budgets[e->n_budgets++];
+	b->service = service;
+	b->tokens = e->set.bounds.retry_slack * BUDGET_PART /
+		    (double)e->pool.instances;
+	return b;
+}
+
+static void count_request(struct ws_edge *e, ws_id service)
+{
+	struct ed_budget *b = budget_of(e, service);
+	double cap = e->set.bounds.retry_slack * BUDGET_PART /
+		     (double)e->pool.instances;
+
+	b->tokens += e->set.bounds.retry_ratio * BUDGET_PART;
+	if (b->tokens > cap)
+		b->tokens = cap;
+}
+
+static bool may_repeat(struct ws_edge *e, const struct ed_call *c)
+{
+	return c->sendings < SENDINGS_MAX && c->attempts < c->max_attempts &&
+	       e->now + SEND_MIN < c->end_at &&
+	       budget_of(e, c->service)->tokens >= 1.0;
+}
+
+/* ===== Placement ===== */
+
+static void set_waiting(struct ws_edge *e, struct ed_call *c, ws_us not_before)
+{
+	if (c->state == CALL_SENT)
+		e->n_waiting++;
+	c->state = CALL_WAITING;
+	c->not_before = not_before;
+	if (!c->waiting_since)
+		c->waiting_since = e->now;
+}
+
+static void send(struct ws_edge *e, struct ed_call *c,
+		 const struct ws_ed_choice *at, struct ws_ed_fx *fx)
+{
+	struct ws_ed_effect *x = ws_ed_fx_add(fx, WS_EDFX_SEND);
+
+	x->u.send.request = c->id;
+	x->u.send.server = (uint32_t)at->server;
+	x->u.send.deadline = c->end_at;
+	if (c->arrivals) {
+		budget_of(e, c->service)->tokens -= 1.0;
+		e->counters.repeats++;
+	}
+	c->sendings++;
+	c->server = (uint32_t)at->server;
+	c->load = at->load;
+	c->sent = e->now;
+	c->waiting_since = 0;
+	c->state = CALL_SENT;
+	e->n_waiting--;
+	e->counters.sent++;
+	ws_ed_pool_sent(&e->pool, e->now, c->server,
+			ws_ed_conf_service(e->conf, c->service));
+}
+
+static void outlook_of(const struct ws_edge *e, const struct ed_call *c,
+		       const struct ws_ed_choice *at, struct ws_ed_outlook *o)
+{
+	*o = (struct ws_ed_outlook){
+		.left = c->end_at - e->now,
+		.objective_left = c->objective_at - e->now,
+		.objective = c->objective,
+		.waited = c->waiting_since ? e->now - c->waiting_since : 0,
+		.expect = at->expect,
+		.load = at->load,
+	};
+}
+
+static double spread(struct ws_edge *e)
+{
+	return (double)ws_rand_below(&e->rand, 1000) / 1000.0;
+}
+
+/* A request for which no server may be used now. */
+static void no_server(struct ws_edge *e, struct ed_call *c, bool passing,
+		      enum ws_ed_reason reason, struct ws_ed_fx *fx)
+{
+	double most = OWNER_WAIT_PART * (double)c->objective;
+	ws_us waited = c->waiting_since ? e->now - c->waiting_since : 0;
+
+	if (passing && (double)waited < most && waited < OWNER_WAIT_MAX) {
+		set_waiting(e, c, e->now);
+		return;
+	}
+	give_up(e, c,
+		NO_SERVER_RETRY + (ws_us)(spread(e) * (double)NO_SERVER_RETRY),
+		reason, fx);
+}
+
+static void place_at(struct ws_edge *e, struct ed_call *c,
+		     const struct ws_ed_choice *at, struct ws_ed_fx *fx)
+{
+	struct ws_ed_outlook o;
+
+	outlook_of(e, c, at, &o);
+	switch (ws_ed_admit(&o)) {
+	case WS_EDV_SEND:
+		send(e, c, at, fx);
+		break;
+	case WS_EDV_WAIT:
+		set_waiting(e, c, e->now);
+		break;
+	default:
+		give_up(e, c, ws_ed_admit_retry(&o, spread(e)), WS_EDR_OVERLOAD,
+			fx);
+		break;
+	}
+}
+
+static ws_us *key_pause(struct ws_edge *e, uint32_t key)
+{
+	return &e->key_pause[key / (WS_ED_KEYS / KEY_PAUSE_BUCKETS)];
+}
+
+static void place_sharded(struct ws_edge *e, struct ed_call *c,
+			  struct ws_ed_fx *fx)
+{
+	ws_id owner = ws_ed_map_owner(&e->lead.map, c->service, c->key);
+	int32_t h = ws_ed_pool_find(&e->pool, owner);
+	struct ws_ed_choice at;
+
+	if (e->now < *key_pause(e, c->key) ||
+	    ws_ed_lead_moving(&e->lead, c->service, c->key)) {
+		no_server(e, c, true, WS_EDR_NO_OWNER, fx);
+		return;
+	}
+	if (h < 0 || !ws_ed_pool_usable(&e->pool, e->now, (uint32_t)h)) {
+		no_server(e, c, true, WS_EDR_NO_OWNER, fx);
+		return;
+	}
+	ws_ed_pool_expect(&e->pool, e->now, (uint32_t)h, c->work, &at);
+	if (at.paced) {
+		no_server(e, c, true, WS_EDR_NO_SERVER, fx);
+		return;
+	}
+	place_at(e, c, &at, fx);
+}
+
+static void place_open(struct ws_edge *e, struct ed_call *c,
+		       struct ws_ed_fx *fx)
+{
+	struct ws_ed_need need = {
+		.service = c->service,
+		.work = c->work,
+		.zone = e->set.zone,
+		.n_excluded = c->n_excluded,
+	};
+	struct ws_ed_choice at;
+
+	memcpy(need.excluded, c->excluded, sizeof(need.excluded));
+	ws_ed_pool_choose(&e->pool, e->now, &need, &at);
+	if (at.server < 0)
+		no_server(e, c, at.paced, WS_EDR_NO_SERVER, fx);
+	else
+		place_at(e, c, &at, fx);
+}
+
+static void place(struct ws_edge *e, struct ed_call *c, struct ws_ed_fx *fx)
+{
+	if (e->now < c->not_before)
+		return;
+	if (e->now + SEND_MIN >= c->end_at) {
+		give_up(e, c, NO_SERVER_RETRY, WS_EDR_TIMEOUT, fx);
+		return;
+	}
+	if (c->sharded)
+		place_sharded(e, c, fx);
+	else
+		place_open(e, c, fx);
+}
+
+/* ===== Arrival ===== */
+
+/* The part of the objective that is left for a caller's second try. */
+static ws_us objective_left(struct ws_ed_route *r, ws_us deadline)
+{
+	ws_us passed;
+
+	if (deadline > r->longest_deadline)
+		r->longest_deadline = deadline;
+	passed = r->longest_deadline - deadline;
+	return (r->objective ? r->objective : deadline) - passed;
+}
+
+static void fill_call(struct ws_edge *e, struct ed_call *c,
+		      const struct ws_ed_arrival *a, struct ws_ed_route *r,
+		      const struct ws_ed_customer *customer,
+		      const struct ws_ed_service *svc)
+{
+	ws_us deadline = a->deadline ? a->deadline : DEADLINE_STANDARD;
+	ws_us end = deadline;
+
+	if (r->timeout && r->timeout < end)
+		end = r->timeout;
+	c->route = ws_ed_id(r->name);
+	c->service = svc->id;
+	c->work = ws_ed_pool_work(&e->pool, c->route, svc->id);
+	c->sharded = svc->sharded;
+	c->idempotent = r->idempotent;
+	c->priority = r->priority;
+	c->max_attempts = r->max_attempts ? r->max_attempts : 1;
+	c->key = a->key >= 0 ? (uint32_t)a->key : 0;
+	c->fingerprint = a->fingerprint;
+	c->arrived = e->now;
+	c->end_at = a->started + end;
+	c->objective = objective_left(r, deadline);
+	c->objective_at = a->started + c->objective;
+	if (c->objective < 0)
+		c->objective = 0;
+	if (!customer)
+		return;
+	snprintf(c->customer, sizeof(c->customer), "%s", customer->name);
+	if (customer->priority >= 0)
+		c->priority = (uint32_t)customer->priority;
+}
+
+static bool caller_keys_fresh(const struct ws_edge *e)
+{
+	return e->now - e->evidence[WS_EDT_CONFIG] <
+	       e->set.bounds.key_evidence_max;
+}
+
+/* Refusals that need no look at the servers; 0: the request may go on. */
+static int check_caller(struct ws_edge *e, const struct ws_ed_arrival *a,
+			const struct ws_ed_route *r,
+			const struct ws_ed_customer **customer,
+			ws_us *retry_after, enum ws_ed_reason *reason)
+{
+	*customer = NULL;
+	if (r->auth_exempt || !e->conf->n_customers)
+		return 0;
+	*customer = a->caller_key ?
+			    ws_ed_conf_customer(e->conf, a->caller_key) :
+			    NULL;
+	/* The key may have been withdrawn, or given out just now. */
+	if (!caller_keys_fresh(e)) {
+		*reason = WS_EDR_STALE;
+		*retry_after = STALE_RETRY;
+		return 503;
+	}
+	if (!*customer) {
+		*reason = WS_EDR_BAD_KEY;
+		return 401;
+	}
+	*retry_after = ws_ed_quota_take(&e->quota, e->now, (*customer)->id);
+	*reason = WS_EDR_RATE;
+	return *retry_after ? 429 : 0;
+}
+
+static void refuse_arrival(struct ws_edge *e, const struct ws_ed_arrival *a,
+			   int status, ws_us retry_after,
+			   enum ws_ed_reason reason, struct ws_ed_fx *fx)
+{
+	reply(e, a->id, status, retry_after, reason, fx);
+}
+
+void ws_ed_call_arrive(struct ws_edge *e, const struct ws_ed_arrival *a,
+		       struct ws_ed_fx *fx)
+{
+	const struct ws_ed_customer *customer;
+	const struct ws_ed_service *svc;
+	enum ws_ed_reason reason = WS_EDR_NONE;
+	ws_us retry_after = 0;
+	struct ws_ed_route *r;
+	struct ed_call *c;
+	int status;
+
+	e->counters.arrivals++;
+	if (!e->conf) {
+		refuse_arrival(e, a, 503, CONFIG_RETRY, WS_EDR_NO_CONFIG, fx);
+		return;
+	}
+	if (e->draining && e->now >= e->refuse_from) {
+		refuse_arrival(e, a, 503, DRAINING_RETRY, WS_EDR_DRAINING, fx);
+		return;
+	}
+	if (a->bad) {
+		refuse_arrival(e, a, 400, 0, WS_EDR_BAD_REQUEST, fx);
+		return;
+	}
+	r = ws_ed_conf_route(e->conf, a->host, a->path);
+	if (!r) {
+		refuse_arrival(e, a, 404, 0, WS_EDR_NO_ROUTE, fx);
+		return;
+	}
+	status = check_caller(e, a, r, &customer, &retry_after, &reason);
+	if (status) {
+		refuse_arrival(e, a, status, retry_after, reason, fx);
+		return;
+	}
+	svc = ws_ed_conf_service(e->conf, ws_ed_route_next(r));
+	if (!svc || e->n_calls >= e->set.max_calls) {
+		refuse_arrival(e, a, 503, NO_SERVER_RETRY,
+			       svc ? WS_EDR_LIMIT : WS_EDR_NO_SERVER, fx);
+		return;
+	}
+	if (svc->sharded && a->key < 0) {
+		refuse_arrival(e, a, 400, 0, WS_EDR_BAD_REQUEST, fx);
+		return;
+	}
+	count_request(e, svc->id);
+	if (svc->sharded)
+		ws_ed_heat_count(&e->heat, svc->id, (uint32_t)a->key);
+	c = add_call(e, a->id);
+	fill_call(e, c, a, r, customer, svc);
+	place(e, c, fx);
+}
+
+void ws_ed_call_gone(struct ws_edge *e, uint64_t id, struct ws_ed_fx *fx)
+{
+	struct ed_call *c = ws_ed_call_find(e, id);
+
+	if (!c)
+		return;
+	e->counters.gone++;
+	if (c->state == CALL_SENT) {
+		ws_ed_fx_add(fx, WS_EDFX_CANCEL)->u.reply.request = id;
+		ws_ed_pool_ended(&e->pool, e->now, c->server, c->work,
+				 WS_ED_END_CANCELLED, e->now - c->sent, c->load,
+				 NULL);
+	}
+	remove_call(e, c);
+}
+
+/* ===== Answers of servers ===== */
+
+static void exclude(struct ed_call *c)
+{
+	if (c->n_excluded < WS_ED_EXCLUDED_MAX)
+		c->excluded[c->n_excluded++] = c->server;
+}
+
+static void pass(struct ws_edge *e, struct ed_call *c, struct ws_ed_fx *fx)
+{
+	ws_ed_fx_add(fx, WS_EDFX_PASS)->u.reply.request = c->id;
+	e->counters.passed++;
+	remove_call(e, c);
+}
+
+static void try_again(struct ws_edge *e, struct ed_call *c, ws_us pause,
+		      struct ws_ed_fx *fx)
+{
+	exclude(c);
+	set_waiting(e, c, e->now + pause);
+	place(e, c, fx);
+}
+
+/* The server proved that it did not run the request. */
+static void after_shed(struct ws_edge *e, struct ed_call *c, bool moved,
+		       struct ws_ed_fx *fx)
+{
+	if (moved && c->sharded) {
+		ws_ed_fx_add(fx, WS_EDFX_READ_MAP);
+		*key_pause(e, c->key) = e->now + MOVED_PAUSE;
+	}
+	if (!may_repeat(e, c)) {
+		give_up(e, c, NO_SERVER_RETRY, WS_EDR_SERVER_SHED, fx);
+		return;
+	}
+	try_again(e, c, c->sharded ? MOVED_PAUSE : 0, fx);
+}
+
+static void after_loss(struct ws_edge *e, struct ed_call *c, bool timeout,
+		       struct ws_ed_fx *fx)
+{
+	c->may_have_run = true;
+	c->attempts++;
+	if (c->idempotent && !timeout && may_repeat(e, c))
+		try_again(e, c, 0, fx);
+	else
+		fail(e, c, timeout ? 504 : 502,
+		     timeout ? WS_EDR_TIMEOUT : WS_EDR_SERVER_LOST, fx);
+}
+
+static void after_failure(struct ws_edge *e, struct ed_call *c,
+			  struct ws_ed_fx *fx)
+{
+	c->attempts++;
+	if (c->idempotent && !c->sharded && may_repeat(e, c)) {
+		c->may_have_run = true;
+		try_again(e, c, 0, fx);
+		return;
+	}
+	pass(e, c, fx);
+}
+
+void ws_ed_call_ended(struct ws_edge *e, const struct ws_ed_ending *end,
+		      struct ws_ed_fx *fx)
+{
+	struct ed_call *c = ws_ed_call_find(e, end->request);
+
+	if (!c || c->state != CALL_SENT)
+		return;
+	ws_ed_pool_ended(&e->pool, e->now, c->server, c->work, end->end,
+			 end->latency, c->load, &end->report);
+	c->arrivals += end->end != WS_ED_END_UNREACHED;
+	switch (end->end) {
+	case WS_ED_END_OK:
+		pass(e, c, fx);
+		break;
+	case WS_ED_END_FAILED:
+		after_failure(e, c, fx);
+		break;
+	case WS_ED_END_SHED:
+		after_shed(e, c, end->moved, fx);
+		break;
+	case WS_ED_END_UNREACHED:
+		if (c->sendings >= SENDINGS_MAX)
+			give_up(e, c, NO_SERVER_RETRY, WS_EDR_SERVER_LOST, fx);
+		else
+			try_again(e, c, c->sharded ? UNREACHED_PAUSE : 0, fx);
+		break;
+	default:
+		after_loss(e, c, end->end == WS_ED_END_TIMEOUT, fx);
+		break;
+	}
+}
+
+/* ===== Time ===== */
+
+static int by_urgency(const void *a, const void *b)
+{
+	const struct ed_turn *x = a;
+	const struct ed_turn *y = b;
+
+	if (x->priority != y->priority)
+		return x->priority < y->priority ? -1 : 1;
+	return (x->objective_at > y->objective_at) -
+	       (x->objective_at < y->objective_at);
+}
+
+void ws_ed_call_tick(struct ws_edge *e, struct ws_ed_fx *fx)
+{
+	size_t n = 0;
+	size_t i;
+
+	if (!e->n_waiting)
+		return;
+	ws_grow(&e->order, &e->cap_order, e->n_waiting, sizeof(*e->order));
+	for (i = 0; i < e->cap_calls && n < e->n_waiting; i++)
+		if (e->calls[i].state == CALL_WAITING)
+			e->order[n++] = (struct ed_turn){
+				.id = e->calls[i].id,
+				.priority = e->calls[i].priority,
+				.objective_at = e->calls[i].objective_at,
+			};
+	qsort(e->order, n, sizeof(*e->order), by_urgency);
+	for (i = 0; i < n; i++)
+		place(e, ws_ed_call_find(e, e->order[i].id), fx);
+}
--- /dev/null
+++ b/lib/edge/ws_ed_codec.c
@@ -0,0 +1,161 @@
+#include "edge/ws_ed_codec.h"
+
+#include <rpc/types.h>
+#include <rpc/xdr.h>
+#include <string.h>
+
+/* First words of a message: name and version of the format. */
+#define BEAT_MAGIC 0x57534201U
+#define MAP_MAGIC 0x57534d01U
+#define MAP_ENTRIES_MAX 65536
+
+static bool xdr_id(XDR *x, uint64_t *v)
+{
+	return xdr_uint64_t(x, v);
+}
+
+static bool xdr_magic(XDR *x, uint32_t wanted)
+{
+	uint32_t magic = wanted;
+
+	return xdr_uint32_t(x, &magic) && magic == wanted;
+}
+
+static bool xdr_flag(XDR *x, bool *v)
+{
+	uint32_t word = *v;
+
+	if (!xdr_uint32_t(x, &word) || word > 1)
+		return false;
+	*v = word;
+	return true;
+}
+
+/* ===== Heartbeats ===== */
+
+static bool xdr_echoes(XDR *x, struct ws_ed_beat *b)
+{
+	uint32_t i;
+
+	if (!xdr_uint32_t(x, &b->n_echoes) || b->n_echoes > WS_ED_ECHOES_MAX)
+		return false;
+	for (i = 0; i < b->n_echoes; i++)
+		if (!xdr_id(x, &b->echoes[i].peer) ||
+		    !xdr_int64_t(x, &b->echoes[i].stamp))
+			return false;
+	return true;
+}
+
+static bool xdr_demands(XDR *x, struct ws_ed_beat *b)
+{
+	uint32_t i;
+
+	if (!xdr_uint32_t(x, &b->n_demands) || b->n_demands > WS_ED_DEMANDS_MAX)
+		return false;
+	for (i = 0; i < b->n_demands; i++)
+		if (!xdr_id(x, &b->demands[i].customer) ||
+		    !xdr_float(x, &b->demands[i].per_s))
+			return false;
+	return true;
+}
+
+static bool xdr_counts(XDR *x, struct ws_ed_beat *b)
+{
+	uint32_t i;
+
+	if (!xdr_uint32_t(x, &b->n_counts) || b->n_counts > WS_ED_TOLD_MAX)
+		return false;
+	for (i = 0; i < b->n_counts; i++) {
+		struct ws_ed_count *c = &b->counts[i];
+
+		if (!xdr_id(x, &c->service) || !xdr_uint16_t(x, &c->bucket) ||
+		    !xdr_uint16_t(x, &c->count))
+			return false;
+	}
+	return true;
+}
+
+static bool xdr_beat(XDR *x, struct ws_ed_beat *b)
+{
+	return xdr_magic(x, BEAT_MAGIC) && xdr_id(x, &b->from) &&
+	       xdr_id(x, &b->incarnation) &&
+	       xdr_opaque(x, b->address, sizeof(b->address)) &&
+	       xdr_int64_t(x, &b->stamp) && xdr_id(x, &b->epoch) &&
+	       xdr_id(x, &b->map_end) && xdr_flag(x, &b->leaving) &&
+	       xdr_flag(x, &b->store_sound) && xdr_echoes(x, b) &&
+	       xdr_demands(x, b) && xdr_counts(x, b);
+}
+
+int ws_ed_beat_encode(const struct ws_ed_beat *b, void *buf, size_t size)
+{
+	XDR x;
+
+	xdrmem_create(&x, buf, (u_int)size, XDR_ENCODE);
+	if (!xdr_beat(&x, (struct ws_ed_beat *)(uintptr_t)b))
+		return WS_ERR_LIMIT;
+	return (int)xdr_getpos(&x);
+}
+
+int ws_ed_beat_decode(struct ws_ed_beat *b, const void *buf, size_t len)
+{
+	XDR x;
+
+	xdrmem_create(&x, (char *)(uintptr_t)buf, (u_int)len, XDR_DECODE);
+	if (!xdr_beat(&x, b) || !memchr(b->address, 0, sizeof(b->address)))
+		return WS_ERR_SYNTAX;
+	return 0;
+}
+
+/* ===== Maps ===== */
+
+static bool xdr_entry(XDR *x, struct ws_ed_entry *e)
+{
+	return xdr_id(x, &e->service) && xdr_uint32_t(x, &e->from) &&
+	       xdr_uint32_t(x, &e->to) && xdr_id(x, &e->server);
+}
+
+static bool xdr_map_head(XDR *x, struct ws_ed_map *m, uint32_t *n)
+{
+	return xdr_magic(x, MAP_MAGIC) && xdr_id(x, &m->epoch) &&
+	       xdr_id(x, &m->leader) && xdr_uint32_t(x, n);
+}
+
+int ws_ed_map_encode(const struct ws_ed_map *m, void *buf, size_t size)
+{
+	struct ws_ed_map head = { .epoch = m->epoch, .leader = m->leader };
+	uint32_t n = (uint32_t)m->n;
+	XDR x;
+	uint32_t i;
+
+	xdrmem_create(&x, buf, (u_int)size, XDR_ENCODE);
+	if (!xdr_map_head(&x, &head, &n))
+		return WS_ERR_LIMIT;
+	for (i = 0; i < n; i++) {
+		struct ws_ed_entry e = m->entries[i];
+
+		if (!xdr_entry(&x, &e))
+			return WS_ERR_LIMIT;
+	}
+	return (int)xdr_getpos(&x);
+}
+
+int ws_ed_map_decode(struct ws_ed_map *m, const void *buf, size_t len)
+{
+	uint32_t n = 0;
+	XDR x;
+	uint32_t i;
+
+	xdrmem_create(&x, (char *)(uintptr_t)buf, (u_int)len, XDR_DECODE);
+	m->n = 0;
+	if (!xdr_map_head(&x, m, &n) || n > MAP_ENTRIES_MAX)
+		return WS_ERR_SYNTAX;
+	for (i = 0; i < n; i++) {
+		struct ws_ed_entry e;
+
+		if (!xdr_entry(&x, &e) || e.from > e.to || e.to >= WS_ED_KEYS)
+			return WS_ERR_SYNTAX;
+		ws_ed_map_add(m, &e);
+	}
+	ws_ed_map_sort(m);
+	return 0;
+}
--- /dev/null
+++ b/lib/edge/ws_ed_fx.h
@@ -0,0 +1,102 @@
+#ifndef WS_ED_FX_H
+#define WS_ED_FX_H
+
+#include "edge/ws_ed_pool.h"
+
+/* Effects of the edge's reducer: what the shell must carry out, in order. */
+
+enum ws_ed_effect_kind {
+	WS_EDFX_SEND = 1, /* send a request to a server */
+	WS_EDFX_CANCEL, /* break off what is at a server */
+	WS_EDFX_PASS, /* hand the server's answer to the caller */
+	WS_EDFX_REPLY, /* answer the caller ourselves */
+	WS_EDFX_GRANT, /* lease keys to a server */
+	WS_EDFX_RELEASE, /* take keys back from a server */
+	WS_EDFX_APPEND, /* write ws_ed_lead_proposal() to the store */
+	WS_EDFX_READ_MAP, /* a newer map may be in the store */
+	WS_EDFX_NOTE, /* log line */
+};
+
+/* Why a request ended as it did; also the word in the log line. */
+enum ws_ed_reason {
+	WS_EDR_NONE = 0,
+	WS_EDR_NO_CONFIG,
+	WS_EDR_STALE, /* no recent contact with the store */
+	WS_EDR_NO_ROUTE,
+	WS_EDR_BAD_KEY,
+	WS_EDR_BAD_REQUEST,
+	WS_EDR_RATE,
+	WS_EDR_QUARANTINED,
+	WS_EDR_NO_SERVER,
+	WS_EDR_NO_OWNER,
+	WS_EDR_OVERLOAD,
+	WS_EDR_TIMEOUT,
+	WS_EDR_SERVER_SHED,
+	WS_EDR_SERVER_FAILED,
+	WS_EDR_SERVER_LOST,
+	WS_EDR_CALLER_GONE,
+	WS_EDR_LIMIT,
+	WS_EDR_TOO_LARGE,
+	WS_EDR_DRAINING,
+	WS_EDR_COUNT,
+};
+
+/* A call to a server about its keys. */
+struct ws_ed_key_call {
+	uint64_t ref;
+	char name[WS_ED_NAME_MAX];
+	char address[WS_ED_NAME_MAX];
+	uint32_t from;
+	uint32_t to; /* inclusive */
+	uint64_t fence;
+	ws_us hold; /* GRANT: lease time from its arrival */
+	char handover[WS_ED_NAME_MAX]; /* GRANT: of the last holder, or "" */
+};
+
+struct ws_ed_effect {
+	uint8_t kind;
+	union {
+		struct {
+			uint64_t request;
+			uint32_t server; /* handle */
+			ws_us deadline; /* absolute */
+		} send;
+		struct {
+			uint64_t request;
+			int status;
+			ws_us retry_after; /* 0: none */
+			enum ws_ed_reason reason;
+		} reply; /* PASS and CANCEL use request only */
+		struct ws_ed_key_call call;
+		struct {
+			uint64_t at; /* offset at which the record must lie */
+		} append;
+		struct {
+			uint16_t number; /* enum ws_log_number */
+			ws_id subject;
+			int64_t value;
+			int error;
+			char detail[120];
+		} note;
+	} u;
+};
+
+struct ws_ed_fx {
+	struct ws_ed_effect *items;
+	size_t n;
+	size_t cap;
+};
+
+/* Appends an effect with all other fields zero; valid until the next one. */
+struct ws_ed_effect *ws_ed_fx_add(struct ws_ed_fx *fx, uint8_t kind);
+
+/* Adds a log line. */
+void ws_ed_fx_note(struct ws_ed_fx *fx, uint16_t number, ws_id subject,
+		   int64_t value, const char *detail);
+
+void ws_ed_fx_free(struct ws_ed_fx *fx);
+
+/* Word for a reason; never NULL. */
+const char *ws_ed_reason_name(enum ws_ed_reason reason);
+
+#endif
--- /dev/null
+++ b/lib/edge/ws_ed_lead.c
@@ -0,0 +1,319 @@
+#include "edge/ws_ed_lead.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/ws_events.h"
+#include "edge/ws_ed_lead_int.h"
+
+/* Fencing tokens of one epoch; epochs stay below 2^33 in JSON's integers. */
+#define COUNTER_BITS 20
+/* Heartbeats of all living members have arrived after this time. */
+#define SETTLE (700 * WS_MS)
+/* Candidates claim one after the other, in order of their ids. */
+#define CLAIM_STEP (250 * WS_MS)
+#define CLAIM_RETRY (1 * WS_SECOND)
+#define APPEND_RETRY (150 * WS_MS)
+/* Evidence this recent shows that the store is reachable. */
+#define STORE_SOUND (2 * WS_SECOND)
+
+void ws_ed_lead_free(struct ws_ed_lead *l)
+{
+	ws_ed_map_free(&l->map);
+	ws_ed_map_free(&l->proposal);
+	free(l->holds);
+	l->holds = NULL;
+	l->n_holds = 0;
+	l->cap_holds = 0;
+}
+
+uint64_t ws_ed_lead_next_fence(struct ws_ed_lead *l)
+{
+	return (l->epoch << COUNTER_BITS) + ++l->counter;
+}
+
+uint64_t ws_ed_lead_epoch(const struct ws_ed_lead *l)
+{
+	uint64_t epoch = l->epoch > l->map.epoch ? l->epoch : l->map.epoch;
+	size_t i;
+
+	for (i = 0; i < l->peers->n; i++)
+		if (l->peers->members[i].epoch > epoch)
+			epoch = l->peers->members[i].epoch;
+	return epoch;
+}
+
+bool ws_ed_lead_valid(const struct ws_ed_lead *l, ws_us now)
+{
+	return l->role == WS_EDL_LEADER && now < l->valid_until;
+}
+
+/* ===== Election ===== */
+
+static void step_down(struct ws_ed_lead *l, struct ws_ed_fx *fx)
+{
+	if (l->role == WS_EDL_LEADER)
+		ws_ed_fx_note(fx, WS_LOG_LEADER_LOST, l->self,
+			      (int64_t)l->epoch, "another instance leads");
+	l->role = WS_EDL_FOLLOWER;
+	l->n_holds = 0;
+	l->appending = false;
+	l->confirmed = 0;
+	l->valid_until = 0;
+}
+
+static void take_over(struct ws_ed_lead *l, ws_us now, ws_us started,
+		      struct ws_ed_fx *fx)
+{
+	size_t i;
+
+	l->role = WS_EDL_LEADER;
+	l->claimed = now;
+	l->confirmed = 0;
+	l->evidence = started;
+	l->valid_until = started + WS_ED_LEASE;
+	l->counter = 0;
+	l->n_holds = 0;
+	for (i = 0; i < l->map.n; i++) {
+		const struct ws_ed_entry *e = &l->map.entries[i];
+		struct ws_ed_hold *h = ws_ed_hold_add(l);
+		int32_t s = ws_ed_pool_find(l->pool, e->server);
+
+		h->service = e->service;
+		h->from = e->from;
+		h->to = e->to;
+		h->server = e->server;
+		h->state = WS_EDH_OWNED;
+		h->inherited = true;
+		h->changed = now;
+		h->fence = ws_ed_lead_next_fence(l);
+		if (s >= 0)
+			ws_ed_hold_set_server(h, &l->pool->servers[s]);
+	}
+	ws_ed_fx_note(fx, WS_LOG_LEADER, l->self, (int64_t)l->epoch,
+		      "leads the servers' keys");
+}
+
+static bool serves_keys(const struct ws_ed_lead *l)
+{
+	size_t i;
+
+	for (i = 0; l->conf && i < l->conf->n_services; i++)
+		if (l->conf->services[i].sharded)
+			return true;
+	return false;
+}
+
+static bool store_sound(const struct ws_ed_lead *l, ws_us now)
+{
+	return l->known && now - l->evidence < STORE_SOUND;
+}
+
+/* Nobody leads, or the one who does can change nothing. */
+static bool leader_missing(const struct ws_ed_lead *l, ws_us now)
+{
+	const struct ws_ed_member *m;
+
+	if (!l->map.epoch || l->map.leader == l->self)
+		return true;
+	m = ws_ed_peers_find(l->peers, l->map.leader);
+	if (!m || !ws_ed_member_alive(m, now))
+		return true;
+	return m->leaving || !m->store_sound;
+}
+
+static void build_proposal(struct ws_ed_lead *l)
+{
+	size_t i;
+
+	l->proposal.n = 0;
+	l->proposal.epoch = l->epoch;
+	l->proposal.leader = l->self;
+	for (i = 0; i < l->n_holds; i++) {
+		struct ws_ed_hold *h = &l->holds[i];
+		struct ws_ed_entry e = {
+			.service = h->service,
+			.from = h->from,
+			.to = h->to,
+			.server = h->server,
+		};
+
+		h->in_append = h->state == WS_EDH_CHOSEN;
+		if (h->state != WS_EDH_FREE)
+			ws_ed_map_add(&l->proposal, &e);
+	}
+	ws_ed_map_sort(&l->proposal);
+}
+
+static void append(struct ws_ed_lead *l, struct ws_ed_fx *fx)
+{
+	l->appending = true;
+	ws_ed_fx_add(fx, WS_EDFX_APPEND)->u.append.at = l->end;
+}
+
+static void claim(struct ws_ed_lead *l, ws_us now, struct ws_ed_fx *fx)
+{
+	l->role = WS_EDL_CLAIMING;
+	l->epoch = l->end + 1;
+	l->next_claim = now + CLAIM_RETRY;
+	ws_ed_map_copy(&l->proposal, &l->map);
+	l->proposal.epoch = l->epoch;
+	l->proposal.leader = l->self;
+	append(l, fx);
+}
+
+static void consider_claim(struct ws_ed_lead *l, ws_us now, struct ws_ed_fx *fx)
+{
+	ws_us settle = l->started + SETTLE;
+
+	if (l->leaving || !serves_keys(l) || !store_sound(l, now) ||
+	    now < l->next_claim || now < settle || !leader_missing(l, now))
+		return;
+	if (now - settle < (ws_us)ws_ed_peers_rank(l->peers, now) * CLAIM_STEP)
+		return;
+	claim(l, now, fx);
+}
+
+/* ===== The store's answers ===== */
+
+static void settle_chosen(struct ws_ed_lead *l, ws_us now,
+			  const struct ws_ed_map *map)
+{
+	size_t i;
+
+	for (i = 0; i < l->n_holds; i++) {
+		struct ws_ed_hold *h = &l->holds[i];
+
+		if (h->state != WS_EDH_CHOSEN ||
+		    ws_ed_map_owner(map, h->service, h->from) != h->server ||
+		    ws_ed_map_owner(map, h->service, h->to) != h->server)
+			continue;
+		h->state = WS_EDH_OWNED;
+		h->changed = now;
+		h->in_append = false;
+		h->fence = ws_ed_lead_next_fence(l);
+		h->next_call = now;
+		h->failures = 0;
+	}
+}
+
+static void adopt(struct ws_ed_lead *l, ws_us now, const struct ws_ed_map *map,
+		  struct ws_ed_fx *fx)
+{
+	if (map->epoch < l->map.epoch)
+		return;
+	ws_ed_map_copy(&l->map, map);
+	if (l->role == WS_EDL_FOLLOWER)
+		return;
+	if (map->epoch > l->epoch ||
+	    (map->epoch == l->epoch && map->leader != l->self))
+		step_down(l, fx);
+	else if (l->role == WS_EDL_LEADER && map->epoch == l->epoch)
+		settle_chosen(l, now, map);
+}
+
+void ws_ed_lead_read(struct ws_ed_lead *l, ws_us now, ws_us started,
+		     const struct ws_ed_map *map, uint64_t end,
+		     struct ws_ed_fx *fx)
+{
+	l->known = true;
+	if (end > l->end)
+		l->end = end;
+	if (map)
+		adopt(l, now, map, fx);
+	if (started > l->evidence)
+		l->evidence = started;
+}
+
+const struct ws_ed_map *ws_ed_lead_proposal(const struct ws_ed_lead *l)
+{
+	return &l->proposal;
+}
+
+void ws_ed_lead_appended(struct ws_ed_lead *l, ws_us now, uint64_t at,
+			 ws_us started, enum ws_ed_append_end end,
+			 struct ws_ed_fx *fx)
+{
+	if (!l->appending || l->role == WS_EDL_FOLLOWER)
+		return;
+	l->appending = false;
+	if (end != WS_EDA_DONE) {
+		ws_ed_fx_add(fx, WS_EDFX_READ_MAP);
+		l->next_append = now + APPEND_RETRY;
+		if (l->role == WS_EDL_CLAIMING)
+			l->role = WS_EDL_FOLLOWER;
+		return;
+	}
+	if (at + 1 > l->end)
+		l->end = at + 1;
+	ws_ed_map_copy(&l->map, &l->proposal);
+	if (l->role == WS_EDL_CLAIMING)
+		take_over(l, now, started, fx);
+	else
+		settle_chosen(l, now, &l->proposal);
+}
+
+/* ===== Time ===== */
+
+static void check_evidence(struct ws_ed_lead *l, ws_us now)
+{
+	ws_us quorum = ws_ed_peers_quorum(l->peers, now, l->epoch);
+	ws_us best = quorum > l->evidence ? quorum : l->evidence;
+
+	l->valid_until = best + WS_ED_LEASE;
+	if (!l->confirmed && quorum >= l->claimed)
+		l->confirmed = now;
+}
+
+static bool known_deposed(const struct ws_ed_lead *l)
+{
+	return ws_ed_lead_epoch(l) > l->epoch;
+}
+
+static bool wants_append(const struct ws_ed_lead *l)
+{
+	size_t i;
+
+	for (i = 0; i < l->n_holds; i++)
+		if (l->holds[i].state == WS_EDH_CHOSEN)
+			return true;
+	return false;
+}
+
+void ws_ed_lead_tick(struct ws_ed_lead *l, ws_us now, struct ws_ed_fx *fx)
+{
+	if (l->role == WS_EDL_FOLLOWER) {
+		if (l->known)
+			consider_claim(l, now, fx);
+		return;
+	}
+	if (l->role == WS_EDL_CLAIMING)
+		return;
+	if (known_deposed(l)) {
+		step_down(l, fx);
+		ws_ed_fx_add(fx, WS_EDFX_READ_MAP);
+		return;
+	}
+	check_evidence(l, now);
+	if (!ws_ed_lead_valid(l, now))
+		return;
+	ws_ed_balance_tick(l, now, fx);
+	ws_ed_holds_tick(l, now, fx);
+	if (!l->appending && now >= l->next_append && wants_append(l)) {
+		build_proposal(l);
+		append(l, fx);
+	}
+}
+
+bool ws_ed_lead_moving(const struct ws_ed_lead *l, ws_id service, uint32_t key)
+{
+	size_t i;
+
+	for (i = 0; i < l->n_holds; i++) {
+		const struct ws_ed_hold *h = &l->holds[i];
+
+		if (h->service == service && h->from <= key && key <= h->to)
+			return h->state != WS_EDH_OWNED;
+	}
+	return false;
+}
--- /dev/null
+++ b/lib/edge/ws_ed_lead_int.h
@@ -0,0 +1,33 @@
+#ifndef WS_ED_LEAD_INT_H
+#define WS_ED_LEAD_INT_H
+
+#include "edge/ws_ed_lead.h"
+
+/* Private to the parts of ws_ed_lead. */
+
+/* Lease time of keys; a new owner waits for it when the old one is lost. */
+#define WS_EDH_HOLD (3 * WS_SECOND)
+/* The clock of a server may run 2 % slow; the rest is the way of the call. */
+#define WS_EDH_HOLD_END (WS_EDH_HOLD * 102 / 100 + 100 * WS_MS)
+
+/* Fencing token for the next grant of a changed range. */
+uint64_t ws_ed_lead_next_fence(struct ws_ed_lead *l);
+
+/* Appends a hold; the pointer is valid until the next one. */
+struct ws_ed_hold *ws_ed_hold_add(struct ws_ed_lead *l);
+
+/* Cuts a hold in two behind a key; the second part is appended. */
+void ws_ed_hold_split(struct ws_ed_lead *l, size_t index, uint32_t last);
+
+/* Starts to take a hold back from its server. */
+void ws_ed_hold_give_up(struct ws_ed_hold *h, ws_us now);
+
+void ws_ed_hold_set_server(struct ws_ed_hold *h, const struct ws_ed_server *s);
+
+/* Calls and state changes of all holds. */
+void ws_ed_holds_tick(struct ws_ed_lead *l, ws_us now, struct ws_ed_fx *fx);
+
+/* Chooses servers for free ranges and evens out the load. */
+void ws_ed_balance_tick(struct ws_ed_lead *l, ws_us now, struct ws_ed_fx *fx);
+
+#endif
--- /dev/null
+++ b/lib/edge/ws_ed_pool.c
@@ -0,0 +1,444 @@
+#include "edge/ws_ed_pool.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Reports of other instances' requests decay to the mean with this time. */
+#define REPORT_TAU (250.0 * (double)WS_MS)
+/* The slowness of a machine changes several times a second. */
+#define PACE_TAU (250.0 * (double)WS_MS)
+/* Another zone is taken when the own one takes this many times as long. */
+#define FAR_FACTOR 1.6
+#define FAR_COST (5.0 * (double)WS_MS)
+/* Cost of a server all of whose requests fail, relative to a sound one. */
+#define FAIL_FACTOR 8.0
+/* Spread of the cost that keeps instances from picking the same server. */
+#define JITTER 0.12
+#define FAIL_GAIN 0.15
+#define SPEED_GAIN 0.08
+#define UNIT_GAIN 0.05
+#define MEAN_GAIN 0.1
+#define SPEED_MIN 0.2
+#define SPEED_MAX 6.0
+/* Work expected before the first answer. */
+#define UNIT_FIRST (80.0 * (double)WS_MS)
+#define BENCH_FIRST (200 * WS_MS)
+#define BENCH_MAX (2 * WS_SECOND)
+#define BENCH_TIMES_MAX 4
+/* Part of a cold server's rate that all instances use together. */
+#define COLD_PART 0.9
+/* The list tells of the end of a cold phase with some delay. */
+#define COLD_MARGIN (200 * WS_MS)
+/* Extra time of a server that is cold. */
+#define COLD_SLOWNESS 2.0
+/* A busy server takes a little longer even before requests wait. */
+#define BUSY_SLOWNESS 0.25
+
+void ws_ed_pool_free(struct ws_ed_pool *p)
+{
+	free(p->servers);
+	free(p->works);
+	free(p->zones);
+	memset(p, 0, sizeof(*p));
+}
+
+/* ===== List ===== */
+
+int32_t ws_ed_pool_find(const struct ws_ed_pool *p, ws_id id)
+{
+	size_t i;
+
+	for (i = 0; id && i < p->n; i++)
+		if (p->servers[i].id == id)
+			return (int32_t)i;
+	return -1;
+}
+
+static uint32_t add_server(struct ws_ed_pool *p)
+{
+	size_t i;
+
+	for (i = 0; i < p->n; i++)
+		if (!p->servers[i].id)
+			break;
+	if (i == p->n) {
+		ws_grow(&p->servers, &p->cap, p->n + 1, sizeof(*p->servers));
+		p->n++;
+	}
+	memset(&p->servers[i], 0, sizeof(p->servers[i]));
+	return (uint32_t)i;
+}
+
+/* Requests per second that this instance may send to a cold server. */
+static double cold_rate(const struct ws_ed_pool *p,
+			const struct ws_ed_service *svc)
+{
+	if (!svc || svc->warmup_per_s <= 0.0)
+		return 0.0;
+	return COLD_PART * svc->warmup_per_s / (double)p->instances;
+}
+
+static void make_cold(struct ws_ed_pool *p, ws_us now, struct ws_ed_server *s,
+		      ws_us until, const struct ws_ed_service *svc)
+{
+	double rate = cold_rate(p, svc);
+	bool was_cold = s->cold_until > now;
+
+	s->cold_until = until;
+	if (was_cold || rate <= 0.0)
+		return;
+	s->cold_next = now + (ws_us)((double)ws_rand_below(&p->rand, 1000) /
+				     1000.0 * (double)WS_SECOND / rate);
+}
+
+static uint32_t connection_share(const struct ws_ed_pool *p,
+				 const struct ws_ed_service *svc)
+{
+	uint32_t share;
+
+	if (!svc || !svc->max_connections)
+		return 0;
+	share = svc->max_connections / (uint32_t)p->instances;
+	return share ? share : 1;
+}
+
+static void restart(struct ws_ed_server *s)
+{
+	s->others = 0.0;
+	s->others_mean = 0.0;
+	s->pace = 1.0;
+	s->speed = 1.0;
+	s->fail = 0.0;
+	s->benched_until = 0;
+	s->benched_times = 0;
+	s->cold_until = 0;
+}
+
+uint32_t ws_ed_pool_listed(struct ws_ed_pool *p, ws_us now,
+			   const struct ws_ed_listing *l,
+			   const struct ws_ed_service *svc)
+{
+	ws_id id = ws_ed_id(l->name);
+	int32_t found = ws_ed_pool_find(p, id);
+	uint32_t h = found >= 0 ? (uint32_t)found : add_server(p);
+	struct ws_ed_server *s = &p->servers[h];
+
+	if (found < 0 || s->born_ms != l->born_ms)
+		restart(s);
+	s->id = id;
+	snprintf(s->name, sizeof(s->name), "%s", l->name);
+	snprintf(s->address, sizeof(s->address), "%s", l->address);
+	s->service = l->service;
+	s->zone = l->zone;
+	s->slots = l->slots ? l->slots : 1;
+	s->born_ms = l->born_ms;
+	s->listed = true;
+	s->draining = l->draining;
+	s->max_connections = connection_share(p, svc);
+	if (l->cold_for > 0)
+		make_cold(p, now, s, now + l->cold_for + COLD_MARGIN, svc);
+	return h;
+}
+
+void ws_ed_pool_unlisted(struct ws_ed_pool *p, ws_us now, ws_id id,
+			 ws_us linger)
+{
+	int32_t h = ws_ed_pool_find(p, id);
+	struct ws_ed_server *s;
+
+	if (h < 0)
+		return;
+	s = &p->servers[h];
+	if (s->listed)
+		s->gone_at = now + linger;
+	s->listed = false;
+}
+
+void ws_ed_pool_configure(struct ws_ed_pool *p, const struct ws_ed_conf *conf)
+{
+	size_t i;
+
+	for (i = 0; i < p->n; i++)
+		p->servers[i].max_connections = connection_share(
+			p, ws_ed_conf_service(conf, p->servers[i].service));
+}
+
+/* ===== Zones ===== */
+
+static struct ws_ed_zone_out *find_zone(const struct ws_ed_pool *p, ws_id zone)
+{
+	size_t i;
+
+	for (i = 0; i < p->n_zones; i++)
+		if (p->zones[i].zone == zone)
+			return &p->zones[i];
+	return NULL;
+}
+
+void ws_ed_pool_zone(struct ws_ed_pool *p, ws_us now, ws_id zone, bool out,
+		     const struct ws_ed_conf *conf)
+{
+	struct ws_ed_zone_out *z = find_zone(p, zone);
+	size_t i;
+
+	if (!z) {
+		ws_grow(&p->zones, &p->cap_zones, p->n_zones + 1,
+			sizeof(*p->zones));
+		z = &p->zones[p->n_zones++];
+		*z = (struct ws_ed_zone_out){ .zone = zone };
+	}
+	if (z->out && !out) {
+		z->back = now;
+		/* Servers may have gone cold while nothing was sent to them. */
+		for (i = 0; i < p->n; i++) {
+			struct ws_ed_server *s = &p->servers[i];
+			const struct ws_ed_service *svc =
+				ws_ed_conf_service(conf, s->service);
+
+			if (s->id && s->zone == zone && svc)
+				make_cold(p, now, s, now + svc->warmup, svc);
+		}
+	}
+	z->out = out;
+}
+
+bool ws_ed_pool_zone_out(const struct ws_ed_pool *p, ws_id zone)
+{
+	const struct ws_ed_zone_out *z = find_zone(p, zone);
+
+	return z && z->out;
+}
+
+/* ===== Expectation ===== */
+
+uint32_t ws_ed_pool_work(struct ws_ed_pool *p, ws_id route, ws_id service)
+{
+	size_t i;
+
+	for (i = 0; i < p->n_works; i++)
+		if (p->works[i].route == route &&
+		    p->works[i].service == service)
+			return (uint32_t)i;
+	ws_grow(&p->works, &p->cap_works, p->n_works + 1, sizeof(*p->works));
+	p->works[p->n_works] = (struct ws_ed_work){
+		.route = route,
+		.service = service,
+		.unit = UNIT_FIRST,
+	};
+	return (uint32_t)p->n_works++;
+}
+
+bool ws_ed_pool_usable(const struct ws_ed_pool *p, ws_us now, uint32_t server)
+{
+	const struct ws_ed_server *s = &p->servers[server];
+
+	if (!s->id || s->draining || ws_ed_pool_zone_out(p, s->zone))
+		return false;
+	return s->listed || now < s->gone_at;
+}
+
+static double decay(ws_us age, double tau)
+{
+	return exp(-(double)age / tau);
+}
+
+static double load_of(const struct ws_ed_server *s, ws_us now)
+{
+	double d = decay(now - s->reported, REPORT_TAU);
+	double others = s->others * d + s->others_mean * (1.0 - d);
+
+	return (double)s->in_flight + others;
+}
+
+static double pace_of(const struct ws_ed_server *s, ws_us now)
+{
+	double d = decay(now - s->reported, PACE_TAU);
+	double pace = 1.0 + (s->pace - 1.0) * d;
+
+	return now < s->cold_until ? pace * COLD_SLOWNESS : pace;
+}
+
+/* Time of a request relative to an idle server; load includes the request. */
+static double crowding(double load, uint32_t slots)
+{
+	double part = load / (double)slots;
+
+	if (part <= 1.0)
+		return 1.0 + BUSY_SLOWNESS * part * part;
+	return part * (1.0 + BUSY_SLOWNESS);
+}
+
+void ws_ed_pool_expect(const struct ws_ed_pool *p, ws_us now, uint32_t server,
+		       uint32_t work, struct ws_ed_choice *out)
+{
+	const struct ws_ed_server *s = &p->servers[server];
+	double load = load_of(s, now) + 1.0;
+	double time = p->works[work].unit * s->speed * pace_of(s, now) *
+		      crowding(load, s->slots);
+
+	out->server = (int32_t)server;
+	out->load = load / (double)s->slots;
+	out->expect = (ws_us)time;
+	out->paced = now < s->cold_until && now < s->cold_next;
+}
+
+/* ===== Choice ===== */
+
+static bool is_excluded(const struct ws_ed_need *need, uint32_t h)
+{
+	size_t i;
+
+	for (i = 0; i < need->n_excluded; i++)
+		if (need->excluded[i] == h)
+			return true;
+	return false;
+}
+
+static double cost_of(struct ws_ed_pool *p, ws_us now,
+		      const struct ws_ed_need *need,
+		      const struct ws_ed_server *s,
+		      const struct ws_ed_choice *c)
+{
+	double cost = (double)c->expect * (1.0 + FAIL_FACTOR * s->fail);
+
+	if (s->zone != need->zone)
+		cost = cost * FAR_FACTOR + FAR_COST;
+	if (now < s->benched_until ||
+	    (s->max_connections && s->in_flight >= s->max_connections))
+		cost += 1e9;
+	return cost *
+	       (1.0 + JITTER * (double)ws_rand_below(&p->rand, 1000) / 1000.0);
+}
+
+void ws_ed_pool_choose(struct ws_ed_pool *p, ws_us now,
+		       const struct ws_ed_need *need, struct ws_ed_choice *out)
+{
+	double best = 0.0;
+	size_t i;
+
+	*out = (struct ws_ed_choice){ .server = -1 };
+	for (i = 0; i < p->n; i++) {
+		struct ws_ed_server *s = &p->servers[i];
+		struct ws_ed_choice c;
+		double cost;
+
+		if (s->service != need->service ||
+		    !ws_ed_pool_usable(p, now, (uint32_t)i) ||
+		    is_excluded(need, (uint32_t)i))
+			continue;
+		ws_ed_pool_expect(p, now, (uint32_t)i, need->work, &c);
+		if (c.paced) {
+			out->paced = true;
+			continue;
+		}
+		cost = cost_of(p, now, need, s, &c);
+		if (out->server >= 0 && cost >= best)
+			continue;
+		best = cost;
+		c.paced = out->paced;
+		*out = c;
+	}
+}
+
+/* ===== Observations ===== */
+
+void ws_ed_pool_sent(struct ws_ed_pool *p, ws_us now, uint32_t server,
+		     const struct ws_ed_service *svc)
+{
+	struct ws_ed_server *s = &p->servers[server];
+	double rate = cold_rate(p, svc);
+
+	s->in_flight++;
+	if (now < s->cold_until && rate > 0.0)
+		s->cold_next = now + (ws_us)((double)WS_SECOND / rate);
+}
+
+static void take_report(struct ws_ed_server *s, ws_us now,
+			const struct ws_ed_report *r)
+{
+	double others =
+		(double)(r->running + r->waiting) - (double)s->in_flight;
+
+	s->others = others > 0.0 ? others : 0.0;
+	s->others_mean += MEAN_GAIN * (s->others - s->others_mean);
+	s->reported = now;
+	s->pace = r->pace > 0.0 ? r->pace : 1.0;
+}
+
+static double bounded(double x, double low, double high)
+{
+	if (x < low)
+		return low;
+	return x > high ? high : x;
+}
+
+static void learn_speed(struct ws_ed_pool *p, struct ws_ed_server *s,
+			uint32_t work, ws_us latency, double load, ws_us now)
+{
+	struct ws_ed_work *w = &p->works[work];
+	double alone = (double)latency / crowding(load * s->slots, s->slots) /
+		       pace_of(s, now);
+	double gain = w->samples < 20 ? 0.2 : UNIT_GAIN;
+
+	w->samples++;
+	w->unit += gain * (alone / s->speed - w->unit);
+	s->speed += SPEED_GAIN * (alone / w->unit - s->speed);
+	s->speed = bounded(s->speed, SPEED_MIN, SPEED_MAX);
+}
+
+static void bench(struct ws_ed_server *s, ws_us now)
+{
+	ws_us time = BENCH_FIRST << s->benched_times;
+
+	s->benched_until = now + (time < BENCH_MAX ? time : BENCH_MAX);
+	if (s->benched_times < BENCH_TIMES_MAX)
+		s->benched_times++;
+}
+
+void ws_ed_pool_ended(struct ws_ed_pool *p, ws_us now, uint32_t server,
+		      uint32_t work, enum ws_ed_end end, ws_us latency,
+		      double load, const struct ws_ed_report *report)
+{
+	struct ws_ed_server *s = &p->servers[server];
+	double failed = 0.0;
+
+	WS_INVARIANT(s->in_flight > 0);
+	s->in_flight--;
+	if (report && report->known)
+		take_report(s, now, report);
+	if (report && report->idle_close)
+		s->idle_close = report->idle_close;
+	switch (end) {
+	case WS_ED_END_OK:
+		learn_speed(p, s, work, latency, load, now);
+		s->benched_times = 0;
+		break;
+	case WS_ED_END_CANCELLED:
+		return;
+	case WS_ED_END_UNREACHED:
+		failed = 1.0;
+		bench(s, now);
+		break;
+	default:
+		failed = 1.0;
+		break;
+	}
+	s->fail += FAIL_GAIN * (failed - s->fail);
+}
+
+void ws_ed_pool_tick(struct ws_ed_pool *p, ws_us now)
+{
+	size_t i;
+
+	for (i = 0; i < p->n; i++) {
+		struct ws_ed_server *s = &p->servers[i];
+
+		/* Failures of long ago count less, so that it is tried again.
+		 */
+		s->fail *= 0.995;
+		if (s->id && !s->listed && now >= s->gone_at && !s->in_flight)
+			s->id = 0;
+	}
+}
--- /dev/null
+++ b/lib/edge/ws_ed_pool.h
@@ -0,0 +1,175 @@
+#ifndef WS_ED_POOL_H
+#define WS_ED_POOL_H
+
+#include "edge/ws_ed_conf.h"
+
+/*
+ * Servers (targets) and where the next request goes. Answers these load
+ * patterns:
+ *
+ * - servers of unequal and changing speed, seen by many instances whose
+ *   reports are old: the expected time counts own requests exactly and those
+ *   of other instances by the last report, which decays to their mean;
+ * - bytes between zones cost: another zone is used when the own one is
+ *   expected to take a good deal longer;
+ * - servers that fail or shed while they look idle: failures raise the cost,
+ *   and refused connections bench a server for a growing time;
+ * - cold servers that crash under load: a fixed pace per instance, with a
+ *   random first moment, so that all instances together stay below the bound.
+ */
+
+#define WS_ED_NAME_MAX 64
+#define WS_ED_EXCLUDED_MAX 4
+
+/* Requests of one route at one service; their work differs from others'. */
+struct ws_ed_work {
+	ws_id route;
+	ws_id service;
+	double unit; /* us of a request at a server of speed 1, alone */
+	uint32_t samples;
+};
+
+struct ws_ed_server {
+	ws_id id; /* 0: free entry */
+	char name[WS_ED_NAME_MAX];
+	char address[WS_ED_NAME_MAX]; /* ip:port */
+	ws_id service;
+	ws_id zone;
+	uint32_t slots;
+	int64_t born_ms; /* wall clock of its start, as it says */
+	bool listed;
+	bool draining;
+	ws_us gone_at; /* not listed: no longer used from here on */
+	ws_us cold_until;
+	ws_us cold_next; /* cold: the next request may go */
+	uint32_t in_flight; /* own requests */
+	double others; /* requests of other instances, as last reported */
+	double others_mean;
+	ws_us reported;
+	double pace; /* slowness of its machine as reported; 1: usual */
+	double speed; /* smoothed; time of work relative to its unit */
+	double fail; /* smoothed share of failures */
+	ws_us benched_until;
+	uint32_t benched_times;
+	ws_us idle_close; /* idle connections are closed after it; 0: unknown */
+	uint32_t max_connections; /* own share; 0: no bound */
+	ws_us keys_refused_until; /* does not answer calls about its keys */
+};
+
+struct ws_ed_zone_out {
+	ws_id zone;
+	bool out;
+	ws_us back; /* when it was taken back into service */
+};
+
+struct ws_ed_pool {
+	struct ws_ed_server *servers;
+	size_t n;
+	size_t cap;
+	struct ws_ed_work *works;
+	size_t n_works;
+	size_t cap_works;
+	struct ws_ed_zone_out *zones;
+	size_t n_zones;
+	size_t cap_zones;
+	size_t instances; /* that share cold paces and connections */
+	struct ws_rand rand;
+};
+
+/* An entry of the list of servers. */
+struct ws_ed_listing {
+	char name[WS_ED_NAME_MAX];
+	char address[WS_ED_NAME_MAX];
+	ws_id service;
+	ws_id zone;
+	uint32_t slots;
+	bool draining;
+	ws_us cold_for; /* how much longer it says it is cold */
+	int64_t born_ms;
+};
+
+/* What a server told of itself in an answer. */
+struct ws_ed_report {
+	bool known;
+	uint32_t running;
+	uint32_t waiting;
+	uint32_t slots;
+	double pace; /* 0: not told */
+	ws_us idle_close; /* 0: not told */
+};
+
+enum ws_ed_end {
+	WS_ED_END_OK = 1, /* an answer that is no failure */
+	WS_ED_END_FAILED, /* the server's own failure */
+	WS_ED_END_SHED, /* proved: not run */
+	WS_ED_END_UNREACHED, /* no byte was sent */
+	WS_ED_END_BROKEN, /* sent, no whole answer */
+	WS_ED_END_TIMEOUT, /* sent, no whole answer in time */
+	WS_ED_END_CANCELLED, /* given up here */
+};
+
+struct ws_ed_need {
+	ws_id service;
+	uint32_t work; /* from ws_ed_pool_work() */
+	ws_id zone; /* own */
+	size_t n_excluded;
+	uint32_t excluded[WS_ED_EXCLUDED_MAX]; /* handles tried before */
+};
+
+struct ws_ed_choice {
+	int32_t server; /* handle; -1: none may be used now */
+	ws_us expect; /* time to the answer */
+	double load; /* requests at the server over its slots */
+	bool paced; /* a cold server could be used a little later */
+};
+
+void ws_ed_pool_free(struct ws_ed_pool *p);
+
+/* Takes over what the list says of a server; returns its handle. */
+uint32_t ws_ed_pool_listed(struct ws_ed_pool *p, ws_us now,
+			   const struct ws_ed_listing *l,
+			   const struct ws_ed_service *svc);
+
+/* The list no longer names a server; it is used for linger at most. */
+void ws_ed_pool_unlisted(struct ws_ed_pool *p, ws_us now, ws_id id,
+			 ws_us linger);
+
+/* Bounds of a service have changed. */
+void ws_ed_pool_configure(struct ws_ed_pool *p, const struct ws_ed_conf *conf);
+
+/* Takes a zone out of service or back. */
+void ws_ed_pool_zone(struct ws_ed_pool *p, ws_us now, ws_id zone, bool out,
+		     const struct ws_ed_conf *conf);
+
+bool ws_ed_pool_zone_out(const struct ws_ed_pool *p, ws_id zone);
+
+/* Handle of a server, or -1. */
+int32_t ws_ed_pool_find(const struct ws_ed_pool *p, ws_id id);
+
+/* Handle of the statistics of a route's requests at a service. */
+uint32_t ws_ed_pool_work(struct ws_ed_pool *p, ws_id route, ws_id service);
+
+/* May be given requests: listed, not leaving, its zone in service. */
+bool ws_ed_pool_usable(const struct ws_ed_pool *p, ws_us now, uint32_t server);
+
+/* Expected time and load at one server; paced is set while it must wait. */
+void ws_ed_pool_expect(const struct ws_ed_pool *p, ws_us now, uint32_t server,
+		       uint32_t work, struct ws_ed_choice *out);
+
+/* Picks a server of an open service. */
+void ws_ed_pool_choose(struct ws_ed_pool *p, ws_us now,
+		       const struct ws_ed_need *need, struct ws_ed_choice *out);
+
+/* A request goes to a server now. */
+void ws_ed_pool_sent(struct ws_ed_pool *p, ws_us now, uint32_t server,
+		     const struct ws_ed_service *svc);
+
+/* A request at a server has ended; latency counts from its sending. */
+void ws_ed_pool_ended(struct ws_ed_pool *p, ws_us now, uint32_t server,
+		      uint32_t work, enum ws_ed_end end, ws_us latency,
+		      double load, const struct ws_ed_report *report);
+
+/* Forgets servers that are gone and idle. */
+void ws_ed_pool_tick(struct ws_ed_pool *p, ws_us now);
+
+#endif
--- /dev/null
+++ b/lib/edge/ws_ed_quota.c
@@ -0,0 +1,184 @@
+#include "edge/ws_ed_quota.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Time constant of the demand: a few heartbeats. */
+#define DEMAND_TAU (0.7 * (double)WS_SECOND)
+/* Demand told longer ago than this counts as unknown. */
+#define TOLD_MAX (20 * WS_SECOND)
+/* Below this part of the rate the global demand leaves room for debt. */
+#define CALM_PART 0.85
+/* Debt that all instances may run up together, in seconds of the rate. */
+#define DEBT_S 0.4
+/* Part of the rate that is split evenly, so that a new caller finds tokens. */
+#define EVEN_PART 0.1
+/* Part of the allowed slack that is used. */
+#define SLACK_PART 0.7
+#define RETRY_MIN (50 * WS_MS)
+
+void ws_ed_quota_free(struct ws_ed_quota *q)
+{
+	size_t i;
+
+	for (i = 0; i < q->n; i++)
+		free(q->buckets[i].peers);
+	free(q->buckets);
+	memset(q, 0, sizeof(*q));
+}
+
+static struct ws_ed_bucket *find(const struct ws_ed_quota *q, ws_id customer)
+{
+	size_t i;
+
+	for (i = 0; i < q->n; i++)
+		if (q->buckets[i].customer == customer)
+			return &q->buckets[i];
+	return NULL;
+}
+
+static double cap_of(const struct ws_ed_bucket *b)
+{
+	return b->burst * b->share > 1.0 ? b->burst * b->share : 1.0;
+}
+
+void ws_ed_quota_configure(struct ws_ed_quota *q, ws_us now,
+			   const struct ws_ed_conf *conf)
+{
+	size_t i;
+
+	for (i = 0; i < conf->n_customers; i++) {
+		const struct ws_ed_customer *c = &conf->customers[i];
+		struct ws_ed_bucket *b = find(q, c->id);
+
+		if (!b) {
+			ws_grow(&q->buckets, &q->cap, q->n + 1,
+				sizeof(*q->buckets));
+			b = &q->buckets[q->n++];
+			memset(b, 0, sizeof(*b));
+			b->customer = c->id;
+			b->filled = now;
+			b->demand_at = now;
+		}
+		b->rate = c->rate;
+		b->burst = c->burst;
+	}
+}
+
+double ws_ed_quota_demand(const struct ws_ed_bucket *b, ws_us now)
+{
+	return b->demand * exp(-(double)(now - b->demand_at) / DEMAND_TAU);
+}
+
+static void count_arrival(struct ws_ed_bucket *b, ws_us now)
+{
+	b->demand = ws_ed_quota_demand(b, now) + (double)WS_SECOND / DEMAND_TAU;
+	b->demand_at = now;
+}
+
+static void refill(struct ws_ed_bucket *b, ws_us now)
+{
+	double cap = cap_of(b);
+
+	b->tokens += b->rate * b->share * (double)(now - b->filled) /
+		     (double)WS_SECOND;
+	b->filled = now;
+	if (b->tokens > cap)
+		b->tokens = cap;
+}
+
+ws_us ws_ed_quota_take(struct ws_ed_quota *q, ws_us now, ws_id customer)
+{
+	struct ws_ed_bucket *b = find(q, customer);
+	double floor = 1.0;
+	double wait;
+
+	if (!b)
+		return 0;
+	count_arrival(b, now);
+	if (b->rate <= 0.0)
+		return 0;
+	refill(b, now);
+	if (b->global < CALM_PART * b->rate)
+		floor -= DEBT_S * b->rate * b->share +
+			 q->slack * SLACK_PART * b->share;
+	if (b->tokens >= floor) {
+		b->tokens -= 1.0;
+		return 0;
+	}
+	wait = (floor - b->tokens) / (b->rate * b->share + 1e-9);
+	if (wait > 1.0)
+		wait = 1.0;
+	return RETRY_MIN + (ws_us)(wait * (double)WS_SECOND);
+}
+
+void ws_ed_quota_told(struct ws_ed_quota *q, ws_us now, ws_id peer,
+		      ws_id customer, double per_s)
+{
+	struct ws_ed_bucket *b = find(q, customer);
+	struct ws_ed_demand *d = NULL;
+	size_t i;
+
+	if (!b)
+		return;
+	for (i = 0; i < b->n_peers; i++)
+		if (b->peers[i].peer == peer)
+			d = &b->peers[i];
+	if (!d) {
+		ws_grow(&b->peers, &b->cap_peers, b->n_peers + 1,
+			sizeof(*b->peers));
+		d = &b->peers[b->n_peers++];
+	}
+	*d = (struct ws_ed_demand){ .peer = peer, .at = now, .per_s = per_s };
+}
+
+void ws_ed_quota_heard(struct ws_ed_quota *q, ws_us now, ws_id peer)
+{
+	size_t i;
+	size_t j;
+
+	for (i = 0; i < q->n; i++) {
+		struct ws_ed_bucket *b = &q->buckets[i];
+
+		for (j = 0; j < b->n_peers; j++)
+			if (b->peers[j].peer == peer && b->peers[j].at < now)
+				b->peers[j].per_s = 0.0;
+	}
+}
+
+static double told_sum(struct ws_ed_bucket *b, ws_us now)
+{
+	double sum = 0.0;
+	size_t i = 0;
+
+	while (i < b->n_peers) {
+		if (now - b->peers[i].at > TOLD_MAX) {
+			b->peers[i] = b->peers[--b->n_peers];
+			continue;
+		}
+		sum += b->peers[i++].per_s;
+	}
+	return sum;
+}
+
+void ws_ed_quota_tick(struct ws_ed_quota *q, ws_us now, size_t instances)
+{
+	size_t i;
+
+	for (i = 0; i < q->n; i++) {
+		struct ws_ed_bucket *b = &q->buckets[i];
+		double own = ws_ed_quota_demand(b, now);
+		double even = EVEN_PART / (double)instances;
+		double part;
+		bool first = b->share <= 0.0;
+
+		refill(b, now);
+		b->global = own + told_sum(b, now);
+		part = b->global > 0.01 ? own / b->global :
+					  1.0 / (double)instances;
+		b->share = (1.0 - EVEN_PART) * part + even;
+		if (first)
+			b->tokens = cap_of(b);
+	}
+}
--- /dev/null
+++ b/lib/edge/ws_edge.c
@@ -0,0 +1,356 @@
+#include "edge/ws_edge.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/ws_events.h"
+#include "edge/ws_edge_int.h"
+
+#define SLOW_TICK (50 * WS_MS)
+/* A failure of the store this long ago may still explain lost entries. */
+#define STORE_LOST_RECENT (6 * WS_SECOND)
+/* Without evidence for this time callers are better served elsewhere. */
+#define READY_EVIDENCE (3 * WS_SECOND)
+/*
+ * Part of the time until the process ends in which requests are still taken;
+ * the rest is for their answers.
+ */
+#define DRAIN_ACCEPT_PART 0.5
+#define MAP_HINT_PERIOD (300 * WS_MS)
+/* Demands below this are not worth telling. */
+#define DEMAND_MIN 0.05
+/* Evidence of the store that counts as sound to others. */
+#define SOUND_EVIDENCE (2600 * WS_MS)
+
+/* ===== Life ===== */
+
+struct ws_edge *ws_edge_new(const struct ws_ed_settings *set)
+{
+	struct ws_edge *e = ws_alloc(1, sizeof(*e));
+
+	e->set = *set;
+	e->now = set->now;
+	e->peers.self = set->self;
+	e->pool.instances = 1;
+	e->quota.slack = set->bounds.rate_slack;
+	ws_rand_seed(&e->rand, set->seed);
+	ws_rand_seed(&e->pool.rand, set->seed ^ set->self);
+	e->lead.self = set->self;
+	e->lead.started = set->now;
+	e->lead.peers = &e->peers;
+	e->lead.pool = &e->pool;
+	e->lead.heat = &e->heat;
+	e->cap_calls = 64;
+	while (e->cap_calls < 2 * set->max_calls)
+		e->cap_calls *= 2;
+	e->calls = ws_alloc(e->cap_calls, sizeof(*e->calls));
+	return e;
+}
+
+void ws_edge_free(struct ws_edge *e)
+{
+	if (!e)
+		return;
+	ws_ed_conf_free(e->conf);
+	ws_ed_pool_free(&e->pool);
+	ws_ed_peers_free(&e->peers);
+	ws_ed_heat_free(&e->heat);
+	ws_ed_quota_free(&e->quota);
+	ws_ed_lead_free(&e->lead);
+	free(e->calls);
+	free(e->order);
+	free(e->budgets);
+	free(e);
+}
+
+/* ===== What the store says ===== */
+
+static void take_config(struct ws_edge *e, struct ws_ed_conf *conf,
+			struct ws_ed_fx *fx)
+{
+	char detail[64];
+
+	if (e->conf && conf->version <= e->conf->version) {
+		ws_ed_conf_free(conf);
+		return;
+	}
+	ws_ed_conf_free(e->conf);
+	e->conf = conf;
+	e->lead.conf = conf;
+	ws_ed_pool_configure(&e->pool, conf);
+	ws_ed_quota_configure(&e->quota, e->now, conf);
+	ws_ed_quota_tick(&e->quota, e->now, ws_ed_peers_count(&e->peers));
+	snprintf(detail, sizeof(detail), "%zu routes, %zu services, %zu keys",
+		 conf->n_routes, conf->n_services, conf->n_keys);
+	ws_ed_fx_note(fx, WS_LOG_BUNDLE_IN_FORCE, 0, (int64_t)conf->version,
+		      detail);
+}
+
+static void take_listing(struct ws_edge *e, const struct ws_ed_listing *l)
+{
+	ws_ed_pool_listed(&e->pool, e->now, l,
+			  ws_ed_conf_service(e->conf, l->service));
+}
+
+/* Entries may lapse because the store was away; they come back soon then. */
+static void take_unlisted(struct ws_edge *e, ws_id id)
+{
+	bool excused = e->store_lost &&
+		       e->now - e->store_lost < STORE_LOST_RECENT;
+
+	ws_ed_pool_unlisted(&e->pool, e->now, id,
+			    excused ? e->set.bounds.linger : 0);
+}
+
+static void take_probe(struct ws_edge *e, ws_id server, ws_us cold_for)
+{
+	int32_t h = ws_ed_pool_find(&e->pool, server);
+
+	if (h >= 0)
+		e->pool.servers[h].cold_until = e->now + cold_for;
+}
+
+/* ===== Other instances ===== */
+
+static void take_beat(struct ws_edge *e, const struct ws_ed_beat *b,
+		      struct ws_ed_fx *fx)
+{
+	struct ws_ed_member *m =
+		ws_ed_peers_add(&e->peers, e->now, b->from, b->address);
+	uint32_t i;
+
+	if (!m)
+		return;
+	if (m->incarnation != b->incarnation) {
+		m->incarnation = b->incarnation;
+		m->echoed = 0;
+		m->stamp = 0;
+		ws_ed_fx_note(fx, WS_LOG_INSTANCE_SEEN, b->from, 0, b->address);
+	}
+	/* Datagrams may overtake each other. */
+	if (b->stamp <= m->stamp)
+		return;
+	m->stamp = b->stamp;
+	m->heard = e->now;
+	m->leaving = b->leaving;
+	m->store_sound = b->store_sound;
+	if (b->epoch > m->epoch)
+		m->epoch = b->epoch;
+	for (i = 0; i < b->n_echoes; i++)
+		if (b->echoes[i].peer == e->set.self &&
+		    b->echoes[i].stamp > m->echoed &&
+		    b->echoes[i].stamp <= e->now)
+			m->echoed = b->echoes[i].stamp;
+	for (i = 0; i < b->n_demands; i++)
+		ws_ed_quota_told(&e->quota, e->now, b->from,
+				 b->demands[i].customer,
+				 (double)b->demands[i].per_s);
+	ws_ed_quota_heard(&e->quota, e->now, b->from);
+	for (i = 0; i < b->n_counts; i++)
+		ws_ed_heat_told(&e->heat, &b->counts[i]);
+	if (b->map_end > e->lead.end && e->now >= e->next_map_hint) {
+		e->next_map_hint = e->now + MAP_HINT_PERIOD;
+		ws_ed_fx_add(fx, WS_EDFX_READ_MAP);
+	}
+}
+
+void ws_edge_beat(struct ws_edge *e, ws_us now, struct ws_ed_beat *b)
+{
+	size_t i;
+
+	b->from = e->set.self;
+	b->incarnation = e->set.incarnation;
+	b->stamp = now;
+	b->epoch = ws_ed_lead_epoch(&e->lead);
+	b->map_end = e->lead.end;
+	b->leaving = e->draining;
+	b->store_sound = now - e->lead.evidence < SOUND_EVIDENCE &&
+			 e->lead.known;
+	b->n_echoes = 0;
+	b->n_demands = 0;
+	/* Before it knows the map, an instance may support an old leader. */
+	for (i = 0;
+	     e->lead.known && i < e->peers.n && b->n_echoes < WS_ED_ECHOES_MAX;
+	     i++) {
+		const struct ws_ed_member *m = &e->peers.members[i];
+
+		if (ws_ed_member_alive(m, now))
+			b->echoes[b->n_echoes++] = (struct ws_ed_echo){
+				.peer = m->id,
+				.stamp = m->stamp,
+			};
+	}
+	for (i = 0; i < e->quota.n && b->n_demands < WS_ED_DEMANDS_MAX; i++) {
+		const struct ws_ed_bucket *q = &e->quota.buckets[i];
+		double per_s = ws_ed_quota_demand(q, now);
+
+		if (q->rate > 0.0 && per_s > DEMAND_MIN)
+			b->demands[b->n_demands++] = (struct ws_ed_told_demand){
+				.customer = q->customer,
+				.per_s = (float)per_s,
+			};
+	}
+	b->n_counts = (uint32_t)e->heat.n_fresh;
+	memcpy(b->counts, e->heat.fresh,
+	       e->heat.n_fresh * sizeof(e->heat.fresh[0]));
+	e->heat.n_fresh = 0;
+}
+
+/* ===== Time ===== */
+
+static void slow_tick(struct ws_edge *e, struct ws_ed_fx *fx)
+{
+	ws_ed_peers_tick(&e->peers, e->now);
+	e->pool.instances = ws_ed_peers_count(&e->peers);
+	ws_ed_pool_tick(&e->pool, e->now);
+	ws_ed_heat_tick(&e->heat, e->now);
+	ws_ed_quota_tick(&e->quota, e->now, e->pool.instances);
+	ws_ed_lead_tick(&e->lead, e->now, fx);
+}
+
+static void tick(struct ws_edge *e, struct ws_ed_fx *fx)
+{
+	if (e->now >= e->next_slow_tick) {
+		e->next_slow_tick = e->now + SLOW_TICK;
+		slow_tick(e, fx);
+	}
+	ws_ed_call_tick(e, fx);
+}
+
+/* ===== Step ===== */
+
+void ws_edge_step(struct ws_edge *e, const struct ws_ed_event *ev,
+		  struct ws_ed_fx *fx)
+{
+	e->now = ev->now;
+	switch (ev->kind) {
+	case WS_EDEV_TICK:
+		tick(e, fx);
+		break;
+	case WS_EDEV_CONFIG:
+		take_config(e, ev->u.config, fx);
+		break;
+	case WS_EDEV_LISTED:
+		take_listing(e, ev->u.listing);
+		break;
+	case WS_EDEV_UNLISTED:
+		take_unlisted(e, ev->u.unlisted);
+		break;
+	case WS_EDEV_ZONE:
+		ws_ed_pool_zone(&e->pool, e->now, ev->u.zone.zone,
+				ev->u.zone.out, e->conf);
+		break;
+	case WS_EDEV_SYNC:
+		if (ev->u.sync.started > e->evidence[ev->u.sync.topic])
+			e->evidence[ev->u.sync.topic] = ev->u.sync.started;
+		break;
+	case WS_EDEV_STORE_LOST:
+		e->store_lost = e->now;
+		break;
+	case WS_EDEV_MAP:
+		ws_ed_lead_read(&e->lead, e->now, ev->u.map.started,
+				ev->u.map.map, ev->u.map.end, fx);
+		break;
+	case WS_EDEV_APPENDED:
+		ws_ed_lead_appended(&e->lead, e->now, ev->u.appended.at,
+				    ev->u.appended.started, ev->u.appended.end,
+				    fx);
+		break;
+	case WS_EDEV_MEMBER:
+		ws_ed_peers_add(&e->peers, e->now, ev->u.member.id,
+				ev->u.member.address);
+		break;
+	case WS_EDEV_BEAT:
+		take_beat(e, ev->u.beat, fx);
+		break;
+	case WS_EDEV_ARRIVAL:
+		ws_ed_call_arrive(e, ev->u.arrival, fx);
+		break;
+	case WS_EDEV_GONE:
+		ws_ed_call_gone(e, ev->u.gone, fx);
+		break;
+	case WS_EDEV_ENDED:
+		ws_ed_call_ended(e, &ev->u.ending, fx);
+		break;
+	case WS_EDEV_KEY_CALLED:
+		ws_ed_lead_called(&e->lead, e->now, ev->u.key_called.ref,
+				  ev->u.key_called.end,
+				  ev->u.key_called.handover, fx);
+		ws_ed_lead_tick(&e->lead, e->now, fx);
+		break;
+	case WS_EDEV_PROBED:
+		take_probe(e, ev->u.probed.server, ev->u.probed.cold_for);
+		break;
+	case WS_EDEV_DRAIN:
+		e->draining = true;
+		e->refuse_from = e->now + (ws_us)(DRAIN_ACCEPT_PART *
+						  (double)ev->u.drain_time);
+		e->lead.leaving = true;
+		break;
+	default:
+		WS_INVARIANT(false);
+	}
+}
+
+/* ===== Questions ===== */
+
+bool ws_edge_ready(const struct ws_edge *e, ws_us now)
+{
+	return e->conf && !e->draining && e->evidence[WS_EDT_CONFIG] &&
+	       e->evidence[WS_EDT_SERVERS] &&
+	       now - e->evidence[WS_EDT_CONFIG] < READY_EVIDENCE;
+}
+
+ws_us ws_edge_evidence_age(const struct ws_edge *e, ws_us now)
+{
+	return now - e->evidence[WS_EDT_CONFIG];
+}
+
+void ws_edge_set_bounds(struct ws_edge *e, const struct ws_ed_bounds *bounds)
+{
+	e->set.bounds = *bounds;
+	e->quota.slack = bounds->rate_slack;
+}
+
+const struct ws_ed_conf *ws_edge_conf(const struct ws_edge *e)
+{
+	return e->conf;
+}
+
+const struct ws_ed_pool *ws_edge_pool(const struct ws_edge *e)
+{
+	return &e->pool;
+}
+
+const struct ws_ed_peers *ws_edge_peers(const struct ws_edge *e)
+{
+	return &e->peers;
+}
+
+const struct ws_ed_lead *ws_edge_lead(const struct ws_edge *e)
+{
+	return &e->lead;
+}
+
+const char *ws_edge_customer(const struct ws_edge *e, uint64_t request)
+{
+	const struct ed_call *c = ws_ed_call_find(e, request);
+
+	return c ? c->customer : "";
+}
+
+const struct ws_ed_counters *ws_edge_counters(const struct ws_edge *e)
+{
+	return &e->counters;
+}
+
+size_t ws_edge_open(const struct ws_edge *e)
+{
+	return e->n_calls;
+}
+
+size_t ws_edge_waiting(const struct ws_edge *e)
+{
+	return e->n_waiting;
+}
--- /dev/null
+++ b/lib/edge/ws_edge.h
@@ -0,0 +1,215 @@
+#ifndef WS_EDGE_H
+#define WS_EDGE_H
+
+#include "edge/ws_ed_conf.h"
+#include "edge/ws_ed_fx.h"
+#include "edge/ws_ed_heat.h"
+#include "edge/ws_ed_lead.h"
+#include "edge/ws_ed_map.h"
+#include "edge/ws_ed_peers.h"
+#include "edge/ws_ed_pool.h"
+#include "edge/ws_ed_quota.h"
+
+/*
+ * The edge: an instance on a platform whose store keeps configuration, list of
+ * servers and map of keys. One reducer over all events, with effects as data;
+ * it reads no clock and does no I/O. Each instance sends its callers' requests
+ * to the servers itself.
+ */
+
+struct ws_edge;
+
+/* Bounds that the platform states; see docs/design-edge.md. */
+struct ws_ed_bounds {
+	ws_us key_evidence_max; /* caller keys are refused without evidence */
+	ws_us linger; /* use of a server after the store has lost its entry */
+	double retry_ratio; /* extra sendings per request, all instances */
+	double retry_slack; /* extra sendings beside it, all instances */
+	double rate_slack; /* requests beyond the customers' rates */
+};
+
+struct ws_ed_settings {
+	ws_id self; /* of the machine's name */
+	uint64_t incarnation; /* random */
+	ws_id zone;
+	uint64_t seed;
+	ws_us now;
+	size_t max_calls; /* requests held at once */
+	struct ws_ed_bounds bounds;
+};
+
+struct ws_edge *ws_edge_new(const struct ws_ed_settings *set);
+void ws_edge_free(struct ws_edge *e);
+
+/* ===== Events ===== */
+
+enum ws_ed_event_kind {
+	WS_EDEV_TICK = 1,
+	WS_EDEV_CONFIG, /* a configuration was read from the store */
+	WS_EDEV_LISTED, /* a server's entry was read */
+	WS_EDEV_UNLISTED, /* a server's entry is gone */
+	WS_EDEV_ZONE, /* a zone is taken out of service or back */
+	WS_EDEV_SYNC, /* a read of one of the store's topics came back */
+	WS_EDEV_STORE_LOST, /* a call to the store has failed */
+	WS_EDEV_MAP, /* a read of the map's topic came back */
+	WS_EDEV_APPENDED,
+	WS_EDEV_MEMBER, /* the store names another instance */
+	WS_EDEV_BEAT, /* a heartbeat has arrived */
+	WS_EDEV_ARRIVAL, /* a request was read whole */
+	WS_EDEV_GONE, /* the caller has left */
+	WS_EDEV_ENDED, /* a request at a server has ended */
+	WS_EDEV_KEY_CALLED, /* a grant or release has ended */
+	WS_EDEV_PROBED, /* a server told how long it stays cold */
+	WS_EDEV_DRAIN,
+};
+
+/* Topics whose reads are evidence of what is in force. */
+enum ws_ed_topic {
+	WS_EDT_CONFIG = 0,
+	WS_EDT_SERVERS,
+	WS_EDT_COUNT,
+};
+
+/* A request as read from the caller; strings are borrowed. */
+struct ws_ed_arrival {
+	uint64_t id; /* chosen by the shell */
+	const char *host;
+	const char *path;
+	const char *caller_key; /* NULL: none */
+	ws_us deadline; /* time the caller will wait; 0: not told */
+	int32_t key; /* -1: none */
+	bool bad; /* a header of the request can't be read */
+	uint64_t fingerprint; /* of caller, method, path and body */
+	ws_us started; /* when its first byte was read */
+};
+
+/* How a request at a server has ended. */
+struct ws_ed_ending {
+	uint64_t request;
+	enum ws_ed_end end;
+	int status; /* of the server's answer */
+	bool moved; /* SHED: the server does not hold the key */
+	ws_us latency;
+	struct ws_ed_report report;
+};
+
+#define WS_ED_ECHOES_MAX 512
+#define WS_ED_DEMANDS_MAX 256
+
+struct ws_ed_echo {
+	ws_id peer;
+	ws_us stamp;
+};
+
+struct ws_ed_told_demand {
+	ws_id customer;
+	float per_s;
+};
+
+/* What instances tell each other. */
+struct ws_ed_beat {
+	ws_id from;
+	uint64_t incarnation;
+	char address[WS_ED_ADDRESS_MAX];
+	ws_us stamp; /* sender's clock */
+	uint64_t epoch;
+	uint64_t map_end;
+	bool leaving;
+	bool store_sound;
+	uint32_t n_echoes;
+	struct ws_ed_echo echoes[WS_ED_ECHOES_MAX];
+	uint32_t n_demands;
+	struct ws_ed_told_demand demands[WS_ED_DEMANDS_MAX];
+	uint32_t n_counts;
+	struct ws_ed_count counts[WS_ED_TOLD_MAX];
+};
+
+struct ws_ed_event {
+	uint8_t kind;
+	ws_us now;
+	union {
+		struct ws_ed_conf *config; /* ownership passes */
+		const struct ws_ed_listing *listing;
+		ws_id unlisted;
+		struct {
+			ws_id zone;
+			bool out;
+		} zone;
+		struct {
+			enum ws_ed_topic topic;
+			ws_us started;
+		} sync;
+		struct {
+			ws_us started;
+			const struct ws_ed_map *map; /* NULL: nothing new */
+			uint64_t end;
+		} map;
+		struct {
+			uint64_t at;
+			ws_us started;
+			enum ws_ed_append_end end;
+		} appended;
+		struct {
+			ws_id id;
+			const char *address;
+		} member;
+		const struct ws_ed_beat *beat;
+		const struct ws_ed_arrival *arrival;
+		uint64_t gone;
+		struct ws_ed_ending ending;
+		struct {
+			uint64_t ref;
+			enum ws_ed_call_end end;
+			const char *handover;
+		} key_called;
+		struct {
+			ws_id server;
+			ws_us cold_for;
+		} probed;
+		ws_us drain_time; /* until the process ends */
+	} u;
+};
+
+/* Processes one event; effects are appended to fx. */
+void ws_edge_step(struct ws_edge *e, const struct ws_ed_event *ev,
+		  struct ws_ed_fx *fx);
+
+/* ===== Questions of the shell ===== */
+
+/* Fills in the next heartbeat; counts told in it are not told again. */
+void ws_edge_beat(struct ws_edge *e, ws_us now, struct ws_ed_beat *beat);
+
+/* Takes callers: has a configuration, servers and recent evidence. */
+bool ws_edge_ready(const struct ws_edge *e, ws_us now);
+
+/* Time since the store last told what is in force. */
+ws_us ws_edge_evidence_age(const struct ws_edge *e, ws_us now);
+
+/* Changed bounds take effect at once. */
+void ws_edge_set_bounds(struct ws_edge *e, const struct ws_ed_bounds *bounds);
+
+const struct ws_ed_conf *ws_edge_conf(const struct ws_edge *e);
+const struct ws_ed_pool *ws_edge_pool(const struct ws_edge *e);
+const struct ws_ed_peers *ws_edge_peers(const struct ws_edge *e);
+const struct ws_ed_lead *ws_edge_lead(const struct ws_edge *e);
+
+/* Customer for which a request runs; "" for none. */
+const char *ws_edge_customer(const struct ws_edge *e, uint64_t request);
+
+struct ws_ed_counters {
+	uint64_t arrivals;
+	uint64_t sent;
+	uint64_t passed;
+	uint64_t repeats; /* sent once more */
+	uint64_t refused[WS_EDR_COUNT];
+	uint64_t lost; /* ended with 502 or 504 */
+	uint64_t gone;
+};
+
+const struct ws_ed_counters *ws_edge_counters(const struct ws_edge *e);
+
+/* Requests held now, and those that wait for a server. */
+size_t ws_edge_open(const struct ws_edge *e);
+size_t ws_edge_waiting(const struct ws_edge *e);
+
+#endif
--- /dev/null
+++ b/lib/edge/ws_edge_int.h
@@ -0,0 +1,105 @@
+#ifndef WS_EDGE_INT_H
+#define WS_EDGE_INT_H
+
+#include "edge/ws_edge.h"
+
+/* Private to ws_edge.c and ws_ed_call.c. */
+
+#define KEY_PAUSE_BUCKETS 256
+
+enum call_state {
+	CALL_FREE = 0,
+	CALL_WAITING,
+	CALL_SENT,
+};
+
+struct ed_call {
+	uint8_t state;
+	uint64_t id;
+	ws_id route;
+	ws_id service;
+	uint32_t work;
+	bool sharded;
+	bool idempotent;
+	uint32_t priority;
+	uint32_t max_attempts;
+	uint32_t attempts; /* sendings that may have run */
+	uint32_t sendings;
+	uint32_t arrivals; /* sendings that reached a server */
+	char customer[WS_ED_NAME_MAX];
+	uint32_t key;
+	uint64_t fingerprint;
+	ws_us arrived;
+	ws_us end_at; /* of the deadline and the route's timeout */
+	ws_us objective_at;
+	ws_us objective; /* what was left of it on arrival */
+	ws_us waiting_since;
+	ws_us not_before; /* no sending before this */
+	bool may_have_run;
+	/* CALL_SENT */
+	uint32_t server;
+	double load; /* at the server, over its slots, with this request */
+	ws_us sent;
+	size_t n_excluded;
+	uint32_t excluded[WS_ED_EXCLUDED_MAX];
+};
+
+/* Extra sendings that this instance may make for a service. */
+struct ed_budget {
+	ws_id service;
+	double tokens;
+};
+
+/* A waiting call in the order of its turn. */
+struct ed_turn {
+	uint64_t id;
+	uint32_t priority;
+	ws_us objective_at;
+};
+
+struct ws_edge {
+	struct ws_ed_settings set;
+	ws_us now;
+	struct ws_ed_conf *conf;
+	struct ws_ed_pool pool;
+	struct ws_ed_peers peers;
+	struct ws_ed_heat heat;
+	struct ws_ed_quota quota;
+	struct ws_ed_lead lead;
+	struct ws_rand rand;
+	ws_us evidence[WS_EDT_COUNT]; /* start of the last read */
+	ws_us store_lost; /* last failure of the store */
+	ws_us next_slow_tick;
+	ws_us next_map_hint;
+	bool draining;
+	ws_us refuse_from; /* draining: no new requests from here on */
+	/* Keys that their server did not hold are left alone until then. */
+	ws_us key_pause[KEY_PAUSE_BUCKETS];
+	struct ws_ed_counters counters;
+
+	struct ed_call *calls; /* open addressing by id */
+	size_t cap_calls; /* power of two */
+	size_t n_calls;
+	size_t n_waiting;
+	struct ed_turn *order; /* work space of ws_ed_call_tick() */
+	size_t cap_order;
+	struct ed_budget *budgets;
+	size_t n_budgets;
+	size_t cap_budgets;
+};
+
+/* ===== ws_ed_call.c ===== */
+
+void ws_ed_call_arrive(struct ws_edge *e, const struct ws_ed_arrival *a,
+		       struct ws_ed_fx *fx);
+void ws_ed_call_gone(struct ws_edge *e, uint64_t id, struct ws_ed_fx *fx);
+void ws_ed_call_ended(struct ws_edge *e, const struct ws_ed_ending *end,
+		      struct ws_ed_fx *fx);
+
+/* Places calls that wait, and ends those whose time is over. */
+void ws_ed_call_tick(struct ws_edge *e, struct ws_ed_fx *fx);
+
+/* Finds a call by its id, or NULL. */
+struct ed_call *ws_ed_call_find(const struct ws_edge *e, uint64_t id);
+
+#endif
--- /dev/null
+++ b/lib/edgeio/ws_eio.c
@@ -0,0 +1,196 @@
+#include "edgeio/ws_eio.h"
+
+#include <stdlib.h>
+#include <sys/random.h>
+#include <time.h>
+
+#include "common/ws_events.h"
+#include "edgeio/ws_eio_beats.h"
+#include "edgeio/ws_eio_front.h"
+#include "edgeio/ws_eio_log.h"
+#include "edgeio/ws_eio_store.h"
+#include "edgeio/ws_eio_targets.h"
+
+#define TICK_PERIOD (20 * WS_MS)
+/* Requests held at once, for each MiB of memory. */
+#define CALLS_PER_MIB 8
+#define MIB ((size_t)1024 * 1024)
+/* The platform sends callers until it has missed two readiness checks. */
+#define DRAIN_MIN (2500 * WS_MS)
+/* The process ends this much before it would be killed. */
+#define DRAIN_RESERVE (400 * WS_MS)
+
+ws_us ws_eio_now(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_BOOTTIME, &ts);
+	return (ws_us)ts.tv_sec * WS_SECOND + ts.tv_nsec / 1000;
+}
+
+/* ===== Effects ===== */
+
+static void carry_out(struct ws_eio *io, const struct ws_ed_effect *x)
+{
+	switch (x->kind) {
+	case WS_EDFX_SEND:
+		ws_eio_front_send(io->front, x->u.send.request,
+				  x->u.send.server, x->u.send.deadline);
+		break;
+	case WS_EDFX_CANCEL:
+		ws_eio_targets_cancel(io->targets, x->u.reply.request);
+		break;
+	case WS_EDFX_PASS:
+		ws_eio_front_pass(io->front, x->u.reply.request);
+		break;
+	case WS_EDFX_REPLY:
+		ws_eio_front_reply(io->front, x->u.reply.request,
+				   x->u.reply.status, x->u.reply.retry_after,
+				   x->u.reply.reason);
+		break;
+	case WS_EDFX_GRANT:
+	case WS_EDFX_RELEASE:
+		ws_eio_targets_call(io->targets, &x->u.call,
+				    x->kind == WS_EDFX_GRANT);
+		break;
+	case WS_EDFX_APPEND:
+		ws_eio_store_append(io->store, x->u.append.at);
+		break;
+	case WS_EDFX_READ_MAP:
+		ws_eio_store_read_map(io->store);
+		break;
+	case WS_EDFX_NOTE:
+		ws_eio_log(x->u.note.number, x->u.note.subject, x->u.note.value,
+			   x->u.note.detail);
+		break;
+	default:
+		WS_INVARIANT(false);
+	}
+}
+
+void ws_eio_feed(struct ws_eio *io, struct ws_ed_event *ev)
+{
+	size_t i;
+
+	/* No part may report an event while effects are carried out. */
+	WS_INVARIANT(!io->stepping);
+	io->stepping = true;
+	ev->now = ws_eio_now();
+	io->fx.n = 0;
+	ws_edge_step(io->edge, ev, &io->fx);
+	for (i = 0; i < io->fx.n; i++)
+		carry_out(io, &io->fx.items[i]);
+	io->stepping = false;
+}
+
+/* ===== Time ===== */
+
+static void end_if_drained(struct ws_eio *io, ws_us now)
+{
+	ws_us spent = now - io->drain_started;
+	bool idle;
+
+	if (!io->drain_started)
+		return;
+	idle = !ws_edge_open(io->edge) && !ws_eio_front_connections(io->front);
+	if ((idle && spent > DRAIN_MIN) ||
+	    spent > io->set.grace - DRAIN_RESERVE)
+		ev_break(io->loop, EVBREAK_ALL);
+}
+
+static void on_tick(EV_P_ ev_timer *w, int revents)
+{
+	struct ws_eio *io = w->data;
+	struct ws_ed_event ev = { .kind = WS_EDEV_TICK };
+	ws_us now = ws_eio_now();
+
+	(void)loop;
+	(void)revents;
+	ws_timer_run(io->timers, now);
+	ws_eio_feed(io, &ev);
+	end_if_drained(io, now);
+}
+
+void ws_eio_drain(struct ws_eio *io)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_DRAIN };
+
+	if (io->drain_started)
+		return;
+	io->drain_started = ws_eio_now();
+	ev.u.drain_time = io->set.grace - DRAIN_RESERVE;
+	ws_eio_log(WS_LOG_DRAINING, io->incarnation, 0, NULL);
+	ws_eio_feed(io, &ev);
+	ws_eio_store_leave(io->store);
+	ws_eio_beats_send(io->beats);
+}
+
+void ws_eio_reload(struct ws_eio *io, const struct wp_settings *set)
+{
+	io->set.bounds = set->bounds;
+	io->set.grace = set->grace;
+	ws_edge_set_bounds(io->edge, &set->bounds);
+	ws_eio_log(WS_LOG_RELOADED, io->incarnation, 0, NULL);
+}
+
+/* ===== Life ===== */
+
+static struct ws_edge *new_edge(const struct ws_eio *io)
+{
+	struct ws_ed_settings s = {
+		.self = ws_ed_id(io->set.name),
+		.incarnation = io->incarnation,
+		.zone = ws_ed_id(io->set.zone),
+		.seed = ws_mix(io->incarnation, 1),
+		.now = io->started,
+		.max_calls = io->set.memory / MIB * CALLS_PER_MIB,
+		.bounds = io->set.bounds,
+	};
+
+	return ws_edge_new(&s);
+}
+
+struct ws_eio *ws_eio_new(struct ev_loop *loop, const struct wp_settings *set,
+			  struct wp_error *why)
+{
+	struct ws_eio *io = ws_alloc(1, sizeof(*io));
+
+	io->loop = loop;
+	io->set = *set;
+	io->started = ws_eio_now();
+	while (!io->incarnation)
+		if (getrandom(&io->incarnation, sizeof(io->incarnation), 0) < 0)
+			io->incarnation = (uint64_t)io->started;
+	io->timers = ws_timer_new();
+	io->http = ws_http_new(loop);
+	io->edge = new_edge(io);
+	io->targets = ws_eio_targets_new(io);
+	ev_timer_init(&io->tick, on_tick, 0.,
+		      (double)TICK_PERIOD / (double)WS_SECOND);
+	io->tick.data = io;
+	io->beats = ws_eio_beats_new(io, why);
+	if (io->beats)
+		io->front = ws_eio_front_new(io, why);
+	if (!io->front) {
+		ws_eio_free(io);
+		return NULL;
+	}
+	io->store = ws_eio_store_new(io);
+	ev_timer_start(loop, &io->tick);
+	return io;
+}
+
+/* Listeners first: ending them may still report events. */
+void ws_eio_free(struct ws_eio *io)
+{
+	ws_eio_front_free(io->front);
+	ws_eio_store_free(io->store);
+	ws_eio_beats_free(io->beats);
+	ws_eio_targets_free(io->targets);
+	ws_edge_free(io->edge);
+	ws_http_free(io->http);
+	ws_timer_free(io->timers);
+	ev_timer_stop(io->loop, &io->tick);
+	ws_ed_fx_free(&io->fx);
+	free(io);
+}
--- /dev/null
+++ b/lib/edgeio/ws_eio_beats.c
@@ -0,0 +1,141 @@
+#include "edgeio/ws_eio_beats.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "config/ws_config.h"
+#include "edge/ws_ed_codec.h"
+
+#define DATAGRAM_MAX 16384
+#define BEAT_PERIOD (250 * WS_MS)
+/* With many members each is told less often; the load stays the same. */
+#define MEMBERS_PER_PERIOD 24
+/* Datagrams read in one turn of the loop. */
+#define READS_MAX 64
+
+struct ws_eio_beats {
+	struct ws_eio *io;
+	ev_io watcher;
+	int fd;
+	int timer;
+	ws_us next;
+	struct ws_ed_beat beat; /* work space */
+	unsigned char buf[DATAGRAM_MAX];
+};
+
+static ws_us period_of(const struct ws_eio_beats *b)
+{
+	size_t n = ws_edge_peers(b->io->edge)->n;
+
+	if (n <= MEMBERS_PER_PERIOD)
+		return BEAT_PERIOD;
+	return BEAT_PERIOD * (ws_us)n / MEMBERS_PER_PERIOD;
+}
+
+void ws_eio_beats_send(struct ws_eio_beats *b)
+{
+	const struct ws_ed_peers *peers = ws_edge_peers(b->io->edge);
+	ws_us now = ws_eio_now();
+	int len;
+	size_t i;
+
+	b->next = now + period_of(b);
+	ws_edge_beat(b->io->edge, now, &b->beat);
+	snprintf(b->beat.address, sizeof(b->beat.address), "%s",
+		 b->io->set.peers);
+	len = ws_ed_beat_encode(&b->beat, b->buf, sizeof(b->buf));
+	WS_INVARIANT(len > 0);
+	for (i = 0; i < peers->n; i++) {
+		struct sockaddr_storage to;
+		socklen_t to_len;
+
+		if (ws_config_address(peers->members[i].address, &to, &to_len))
+			continue;
+		/* A lost heartbeat is made up for by the next one. */
+		(void)!sendto(b->fd, b->buf, (size_t)len, MSG_DONTWAIT,
+			      (struct sockaddr *)&to, to_len);
+	}
+}
+
+static void on_timer(void *arg, ws_us now)
+{
+	struct ws_eio_beats *b = arg;
+
+	if (now >= b->next)
+		ws_eio_beats_send(b);
+}
+
+static void on_datagram(EV_P_ ev_io *w, int revents)
+{
+	struct ws_eio_beats *b = w->data;
+	struct ws_ed_event ev = { .kind = WS_EDEV_BEAT };
+	int i;
+
+	(void)loop;
+	(void)revents;
+	for (i = 0; i < READS_MAX; i++) {
+		ssize_t n = recv(b->fd, b->buf, sizeof(b->buf), MSG_DONTWAIT);
+
+		if (n < 0)
+			return;
+		if (ws_ed_beat_decode(&b->beat, b->buf, (size_t)n))
+			continue;
+		ev.u.beat = &b->beat;
+		ws_eio_feed(b->io, &ev);
+	}
+}
+
+static int open_socket(const char *address)
+{
+	struct sockaddr_storage addr;
+	socklen_t len;
+	int fd;
+
+	if (ws_config_address(address, &addr, &len))
+		return -1;
+	fd = socket(addr.ss_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
+		    0);
+	if (fd < 0)
+		return -1;
+	if (!bind(fd, (struct sockaddr *)&addr, len))
+		return fd;
+	close(fd);
+	return -1;
+}
+
+struct ws_eio_beats *ws_eio_beats_new(struct ws_eio *io, struct wp_error *why)
+{
+	struct ws_eio_beats *b;
+	int fd = open_socket(io->set.peers);
+
+	if (fd < 0) {
+		snprintf(why->text, sizeof(why->text),
+			 "cannot receive heartbeats on %s (%s); choose a free "
+			 "address of this machine",
+			 io->set.peers, strerror(errno));
+		return NULL;
+	}
+	b = ws_alloc(1, sizeof(*b));
+	b->io = io;
+	b->fd = fd;
+	ev_io_init(&b->watcher, on_datagram, fd, EV_READ);
+	b->watcher.data = b;
+	ev_io_start(io->loop, &b->watcher);
+	b->timer = ws_timer_every(io->timers, ws_eio_now(), BEAT_PERIOD / 5,
+				  on_timer, b);
+	return b;
+}
+
+void ws_eio_beats_free(struct ws_eio_beats *b)
+{
+	if (!b)
+		return;
+	ev_io_stop(b->io->loop, &b->watcher);
+	ws_timer_cancel(b->io->timers, b->timer);
+	close(b->fd);
+	free(b);
+}
--- /dev/null
+++ b/lib/edgeio/ws_eio_beats.h
@@ -0,0 +1,14 @@
+#ifndef WS_EIO_BEATS_H
+#define WS_EIO_BEATS_H
+
+#include "edgeio/ws_eio.h"
+
+/* Heartbeats between instances: XDR in datagrams. */
+
+struct ws_eio_beats *ws_eio_beats_new(struct ws_eio *io, struct wp_error *why);
+void ws_eio_beats_free(struct ws_eio_beats *b);
+
+/* Sends a heartbeat to all members now. */
+void ws_eio_beats_send(struct ws_eio_beats *b);
+
+#endif
--- /dev/null
+++ b/lib/edgeio/ws_eio_front.h
@@ -0,0 +1,28 @@
+#ifndef WS_EIO_FRONT_H
+#define WS_EIO_FRONT_H
+
+#include "edgeio/ws_eio.h"
+
+/* Callers' connections, readiness checks and metrics. */
+
+struct ws_eio_front *ws_eio_front_new(struct ws_eio *io, struct wp_error *why);
+void ws_eio_front_free(struct ws_eio_front *f);
+
+/* Sends a caller's request to a server. */
+void ws_eio_front_send(struct ws_eio_front *f, uint64_t id, uint32_t server,
+		       ws_us deadline);
+
+/* Hands the server's answer to the caller. */
+void ws_eio_front_pass(struct ws_eio_front *f, uint64_t id);
+
+/* Answers the caller ourselves. */
+void ws_eio_front_reply(struct ws_eio_front *f, uint64_t id, int status,
+			ws_us retry_after, enum ws_ed_reason reason);
+
+/* Callers' connections that are open. */
+size_t ws_eio_front_connections(const struct ws_eio_front *f);
+
+/* Stops accepting connections. */
+void ws_eio_front_quiesce(struct ws_eio_front *f);
+
+#endif
--- /dev/null
+++ b/lib/edgeio/ws_eio_log.c
@@ -0,0 +1,136 @@
+#include "edgeio/ws_eio_log.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+/* Lines per second; events of the catalogue may use the reserve as well. */
+#define LINES_PER_S 30
+#define LINES_RESERVE 30
+#define LINE_MAX_BYTES 600
+
+static char machine_name[WS_ED_NAME_MAX];
+static int64_t this_second;
+static unsigned lines; /* written in this second */
+static uint64_t dropped;
+static uint64_t dropped_told;
+
+void ws_eio_log_init(const char *machine)
+{
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	snprintf(machine_name, sizeof(machine_name), "%s", machine);
+	if (flags >= 0)
+		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+uint64_t ws_eio_log_dropped(void)
+{
+	return dropped;
+}
+
+static bool may_write(unsigned bound, int64_t second)
+{
+	if (second != this_second) {
+		this_second = second;
+		lines = 0;
+	}
+	if (lines >= bound) {
+		dropped++;
+		return false;
+	}
+	lines++;
+	return true;
+}
+
+/* Control characters and quotes in foreign text must not forge fields. */
+static void clean(char *to, size_t size, const char *from)
+{
+	size_t i;
+
+	for (i = 0; i + 1 < size && from[i]; i++)
+		to[i] = from[i] < 33 || from[i] == '"' || from[i] == 127 ?
+				'_' :
+				from[i];
+	to[i] = '\0';
+}
+
+static void write_line(unsigned bound, const char *level, const char *text)
+{
+	char buf[LINE_MAX_BYTES];
+	struct timespec ts;
+	struct tm tm;
+	char when[32];
+	int n;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	if (!may_write(bound, ts.tv_sec))
+		return;
+	gmtime_r(&ts.tv_sec, &tm);
+	strftime(when, sizeof(when), "%Y-%m-%dT%H:%M:%S", &tm);
+	n = snprintf(buf, sizeof(buf) - 1, "%s.%03ldZ %s machine=%s %s", when,
+		     ts.tv_nsec / 1000000, level, machine_name, text);
+	if (n >= (int)sizeof(buf) - 1)
+		n = (int)sizeof(buf) - 2;
+	if (dropped > dropped_told && n < (int)sizeof(buf) - 40) {
+		n += snprintf(buf + n, sizeof(buf) - 1 - (size_t)n,
+			      " dropped=%" PRIu64, dropped - dropped_told);
+		dropped_told = dropped;
+	}
+	buf[n++] = '\n';
+	if (write(STDOUT_FILENO, buf, (size_t)n) != n)
+		dropped++;
+}
+
+static const char *level_name(uint8_t level)
+{
+	switch (level) {
+	case WS_LEVEL_ERROR:
+		return "error";
+	case WS_LEVEL_WARNING:
+		return "warning";
+	default:
+		return "notice";
+	}
+}
+
+void ws_eio_log(uint16_t number, ws_id subject, int64_t value,
+		const char *detail)
+{
+	const struct ws_log_entry *e = ws_log_find(number);
+	char text[400];
+	char shown[200];
+
+	if (!e)
+		return;
+	clean(shown, sizeof(shown), detail ? detail : "");
+	snprintf(text, sizeof(text),
+		 "event=%u symbol=%s subject=%016" PRIx64 " value=%" PRId64
+		 " detail=%s text=\"%s\"",
+		 number, e->symbol, subject, value, shown, e->text);
+	write_line(LINES_PER_S + LINES_RESERVE, level_name(e->level), text);
+}
+
+void ws_eio_log_request(const struct ws_eio_request_line *l)
+{
+	char text[500];
+	char id[48];
+	char path[96];
+
+	clean(id, sizeof(id), l->request_id);
+	clean(path, sizeof(path), l->path);
+	snprintf(text, sizeof(text),
+		 "request=%s status=%d reason=%s customer=%s path=%s server=%s "
+		 "spent_ms=%.1f sendings=%u retry_after_ms=%.0f waiting=%zu "
+		 "config=%" PRIu64 " evidence_age_ms=%.0f",
+		 id, l->status, ws_ed_reason_name(l->reason), l->customer, path,
+		 l->server, (double)l->spent / 1000.0, l->sendings,
+		 (double)l->retry_after / 1000.0, l->waiting, l->version,
+		 (double)l->evidence_age / 1000.0);
+	write_line(LINES_PER_S, l->reason ? "warning" : "notice", text);
+}
--- /dev/null
+++ b/lib/edgeio/ws_eio_metrics.h
@@ -0,0 +1,20 @@
+#ifndef WS_EIO_METRICS_H
+#define WS_EIO_METRICS_H
+
+#include "edgeio/ws_eio.h"
+
+/* Counters and latency histograms of the edge, in the usual text format. */
+
+/* Address: the machine's, at this port. */
+#define WS_EIO_METRICS_PORT 9180
+
+struct ws_eio_metrics;
+
+/* Counts an answer to a caller; latency from its first byte. */
+void ws_eio_metrics_answer(unsigned status, ws_us latency);
+
+/* @return NULL when the port is taken */
+struct ws_eio_metrics *ws_eio_metrics_new(struct ws_eio *io);
+void ws_eio_metrics_free(struct ws_eio_metrics *m);
+
+#endif
--- /dev/null
+++ b/lib/edgeio/ws_eio_store.c
@@ -0,0 +1,582 @@
+#include "edgeio/ws_eio_store.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/ws_events.h"
+#include "edge/ws_ed_codec.h"
+#include "edgeio/ws_eio_log.h"
+#include "platform/wp_decode.h"
+
+/* Waits of reads; each ends with evidence of what is in force. */
+#define CONFIG_WAIT (1200 * WS_MS)
+#define SERVERS_WAIT (3 * WS_SECOND)
+#define MAP_WAIT_LEADER (900 * WS_MS)
+#define MAP_WAIT (5 * WS_SECOND)
+/* A failed call is repeated after a growing pause. */
+#define PAUSE_FIRST (100 * WS_MS)
+#define PAUSE_MAX (800 * WS_MS)
+#define MAP_BYTES_MAX ((size_t)256 * 1024)
+/* The list of instances is read again; all start within a second. */
+#define MEMBERS_SECOND (1500 * WS_MS)
+#define MEMBERS_PERIOD (20 * WS_SECOND)
+#define CHECK_PERIOD (50 * WS_MS)
+
+struct feed;
+
+struct feed_ops {
+	enum wp_topic topic;
+	ws_us (*wait)(struct ws_eio *io);
+	void (*record)(struct feed *f, const struct wp_record *r);
+	/* All records of a call were given; caught_up: nothing is missing. */
+	void (*synced)(struct feed *f, ws_us started, uint64_t end,
+		       bool caught_up);
+	/* A full reading is complete: what it did not name is gone. */
+	void (*whole)(struct feed *f);
+};
+
+struct feed {
+	const struct feed_ops *ops;
+	struct ws_eio_store *store;
+	struct wp_call *call;
+	bool following; /* the newest records were read */
+	uint64_t next;
+	uint64_t whole_end; /* end when the full reading began */
+	ws_us whole_started;
+	bool first_page;
+	char after[256];
+	ws_us due; /* next call */
+	ws_us pause;
+	bool failed; /* the last call has failed */
+	GHashTable *seen; /* keys of a full reading */
+};
+
+struct ws_eio_store {
+	struct ws_eio *io;
+	struct wp_store *client;
+	struct feed config;
+	struct feed servers;
+	struct feed map;
+	struct feed members;
+	struct wp_call *append;
+	uint64_t append_at;
+	struct wp_call *own_entry;
+	bool own_written;
+	ws_us own_due;
+	struct ws_ed_map decoded;
+	bool decoded_new;
+	unsigned char *map_bytes;
+	GHashTable *zones_out; /* names of zones out of service */
+	GHashTable *listed; /* names of servers */
+	int timer;
+};
+
+/* ===== Feeds ===== */
+
+static void on_record(void *arg, const struct wp_record *r)
+{
+	struct feed *f = arg;
+
+	if (!f->following)
+		g_hash_table_add(f->seen, g_strdup(r->key));
+	f->ops->record(f, r);
+}
+
+static void begin_whole(struct feed *f)
+{
+	f->following = false;
+	f->first_page = true;
+	f->after[0] = '\0';
+	g_hash_table_remove_all(f->seen);
+}
+
+static void end_whole(struct feed *f)
+{
+	f->following = true;
+	f->next = f->whole_end;
+	if (f->ops->whole)
+		f->ops->whole(f);
+	f->ops->synced(f, f->whole_started, f->whole_end, true);
+}
+
+static void take_page(struct feed *f, const struct wp_reply *r)
+{
+	if (f->first_page) {
+		f->whole_end = r->topic_end;
+		f->whole_started = r->started;
+		f->first_page = false;
+	}
+	if (r->more && strcmp(f->after, r->last_key) != 0)
+		memcpy(f->after, r->last_key, sizeof(f->after));
+	else
+		end_whole(f);
+}
+
+static void note_failure(struct feed *f, ws_us now)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_STORE_LOST };
+
+	f->pause = f->pause ? 2 * f->pause : PAUSE_FIRST;
+	if (f->pause > PAUSE_MAX)
+		f->pause = PAUSE_MAX;
+	f->due = now + f->pause;
+	if (!f->failed)
+		ws_eio_log(WS_LOG_LOG_DOWN, 0, (int64_t)f->ops->topic, NULL);
+	f->failed = true;
+	ws_eio_feed(f->store->io, &ev);
+}
+
+static void note_success(struct feed *f)
+{
+	if (f->failed)
+		ws_eio_log(WS_LOG_LOG_UP, 0, (int64_t)f->ops->topic, NULL);
+	f->failed = false;
+	f->pause = 0;
+	f->due = 0;
+}
+
+static void start_call(struct feed *f);
+
+static void on_reply(void *arg, const struct wp_reply *r)
+{
+	struct feed *f = arg;
+	bool was_following = f->following;
+
+	f->call = NULL;
+	if (r->end == WP_LOST) {
+		begin_whole(f);
+	} else if (r->end != WP_DONE) {
+		note_failure(f, ws_eio_now());
+		return;
+	} else {
+		note_success(f);
+		if (was_following) {
+			f->next = r->next;
+			f->ops->synced(f, r->started, r->topic_end,
+				       r->next >= r->topic_end);
+		} else {
+			take_page(f, r);
+		}
+	}
+	if (!f->call && !f->due)
+		start_call(f);
+}
+
+static void start_call(struct feed *f)
+{
+	const struct wp_reader reader = {
+		.record = on_record,
+		.done = on_reply,
+		.arg = f,
+	};
+
+	if (f->following)
+		f->call = wp_store_read(f->store->client, f->ops->topic,
+					f->next, f->ops->wait(f->store->io),
+					&reader);
+	else
+		f->call = wp_store_newest(f->store->client, f->ops->topic,
+					  f->after, &reader);
+}
+
+static void check_feed(struct feed *f, ws_us now)
+{
+	if (!f->call && now >= f->due) {
+		f->due = 0;
+		start_call(f);
+	}
+}
+
+static void init_feed(struct feed *f, struct ws_eio_store *s,
+		      const struct feed_ops *ops)
+{
+	f->ops = ops;
+	f->store = s;
+	f->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	begin_whole(f);
+}
+
+static void free_feed(struct feed *f)
+{
+	if (f->call)
+		wp_store_cancel(f->call);
+	g_hash_table_destroy(f->seen);
+}
+
+static void sync_topic(struct feed *f, enum ws_ed_topic topic, ws_us started,
+		       bool caught_up)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_SYNC };
+
+	if (!caught_up)
+		return;
+	ev.u.sync.topic = topic;
+	ev.u.sync.started = started;
+	ws_eio_feed(f->store->io, &ev);
+}
+
+/* ===== Operator ===== */
+
+static void set_zone(struct feed *f, const char *zone, bool out)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_ZONE };
+
+	if (out)
+		g_hash_table_add(f->store->zones_out, g_strdup(zone));
+	else
+		g_hash_table_remove(f->store->zones_out, zone);
+	ev.u.zone.zone = ws_ed_id(zone);
+	ev.u.zone.out = out;
+	ws_eio_feed(f->store->io, &ev);
+	ws_eio_log(out ? WS_LOG_ZONE_OUT : WS_LOG_ZONE_BACK, ev.u.zone.zone, 0,
+		   zone);
+}
+
+static void operator_record(struct feed *f, const struct wp_record *r)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_CONFIG };
+	const char *zone = wp_decode_zone_out(r->key);
+
+	if (zone) {
+		bool out = r->len > 0;
+
+		if (out != !!g_hash_table_contains(f->store->zones_out, zone))
+			set_zone(f, zone, out);
+		return;
+	}
+	if (strcmp(r->key, wp_decode_config_key()) != 0 || !r->len)
+		return;
+	ev.u.config = wp_decode_config(r->value, r->len);
+	if (ev.u.config)
+		ws_eio_feed(f->store->io, &ev);
+	else
+		ws_eio_log(WS_LOG_BAD_RECORD, 0, 0, r->key);
+}
+
+static void operator_whole(struct feed *f)
+{
+	GList *zones = g_hash_table_get_keys(f->store->zones_out);
+	GList *i;
+
+	/* Copies, as set_zone() removes entries. */
+	for (i = zones; i; i = i->next)
+		i->data = g_strdup(i->data);
+	for (i = zones; i; i = i->next) {
+		GHashTableIter it;
+		gpointer key;
+		bool named = false;
+
+		g_hash_table_iter_init(&it, f->seen);
+		while (g_hash_table_iter_next(&it, &key, NULL)) {
+			const char *zone = wp_decode_zone_out(key);
+
+			named |= zone && !strcmp(zone, i->data);
+		}
+		if (!named)
+			set_zone(f, i->data, false);
+	}
+	g_list_free_full(zones, g_free);
+}
+
+static void operator_synced(struct feed *f, ws_us started, uint64_t end,
+			    bool caught_up)
+{
+	(void)end;
+	sync_topic(f, WS_EDT_CONFIG, started, caught_up);
+}
+
+static ws_us operator_wait(struct ws_eio *io)
+{
+	(void)io;
+	return CONFIG_WAIT;
+}
+
+static const struct feed_ops operator_ops = {
+	.topic = WP_TOPIC_OPERATOR,
+	.wait = operator_wait,
+	.record = operator_record,
+	.synced = operator_synced,
+	.whole = operator_whole,
+};
+
+/* ===== Servers ===== */
+
+static void unlist(struct feed *f, const char *name)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_UNLISTED };
+
+	if (!g_hash_table_remove(f->store->listed, name))
+		return;
+	ev.u.unlisted = ws_ed_id(name);
+	ws_eio_feed(f->store->io, &ev);
+	ws_eio_log(WS_LOG_TARGET_LOST, ev.u.unlisted, 0, name);
+}
+
+static void servers_record(struct feed *f, const struct wp_record *r)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_LISTED };
+	struct ws_ed_listing l;
+
+	if (!r->len) {
+		unlist(f, r->key);
+		return;
+	}
+	if (wp_decode_server(r->key, r->value, r->len, &l)) {
+		ws_eio_log(WS_LOG_BAD_RECORD, 0, 0, r->key);
+		unlist(f, r->key);
+		return;
+	}
+	if (g_hash_table_add(f->store->listed, g_strdup(r->key)))
+		ws_eio_log(WS_LOG_TARGET_LIVE, ws_ed_id(r->key), l.born_ms,
+			   r->key);
+	ev.u.listing = &l;
+	ws_eio_feed(f->store->io, &ev);
+}
+
+static void servers_whole(struct feed *f)
+{
+	GList *names = g_hash_table_get_keys(f->store->listed);
+	GList *i;
+
+	for (i = names; i; i = i->next)
+		i->data = g_strdup(i->data);
+	for (i = names; i; i = i->next)
+		if (!g_hash_table_contains(f->seen, i->data))
+			unlist(f, i->data);
+	g_list_free_full(names, g_free);
+}
+
+static void servers_synced(struct feed *f, ws_us started, uint64_t end,
+			   bool caught_up)
+{
+	(void)end;
+	sync_topic(f, WS_EDT_SERVERS, started, caught_up);
+}
+
+static ws_us servers_wait(struct ws_eio *io)
+{
+	(void)io;
+	return SERVERS_WAIT;
+}
+
+static const struct feed_ops servers_ops = {
+	.topic = WP_TOPIC_SERVERS,
+	.wait = servers_wait,
+	.record = servers_record,
+	.synced = servers_synced,
+	.whole = servers_whole,
+};
+
+/* ===== Map of keys ===== */
+
+static const char map_key[] = "map";
+
+static void map_record(struct feed *f, const struct wp_record *r)
+{
+	struct ws_eio_store *s = f->store;
+
+	if (strcmp(r->key, map_key) != 0)
+		return;
+	if (ws_ed_map_decode(&s->decoded, r->value, r->len))
+		ws_eio_log(WS_LOG_BAD_RECORD, 0, 0, r->key);
+	else
+		s->decoded_new = true;
+}
+
+static void map_synced(struct feed *f, ws_us started, uint64_t end,
+		       bool caught_up)
+{
+	struct ws_eio_store *s = f->store;
+	struct ws_ed_event ev = { .kind = WS_EDEV_MAP };
+
+	if (!caught_up)
+		return;
+	ev.u.map.started = started;
+	ev.u.map.map = s->decoded_new ? &s->decoded : NULL;
+	ev.u.map.end = end;
+	s->decoded_new = false;
+	ws_eio_feed(s->io, &ev);
+}
+
+static ws_us map_wait(struct ws_eio *io)
+{
+	return ws_edge_lead(io->edge)->role == WS_EDL_LEADER ? MAP_WAIT_LEADER :
+							       MAP_WAIT;
+}
+
+static const struct feed_ops map_ops = {
+	.topic = WP_TOPIC_MAP,
+	.wait = map_wait,
+	.record = map_record,
+	.synced = map_synced,
+};
+
+void ws_eio_store_read_map(struct ws_eio_store *s)
+{
+	struct feed *f = &s->map;
+
+	/* A read that waits ends with the new record, if it still can. */
+	if (f->call && f->following)
+		return;
+	if (!f->call)
+		f->due = ws_eio_now();
+}
+
+static void on_appended(void *arg, const struct wp_reply *r)
+{
+	struct ws_eio_store *s = arg;
+	struct ws_ed_event ev = { .kind = WS_EDEV_APPENDED };
+
+	s->append = NULL;
+	ev.u.appended.at = s->append_at;
+	ev.u.appended.started = r->started;
+	if (r->end == WP_DONE)
+		ev.u.appended.end = WS_EDA_DONE;
+	else if (r->end == WP_CONFLICT)
+		ev.u.appended.end = WS_EDA_CONFLICT;
+	else
+		ev.u.appended.end = WS_EDA_FAILED;
+	ws_eio_log(WS_LOG_MAP_WRITTEN, 0, (int64_t)s->append_at,
+		   r->end == WP_DONE ? "done" : "not_known_to_be_written");
+	ws_eio_feed(s->io, &ev);
+}
+
+void ws_eio_store_append(struct ws_eio_store *s, uint64_t at)
+{
+	const struct ws_ed_map *m =
+		ws_ed_lead_proposal(ws_edge_lead(s->io->edge));
+	const struct wp_reader reader = { .done = on_appended, .arg = s };
+	int len = ws_ed_map_encode(m, s->map_bytes, MAP_BYTES_MAX);
+
+	WS_INVARIANT(len > 0);
+	if (s->append)
+		wp_store_cancel(s->append);
+	s->append_at = at;
+	s->append = wp_store_append(s->client, WP_TOPIC_MAP, map_key,
+				    s->map_bytes, (size_t)len, at, &reader);
+}
+
+/* ===== Instances ===== */
+
+static void members_record(struct feed *f, const struct wp_record *r)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_MEMBER };
+	char address[WS_ED_ADDRESS_MAX];
+
+	if (!r->len || r->len >= sizeof(address))
+		return;
+	memcpy(address, r->value, r->len);
+	address[r->len] = '\0';
+	ev.u.member.id = ws_ed_id(r->key);
+	ev.u.member.address = address;
+	ws_eio_feed(f->store->io, &ev);
+}
+
+/* The list is read as a whole now and then; heartbeats tell the rest. */
+static void members_synced(struct feed *f, ws_us started, uint64_t end,
+			   bool caught_up)
+{
+	ws_us now = ws_eio_now();
+	ws_us age = now - f->store->io->started;
+
+	(void)started;
+	(void)end;
+	(void)caught_up;
+	begin_whole(f);
+	f->due = now + (age < MEMBERS_SECOND ? MEMBERS_SECOND : MEMBERS_PERIOD);
+}
+
+static const struct feed_ops members_ops = {
+	.topic = WP_TOPIC_MEMBERS,
+	.wait = servers_wait,
+	.record = members_record,
+	.synced = members_synced,
+};
+
+static void on_own_written(void *arg, const struct wp_reply *r)
+{
+	struct ws_eio_store *s = arg;
+
+	s->own_entry = NULL;
+	s->own_written = r->end == WP_DONE;
+	s->own_due = ws_eio_now() + PAUSE_MAX;
+}
+
+static void write_own_entry(struct ws_eio_store *s, const char *address)
+{
+	const struct wp_reader reader = { .done = on_own_written, .arg = s };
+
+	s->own_entry = wp_store_append(s->client, WP_TOPIC_MEMBERS,
+				       s->io->set.name, address,
+				       strlen(address), WP_ANY_OFFSET, &reader);
+}
+
+void ws_eio_store_leave(struct ws_eio_store *s)
+{
+	if (s->own_entry)
+		wp_store_cancel(s->own_entry);
+	write_own_entry(s, "");
+	s->own_written = true;
+}
+
+/* ===== Life ===== */
+
+static void check(void *arg, ws_us now)
+{
+	struct ws_eio_store *s = arg;
+
+	check_feed(&s->config, now);
+	check_feed(&s->servers, now);
+	check_feed(&s->map, now);
+	check_feed(&s->members, now);
+	if (!s->own_written && !s->own_entry && now >= s->own_due)
+		write_own_entry(s, s->io->set.peers);
+}
+
+struct ws_eio_store *ws_eio_store_new(struct ws_eio *io)
+{
+	struct ws_eio_store *s = ws_alloc(1, sizeof(*s));
+
+	s->io = io;
+	s->client = wp_store_new(io->http, io->set.store, ws_eio_now);
+	s->map_bytes = ws_alloc(MAP_BYTES_MAX, 1);
+	s->zones_out =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s->listed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	init_feed(&s->config, s, &operator_ops);
+	init_feed(&s->servers, s, &servers_ops);
+	init_feed(&s->map, s, &map_ops);
+	init_feed(&s->members, s, &members_ops);
+	s->timer = ws_timer_every(io->timers, ws_eio_now(), CHECK_PERIOD, check,
+				  s);
+	check(s, ws_eio_now());
+	return s;
+}
+
+void ws_eio_store_free(struct ws_eio_store *s)
+{
+	if (!s)
+		return;
+	ws_timer_cancel(s->io->timers, s->timer);
+	free_feed(&s->config);
+	free_feed(&s->servers);
+	free_feed(&s->map);
+	free_feed(&s->members);
+	if (s->append)
+		wp_store_cancel(s->append);
+	if (s->own_entry)
+		wp_store_cancel(s->own_entry);
+	wp_store_free(s->client);
+	ws_ed_map_free(&s->decoded);
+	g_hash_table_destroy(s->zones_out);
+	g_hash_table_destroy(s->listed);
+	free(s->map_bytes);
+	free(s);
+}
+
+uint64_t ws_eio_store_calls(const struct ws_eio_store *s)
+{
+	return wp_store_calls(s->client);
+}
--- /dev/null
+++ b/lib/edgeio/ws_eio_targets.c
@@ -0,0 +1,347 @@
+#include "edgeio/ws_eio_targets.h"
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "io/ws_headers.h"
+#include "platform/wp_wire.h"
+
+#define ANSWER_MAX ((size_t)64 * 1024 * 1024)
+/* A grant without an answer in this time is repeated. */
+#define GRANT_TIMEOUT (700 * WS_MS)
+/* A release waits for the work that runs on the keys. */
+#define RELEASE_TIMEOUT (3 * WS_SECOND)
+/* Idle connections of a server that told no time-out. */
+#define IDLE_STANDARD (4 * WS_SECOND)
+/* Part of the told time after which a connection is left alone. */
+#define IDLE_PART 0.7
+#define KEY_ANSWER_MAX ((size_t)64 * 1024)
+#define LINE_MAX_BYTES 256
+#define JSON_MAX 256
+
+struct sending {
+	struct ws_eio_targets *targets;
+	struct ws_http_call *http;
+	uint64_t request;
+	char request_id[WS_ED_NAME_MAX];
+	char server[WS_ED_NAME_MAX];
+	struct curl_slist *headers;
+	char *url;
+	ws_us started;
+};
+
+struct key_call {
+	struct ws_eio_targets *targets;
+	struct ws_http_call *http;
+	struct curl_slist *headers;
+	uint64_t ref;
+	bool grant;
+	char url[2 * WS_ED_NAME_MAX];
+	char body[JSON_MAX];
+};
+
+struct ws_eio_targets {
+	struct ws_eio *io;
+	GHashTable *sendings; /* request -> struct sending */
+	GHashTable *key_calls; /* set of struct key_call */
+	const struct ws_body *answer;
+};
+
+/* ===== Requests ===== */
+
+static void add_line(struct curl_slist **list, const char *name,
+		     const char *value)
+{
+	char line[LINE_MAX_BYTES];
+
+	snprintf(line, sizeof(line), "%s: %s", name, value);
+	*list = curl_slist_append(*list, line);
+	WS_INVARIANT(*list);
+}
+
+/* Without a value libcurl wants the name followed by a semicolon. */
+static void add_callers(struct curl_slist **list,
+			const struct ws_eio_request *r, bool *accept,
+			bool *type)
+{
+	const char *p = r->headers;
+	const char *end = p + r->headers_len;
+
+	for (; p < end; p += strlen(p) + 1) {
+		const char *colon = strchr(p, ':');
+		size_t len = (size_t)(colon - p);
+
+		*accept |= len == 6 && !strncasecmp(p, "Accept", len);
+		*type |= len == 12 && !strncasecmp(p, "Content-Type", len);
+		if (colon[2]) {
+			*list = curl_slist_append(*list, p);
+		} else {
+			char *line = g_strdup_printf("%.*s;", (int)len, p);
+
+			*list = curl_slist_append(*list, line);
+			g_free(line);
+		}
+		WS_INVARIANT(*list);
+	}
+}
+
+static struct curl_slist *build_headers(struct ws_eio_targets *t,
+					const struct ws_eio_request *r,
+					const char *server, ws_us left)
+{
+	const char *customer = ws_edge_customer(t->io->edge, r->id);
+	struct curl_slist *list = NULL;
+	bool accept = false;
+	bool type = false;
+	char ms[24];
+
+	add_line(&list, "Host", r->host);
+	add_callers(&list, r, &accept, &type);
+	/* Names without a value suppress what libcurl adds by itself. */
+	if (!accept)
+		list = curl_slist_append(list, "Accept:");
+	if (!type)
+		list = curl_slist_append(list, "Content-Type:");
+	list = curl_slist_append(list, "Expect:");
+	WS_INVARIANT(list);
+	snprintf(ms, sizeof(ms), "%" PRId64, left / WS_MS);
+	add_line(&list, WP_REQUEST_ID, r->request_id);
+	add_line(&list, WP_DEADLINE, ms);
+	add_line(&list, WP_TARGET, server);
+	if (*customer)
+		add_line(&list, WP_CUSTOMER, customer);
+	return list;
+}
+
+static void free_sending(struct sending *s)
+{
+	curl_slist_free_all(s->headers);
+	g_free(s->url);
+	free(s);
+}
+
+static enum ws_ed_end end_of(const struct sending *s,
+			     const struct ws_http_result *res)
+{
+	switch (res->end) {
+	case WS_HTTP_NOT_SENT:
+		return WS_ED_END_UNREACHED;
+	case WS_HTTP_TIMEOUT:
+		return WS_ED_END_TIMEOUT;
+	case WS_HTTP_BROKEN:
+		return WS_ED_END_BROKEN;
+	default:
+		break;
+	}
+	if (!wp_wire_belongs(&res->answer, s->request_id))
+		return WS_ED_END_BROKEN;
+	if (wp_wire_not_run(&res->answer))
+		return WS_ED_END_SHED;
+	return res->answer.status >= 500 ? WS_ED_END_FAILED : WS_ED_END_OK;
+}
+
+static void on_done(void *arg, const struct ws_http_result *res)
+{
+	struct sending *s = arg;
+	struct ws_eio_targets *t = s->targets;
+	struct ws_ed_event ev = { .kind = WS_EDEV_ENDED };
+
+	ev.u.ending.request = s->request;
+	ev.u.ending.end = end_of(s, res);
+	ev.u.ending.latency = ws_eio_now() - s->started;
+	if (res->end == WS_HTTP_DONE) {
+		ev.u.ending.status = res->answer.status;
+		ev.u.ending.moved = wp_wire_misdirected(&res->answer);
+		wp_wire_report(&res->answer, &ev.u.ending.report);
+		if (ev.u.ending.end == WS_ED_END_BROKEN)
+			ws_http_disconnect(s->http);
+	}
+	g_hash_table_steal(t->sendings, &s->request);
+	t->answer = res->end == WS_HTTP_DONE ? &res->answer : NULL;
+	ws_eio_feed(t->io, &ev);
+	t->answer = NULL;
+	free_sending(s);
+}
+
+static ws_us idle_max(const struct ws_ed_server *s)
+{
+	ws_us max = IDLE_STANDARD;
+
+	if (s->idle_close)
+		max = (ws_us)(IDLE_PART * (double)s->idle_close);
+	return max > WS_SECOND ? max : WS_SECOND;
+}
+
+void ws_eio_targets_send(struct ws_eio_targets *t,
+			 const struct ws_eio_request *r, uint32_t server,
+			 ws_us deadline)
+{
+	const struct ws_ed_server *to =
+		&ws_edge_pool(t->io->edge)->servers[server];
+	struct sending *s = ws_alloc(1, sizeof(*s));
+	ws_us now = ws_eio_now();
+	ws_us left = deadline - now;
+	struct ws_http_request req = {
+		.method = r->method,
+		.data = r->body,
+		.data_len = r->body_len,
+		.timeout = left > WS_MS ? left : WS_MS,
+		.max_answer = ANSWER_MAX,
+		.idle_max = idle_max(to),
+		.allow_unframed = true,
+		.done = on_done,
+		.arg = s,
+	};
+
+	s->targets = t;
+	s->request = r->id;
+	s->started = now;
+	snprintf(s->request_id, sizeof(s->request_id), "%s", r->request_id);
+	memcpy(s->server, to->name, sizeof(s->server));
+	s->url = g_strdup_printf("http://%s%s", to->address, r->uri);
+	s->headers = build_headers(t, r, to->name, req.timeout);
+	req.url = s->url;
+	req.headers = s->headers;
+	s->http = ws_http_start(t->io->http, &req);
+	g_hash_table_insert(t->sendings, &s->request, s);
+}
+
+void ws_eio_targets_cancel(struct ws_eio_targets *t, uint64_t request)
+{
+	struct sending *s = g_hash_table_lookup(t->sendings, &request);
+
+	if (!s)
+		return;
+	g_hash_table_steal(t->sendings, &request);
+	ws_http_cancel(s->http);
+	free_sending(s);
+}
+
+/* ===== Keys ===== */
+
+static enum ws_ed_call_end key_end_of(const struct ws_http_result *res)
+{
+	if (res->end == WS_HTTP_NOT_SENT)
+		return WS_EDC_UNREACHED;
+	if (res->end != WS_HTTP_DONE)
+		return WS_EDC_FAILED;
+	if (res->answer.status == 200)
+		return WS_EDC_DONE;
+	return res->answer.status == 409 ? WS_EDC_FENCED : WS_EDC_FAILED;
+}
+
+static void free_key_call(struct key_call *c)
+{
+	g_hash_table_remove(c->targets->key_calls, c);
+	curl_slist_free_all(c->headers);
+	free(c);
+}
+
+static void on_key_done(void *arg, const struct ws_http_result *res)
+{
+	struct key_call *c = arg;
+	struct ws_ed_event ev = { .kind = WS_EDEV_KEY_CALLED };
+
+	ev.u.key_called.ref = c->ref;
+	ev.u.key_called.end = key_end_of(res);
+	ev.u.key_called.handover = "";
+	if (ev.u.key_called.end == WS_EDC_DONE && !c->grant)
+		ev.u.key_called.handover = wp_wire_handover(&res->answer);
+	ws_eio_feed(c->targets->io, &ev);
+	free_key_call(c);
+}
+
+void ws_eio_targets_call(struct ws_eio_targets *t,
+			 const struct ws_ed_key_call *call, bool grant)
+{
+	struct key_call *c = ws_alloc(1, sizeof(*c));
+	struct ws_http_request req = {
+		.url = c->url,
+		.method = "POST",
+		.data = c->body,
+		.timeout = grant ? GRANT_TIMEOUT : RELEASE_TIMEOUT,
+		.max_answer = KEY_ANSWER_MAX,
+		.idle_max = IDLE_STANDARD,
+		.allow_unframed = true,
+		.done = on_key_done,
+		.arg = c,
+	};
+
+	c->targets = t;
+	c->ref = call->ref;
+	c->grant = grant;
+	snprintf(c->url, sizeof(c->url), "http://%s%s", call->address,
+		 grant ? wp_wire_grant_path() : wp_wire_release_path());
+	if (grant)
+		wp_wire_grant_body(call, c->body, sizeof(c->body));
+	else
+		wp_wire_release_body(call, c->body, sizeof(c->body));
+	req.data_len = strlen(c->body);
+	/* Another server that has the address by now must not take the keys. */
+	add_line(&c->headers, WP_TARGET, call->name);
+	add_line(&c->headers, "Content-Type", "application/json");
+	req.headers = c->headers;
+	g_hash_table_add(t->key_calls, c);
+	c->http = ws_http_start(t->io->http, &req);
+}
+
+/* ===== Life ===== */
+
+struct ws_eio_targets *ws_eio_targets_new(struct ws_eio *io)
+{
+	struct ws_eio_targets *t = ws_alloc(1, sizeof(*t));
+
+	t->io = io;
+	t->sendings = g_hash_table_new(g_int64_hash, g_int64_equal);
+	t->key_calls = g_hash_table_new(NULL, NULL);
+	return t;
+}
+
+void ws_eio_targets_free(struct ws_eio_targets *t)
+{
+	GList *all;
+	GList *i;
+
+	if (!t)
+		return;
+	all = g_hash_table_get_values(t->sendings);
+	for (i = all; i; i = i->next) {
+		struct sending *s = i->data;
+
+		ws_http_cancel(s->http);
+		free_sending(s);
+	}
+	g_list_free(all);
+	all = g_hash_table_get_keys(t->key_calls);
+	for (i = all; i; i = i->next) {
+		ws_http_cancel(((struct key_call *)i->data)->http);
+		free_key_call(i->data);
+	}
+	g_list_free(all);
+	g_hash_table_destroy(t->key_calls);
+	g_hash_table_destroy(t->sendings);
+	free(t);
+}
+
+const struct ws_body *ws_eio_targets_answer(const struct ws_eio_targets *t)
+{
+	return t->answer;
+}
+
+const char *ws_eio_targets_server(const struct ws_eio_targets *t,
+				  uint64_t request)
+{
+	const struct sending *s = g_hash_table_lookup(t->sendings, &request);
+
+	return s ? s->server : "";
+}
+
+size_t ws_eio_targets_open(const struct ws_eio_targets *t)
+{
+	return g_hash_table_size(t->sendings);
+}
--- /dev/null
+++ b/lib/edgeio/ws_eio_targets.h
@@ -0,0 +1,45 @@
+#ifndef WS_EIO_TARGETS_H
+#define WS_EIO_TARGETS_H
+
+#include "edgeio/ws_eio.h"
+
+/* Requests, grants and releases on their way to servers. */
+
+/* A caller's request as it goes to servers; strings are borrowed. */
+struct ws_eio_request {
+	uint64_t id;
+	const char *request_id;
+	const char *method;
+	const char *uri;
+	const char *host;
+	const char *headers; /* "Name: value" strings, each ended by a NUL */
+	size_t headers_len;
+	const void *body;
+	size_t body_len;
+};
+
+struct ws_eio_targets *ws_eio_targets_new(struct ws_eio *io);
+void ws_eio_targets_free(struct ws_eio_targets *t);
+
+/* Sends a request; what r borrows must stay valid until it ends. */
+void ws_eio_targets_send(struct ws_eio_targets *t,
+			 const struct ws_eio_request *r, uint32_t server,
+			 ws_us deadline);
+
+/* Breaks off a request at its server. */
+void ws_eio_targets_cancel(struct ws_eio_targets *t, uint64_t request);
+
+/* Carries out a grant or a release. */
+void ws_eio_targets_call(struct ws_eio_targets *t,
+			 const struct ws_ed_key_call *call, bool grant);
+
+/* The server's answer that is being handed on; only while a step runs. */
+const struct ws_body *ws_eio_targets_answer(const struct ws_eio_targets *t);
+
+/* Name of the server that a request was last sent to; "" for none. */
+const char *ws_eio_targets_server(const struct ws_eio_targets *t,
+				  uint64_t request);
+
+size_t ws_eio_targets_open(const struct ws_eio_targets *t);
+
+#endif
--- a/lib/io/ws_headers.c
+++ b/lib/io/ws_headers.c
@@ -83,6 +83,11 @@
 	return is_in(name, len, hop) || is_named(connection, name, len);
 }
 
+bool ws_headers_end_to_end(const char *name, size_t len, const char *connection)
+{
+	return !is_hop_by_hop(name, len, connection);
+}
+
 static bool is_own(const char *name)
 {
 	return !strncasecmp(name, OWN_PREFIX, OWN_PREFIX_LEN);
--- a/lib/io/ws_headers.h
+++ b/lib/io/ws_headers.h
@@ -43,6 +43,13 @@
 /* @return 0, WS_ERR_BAD_REQUEST or WS_ERR_TOO_LARGE */
 int ws_headers_verdict(const struct ws_scan *s, uint64_t max_body);
 
+/*
+ * Tells whether a header concerns more than one connection.
+ * @param connection value of the Connection header, or NULL
+ */
+bool ws_headers_end_to_end(const char *name, size_t len,
+			   const char *connection);
+
 /* Tells whether a caller's header is passed on to the target. */
 bool ws_headers_to_target(const struct ws_scan *s, const char *name);
 
--- a/lib/io/ws_http.c
+++ b/lib/io/ws_http.c
@@ -1,6 +1,8 @@
 #include "io/ws_http.h"
 
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -12,6 +14,11 @@
 /* Idle connections older than this are not reused; targets close them. */
 #define IDLE_MAX_S 15L
 #define IDLE_CONNECTIONS 4096L
+/* A connection whose data is not acknowledged for this time is lost. */
+#define USER_TIMEOUT_MS 3000
+/* Keep-alive probes find connections that went silent. */
+#define KEEPALIVE_S 1L
+#define KEEPALIVE_PROBES 3
 #define POOL_MAX 1024
 
 struct ws_http_call {
@@ -24,6 +31,7 @@
 	bool active;
 	bool too_large;
 	bool head;
+	bool allow_unframed;
 	struct ws_headers headers;
 	char *data;
 	size_t data_len;
@@ -105,6 +113,25 @@
 	return CURL_PREREQFUNC_OK;
 }
 
+/* Lets the kernel find connections whose other end no longer answers. */
+static int prepare_socket(void *arg, curl_socket_t fd, curlsocktype purpose)
+{
+	/* A closed connection is reset, so that nothing arrives later. */
+	struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+	int timeout = USER_TIMEOUT_MS;
+	int probes = KEEPALIVE_PROBES;
+
+	(void)arg;
+	if (purpose != CURLSOCKTYPE_IPCXN)
+		return CURL_SOCKOPT_OK;
+	/* A failure only leaves the standard time-outs in place. */
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
+		   sizeof(timeout));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	return CURL_SOCKOPT_OK;
+}
+
 /* ===== Calls ===== */
 
 static void set_common(struct ws_http_call *c)
@@ -119,8 +146,11 @@
 	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
 	curl_easy_setopt(e, CURLOPT_PATH_AS_IS, 1L);
 	curl_easy_setopt(e, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(e, CURLOPT_TCP_KEEPALIVE, 1L);
+	curl_easy_setopt(e, CURLOPT_TCP_KEEPIDLE, KEEPALIVE_S);
+	curl_easy_setopt(e, CURLOPT_TCP_KEEPINTVL, KEEPALIVE_S);
+	curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, prepare_socket);
 	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
-	curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, IDLE_MAX_S);
 	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, take_data);
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, c);
 	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, take_header);
@@ -189,7 +219,7 @@
 	} else {
 		curl_easy_setopt(e, CURLOPT_HTTPGET, 1L);
 	}
-	if (!get && !post)
+	if (!post && (!get || req->data_len))
 		curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, req->method);
 }
 
@@ -206,10 +236,15 @@
 	c->head = !strcmp(req->method, "HEAD");
 	c->data_len = 0;
 	c->max_answer = req->max_answer;
+	c->allow_unframed = req->allow_unframed;
 	ws_headers_reset(&c->headers);
 	curl_easy_setopt(c->easy, CURLOPT_URL, req->url);
 	curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, req->headers);
 	curl_easy_setopt(c->easy, CURLOPT_TIMEOUT_MS, ms > 0 ? ms : 1L);
+	curl_easy_setopt(c->easy, CURLOPT_MAXAGE_CONN,
+			 req->idle_max ? (long)(req->idle_max / WS_SECOND) :
+					 IDLE_MAX_S);
+	curl_easy_setopt(c->easy, CURLOPT_FRESH_CONNECT, req->fresh ? 1L : 0L);
 	set_method(c->easy, req);
 	c->active = true;
 	curl_multi_add_handle(h->multi, c->easy);
@@ -237,7 +272,8 @@
  */
 static bool is_framed(const struct ws_http_call *c, const struct ws_body *b)
 {
-	if (c->head || b->status == 204 || b->status == 304)
+	if (c->head || c->allow_unframed || b->status == 204 ||
+	    b->status == 304)
 		return true;
 	return ws_body_header(b, "Content-Length") ||
 	       ws_body_header(b, "Transfer-Encoding");
--- a/lib/io/ws_http.h
+++ b/lib/io/ws_http.h
@@ -39,6 +39,9 @@
 	size_t data_len;
 	ws_us timeout;
 	size_t max_answer; /* bytes of the answer's body */
+	ws_us idle_max; /* older idle connections are not used; 0: standard */
+	bool fresh; /* open a new connection */
+	bool allow_unframed; /* the answer may end with its connection */
 	ws_http_fn done;
 	void *arg;
 };
--- a/lib/io/ws_mhd.c
+++ b/lib/io/ws_mhd.c
@@ -97,16 +97,17 @@
 
 	if (addr->ss_family == AF_INET6)
 		flags |= MHD_USE_IPv6;
-	return MHD_start_daemon(flags, 0, NULL, NULL, conf->handler, conf->arg,
-				MHD_OPTION_SOCK_ADDR, (struct sockaddr *)addr,
-				MHD_OPTION_CONNECTION_LIMIT,
-				conf->max_connections,
-				MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S,
-				MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-				CONNECTION_MEMORY, MHD_OPTION_STRICT_FOR_CLIENT,
-				1, MHD_OPTION_URI_LOG_CALLBACK, conf->begin,
-				conf->arg, MHD_OPTION_NOTIFY_COMPLETED,
-				conf->completed, conf->arg, MHD_OPTION_END);
+	return MHD_start_daemon(
+		flags, 0, NULL, NULL, conf->handler, conf->arg,
+		MHD_OPTION_SOCK_ADDR, (struct sockaddr *)addr,
+		MHD_OPTION_CONNECTION_LIMIT, conf->max_connections,
+		MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+		conf->connection_memory ? conf->connection_memory :
+					  CONNECTION_MEMORY,
+		MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_URI_LOG_CALLBACK,
+		conf->begin, conf->arg, MHD_OPTION_NOTIFY_COMPLETED,
+		conf->completed, conf->arg, MHD_OPTION_END);
 }
 
 struct ws_mhd *ws_mhd_new(struct ev_loop *loop, const struct ws_mhd_conf *conf)
--- a/lib/io/ws_mhd.h
+++ b/lib/io/ws_mhd.h
@@ -13,6 +13,7 @@
 struct ws_mhd_conf {
 	const char *address; /* ip:port */
 	unsigned max_connections;
+	size_t connection_memory; /* for header fields; 0: standard */
 	MHD_AccessHandlerCallback handler;
 	/* Called with the raw URI first; its result starts as *req_cls. */
 	void *(*begin)(void *arg, const char *uri, struct MHD_Connection *con);
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Runs clang-tidy over the given sources, several files at a time.
 set -eu
-flags="-std=gnu11 -Ilib -Ilib/wire $(pkg-config --cflags libmicrohttpd libcurl \
+flags="-std=gnu11 -I. -Ilib -Ilib/wire $(pkg-config --cflags libmicrohttpd libcurl \
 	glib-2.0 libtirpc libsodium libxxhash jansson inih check)"
 # shellcheck disable=SC2086
 printf '%s\n' "$@" | xargs -P 8 -n 2 sh -c \
