Ignore older entries of servers, tell others how far the store was read

Ruled out: a late entry with the older state (the record never arrived; the sequence of entries is checked now all the same, as entries may be late), a wrong offset (the next read got the record from the same offset).

Change: heartbeats carry the end of each topic; an instance that is behind for 80 ms reads anew. Waits are spread, so that instances do not poll together. Waits are longer in return: 2, 4 and 6 s.

Conclusion: one instance that hears of a change is enough for all.

--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -499,7 +499,7 @@
 		       struct ws_ed_fx *fx)
 {
 	if (moved && c->sharded) {
-		ws_ed_fx_add(fx, WS_EDFX_READ_MAP);
+		ws_ed_fx_read(fx, WS_EDT_MAP);
 		*key_pause(e, c->key) = e->now + MOVED_PAUSE;
 	}
 	if (!may_repeat(e, c)) {
--- a/lib/edge/ws_ed_codec.c
+++ b/lib/edge/ws_ed_codec.c
@@ -75,13 +75,23 @@
 	return true;
 }
 
+static bool xdr_ends(XDR *x, struct ws_ed_beat *b)
+{
+	int i;
+
+	for (i = 0; i < WS_EDT_COUNT; i++)
+		if (!xdr_id(x, &b->ends[i]))
+			return false;
+	return true;
+}
+
 static bool xdr_beat(XDR *x, struct ws_ed_beat *b)
 {
 	return xdr_magic(x, BEAT_MAGIC) && xdr_id(x, &b->from) &&
 	       xdr_id(x, &b->incarnation) &&
 	       xdr_opaque(x, b->address, sizeof(b->address)) &&
 	       xdr_int64_t(x, &b->stamp) && xdr_id(x, &b->epoch) &&
-	       xdr_id(x, &b->map_end) && xdr_flag(x, &b->leaving) &&
+	       xdr_ends(x, b) && xdr_flag(x, &b->leaving) &&
 	       xdr_flag(x, &b->store_sound) && xdr_echoes(x, b) &&
 	       xdr_demands(x, b) && xdr_counts(x, b);
 }
--- a/lib/edge/ws_ed_fx.c
+++ b/lib/edge/ws_ed_fx.c
@@ -15,6 +15,11 @@
 	return e;
 }
 
+void ws_ed_fx_read(struct ws_ed_fx *fx, enum ws_ed_topic topic)
+{
+	ws_ed_fx_add(fx, WS_EDFX_READ)->u.topic = topic;
+}
+
 void ws_ed_fx_note(struct ws_ed_fx *fx, uint16_t number, ws_id subject,
 		   int64_t value, const char *detail)
 {
--- a/lib/edge/ws_ed_fx.h
+++ b/lib/edge/ws_ed_fx.h
@@ -13,10 +13,18 @@
 	WS_EDFX_GRANT, /* lease keys to a server */
 	WS_EDFX_RELEASE, /* take keys back from a server */
 	WS_EDFX_APPEND, /* write ws_ed_lead_proposal() to the store */
-	WS_EDFX_READ_MAP, /* a newer map may be in the store */
+	WS_EDFX_READ, /* a topic of the store may have newer records */
 	WS_EDFX_NOTE, /* log line */
 };
 
+/* Topics of the store that every instance follows. */
+enum ws_ed_topic {
+	WS_EDT_CONFIG = 0,
+	WS_EDT_SERVERS,
+	WS_EDT_MAP,
+	WS_EDT_COUNT,
+};
+
 /* Why a request ended as it did; also the word in the log line. */
 enum ws_ed_reason {
 	WS_EDR_NONE = 0,
@@ -68,6 +76,7 @@
 			enum ws_ed_reason reason;
 		} reply; /* PASS and CANCEL use request only */
 		struct ws_ed_key_call call;
+		enum ws_ed_topic topic; /* READ */
 		struct {
 			uint64_t at; /* offset at which the record must lie */
 		} append;
@@ -90,6 +99,9 @@
 /* Appends an effect with all other fields zero; valid until the next one. */
 struct ws_ed_effect *ws_ed_fx_add(struct ws_ed_fx *fx, uint8_t kind);
 
+/* Asks for a read of a topic. */
+void ws_ed_fx_read(struct ws_ed_fx *fx, enum ws_ed_topic topic);
+
 /* Adds a log line. */
 void ws_ed_fx_note(struct ws_ed_fx *fx, uint16_t number, ws_id subject,
 		   int64_t value, const char *detail);
--- a/lib/edge/ws_ed_lead.c
+++ b/lib/edge/ws_ed_lead.c
@@ -238,7 +238,7 @@
 		return;
 	l->appending = false;
 	if (end != WS_EDA_DONE) {
-		ws_ed_fx_add(fx, WS_EDFX_READ_MAP);
+		ws_ed_fx_read(fx, WS_EDT_MAP);
 		l->next_append = now + APPEND_RETRY;
 		if (l->role == WS_EDL_CLAIMING)
 			l->role = WS_EDL_FOLLOWER;
@@ -291,7 +291,7 @@
 		return;
 	if (known_deposed(l)) {
 		step_down(l, fx);
-		ws_ed_fx_add(fx, WS_EDFX_READ_MAP);
+		ws_ed_fx_read(fx, WS_EDT_MAP);
 		return;
 	}
 	check_evidence(l, now);
--- a/lib/edge/ws_ed_pool.c
+++ b/lib/edge/ws_ed_pool.c
@@ -116,6 +116,14 @@
 	s->cold_until = 0;
 }
 
+static bool is_older(const struct ws_ed_listing *l,
+		     const struct ws_ed_server *s)
+{
+	if (l->born_ms != s->born_ms)
+		return l->born_ms < s->born_ms;
+	return l->sequence < s->sequence;
+}
+
 uint32_t ws_ed_pool_listed(struct ws_ed_pool *p, ws_us now,
 			   const struct ws_ed_listing *l,
 			   const struct ws_ed_service *svc)
@@ -125,8 +133,11 @@
 	uint32_t h = found >= 0 ? (uint32_t)found : add_server(p);
 	struct ws_ed_server *s = &p->servers[h];
 
+	if (found >= 0 && is_older(l, s))
+		return h;
 	if (found < 0 || s->born_ms != l->born_ms)
 		restart(s);
+	s->sequence = l->sequence;
 	s->id = id;
 	snprintf(s->name, sizeof(s->name), "%s", l->name);
 	snprintf(s->address, sizeof(s->address), "%s", l->address);
--- a/lib/edge/ws_ed_pool.h
+++ b/lib/edge/ws_ed_pool.h
@@ -37,6 +37,7 @@
 	ws_id zone;
 	uint32_t slots;
 	int64_t born_ms; /* wall clock of its start, as it says */
+	int64_t sequence; /* of the newest entry taken */
 	bool listed;
 	bool draining;
 	ws_us gone_at; /* not listed: no longer used from here on */
@@ -86,6 +87,7 @@
 	bool draining;
 	ws_us cold_for; /* how much longer it says it is cold */
 	int64_t born_ms;
+	int64_t sequence; /* counts what a life of the server has said */
 };
 
 /* What a server told of itself in an answer. */
@@ -125,7 +127,10 @@
 
 void ws_ed_pool_free(struct ws_ed_pool *p);
 
-/* Takes over what the list says of a server; returns its handle. */
+/*
+ * Takes over what the list says of a server; returns its handle. Entries may
+ * arrive late: one that is older than what is known changes nothing.
+ */
 uint32_t ws_ed_pool_listed(struct ws_ed_pool *p, ws_us now,
 			   const struct ws_ed_listing *l,
 			   const struct ws_ed_service *svc);
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -17,7 +17,11 @@
  * the rest is for their answers.
  */
 #define DRAIN_ACCEPT_PART 0.5
-#define MAP_HINT_PERIOD (300 * WS_MS)
+/*
+ * A read that waits may miss a record. When others have read further than this
+ * instance for this time, it reads anew.
+ */
+#define BEHIND_MAX (80 * WS_MS)
 /* Demands below this are not worth telling. */
 #define DEMAND_MIN 0.05
 /* Evidence of the store that counts as sound to others. */
@@ -149,10 +153,9 @@
 	ws_ed_quota_heard(&e->quota, e->now, b->from);
 	for (i = 0; i < b->n_counts; i++)
 		ws_ed_heat_told(&e->heat, &b->counts[i]);
-	if (b->map_end > e->lead.end && e->now >= e->next_map_hint) {
-		e->next_map_hint = e->now + MAP_HINT_PERIOD;
-		ws_ed_fx_add(fx, WS_EDFX_READ_MAP);
-	}
+	for (i = 0; i < WS_EDT_COUNT; i++)
+		if (b->ends[i] > e->told_ends[i])
+			e->told_ends[i] = b->ends[i];
 }
 
 void ws_edge_beat(struct ws_edge *e, ws_us now, struct ws_ed_beat *b)
@@ -163,7 +166,7 @@
 	b->incarnation = e->set.incarnation;
 	b->stamp = now;
 	b->epoch = ws_ed_lead_epoch(&e->lead);
-	b->map_end = e->lead.end;
+	memcpy(b->ends, e->ends, sizeof(b->ends));
 	b->leaving = e->draining;
 	b->store_sound = now - e->lead.evidence < SOUND_EVIDENCE &&
 			 e->lead.known;
@@ -199,6 +202,31 @@
 
 /* ===== Time ===== */
 
+static void check_behind(struct ws_edge *e, struct ws_ed_fx *fx)
+{
+	int i;
+
+	for (i = 0; i < WS_EDT_COUNT; i++) {
+		if (e->ends[i] >= e->told_ends[i]) {
+			e->behind_since[i] = 0;
+		} else if (!e->behind_since[i]) {
+			e->behind_since[i] = e->now;
+		} else if (e->now - e->behind_since[i] >= BEHIND_MAX) {
+			e->behind_since[i] = 0;
+			ws_ed_fx_read(fx, (enum ws_ed_topic)i);
+		}
+	}
+}
+
+static void take_sync(struct ws_edge *e, enum ws_ed_topic topic, ws_us started,
+		      uint64_t end)
+{
+	if (started > e->evidence[topic])
+		e->evidence[topic] = started;
+	if (end > e->ends[topic])
+		e->ends[topic] = end;
+}
+
 static void slow_tick(struct ws_edge *e, struct ws_ed_fx *fx)
 {
 	ws_ed_peers_tick(&e->peers, e->now);
@@ -207,6 +235,7 @@
 	ws_ed_heat_tick(&e->heat, e->now);
 	ws_ed_quota_tick(&e->quota, e->now, e->pool.instances);
 	ws_ed_lead_tick(&e->lead, e->now, fx);
+	check_behind(e, fx);
 }
 
 static void tick(struct ws_edge *e, struct ws_ed_fx *fx)
@@ -242,13 +271,14 @@
 				ev->u.zone.out, e->conf);
 		break;
 	case WS_EDEV_SYNC:
-		if (ev->u.sync.started > e->evidence[ev->u.sync.topic])
-			e->evidence[ev->u.sync.topic] = ev->u.sync.started;
+		take_sync(e, ev->u.sync.topic, ev->u.sync.started,
+			  ev->u.sync.end);
 		break;
 	case WS_EDEV_STORE_LOST:
 		e->store_lost = e->now;
 		break;
 	case WS_EDEV_MAP:
+		take_sync(e, WS_EDT_MAP, ev->u.map.started, ev->u.map.end);
 		ws_ed_lead_read(&e->lead, e->now, ev->u.map.started,
 				ev->u.map.map, ev->u.map.end, fx);
 		break;
--- a/lib/edge/ws_edge.h
+++ b/lib/edge/ws_edge.h
@@ -63,13 +63,6 @@
 	WS_EDEV_DRAIN,
 };
 
-/* Topics whose reads are evidence of what is in force. */
-enum ws_ed_topic {
-	WS_EDT_CONFIG = 0,
-	WS_EDT_SERVERS,
-	WS_EDT_COUNT,
-};
-
 /* A request as read from the caller; strings are borrowed. */
 struct ws_ed_arrival {
 	uint64_t id; /* chosen by the shell */
@@ -113,7 +106,7 @@
 	char address[WS_ED_ADDRESS_MAX];
 	ws_us stamp; /* sender's clock */
 	uint64_t epoch;
-	uint64_t map_end;
+	uint64_t ends[WS_EDT_COUNT]; /* of the topics, as the sender knows */
 	bool leaving;
 	bool store_sound;
 	uint32_t n_echoes;
@@ -138,6 +131,7 @@
 		struct {
 			enum ws_ed_topic topic;
 			ws_us started;
+			uint64_t end; /* offset after the newest record */
 		} sync;
 		struct {
 			ws_us started;
--- a/lib/edge/ws_edge_int.h
+++ b/lib/edge/ws_edge_int.h
@@ -68,9 +68,11 @@
 	struct ws_ed_lead lead;
 	struct ws_rand rand;
 	ws_us evidence[WS_EDT_COUNT]; /* start of the last read */
+	uint64_t ends[WS_EDT_COUNT]; /* of the topics, as read here */
+	uint64_t told_ends[WS_EDT_COUNT]; /* the highest that others told */
+	ws_us behind_since[WS_EDT_COUNT]; /* others have read more; 0: no */
 	ws_us store_lost; /* last failure of the store */
 	ws_us next_slow_tick;
-	ws_us next_map_hint;
 	bool draining;
 	ws_us refuse_from; /* draining: no new requests from here on */
 	/* Keys that their server did not hold are left alone until then. */
--- a/lib/edgeio/ws_eio.c
+++ b/lib/edgeio/ws_eio.c
@@ -56,8 +56,8 @@
 	case WS_EDFX_APPEND:
 		ws_eio_store_append(io->store, x->u.append.at);
 		break;
-	case WS_EDFX_READ_MAP:
-		ws_eio_store_read_map(io->store);
+	case WS_EDFX_READ:
+		ws_eio_store_read(io->store, x->u.topic);
 		break;
 	case WS_EDFX_NOTE:
 		ws_eio_log(x->u.note.number, x->u.note.subject, x->u.note.value,
--- a/lib/edgeio/ws_eio_store.c
+++ b/lib/edgeio/ws_eio_store.c
@@ -10,10 +10,14 @@
 #include "platform/wp_decode.h"
 
 /* Waits of reads; each ends with evidence of what is in force. */
-#define CONFIG_WAIT (1200 * WS_MS)
-#define SERVERS_WAIT (3 * WS_SECOND)
+#define CONFIG_WAIT (2 * WS_SECOND)
+#define SERVERS_WAIT (4 * WS_SECOND)
 #define MAP_WAIT_LEADER (900 * WS_MS)
-#define MAP_WAIT (5 * WS_SECOND)
+#define MAP_WAIT (6 * WS_SECOND)
+/* Waits are cut by up to this part, so that instances do not poll together. */
+#define WAIT_SPREAD 0.3
+/* A read that is younger than this is not started anew. */
+#define REREAD_MIN (60 * WS_MS)
 /* A failed call is repeated after a growing pause. */
 #define PAUSE_FIRST (100 * WS_MS)
 #define PAUSE_MAX (800 * WS_MS)
@@ -46,6 +50,7 @@
 	ws_us whole_started;
 	bool first_page;
 	char after[256];
+	ws_us started; /* of the call under way */
 	ws_us due; /* next call */
 	ws_us pause;
 	bool failed; /* the last call has failed */
@@ -55,6 +60,7 @@
 struct ws_eio_store {
 	struct ws_eio *io;
 	struct wp_store *client;
+	struct ws_rand rand;
 	struct feed config;
 	struct feed servers;
 	struct feed map;
@@ -163,6 +169,14 @@
 		start_call(f);
 }
 
+static ws_us spread_wait(struct feed *f)
+{
+	double part = (double)ws_rand_below(&f->store->rand, 1000) / 1000.0;
+
+	return (ws_us)((double)f->ops->wait(f->store->io) *
+		       (1.0 - WAIT_SPREAD * part));
+}
+
 static void start_call(struct feed *f)
 {
 	const struct wp_reader reader = {
@@ -171,9 +185,10 @@
 		.arg = f,
 	};
 
+	f->started = ws_eio_now();
 	if (f->following)
 		f->call = wp_store_read(f->store->client, f->ops->topic,
-					f->next, f->ops->wait(f->store->io),
+					f->next, spread_wait(f),
 					&reader);
 	else
 		f->call = wp_store_newest(f->store->client, f->ops->topic,
@@ -205,7 +220,7 @@
 }
 
 static void sync_topic(struct feed *f, enum ws_ed_topic topic, ws_us started,
-		       bool caught_up)
+		       uint64_t end, bool caught_up)
 {
 	struct ws_ed_event ev = { .kind = WS_EDEV_SYNC };
 
@@ -213,6 +228,7 @@
 		return;
 	ev.u.sync.topic = topic;
 	ev.u.sync.started = started;
+	ev.u.sync.end = end;
 	ws_eio_feed(f->store->io, &ev);
 }
 
@@ -282,8 +298,7 @@
 static void operator_synced(struct feed *f, ws_us started, uint64_t end,
 			    bool caught_up)
 {
-	(void)end;
-	sync_topic(f, WS_EDT_CONFIG, started, caught_up);
+	sync_topic(f, WS_EDT_CONFIG, started, end, caught_up);
 }
 
 static ws_us operator_wait(struct ws_eio *io)
@@ -350,8 +365,7 @@
 static void servers_synced(struct feed *f, ws_us started, uint64_t end,
 			   bool caught_up)
 {
-	(void)end;
-	sync_topic(f, WS_EDT_SERVERS, started, caught_up);
+	sync_topic(f, WS_EDT_SERVERS, started, end, caught_up);
 }
 
 static ws_us servers_wait(struct ws_eio *io)
@@ -412,17 +426,6 @@
 	.synced = map_synced,
 };
 
-void ws_eio_store_read_map(struct ws_eio_store *s)
-{
-	struct feed *f = &s->map;
-
-	/* A read that waits ends with the new record, if it still can. */
-	if (f->call && f->following)
-		return;
-	if (!f->call)
-		f->due = ws_eio_now();
-}
-
 static void on_appended(void *arg, const struct wp_reply *r)
 {
 	struct ws_eio_store *s = arg;
@@ -522,6 +525,25 @@
 
 /* ===== Life ===== */
 
+void ws_eio_store_read(struct ws_eio_store *s, enum ws_ed_topic topic)
+{
+	struct feed *const feeds[WS_EDT_COUNT] = {
+		[WS_EDT_CONFIG] = &s->config,
+		[WS_EDT_SERVERS] = &s->servers,
+		[WS_EDT_MAP] = &s->map,
+	};
+	struct feed *f = feeds[topic];
+
+	/* A read that was just started sees what there is. */
+	if (f->call && ws_eio_now() - f->started < REREAD_MIN)
+		return;
+	if (f->call)
+		wp_store_cancel(f->call);
+	f->call = NULL;
+	f->due = ws_eio_now();
+}
+
+
 static void check(void *arg, ws_us now)
 {
 	struct ws_eio_store *s = arg;
@@ -539,6 +561,7 @@
 	struct ws_eio_store *s = ws_alloc(1, sizeof(*s));
 
 	s->io = io;
+	ws_rand_seed(&s->rand, io->incarnation);
 	s->client = wp_store_new(io->http, io->set.store, ws_eio_now);
 	s->map_bytes = ws_alloc(MAP_BYTES_MAX, 1);
 	s->zones_out =
--- a/lib/edgeio/ws_eio_store.h
+++ b/lib/edgeio/ws_eio_store.h
@@ -15,8 +15,8 @@
 /* Writes the leader's proposal so that it lies at an offset. */
 void ws_eio_store_append(struct ws_eio_store *s, uint64_t at);
 
-/* Reads the topic of the map now. */
-void ws_eio_store_read_map(struct ws_eio_store *s);
+/* Reads a topic anew, as records may have been missed. */
+void ws_eio_store_read(struct ws_eio_store *s, enum ws_ed_topic topic);
 
 /* Takes the own entry off the list of instances. */
 void ws_eio_store_leave(struct ws_eio_store *s);
