Let the leader's successor claim when the map's topic is quiet

Cause: whether an instance may claim was judged by its last read of the map's topic, which a follower reads with waits of 6 s.

Change: any topic's read shows that the store is reachable; candidates wait their turn from the moment the leader is missing; an instance whose former life led claims at once.

--- a/lib/edge/ws_ed_lead.c
+++ b/lib/edge/ws_ed_lead.c
@@ -15,7 +15,7 @@
 #define CLAIM_RETRY (1 * WS_SECOND)
 #define APPEND_RETRY (150 * WS_MS)
 /* Evidence this recent shows that the store is reachable. */
-#define STORE_SOUND (2 * WS_SECOND)
+#define STORE_SOUND (3 * WS_SECOND)
 
 void ws_ed_lead_free(struct ws_ed_lead *l)
 {
@@ -104,9 +104,9 @@
 	return false;
 }
 
-static bool store_sound(const struct ws_ed_lead *l, ws_us now)
+bool ws_ed_lead_store_sound(const struct ws_ed_lead *l, ws_us now)
 {
-	return l->known && now - l->evidence < STORE_SOUND;
+	return l->known && now - l->store_seen < STORE_SOUND;
 }
 
 /* Nobody leads, or the one who does can change nothing. */
@@ -162,16 +162,31 @@
 	append(l, fx);
 }
 
-static void consider_claim(struct ws_ed_lead *l, ws_us now, struct ws_ed_fx *fx)
+/* Candidates take turns, so that one append suffices. */
+static bool is_turn(const struct ws_ed_lead *l, ws_us now)
 {
-	ws_us settle = l->started + SETTLE;
+	ws_us from = l->started + SETTLE;
+
+	if (l->missing_since > from)
+		from = l->missing_since;
+	/* Nobody else will claim while the former life of this one led. */
+	if (l->map.leader == l->self)
+		return now >= l->started + SETTLE;
+	return now - from >=
+	       (ws_us)ws_ed_peers_rank(l->peers, now) * CLAIM_STEP;
+}
 
-	if (l->leaving || !serves_keys(l) || !store_sound(l, now) ||
-	    now < l->next_claim || now < settle || !leader_missing(l, now))
-		return;
-	if (now - settle < (ws_us)ws_ed_peers_rank(l->peers, now) * CLAIM_STEP)
+static void consider_claim(struct ws_ed_lead *l, ws_us now, struct ws_ed_fx *fx)
+{
+	if (!leader_missing(l, now)) {
+		l->missing_since = 0;
 		return;
-	claim(l, now, fx);
+	}
+	if (!l->missing_since)
+		l->missing_since = now;
+	if (!l->leaving && serves_keys(l) && ws_ed_lead_store_sound(l, now) &&
+	    now >= l->next_claim && is_turn(l, now))
+		claim(l, now, fx);
 }
 
 /* ===== The store's answers ===== */
--- a/lib/edge/ws_ed_lead.h
+++ b/lib/edge/ws_ed_lead.h
@@ -81,6 +81,7 @@
 	struct ws_ed_map map;
 	uint64_t end; /* offset after the newest record */
 	ws_us evidence; /* start of the last read that came back */
+	ws_us store_seen; /* start of the last good call of any topic */
 
 	enum ws_ed_role role;
 	uint64_t epoch; /* own */
@@ -88,6 +89,7 @@
 	ws_us claimed; /* when the claim was confirmed by the store */
 	ws_us confirmed; /* when a majority knew the epoch; 0: not yet */
 	ws_us valid_until; /* evidence plus WS_ED_LEASE */
+	ws_us missing_since; /* nobody leads; 0: somebody does */
 	ws_us next_claim;
 	ws_us next_append;
 	bool appending;
@@ -105,6 +107,9 @@
 /* True while this instance leads and has evidence that it still does. */
 bool ws_ed_lead_valid(const struct ws_ed_lead *l, ws_us now);
 
+/* Tells whether the store was reachable lately. */
+bool ws_ed_lead_store_sound(const struct ws_ed_lead *l, ws_us now);
+
 /* Highest epoch that this instance knows of. */
 uint64_t ws_ed_lead_epoch(const struct ws_ed_lead *l);
 
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -24,8 +24,6 @@
 #define BEHIND_MAX (80 * WS_MS)
 /* Demands below this are not worth telling. */
 #define DEMAND_MIN 0.05
-/* Evidence of the store that counts as sound to others. */
-#define SOUND_EVIDENCE (2600 * WS_MS)
 
 /* ===== Life ===== */
 
@@ -168,8 +166,7 @@
 	b->epoch = ws_ed_lead_epoch(&e->lead);
 	memcpy(b->ends, e->ends, sizeof(b->ends));
 	b->leaving = e->draining;
-	b->store_sound = now - e->lead.evidence < SOUND_EVIDENCE &&
-			 e->lead.known;
+	b->store_sound = ws_ed_lead_store_sound(&e->lead, now);
 	b->n_echoes = 0;
 	b->n_demands = 0;
 	/* Before it knows the map, an instance may support an old leader. */
@@ -223,6 +220,8 @@
 {
 	if (started > e->evidence[topic])
 		e->evidence[topic] = started;
+	if (started > e->lead.store_seen)
+		e->lead.store_seen = started;
 	if (end > e->ends[topic])
 		e->ends[topic] = end;
 }
