Send a late idempotent request to a second server

Cause: a machine that turns slow, or a connection that goes silent, while a request is on it made the request late or lost it; only a failure led to a second sending.

Change: a call has two lanes. When an idempotent request of an open service takes 1.7 times what was expected, a free server that still meets the objective gets it as well, within max_attempts and the budget of extra sendings; the first whole answer is passed on and the other is broken off.

--- a/lib/edge/ws_ed_admit.c
+++ b/lib/edge/ws_ed_admit.c
@@ -9,6 +9,15 @@
 #define LATE_PART 0.7
 /* Beyond this part of its time a request can't be expected to be answered. */
 #define HOPELESS_PART 1.1
+/* A request is late when it takes this many times the expectation. */
+#define HEDGE_FACTOR 1.7
+#define HEDGE_MIN (20 * WS_MS)
+/* Long after that it is taken for lost, also when the objective is missed. */
+#define HEDGE_LOST_FACTOR 5.0
+#define HEDGE_LOST_MIN (400 * WS_MS)
+/* Only free servers take hedges, and failures keep a part of the budget. */
+#define HEDGE_LOAD 0.85
+#define HEDGE_BUDGET 2.0
 #define RETRY_MIN (40 * WS_MS)
 #define RETRY_MAX (1 * WS_SECOND)
 
@@ -40,3 +49,20 @@
 		time = RETRY_MIN + (ws_us)(spread * (double)RETRY_MIN);
 	return time < RETRY_MAX ? time : RETRY_MAX;
 }
+
+bool ws_ed_hedge(const struct ws_ed_hedge *h)
+{
+	ws_us late = (ws_us)(HEDGE_FACTOR * (double)h->expected);
+	ws_us lost = (ws_us)(HEDGE_LOST_FACTOR * (double)h->expected);
+
+	if (late < HEDGE_MIN)
+		late = HEDGE_MIN;
+	if (lost < HEDGE_LOST_MIN)
+		lost = HEDGE_LOST_MIN;
+	if (h->elapsed < late || h->budget < HEDGE_BUDGET ||
+	    h->load > HEDGE_LOAD)
+		return false;
+	if (h->expect < h->objective_left)
+		return true;
+	return h->elapsed >= lost && h->expect < h->left;
+}
--- a/lib/edge/ws_ed_admit.h
+++ b/lib/edge/ws_ed_admit.h
@@ -35,4 +35,21 @@
  */
 ws_us ws_ed_admit_retry(const struct ws_ed_outlook *o, double spread);
 
+/*
+ * Whether a request that is still at a server should be sent to a second one.
+ * Answers the pattern "a machine turns slow, or a connection goes silent,
+ * while a request is on it".
+ */
+struct ws_ed_hedge {
+	ws_us elapsed; /* since it was sent */
+	ws_us expected; /* time to the answer, on sending */
+	ws_us objective_left;
+	ws_us left; /* until the deadline */
+	ws_us expect; /* time to the answer at the second server */
+	double load; /* of the second server with this request, over slots */
+	double budget; /* extra sendings that may be made now */
+};
+
+bool ws_ed_hedge(const struct ws_ed_hedge *h);
+
 #endif
--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -19,6 +19,8 @@
 #define SENDINGS_MAX 6
 /* A request with less time left than this is not sent any more. */
 #define SEND_MIN (10 * WS_MS)
+/* How often requests at servers are checked for being late. */
+#define HEDGE_PERIOD (20 * WS_MS)
 #define STALE_RETRY (500 * WS_MS)
 #define NO_SERVER_RETRY (300 * WS_MS)
 /* Other instances serve; the caller only has to connect anew. */
@@ -178,27 +180,44 @@
 		c->waiting_since = e->now;
 }
 
+static uint8_t free_lane(const struct ed_call *c)
+{
+	return c->lanes[0].active ? 1 : 0;
+}
+
+static bool has_lane(const struct ed_call *c)
+{
+	return c->lanes[0].active || c->lanes[1].active;
+}
+
 static void send(struct ws_edge *e, struct ed_call *c,
 		 const struct ws_ed_choice *at, struct ws_ed_fx *fx)
 {
 	struct ws_ed_effect *x = ws_ed_fx_add(fx, WS_EDFX_SEND);
+	uint8_t lane = free_lane(c);
 
 	x->u.send.request = c->id;
+	x->u.send.lane = lane;
 	x->u.send.server = (uint32_t)at->server;
 	x->u.send.deadline = c->end_at;
-	if (c->arrivals) {
+	if (c->arrivals || has_lane(c)) {
 		budget_of(e, c->service)->tokens -= 1.0;
 		e->counters.repeats++;
 	}
 	c->sendings++;
-	c->server = (uint32_t)at->server;
-	c->load = at->load;
-	c->sent = e->now;
+	c->lanes[lane] = (struct ed_lane){
+		.active = true,
+		.server = (uint32_t)at->server,
+		.load = at->load,
+		.sent = e->now,
+		.expect = at->expect,
+	};
 	c->waiting_since = 0;
+	if (c->state == CALL_WAITING)
+		e->n_waiting--;
 	c->state = CALL_SENT;
-	e->n_waiting--;
 	e->counters.sent++;
-	ws_ed_pool_sent(&e->pool, e->now, c->server,
+	ws_ed_pool_sent(&e->pool, e->now, (uint32_t)at->server,
 			ws_ed_conf_service(e->conf, c->service));
 }
 
@@ -285,18 +304,25 @@
 	place_at(e, c, &at, fx);
 }
 
-static void place_open(struct ws_edge *e, struct ed_call *c,
-		       struct ws_ed_fx *fx)
+static void need_of(const struct ws_edge *e, const struct ed_call *c,
+		    struct ws_ed_need *need)
 {
-	struct ws_ed_need need = {
+	*need = (struct ws_ed_need){
 		.service = c->service,
 		.work = c->work,
 		.zone = e->set.zone,
 		.n_excluded = c->n_excluded,
 	};
+	memcpy(need->excluded, c->excluded, sizeof(need->excluded));
+}
+
+static void place_open(struct ws_edge *e, struct ed_call *c,
+		       struct ws_ed_fx *fx)
+{
+	struct ws_ed_need need;
 	struct ws_ed_choice at;
 
-	memcpy(need.excluded, c->excluded, sizeof(need.excluded));
+	need_of(e, c, &need);
 	ws_ed_pool_choose(&e->pool, e->now, &need, &at);
 	if (at.server < 0)
 		no_server(e, c, at.paced, WS_EDR_NO_SERVER, fx);
@@ -455,6 +481,28 @@
 	place(e, c, fx);
 }
 
+/* Breaks off what is at servers. */
+static void cancel_lanes(struct ws_edge *e, struct ed_call *c,
+			 struct ws_ed_fx *fx)
+{
+	uint8_t i;
+
+	for (i = 0; i < LANES; i++) {
+		struct ed_lane *l = &c->lanes[i];
+		struct ws_ed_effect *x;
+
+		if (!l->active)
+			continue;
+		l->active = false;
+		x = ws_ed_fx_add(fx, WS_EDFX_CANCEL);
+		x->u.send.request = c->id;
+		x->u.send.lane = i;
+		ws_ed_pool_ended(&e->pool, e->now, l->server, c->work,
+				 WS_ED_END_CANCELLED, e->now - l->sent, l->load,
+				 NULL);
+	}
+}
+
 void ws_ed_call_gone(struct ws_edge *e, uint64_t id, struct ws_ed_fx *fx)
 {
 	struct ed_call *c = ws_ed_call_find(e, id);
@@ -462,34 +510,29 @@
 	if (!c)
 		return;
 	e->counters.gone++;
-	if (c->state == CALL_SENT) {
-		ws_ed_fx_add(fx, WS_EDFX_CANCEL)->u.reply.request = id;
-		ws_ed_pool_ended(&e->pool, e->now, c->server, c->work,
-				 WS_ED_END_CANCELLED, e->now - c->sent, c->load,
-				 NULL);
-	}
+	cancel_lanes(e, c, fx);
 	remove_call(e, c);
 }
 
 /* ===== Answers of servers ===== */
 
-static void exclude(struct ed_call *c)
+static void exclude(struct ed_call *c, uint32_t server)
 {
 	if (c->n_excluded < WS_ED_EXCLUDED_MAX)
-		c->excluded[c->n_excluded++] = c->server;
+		c->excluded[c->n_excluded++] = server;
 }
 
 static void pass(struct ws_edge *e, struct ed_call *c, struct ws_ed_fx *fx)
 {
 	ws_ed_fx_add(fx, WS_EDFX_PASS)->u.reply.request = c->id;
 	e->counters.passed++;
+	cancel_lanes(e, c, fx);
 	remove_call(e, c);
 }
 
 static void try_again(struct ws_edge *e, struct ed_call *c, ws_us pause,
 		      struct ws_ed_fx *fx)
 {
-	exclude(c);
 	set_waiting(e, c, e->now + pause);
 	place(e, c, fx);
 }
@@ -533,16 +576,34 @@
 	pass(e, c, fx);
 }
 
+/* The other sending of the request goes on and will decide it. */
+static bool other_goes_on(struct ed_call *c, enum ws_ed_end end)
+{
+	if (end == WS_ED_END_OK || !has_lane(c))
+		return false;
+	if (end != WS_ED_END_SHED && end != WS_ED_END_UNREACHED) {
+		c->may_have_run = true;
+		c->attempts++;
+	}
+	return true;
+}
+
 void ws_ed_call_ended(struct ws_edge *e, const struct ws_ed_ending *end,
 		      struct ws_ed_fx *fx)
 {
 	struct ed_call *c = ws_ed_call_find(e, end->request);
+	struct ed_lane *l;
 
-	if (!c || c->state != CALL_SENT)
+	if (!c || c->state != CALL_SENT || !c->lanes[end->lane].active)
 		return;
-	ws_ed_pool_ended(&e->pool, e->now, c->server, c->work, end->end,
-			 end->latency, c->load, &end->report);
+	l = &c->lanes[end->lane];
+	l->active = false;
+	ws_ed_pool_ended(&e->pool, e->now, l->server, c->work, end->end,
+			 end->latency, l->load, &end->report);
 	c->arrivals += end->end != WS_ED_END_UNREACHED;
+	exclude(c, l->server);
+	if (other_goes_on(c, end->end))
+		return;
 	switch (end->end) {
 	case WS_ED_END_OK:
 		pass(e, c, fx);
@@ -565,6 +626,59 @@
 	}
 }
 
+/* ===== Hedges ===== */
+
+static bool may_hedge(const struct ws_edge *e, const struct ed_call *c)
+{
+	return c->state == CALL_SENT && c->idempotent && !c->sharded &&
+	       c->lanes[0].active && !c->lanes[1].active &&
+	       c->attempts + 1 < c->max_attempts && c->sendings < SENDINGS_MAX &&
+	       c->n_excluded < WS_ED_EXCLUDED_MAX &&
+	       e->now + SEND_MIN < c->end_at;
+}
+
+static void consider_hedge(struct ws_edge *e, struct ed_call *c,
+			   struct ws_ed_fx *fx)
+{
+	const struct ed_lane *first = &c->lanes[0];
+	struct ws_ed_hedge h = {
+		.elapsed = e->now - first->sent,
+		.expected = first->expect,
+		.objective_left = c->objective_at - e->now,
+		.left = c->end_at - e->now,
+		.budget = budget_of(e, c->service)->tokens,
+	};
+	struct ws_ed_need need;
+	struct ws_ed_choice at;
+
+	/* Most requests are not late; spare them the choice of a server. */
+	if (!ws_ed_hedge(&h))
+		return;
+	need_of(e, c, &need);
+	need.excluded[need.n_excluded++] = first->server;
+	ws_ed_pool_choose(&e->pool, e->now, &need, &at);
+	if (at.server < 0)
+		return;
+	h.expect = at.expect;
+	h.load = at.load;
+	if (!ws_ed_hedge(&h))
+		return;
+	e->counters.hedges++;
+	send(e, c, &at, fx);
+}
+
+static void tick_hedges(struct ws_edge *e, struct ws_ed_fx *fx)
+{
+	size_t i;
+
+	if (e->n_calls == e->n_waiting || e->now < e->next_hedges)
+		return;
+	e->next_hedges = e->now + HEDGE_PERIOD;
+	for (i = 0; i < e->cap_calls; i++)
+		if (may_hedge(e, &e->calls[i]))
+			consider_hedge(e, &e->calls[i], fx);
+}
+
 /* ===== Time ===== */
 
 static int by_urgency(const void *a, const void *b)
@@ -583,6 +697,7 @@
 	size_t n = 0;
 	size_t i;
 
+	tick_hedges(e, fx);
 	if (!e->n_waiting)
 		return;
 	ws_grow(&e->order, &e->cap_order, e->n_waiting, sizeof(*e->order));
--- a/lib/edge/ws_ed_fx.h
+++ b/lib/edge/ws_ed_fx.h
@@ -66,15 +66,16 @@
 	union {
 		struct {
 			uint64_t request;
+			uint8_t lane;
 			uint32_t server; /* handle */
 			ws_us deadline; /* absolute */
-		} send;
+		} send; /* CANCEL uses request and lane only */
 		struct {
 			uint64_t request;
 			int status;
 			ws_us retry_after; /* 0: none */
 			enum ws_ed_reason reason;
-		} reply; /* PASS and CANCEL use request only */
+		} reply; /* PASS uses request only */
 		struct ws_ed_key_call call;
 		enum ws_ed_topic topic; /* READ */
 		struct {
--- a/lib/edge/ws_edge.h
+++ b/lib/edge/ws_edge.h
@@ -79,6 +79,7 @@
 /* How a request at a server has ended. */
 struct ws_ed_ending {
 	uint64_t request;
+	uint8_t lane; /* as in WS_EDFX_SEND */
 	enum ws_ed_end end;
 	int status; /* of the server's answer */
 	bool moved; /* SHED: the server does not hold the key */
@@ -195,6 +196,7 @@
 	uint64_t sent;
 	uint64_t passed;
 	uint64_t repeats; /* sent once more */
+	uint64_t hedges; /* of these, while the first was still open */
 	uint64_t refused[WS_EDR_COUNT];
 	uint64_t lost; /* ended with 502 or 504 */
 	uint64_t gone;
--- a/lib/edge/ws_edge_int.h
+++ b/lib/edge/ws_edge_int.h
@@ -13,6 +13,18 @@
 	CALL_SENT,
 };
 
+/* A request is at two servers at most: the second one is a hedge. */
+#define LANES 2
+
+/* One sending of a call that has not ended. */
+struct ed_lane {
+	bool active;
+	uint32_t server;
+	double load; /* at the server, over its slots, with this request */
+	ws_us sent;
+	ws_us expect; /* time to the answer, as expected on sending */
+};
+
 struct ed_call {
 	uint8_t state;
 	uint64_t id;
@@ -36,10 +48,7 @@
 	ws_us waiting_since;
 	ws_us not_before; /* no sending before this */
 	bool may_have_run;
-	/* CALL_SENT */
-	uint32_t server;
-	double load; /* at the server, over its slots, with this request */
-	ws_us sent;
+	struct ed_lane lanes[LANES]; /* CALL_SENT */
 	size_t n_excluded;
 	uint32_t excluded[WS_ED_EXCLUDED_MAX];
 };
@@ -83,6 +92,7 @@
 	size_t cap_calls; /* power of two */
 	size_t n_calls;
 	size_t n_waiting;
+	ws_us next_hedges;
 	struct ed_turn *order; /* work space of ws_ed_call_tick() */
 	size_t cap_order;
 	struct ed_budget *budgets;
--- a/lib/edgeio/ws_eio.c
+++ b/lib/edgeio/ws_eio.c
@@ -34,11 +34,12 @@
 {
 	switch (x->kind) {
 	case WS_EDFX_SEND:
-		ws_eio_front_send(io->front, x->u.send.request,
+		ws_eio_front_send(io->front, x->u.send.request, x->u.send.lane,
 				  x->u.send.server, x->u.send.deadline);
 		break;
 	case WS_EDFX_CANCEL:
-		ws_eio_targets_cancel(io->targets, x->u.reply.request);
+		ws_eio_targets_cancel(io->targets, x->u.send.request,
+				      x->u.send.lane);
 		break;
 	case WS_EDFX_PASS:
 		ws_eio_front_pass(io->front, x->u.reply.request);
--- a/lib/edgeio/ws_eio_front.c
+++ b/lib/edgeio/ws_eio_front.c
@@ -415,8 +415,8 @@
 	return MHD_YES;
 }
 
-void ws_eio_front_send(struct ws_eio_front *f, uint64_t id, uint32_t server,
-		       ws_us deadline)
+void ws_eio_front_send(struct ws_eio_front *f, uint64_t id, uint8_t lane,
+		       uint32_t server, ws_us deadline)
 {
 	struct caller *r = g_hash_table_lookup(f->waiting, &id);
 	const struct ws_ed_pool *pool = ws_edge_pool(f->io->edge);
@@ -427,6 +427,7 @@
 	memcpy(r->server, pool->servers[server].name, sizeof(r->server));
 	req = (struct ws_eio_request){
 		.id = id,
+		.lane = lane,
 		.request_id = r->request_id,
 		.method = r->method,
 		.uri = r->uri,
--- a/lib/edgeio/ws_eio_targets.c
+++ b/lib/edgeio/ws_eio_targets.c
@@ -28,8 +28,9 @@
 	struct ws_eio_targets *targets;
 	struct ws_http_call *http;
 	uint64_t request;
+	uint8_t lane;
+	uint64_t key; /* of the table of sendings */
 	char request_id[WS_ED_NAME_MAX];
-	char server[WS_ED_NAME_MAX];
 	struct curl_slist *headers;
 	char *url;
 	ws_us started;
@@ -47,7 +48,7 @@
 
 struct ws_eio_targets {
 	struct ws_eio *io;
-	GHashTable *sendings; /* request -> struct sending */
+	GHashTable *sendings; /* request and lane -> struct sending */
 	GHashTable *key_calls; /* set of struct key_call */
 	const struct ws_body *answer;
 };
@@ -118,6 +119,11 @@
 	return list;
 }
 
+static uint64_t key_of(uint64_t request, uint8_t lane)
+{
+	return request << 1 | lane;
+}
+
 static void free_sending(struct sending *s)
 {
 	curl_slist_free_all(s->headers);
@@ -152,6 +158,7 @@
 	struct ws_ed_event ev = { .kind = WS_EDEV_ENDED };
 
 	ev.u.ending.request = s->request;
+	ev.u.ending.lane = s->lane;
 	ev.u.ending.end = end_of(s, res);
 	ev.u.ending.latency = ws_eio_now() - s->started;
 	if (res->end == WS_HTTP_DONE) {
@@ -161,7 +168,7 @@
 		if (ev.u.ending.end == WS_ED_END_BROKEN)
 			ws_http_disconnect(s->http);
 	}
-	g_hash_table_steal(t->sendings, &s->request);
+	g_hash_table_steal(t->sendings, &s->key);
 	t->answer = res->end == WS_HTTP_DONE ? &res->answer : NULL;
 	ws_eio_feed(t->io, &ev);
 	t->answer = NULL;
@@ -200,24 +207,27 @@
 
 	s->targets = t;
 	s->request = r->id;
+	s->lane = r->lane;
+	s->key = key_of(r->id, r->lane);
 	s->started = now;
 	snprintf(s->request_id, sizeof(s->request_id), "%s", r->request_id);
-	memcpy(s->server, to->name, sizeof(s->server));
 	s->url = g_strdup_printf("http://%s%s", to->address, r->uri);
 	s->headers = build_headers(t, r, to->name, req.timeout);
 	req.url = s->url;
 	req.headers = s->headers;
 	s->http = ws_http_start(t->io->http, &req);
-	g_hash_table_insert(t->sendings, &s->request, s);
+	g_hash_table_insert(t->sendings, &s->key, s);
 }
 
-void ws_eio_targets_cancel(struct ws_eio_targets *t, uint64_t request)
+void ws_eio_targets_cancel(struct ws_eio_targets *t, uint64_t request,
+			   uint8_t lane)
 {
-	struct sending *s = g_hash_table_lookup(t->sendings, &request);
+	uint64_t key = key_of(request, lane);
+	struct sending *s = g_hash_table_lookup(t->sendings, &key);
 
 	if (!s)
 		return;
-	g_hash_table_steal(t->sendings, &request);
+	g_hash_table_steal(t->sendings, &key);
 	ws_http_cancel(s->http);
 	free_sending(s);
 }
@@ -333,14 +343,6 @@
 	return t->answer;
 }
 
-const char *ws_eio_targets_server(const struct ws_eio_targets *t,
-				  uint64_t request)
-{
-	const struct sending *s = g_hash_table_lookup(t->sendings, &request);
-
-	return s ? s->server : "";
-}
-
 size_t ws_eio_targets_open(const struct ws_eio_targets *t)
 {
 	return g_hash_table_size(t->sendings);
--- a/lib/edgeio/ws_eio_targets.h
+++ b/lib/edgeio/ws_eio_targets.h
@@ -8,6 +8,7 @@
 /* A caller's request as it goes to servers; strings are borrowed. */
 struct ws_eio_request {
 	uint64_t id;
+	uint8_t lane;
 	const char *request_id;
 	const char *method;
 	const char *uri;
@@ -27,7 +28,8 @@
 			 ws_us deadline);
 
 /* Breaks off a request at its server. */
-void ws_eio_targets_cancel(struct ws_eio_targets *t, uint64_t request);
+void ws_eio_targets_cancel(struct ws_eio_targets *t, uint64_t request,
+			   uint8_t lane);
 
 /* Carries out a grant or a release. */
 void ws_eio_targets_call(struct ws_eio_targets *t,
@@ -36,10 +38,6 @@
 /* The server's answer that is being handed on; only while a step runs. */
 const struct ws_body *ws_eio_targets_answer(const struct ws_eio_targets *t);
 
-/* Name of the server that a request was last sent to; "" for none. */
-const char *ws_eio_targets_server(const struct ws_eio_targets *t,
-				  uint64_t request);
-
 size_t ws_eio_targets_open(const struct ws_eio_targets *t);
 
 #endif
