Rest after records of the store, so that one read takes several

Cause: each new record woke every instance; at the start 33 entries of servers cost 33 reads at each of them. Change: 150, 300 and 40 ms of rest after records of the three topics.

--- a/lib/edgeio/ws_eio_store.c
+++ b/lib/edgeio/ws_eio_store.c
@@ -14,6 +14,10 @@
 #define SERVERS_WAIT (4 * WS_SECOND)
 #define MAP_WAIT_LEADER (900 * WS_MS)
 #define MAP_WAIT (6 * WS_SECOND)
+/* Each call to the store has a price; changes often come in bunches. */
+#define CONFIG_REST (150 * WS_MS)
+#define SERVERS_REST (300 * WS_MS)
+#define MAP_REST (40 * WS_MS)
 /* Waits are cut by up to this part, so that instances do not poll together. */
 #define WAIT_SPREAD 0.3
 /* A read that is younger than this is not started anew. */
@@ -31,6 +35,7 @@
 
 struct feed_ops {
 	enum wp_topic topic;
+	ws_us rest; /* after records, so that others join the next reading */
 	ws_us (*wait)(struct ws_eio *io);
 	void (*record)(struct feed *f, const struct wp_record *r);
 	/* All records of a call were given; caught_up: nothing is missing. */
@@ -158,6 +163,8 @@
 	} else {
 		note_success(f);
 		if (was_following) {
+			if (r->next > f->next)
+				f->due = ws_eio_now() + f->ops->rest;
 			f->next = r->next;
 			f->ops->synced(f, r->started, r->topic_end,
 				       r->next >= r->topic_end);
@@ -309,6 +316,7 @@
 
 static const struct feed_ops operator_ops = {
 	.topic = WP_TOPIC_OPERATOR,
+	.rest = CONFIG_REST,
 	.wait = operator_wait,
 	.record = operator_record,
 	.synced = operator_synced,
@@ -376,6 +384,7 @@
 
 static const struct feed_ops servers_ops = {
 	.topic = WP_TOPIC_SERVERS,
+	.rest = SERVERS_REST,
 	.wait = servers_wait,
 	.record = servers_record,
 	.synced = servers_synced,
@@ -421,6 +430,7 @@
 
 static const struct feed_ops map_ops = {
 	.topic = WP_TOPIC_MAP,
+	.rest = MAP_REST,
 	.wait = map_wait,
 	.record = map_record,
 	.synced = map_synced,
