Let the leader tell of the map of keys

Change: the leader's heartbeats carry the map while a living member has not read as far, the first one right after the store has acknowledged it; followers read the topic every 8 s, or when heartbeats show that they are behind. Only the leader keeps reading, as evidence that it still leads.

--- a/lib/edge/ws_ed_codec.c
+++ b/lib/edge/ws_ed_codec.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 /* First words of a message: name and version of the format. */
-#define BEAT_MAGIC 0x57534201U
+#define BEAT_MAGIC 0x57534202U
 #define MAP_MAGIC 0x57534d01U
 #define MAP_ENTRIES_MAX 65536
 
@@ -31,6 +31,60 @@
 	return true;
 }
 
+/* ===== Maps ===== */
+
+static bool xdr_entry(XDR *x, struct ws_ed_entry *e)
+{
+	return xdr_id(x, &e->service) && xdr_uint32_t(x, &e->from) &&
+	       xdr_uint32_t(x, &e->to) && xdr_id(x, &e->server);
+}
+
+static bool xdr_map_head(XDR *x, struct ws_ed_map *m, uint32_t *n)
+{
+	return xdr_magic(x, MAP_MAGIC) && xdr_id(x, &m->epoch) &&
+	       xdr_id(x, &m->leader) && xdr_uint32_t(x, n);
+}
+
+static bool encode_entries(XDR *x, const struct ws_ed_map *m)
+{
+	size_t i;
+
+	for (i = 0; i < m->n; i++) {
+		struct ws_ed_entry e = m->entries[i];
+
+		if (!xdr_entry(x, &e))
+			return false;
+	}
+	return true;
+}
+
+static bool decode_entries(XDR *x, struct ws_ed_map *m, uint32_t n)
+{
+	uint32_t i;
+
+	m->n = 0;
+	for (i = 0; i < n; i++) {
+		struct ws_ed_entry e;
+
+		if (!xdr_entry(x, &e) || e.from > e.to || e.to >= WS_ED_KEYS)
+			return false;
+		ws_ed_map_add(m, &e);
+	}
+	ws_ed_map_sort(m);
+	return true;
+}
+
+static bool xdr_map(XDR *x, struct ws_ed_map *m)
+{
+	uint32_t n = (uint32_t)m->n;
+
+	if (!xdr_map_head(x, m, &n) || n > MAP_ENTRIES_MAX)
+		return false;
+	if (x->x_op == XDR_ENCODE)
+		return encode_entries(x, m);
+	return decode_entries(x, m, n);
+}
+
 /* ===== Heartbeats ===== */
 
 static bool xdr_echoes(XDR *x, struct ws_ed_beat *b)
@@ -93,7 +147,8 @@
 	       xdr_int64_t(x, &b->stamp) && xdr_id(x, &b->epoch) &&
 	       xdr_ends(x, b) && xdr_flag(x, &b->leaving) &&
 	       xdr_flag(x, &b->store_sound) && xdr_echoes(x, b) &&
-	       xdr_demands(x, b) && xdr_counts(x, b);
+	       xdr_demands(x, b) && xdr_counts(x, b) &&
+	       xdr_flag(x, &b->has_map) && (!b->has_map || xdr_map(x, &b->map));
 }
 
 int ws_ed_beat_encode(const struct ws_ed_beat *b, void *buf, size_t size)
@@ -116,56 +171,22 @@
 	return 0;
 }
 
-/* ===== Maps ===== */
-
-static bool xdr_entry(XDR *x, struct ws_ed_entry *e)
-{
-	return xdr_id(x, &e->service) && xdr_uint32_t(x, &e->from) &&
-	       xdr_uint32_t(x, &e->to) && xdr_id(x, &e->server);
-}
-
-static bool xdr_map_head(XDR *x, struct ws_ed_map *m, uint32_t *n)
-{
-	return xdr_magic(x, MAP_MAGIC) && xdr_id(x, &m->epoch) &&
-	       xdr_id(x, &m->leader) && xdr_uint32_t(x, n);
-}
+/* ===== Maps in the store ===== */
 
 int ws_ed_map_encode(const struct ws_ed_map *m, void *buf, size_t size)
 {
-	struct ws_ed_map head = { .epoch = m->epoch, .leader = m->leader };
-	uint32_t n = (uint32_t)m->n;
 	XDR x;
-	uint32_t i;
 
 	xdrmem_create(&x, buf, (u_int)size, XDR_ENCODE);
-	if (!xdr_map_head(&x, &head, &n))
+	if (!xdr_map(&x, (struct ws_ed_map *)(uintptr_t)m))
 		return WS_ERR_LIMIT;
-	for (i = 0; i < n; i++) {
-		struct ws_ed_entry e = m->entries[i];
-
-		if (!xdr_entry(&x, &e))
-			return WS_ERR_LIMIT;
-	}
 	return (int)xdr_getpos(&x);
 }
 
 int ws_ed_map_decode(struct ws_ed_map *m, const void *buf, size_t len)
 {
-	uint32_t n = 0;
 	XDR x;
-	uint32_t i;
 
 	xdrmem_create(&x, (char *)(uintptr_t)buf, (u_int)len, XDR_DECODE);
-	m->n = 0;
-	if (!xdr_map_head(&x, m, &n) || n > MAP_ENTRIES_MAX)
-		return WS_ERR_SYNTAX;
-	for (i = 0; i < n; i++) {
-		struct ws_ed_entry e;
-
-		if (!xdr_entry(&x, &e) || e.from > e.to || e.to >= WS_ED_KEYS)
-			return WS_ERR_SYNTAX;
-		ws_ed_map_add(m, &e);
-	}
-	ws_ed_map_sort(m);
-	return 0;
+	return xdr_map(&x, m) ? 0 : WS_ERR_SYNTAX;
 }
--- a/lib/edge/ws_ed_fx.h
+++ b/lib/edge/ws_ed_fx.h
@@ -14,6 +14,7 @@
 	WS_EDFX_RELEASE, /* take keys back from a server */
 	WS_EDFX_APPEND, /* write ws_ed_lead_proposal() to the store */
 	WS_EDFX_READ, /* a topic of the store may have newer records */
+	WS_EDFX_BEAT, /* send a heartbeat now */
 	WS_EDFX_NOTE, /* log line */
 };
 
--- a/lib/edge/ws_ed_lead.c
+++ b/lib/edge/ws_ed_lead.c
@@ -240,6 +240,31 @@
 		l->evidence = started;
 }
 
+void ws_ed_lead_told(struct ws_ed_lead *l, ws_us now,
+		     const struct ws_ed_map *map, uint64_t end,
+		     struct ws_ed_fx *fx)
+{
+	if (!l->known || end <= l->end)
+		return;
+	l->end = end;
+	adopt(l, now, map, fx);
+}
+
+bool ws_ed_lead_tells(const struct ws_ed_lead *l, ws_us now)
+{
+	size_t i;
+
+	if (!ws_ed_lead_valid(l, now) || l->map.epoch != l->epoch)
+		return false;
+	for (i = 0; i < l->peers->n; i++) {
+		const struct ws_ed_member *m = &l->peers->members[i];
+
+		if (ws_ed_member_alive(m, now) && m->map_end < l->end)
+			return true;
+	}
+	return false;
+}
+
 const struct ws_ed_map *ws_ed_lead_proposal(const struct ws_ed_lead *l)
 {
 	return &l->proposal;
@@ -262,6 +287,7 @@
 	if (at + 1 > l->end)
 		l->end = at + 1;
 	ws_ed_map_copy(&l->map, &l->proposal);
+	ws_ed_fx_add(fx, WS_EDFX_BEAT);
 	if (l->role == WS_EDL_CLAIMING)
 		take_over(l, now, started, fx);
 	else
--- a/lib/edge/ws_ed_lead.h
+++ b/lib/edge/ws_ed_lead.h
@@ -123,6 +123,14 @@
 		     const struct ws_ed_map *map, uint64_t end,
 		     struct ws_ed_fx *fx);
 
+/* The leader tells of a map that it has written, without a read here. */
+void ws_ed_lead_told(struct ws_ed_lead *l, ws_us now,
+		     const struct ws_ed_map *map, uint64_t end,
+		     struct ws_ed_fx *fx);
+
+/* Tells whether others should be told of the map. */
+bool ws_ed_lead_tells(const struct ws_ed_lead *l, ws_us now);
+
 /* What WS_EDFX_APPEND is to write. */
 const struct ws_ed_map *ws_ed_lead_proposal(const struct ws_ed_lead *l);
 
--- a/lib/edge/ws_ed_peers.h
+++ b/lib/edge/ws_ed_peers.h
@@ -25,6 +25,7 @@
 	ws_us listed; /* when the store named it or it was first heard */
 	bool leaving;
 	bool store_sound; /* has recent evidence from the store */
+	uint64_t map_end; /* how far it has read the map's topic */
 	uint64_t epoch; /* highest leader epoch it knows */
 	ws_us stamp; /* of its last heartbeat, on its own clock */
 	ws_us echoed; /* newest own stamp that it has echoed */
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -137,6 +137,7 @@
 	m->heard = e->now;
 	m->leaving = b->leaving;
 	m->store_sound = b->store_sound;
+	m->map_end = b->ends[WS_EDT_MAP];
 	if (b->epoch > m->epoch)
 		m->epoch = b->epoch;
 	for (i = 0; i < b->n_echoes; i++)
@@ -151,6 +152,11 @@
 	ws_ed_quota_heard(&e->quota, e->now, b->from);
 	for (i = 0; i < b->n_counts; i++)
 		ws_ed_heat_told(&e->heat, &b->counts[i]);
+	if (b->has_map) {
+		ws_ed_lead_told(&e->lead, e->now, &b->map, b->ends[WS_EDT_MAP],
+				fx);
+		e->ends[WS_EDT_MAP] = e->lead.end;
+	}
 	for (i = 0; i < WS_EDT_COUNT; i++)
 		if (b->ends[i] > e->told_ends[i])
 			e->told_ends[i] = b->ends[i];
@@ -165,6 +171,11 @@
 	b->stamp = now;
 	b->epoch = ws_ed_lead_epoch(&e->lead);
 	memcpy(b->ends, e->ends, sizeof(b->ends));
+	if (e->lead.end > b->ends[WS_EDT_MAP])
+		b->ends[WS_EDT_MAP] = e->lead.end;
+	b->has_map = ws_ed_lead_tells(&e->lead, now);
+	if (b->has_map)
+		ws_ed_map_copy(&b->map, &e->lead.map);
 	b->leaving = e->draining;
 	b->store_sound = ws_ed_lead_store_sound(&e->lead, now);
 	b->n_echoes = 0;
--- a/lib/edge/ws_edge.h
+++ b/lib/edge/ws_edge.h
@@ -116,6 +116,10 @@
 	struct ws_ed_told_demand demands[WS_ED_DEMANDS_MAX];
 	uint32_t n_counts;
 	struct ws_ed_count counts[WS_ED_TOLD_MAX];
+	/* From the leader, while others have not read as far: ends[MAP] is its
+	 * end. */
+	bool has_map;
+	struct ws_ed_map map;
 };
 
 struct ws_ed_event {
--- a/lib/edgeio/ws_eio.c
+++ b/lib/edgeio/ws_eio.c
@@ -60,6 +60,9 @@
 	case WS_EDFX_READ:
 		ws_eio_store_read(io->store, x->u.topic);
 		break;
+	case WS_EDFX_BEAT:
+		ws_eio_beats_send(io->beats);
+		break;
 	case WS_EDFX_NOTE:
 		ws_eio_log(x->u.note.number, x->u.note.subject, x->u.note.value,
 			   x->u.note.detail);
--- a/lib/edgeio/ws_eio_beats.c
+++ b/lib/edgeio/ws_eio_beats.c
@@ -23,8 +23,10 @@
 	int fd;
 	int timer;
 	ws_us next;
-	struct ws_ed_beat beat; /* work space */
+	struct ws_ed_beat beat; /* work space of sending */
+	struct ws_ed_beat received; /* the one being taken */
 	unsigned char buf[DATAGRAM_MAX];
+	unsigned char in[DATAGRAM_MAX];
 };
 
 static ws_us period_of(const struct ws_eio_beats *b)
@@ -48,6 +50,11 @@
 	snprintf(b->beat.address, sizeof(b->beat.address), "%s",
 		 b->io->set.peers);
 	len = ws_ed_beat_encode(&b->beat, b->buf, sizeof(b->buf));
+	if (len < 0) {
+		/* A map of many parts is left to be read from the store. */
+		b->beat.has_map = false;
+		len = ws_ed_beat_encode(&b->beat, b->buf, sizeof(b->buf));
+	}
 	WS_INVARIANT(len > 0);
 	for (i = 0; i < peers->n; i++) {
 		struct sockaddr_storage to;
@@ -78,13 +85,13 @@
 	(void)loop;
 	(void)revents;
 	for (i = 0; i < READS_MAX; i++) {
-		ssize_t n = recv(b->fd, b->buf, sizeof(b->buf), MSG_DONTWAIT);
+		ssize_t n = recv(b->fd, b->in, sizeof(b->in), MSG_DONTWAIT);
 
 		if (n < 0)
 			return;
-		if (ws_ed_beat_decode(&b->beat, b->buf, (size_t)n))
+		if (ws_ed_beat_decode(&b->received, b->in, (size_t)n))
 			continue;
-		ev.u.beat = &b->beat;
+		ev.u.beat = &b->received;
 		ws_eio_feed(b->io, &ev);
 	}
 }
@@ -137,5 +144,7 @@
 	ev_io_stop(b->io->loop, &b->watcher);
 	ws_timer_cancel(b->io->timers, b->timer);
 	close(b->fd);
+	ws_ed_map_free(&b->beat.map);
+	ws_ed_map_free(&b->received.map);
 	free(b);
 }
--- a/lib/edgeio/ws_eio_store.c
+++ b/lib/edgeio/ws_eio_store.c
@@ -13,11 +13,10 @@
 #define CONFIG_WAIT (2 * WS_SECOND)
 #define SERVERS_WAIT (4 * WS_SECOND)
 #define MAP_WAIT_LEADER (900 * WS_MS)
-#define MAP_WAIT (6 * WS_SECOND)
+#define MAP_REFRESH (8 * WS_SECOND)
 /* Each call to the store has a price; changes often come in bunches. */
 #define CONFIG_REST (150 * WS_MS)
 #define SERVERS_REST (300 * WS_MS)
-#define MAP_REST (40 * WS_MS)
 /* Waits are cut by up to this part, so that instances do not poll together. */
 #define WAIT_SPREAD 0.3
 /* A read that is younger than this is not started anew. */
@@ -407,6 +406,11 @@
 		s->decoded_new = true;
 }
 
+static bool is_leader(struct ws_eio *io)
+{
+	return ws_edge_lead(io->edge)->role == WS_EDL_LEADER;
+}
+
 static void map_synced(struct feed *f, ws_us started, uint64_t end,
 		       bool caught_up)
 {
@@ -420,17 +424,18 @@
 	ev.u.map.end = end;
 	s->decoded_new = false;
 	ws_eio_feed(s->io, &ev);
+	/* Followers are told by the leader and read when they were not. */
+	if (!is_leader(s->io))
+		f->due = ws_eio_now() + MAP_REFRESH;
 }
 
 static ws_us map_wait(struct ws_eio *io)
 {
-	return ws_edge_lead(io->edge)->role == WS_EDL_LEADER ? MAP_WAIT_LEADER :
-							       MAP_WAIT;
+	return is_leader(io) ? MAP_WAIT_LEADER : 0;
 }
 
 static const struct feed_ops map_ops = {
 	.topic = WP_TOPIC_MAP,
-	.rest = MAP_REST,
 	.wait = map_wait,
 	.record = map_record,
 	.synced = map_synced,
@@ -560,6 +565,9 @@
 
 	check_feed(&s->config, now);
 	check_feed(&s->servers, now);
+	/* A leader needs evidence all the time that it still is one. */
+	if (is_leader(s->io) && !s->map.failed)
+		s->map.due = 0;
 	check_feed(&s->map, now);
 	check_feed(&s->members, now);
 	if (!s->own_written && !s->own_entry && now >= s->own_due)
