Tell other instances what servers report of themselves

Cause: eleven instances with 3 requests/s to each server knew its load and the slowness of its machine from answers that were 300 ms old; both change several times a second.

--- a/lib/edge/ws_ed_codec.c
+++ b/lib/edge/ws_ed_codec.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 /* First words of a message: name and version of the format. */
-#define BEAT_MAGIC 0x57534202U
+#define BEAT_MAGIC 0x57534203U
 #define MAP_MAGIC 0x57534d01U
 #define MAP_ENTRIES_MAX 65536
 
@@ -129,6 +129,24 @@
 	return true;
 }
 
+static bool xdr_loads(XDR *x, struct ws_ed_beat *b)
+{
+	uint32_t i;
+
+	if (!xdr_uint32_t(x, &b->n_loads) || b->n_loads > WS_ED_LOADS_MAX)
+		return false;
+	for (i = 0; i < b->n_loads; i++) {
+		struct ws_ed_told_load *l = &b->loads[i];
+
+		if (!xdr_id(x, &l->server) || !xdr_uint16_t(x, &l->running) ||
+		    !xdr_uint16_t(x, &l->waiting) ||
+		    !xdr_uint16_t(x, &l->pace_percent) ||
+		    !xdr_uint16_t(x, &l->age_ms))
+			return false;
+	}
+	return true;
+}
+
 static bool xdr_ends(XDR *x, struct ws_ed_beat *b)
 {
 	int i;
@@ -148,6 +166,7 @@
 	       xdr_ends(x, b) && xdr_flag(x, &b->leaving) &&
 	       xdr_flag(x, &b->store_sound) && xdr_echoes(x, b) &&
 	       xdr_demands(x, b) && xdr_counts(x, b) &&
+	       xdr_loads(x, b) &&
 	       xdr_flag(x, &b->has_map) && (!b->has_map || xdr_map(x, &b->map));
 }
 
--- a/lib/edge/ws_ed_lead.c
+++ b/lib/edge/ws_ed_lead.c
@@ -117,7 +117,7 @@
 	if (!l->map.epoch || l->map.leader == l->self)
 		return true;
 	m = ws_ed_peers_find(l->peers, l->map.leader);
-	if (!m || !ws_ed_member_alive(m, now))
+	if (!m || !ws_ed_member_alive(l->peers, m, now))
 		return true;
 	return m->leaving || !m->store_sound;
 }
@@ -259,7 +259,7 @@
 	for (i = 0; i < l->peers->n; i++) {
 		const struct ws_ed_member *m = &l->peers->members[i];
 
-		if (ws_ed_member_alive(m, now) && m->map_end < l->end)
+		if (ws_ed_member_alive(l->peers, m, now) && m->map_end < l->end)
 			return true;
 	}
 	return false;
--- a/lib/edge/ws_ed_peers.c
+++ b/lib/edge/ws_ed_peers.c
@@ -39,9 +39,20 @@
 	return m;
 }
 
-bool ws_ed_member_alive(const struct ws_ed_member *m, ws_us now)
+ws_us ws_ed_peers_period(const struct ws_ed_peers *p)
 {
-	return m->heard && now - m->heard < WS_ED_ALIVE;
+	if (p->n <= WS_ED_BEAT_MEMBERS)
+		return WS_ED_BEAT_PERIOD;
+	return WS_ED_BEAT_PERIOD * (ws_us)p->n / WS_ED_BEAT_MEMBERS;
+}
+
+bool ws_ed_member_alive(const struct ws_ed_peers *p,
+			const struct ws_ed_member *m, ws_us now)
+{
+	ws_us most = WS_ED_ALIVE_PERIODS * ws_ed_peers_period(p);
+
+	return m->heard && now - m->heard < (most > WS_ED_ALIVE ? most :
+								  WS_ED_ALIVE);
 }
 
 size_t ws_ed_peers_count(const struct ws_ed_peers *p)
@@ -60,7 +71,7 @@
 	size_t i;
 
 	for (i = 0; i < p->n; i++)
-		n += ws_ed_member_alive(&p->members[i], now) &&
+		n += ws_ed_member_alive(p, &p->members[i], now) &&
 		     !p->members[i].leaving;
 	return n;
 }
@@ -73,7 +84,7 @@
 	for (i = 0; i < p->n; i++)
 		rank += p->members[i].id < p->self && !p->members[i].leaving &&
 			p->members[i].store_sound &&
-			ws_ed_member_alive(&p->members[i], now);
+			ws_ed_member_alive(p, &p->members[i], now);
 	return rank;
 }
 
--- a/lib/edge/ws_ed_peers.h
+++ b/lib/edge/ws_ed_peers.h
@@ -10,8 +10,12 @@
  * silent keeps its part until it is forgotten.
  */
 
-/* A member is alive if it was heard within this time. */
+/* Time between heartbeats; grows with the members, so that the load stays. */
+#define WS_ED_BEAT_PERIOD (100 * WS_MS)
+#define WS_ED_BEAT_MEMBERS 12
+/* A member is alive if it was heard within this time, or some periods. */
 #define WS_ED_ALIVE (1200 * WS_MS)
+#define WS_ED_ALIVE_PERIODS 4
 /* A silent member is dropped after this time; its rate shares are free then. */
 #define WS_ED_FORGET (20 * WS_SECOND)
 
@@ -46,7 +50,11 @@
 
 struct ws_ed_member *ws_ed_peers_find(const struct ws_ed_peers *p, ws_id id);
 
-bool ws_ed_member_alive(const struct ws_ed_member *m, ws_us now);
+/* Time between two heartbeats of an instance. */
+ws_us ws_ed_peers_period(const struct ws_ed_peers *p);
+
+bool ws_ed_member_alive(const struct ws_ed_peers *p,
+			const struct ws_ed_member *m, ws_us now);
 
 /* Members that count for shares, self included. */
 size_t ws_ed_peers_count(const struct ws_ed_peers *p);
--- a/lib/edge/ws_ed_pool.c
+++ b/lib/edge/ws_ed_pool.c
@@ -417,8 +417,11 @@
 
 	WS_INVARIANT(s->in_flight > 0);
 	s->in_flight--;
-	if (report && report->known)
+	if (report && report->known) {
 		take_report(s, now, report);
+		s->report = *report;
+		s->untold = true;
+	}
 	if (report && report->idle_close)
 		s->idle_close = report->idle_close;
 	switch (end) {
@@ -439,6 +442,15 @@
 	s->fail += FAIL_GAIN * (failed - s->fail);
 }
 
+void ws_ed_pool_told(struct ws_ed_pool *p, ws_us at, ws_id server,
+		     const struct ws_ed_report *report)
+{
+	int32_t h = ws_ed_pool_find(p, server);
+
+	if (h >= 0 && at > p->servers[h].reported)
+		take_report(&p->servers[h], at, report);
+}
+
 void ws_ed_pool_tick(struct ws_ed_pool *p, ws_us now)
 {
 	size_t i;
--- a/lib/edge/ws_ed_pool.h
+++ b/lib/edge/ws_ed_pool.h
@@ -29,6 +29,16 @@
 	uint32_t samples;
 };
 
+/* What a server told of itself in an answer. */
+struct ws_ed_report {
+	bool known;
+	uint32_t running;
+	uint32_t waiting;
+	uint32_t slots;
+	double pace; /* 0: not told */
+	ws_us idle_close; /* 0: not told */
+};
+
 struct ws_ed_server {
 	ws_id id; /* 0: free entry */
 	char name[WS_ED_NAME_MAX];
@@ -47,6 +57,8 @@
 	double others; /* requests of other instances, as last reported */
 	double others_mean;
 	ws_us reported;
+	struct ws_ed_report report; /* the last one to this instance */
+	bool untold; /* it was not yet told to other instances */
 	double pace; /* slowness of its machine as reported; 1: usual */
 	double speed; /* smoothed; time of work relative to its unit */
 	double fail; /* smoothed share of failures */
@@ -90,16 +102,6 @@
 	int64_t sequence; /* counts what a life of the server has said */
 };
 
-/* What a server told of itself in an answer. */
-struct ws_ed_report {
-	bool known;
-	uint32_t running;
-	uint32_t waiting;
-	uint32_t slots;
-	double pace; /* 0: not told */
-	ws_us idle_close; /* 0: not told */
-};
-
 enum ws_ed_end {
 	WS_ED_END_OK = 1, /* an answer that is no failure */
 	WS_ED_END_FAILED, /* the server's own failure */
@@ -174,6 +176,13 @@
 		      uint32_t work, enum ws_ed_end end, ws_us latency,
 		      double load, const struct ws_ed_report *report);
 
+/*
+ * Another instance tells what a server reported to it.
+ * @param at when it was reported
+ */
+void ws_ed_pool_told(struct ws_ed_pool *p, ws_us at, ws_id server,
+		     const struct ws_ed_report *report);
+
 /* Forgets servers that are gone and idle. */
 void ws_ed_pool_tick(struct ws_ed_pool *p, ws_us now);
 
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -24,6 +24,8 @@
 #define BEHIND_MAX (80 * WS_MS)
 /* Demands below this are not worth telling. */
 #define DEMAND_MIN 0.05
+/* Reports of servers older than this are of no use to others. */
+#define LOAD_AGE_MAX (500 * WS_MS)
 
 /* ===== Life ===== */
 
@@ -115,6 +117,19 @@
 
 /* ===== Other instances ===== */
 
+static void take_load(struct ws_edge *e, const struct ws_ed_told_load *l)
+{
+	const struct ws_ed_report r = {
+		.known = true,
+		.running = l->running,
+		.waiting = l->waiting,
+		.pace = (double)l->pace_percent / 100.0,
+	};
+
+	ws_ed_pool_told(&e->pool, e->now - (ws_us)l->age_ms * WS_MS, l->server,
+			&r);
+}
+
 static void take_beat(struct ws_edge *e, const struct ws_ed_beat *b,
 		      struct ws_ed_fx *fx)
 {
@@ -152,6 +167,8 @@
 	ws_ed_quota_heard(&e->quota, e->now, b->from);
 	for (i = 0; i < b->n_counts; i++)
 		ws_ed_heat_told(&e->heat, &b->counts[i]);
+	for (i = 0; i < b->n_loads; i++)
+		take_load(e, &b->loads[i]);
 	if (b->has_map) {
 		ws_ed_lead_told(&e->lead, e->now, &b->map, b->ends[WS_EDT_MAP],
 				fx);
@@ -162,6 +179,29 @@
 			e->told_ends[i] = b->ends[i];
 }
 
+static void tell_loads(struct ws_edge *e, ws_us now, struct ws_ed_beat *b)
+{
+	size_t i;
+
+	b->n_loads = 0;
+	for (i = 0; i < e->pool.n && b->n_loads < WS_ED_LOADS_MAX; i++) {
+		struct ws_ed_server *s = &e->pool.servers[i];
+
+		if (!s->untold)
+			continue;
+		s->untold = false;
+		if (now - s->reported > LOAD_AGE_MAX)
+			continue;
+		b->loads[b->n_loads++] = (struct ws_ed_told_load){
+			.server = s->id,
+			.running = (uint16_t)s->report.running,
+			.waiting = (uint16_t)s->report.waiting,
+			.pace_percent = (uint16_t)(s->report.pace * 100.0),
+			.age_ms = (uint16_t)((now - s->reported) / WS_MS),
+		};
+	}
+}
+
 void ws_edge_beat(struct ws_edge *e, ws_us now, struct ws_ed_beat *b)
 {
 	size_t i;
@@ -173,6 +213,7 @@
 	memcpy(b->ends, e->ends, sizeof(b->ends));
 	if (e->lead.end > b->ends[WS_EDT_MAP])
 		b->ends[WS_EDT_MAP] = e->lead.end;
+	tell_loads(e, now, b);
 	b->has_map = ws_ed_lead_tells(&e->lead, now);
 	if (b->has_map)
 		ws_ed_map_copy(&b->map, &e->lead.map);
@@ -186,7 +227,7 @@
 	     i++) {
 		const struct ws_ed_member *m = &e->peers.members[i];
 
-		if (ws_ed_member_alive(m, now))
+		if (ws_ed_member_alive(&e->peers, m, now))
 			b->echoes[b->n_echoes++] = (struct ws_ed_echo){
 				.peer = m->id,
 				.stamp = m->stamp,
--- a/lib/edge/ws_edge.h
+++ b/lib/edge/ws_edge.h
@@ -100,6 +100,17 @@
 	float per_s;
 };
 
+#define WS_ED_LOADS_MAX 64
+
+/* What a server told the sender of itself. */
+struct ws_ed_told_load {
+	ws_id server;
+	uint16_t running;
+	uint16_t waiting;
+	uint16_t pace_percent; /* 0: not told */
+	uint16_t age_ms;
+};
+
 /* What instances tell each other. */
 struct ws_ed_beat {
 	ws_id from;
@@ -116,6 +127,8 @@
 	struct ws_ed_told_demand demands[WS_ED_DEMANDS_MAX];
 	uint32_t n_counts;
 	struct ws_ed_count counts[WS_ED_TOLD_MAX];
+	uint32_t n_loads;
+	struct ws_ed_told_load loads[WS_ED_LOADS_MAX];
 	/* From the leader, while others have not read as far: ends[MAP] is its
 	 * end. */
 	bool has_map;
--- a/lib/edgeio/ws_eio_beats.c
+++ b/lib/edgeio/ws_eio_beats.c
@@ -11,9 +11,6 @@
 #include "edge/ws_ed_codec.h"
 
 #define DATAGRAM_MAX 16384
-#define BEAT_PERIOD (250 * WS_MS)
-/* With many members each is told less often; the load stays the same. */
-#define MEMBERS_PER_PERIOD 24
 /* Datagrams read in one turn of the loop. */
 #define READS_MAX 64
 
@@ -29,15 +26,6 @@
 	unsigned char in[DATAGRAM_MAX];
 };
 
-static ws_us period_of(const struct ws_eio_beats *b)
-{
-	size_t n = ws_edge_peers(b->io->edge)->n;
-
-	if (n <= MEMBERS_PER_PERIOD)
-		return BEAT_PERIOD;
-	return BEAT_PERIOD * (ws_us)n / MEMBERS_PER_PERIOD;
-}
-
 void ws_eio_beats_send(struct ws_eio_beats *b)
 {
 	const struct ws_ed_peers *peers = ws_edge_peers(b->io->edge);
@@ -45,7 +33,7 @@
 	int len;
 	size_t i;
 
-	b->next = now + period_of(b);
+	b->next = now + ws_ed_peers_period(peers);
 	ws_edge_beat(b->io->edge, now, &b->beat);
 	snprintf(b->beat.address, sizeof(b->beat.address), "%s",
 		 b->io->set.peers);
@@ -132,7 +120,7 @@
 	ev_io_init(&b->watcher, on_datagram, fd, EV_READ);
 	b->watcher.data = b;
 	ev_io_start(io->loop, &b->watcher);
-	b->timer = ws_timer_every(io->timers, ws_eio_now(), BEAT_PERIOD / 5,
+	b->timer = ws_timer_every(io->timers, ws_eio_now(), WS_ED_BEAT_PERIOD / 5,
 				  on_timer, b);
 	return b;
 }
