Move keys only when no former leader can still renew them

A former leader was still valid by echoes of a majority that had not heard of its successor; the successor had moved the keys after a release that was answered, and the server had restarted, so that it had forgotten the token that stops renewals.

Change: a leader gives keys to other servers, also released ones, only WS_ED_LEASE after a majority knew of it; until then it renews what the map says. Answers to an append of before a step down are ignored. A crash writes the stack to the log.

--- a/Makefile
+++ b/Makefile
@@ -64,7 +64,7 @@
 .SECONDEXPANSION:
 EDGE = $(BUILD)/wagtailshift-edge
 $(EDGE): LDLIBS = $(shell pkg-config --libs libmicrohttpd libcurl glib-2.0 \
-	libtirpc jansson 2>/dev/null) -lev -lm
+	libtirpc jansson 2>/dev/null) -lev -lm -rdynamic
 
 $(PROGRAMS): $(BUILD)/%: $(BUILD)/programs/%.o \
 		$$(addprefix $(BUILD)/,$$(addsuffix .o,$$(basename \
--- a/lib/edge/ws_ed_balance.c
+++ b/lib/edge/ws_ed_balance.c
@@ -325,7 +325,8 @@
 static void even_out(struct ws_ed_lead *l, ws_id service, struct plan *pl,
 		     ws_us now)
 {
-	while (pl->moving < MOVES_MAX && pl->n > 1) {
+	while (ws_ed_lead_may_move(l, now) && pl->moving < MOVES_MAX &&
+	       pl->n > 1) {
 		struct site *over = most_loaded(pl);
 		struct site *under = least_loaded(pl);
 		double excess = over->heat - over->target;
--- a/lib/edge/ws_ed_hold.c
+++ b/lib/edge/ws_ed_hold.c
@@ -140,13 +140,13 @@
 		h->fence = ws_ed_lead_next_fence(l);
 		h->next_call = now;
 	}
-	if (now >= end_of(l, h) &&
+	if (ws_ed_lead_may_move(l, now) && now >= end_of(l, h) &&
 	    (!h->address[0] || h->failures >= FAILURES_MAX)) {
 		lose(l, h, now, fx);
 		return;
 	}
 	/* A grant with the own token keeps a former leader from renewing. */
-	if (!usable && !h->inherited) {
+	if (!usable && !h->inherited && ws_ed_lead_may_move(l, now)) {
 		ws_ed_hold_give_up(h, now);
 		return;
 	}
--- a/lib/edge/ws_ed_lead.c
+++ b/lib/edge/ws_ed_lead.c
@@ -48,6 +48,11 @@
 	return l->role == WS_EDL_LEADER && now < l->valid_until;
 }
 
+bool ws_ed_lead_may_move(const struct ws_ed_lead *l, ws_us now)
+{
+	return l->confirmed && now >= l->confirmed + WS_ED_LEASE;
+}
+
 /* ===== Election ===== */
 
 static void step_down(struct ws_ed_lead *l, struct ws_ed_fx *fx)
@@ -148,6 +153,7 @@
 static void append(struct ws_ed_lead *l, struct ws_ed_fx *fx)
 {
 	l->appending = true;
+	l->append_at = l->end;
 	ws_ed_fx_add(fx, WS_EDFX_APPEND)->u.append.at = l->end;
 }
 
@@ -274,7 +280,9 @@
 			 ws_us started, enum ws_ed_append_end end,
 			 struct ws_ed_fx *fx)
 {
-	if (!l->appending || l->role == WS_EDL_FOLLOWER)
+	/* The answer may belong to an append of before a step down. */
+	if (!l->appending || at != l->append_at ||
+	    l->role == WS_EDL_FOLLOWER)
 		return;
 	l->appending = false;
 	if (end != WS_EDA_DONE) {
--- a/lib/edge/ws_ed_lead.h
+++ b/lib/edge/ws_ed_lead.h
@@ -19,9 +19,9 @@
  *   has been elected: a read of the topic, or stamps echoed by a majority of
  *   the members that know of no newer epoch (so an outage of the store does
  *   not stop renewals);
- * - a new leader renews what the map says at once, but takes keys from a
- *   server that does not answer only after it was confirmed by a majority,
- *   plus WS_ED_LEASE, plus the lease of the keys.
+ * - a new leader renews what the map says at once, but gives keys to other
+ *   servers only WS_ED_LEASE after a majority knew of it, and those of a server
+ *   that does not answer only after the lease of the keys as well.
  *
  * Load patterns answered by the placement: hot neighbouring keys (the range is
  * split where its heat is, and the parts go to the least loaded servers),
@@ -93,6 +93,7 @@
 	ws_us next_claim;
 	ws_us next_append;
 	bool appending;
+	uint64_t append_at; /* offset that the append under way must get */
 	struct ws_ed_map proposal; /* of the append under way */
 	struct ws_ed_hold *holds;
 	size_t n_holds;
--- a/lib/edge/ws_ed_lead_int.h
+++ b/lib/edge/ws_ed_lead_int.h
@@ -10,6 +10,13 @@
 /* The clock of a server may run 2 % slow; the rest is the way of the call. */
 #define WS_EDH_HOLD_END (WS_EDH_HOLD * 102 / 100 + 100 * WS_MS)
 
+/*
+ * Whether keys may be given to other servers. A former leader may renew what
+ * the map says until WS_ED_LEASE after a majority knew of this one; a server
+ * that restarted has forgotten the fencing tokens that would stop it.
+ */
+bool ws_ed_lead_may_move(const struct ws_ed_lead *l, ws_us now);
+
 /* Fencing token for the next grant of a changed range. */
 uint64_t ws_ed_lead_next_fence(struct ws_ed_lead *l);
 
--- a/lib/edgeio/ws_eio_daemon.c
+++ b/lib/edgeio/ws_eio_daemon.c
@@ -9,6 +9,7 @@
 
 #include "common/ws_events.h"
 #include "edgeio/ws_eio.h"
+#include "edgeio/ws_eio_crash.h"
 #include "edgeio/ws_eio_log.h"
 #include "edgeio/ws_eio_metrics.h"
 
@@ -138,6 +139,7 @@
 	if (curl_global_init(CURL_GLOBAL_NOTHING))
 		return EXIT_FAILURE;
 	signal(SIGPIPE, SIG_IGN);
+	ws_eio_crash_init();
 	ws_eio_log_init(set.name);
 	res = run(&set, o.settings);
 	g_free(o.settings);
--- /dev/null
+++ b/tests/test_ed_lead_random.c
@@ -0,0 +1,693 @@
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "edge/ws_ed_lead.h"
+#include "seed_range.h"
+
+/*
+ * Several instances, a store and servers in one simulated world with faults.
+ * Guards against two servers holding a key at the same time, against a server
+ * taking a key with a fencing token that is not above all earlier ones, and
+ * against keys that stay without a server once all is well.
+ */
+
+#define NODES 5
+#define SERVERS 5
+#define POINTS 64 /* keys that are looked at */
+#define POINT_KEYS (WS_ED_KEYS / POINTS)
+#define STEP (10 * WS_MS)
+#define RUN (60 * WS_SECOND)
+#define CALM (35 * WS_SECOND)
+#define MESSAGES_MAX 4096
+#define GRANT_TIMEOUT (700 * WS_MS)
+#define RELEASE_TIMEOUT (3 * WS_SECOND)
+#define LOST_FROM_LIST (2600 * WS_MS)
+#define SERVICE 77
+#define MOVE_MAX WS_SECOND
+/* A server's clock runs 2 % slow. */
+#define SLOWNESS 102
+
+struct server {
+	ws_id id;
+	char name[WS_ED_NAME_MAX];
+	bool up;
+	bool listed;
+	int64_t born;
+	ws_us down_since;
+	ws_us back_at;
+	uint64_t fence[POINTS];
+	ws_us until[POINTS];
+};
+
+enum kind {
+	MSG_FREE = 0,
+	MSG_BEAT,
+	MSG_READ, /* answer of a read */
+	MSG_APPEND, /* on its way to the store */
+	MSG_APPENDED,
+	MSG_CALL, /* on its way to a server */
+	MSG_CALLED,
+};
+
+struct message {
+	uint8_t kind;
+	ws_us at;
+	size_t node; /* destination or, for calls, origin */
+	uint64_t life; /* of the node */
+	bool lost; /* the answer is */
+	/* Beats */
+	size_t from;
+	uint64_t epoch;
+	uint64_t map_end;
+	bool sound;
+	ws_us stamp;
+	ws_us echo;
+	/* Store */
+	ws_us started;
+	uint64_t end;
+	struct ws_ed_map map;
+	bool has_map;
+	enum ws_ed_append_end result;
+	/* Calls */
+	bool grant;
+	struct ws_ed_key_call call;
+	ws_us arrival;
+	int64_t born; /* life of the server that received it */
+	enum ws_ed_call_end call_end;
+};
+
+struct node {
+	struct ws_ed_lead lead;
+	struct ws_ed_peers peers;
+	struct ws_ed_pool pool;
+	struct ws_ed_heat heat;
+	uint64_t life;
+	ws_us frozen_until;
+	bool no_store;
+	bool cut; /* from the other nodes */
+	ws_us next_read;
+	ws_us next_beat;
+	uint64_t read_end;
+};
+
+struct world {
+	struct ws_rand rand;
+	ws_us now;
+	struct node nodes[NODES];
+	struct server servers[SERVERS];
+	struct message *messages;
+	struct ws_ed_map *log;
+	size_t n_log;
+	size_t cap_log;
+	bool store_down;
+	bool calm; /* nothing is lost any more */
+	uint64_t top_fence[POINTS];
+	size_t top_server[POINTS];
+	ws_us owned[POINTS]; /* when a server last held it */
+	struct ws_ed_conf conf;
+	struct ws_ed_service service;
+	uint64_t grants;
+	uint64_t moves;
+};
+
+static bool chance(struct world *w, uint64_t in_thousand)
+{
+	return ws_rand_below(&w->rand, 1000) < in_thousand;
+}
+
+static ws_us between(struct world *w, ws_us low, ws_us high)
+{
+	return low + (ws_us)ws_rand_below(&w->rand, (uint64_t)(high - low + 1));
+}
+
+static struct message *post(struct world *w, uint8_t kind, ws_us delay)
+{
+	size_t i;
+
+	for (i = 0; i < MESSAGES_MAX; i++) {
+		struct message *m = &w->messages[i];
+
+		if (m->kind != MSG_FREE)
+			continue;
+		ws_ed_map_free(&m->map);
+		memset(m, 0, sizeof(*m));
+		m->kind = kind;
+		m->at = w->now + delay;
+		return m;
+	}
+	ck_abort_msg("too many messages");
+	return NULL;
+}
+
+/* ===== Effects ===== */
+
+static void send_append(struct world *w, size_t n, uint64_t at)
+{
+	struct node *nd = &w->nodes[n];
+	bool late = !w->calm && chance(w, 30);
+	struct message *m = post(w, MSG_APPEND,
+				 late ? between(w, WS_SECOND, 6 * WS_SECOND) :
+					between(w, 2 * WS_MS, 20 * WS_MS));
+
+	m->node = n;
+	m->life = nd->life;
+	m->started = w->now;
+	m->end = at;
+	m->lost = late || (!w->calm && chance(w, 30));
+	ws_ed_map_copy(&m->map, ws_ed_lead_proposal(&nd->lead));
+	if (nd->no_store || w->store_down) {
+		m->kind = MSG_APPENDED;
+		m->result = WS_EDA_FAILED;
+		m->at = w->now + WS_SECOND;
+		return;
+	}
+	if (m->lost) {
+		struct message *f = post(w, MSG_APPENDED, WS_SECOND);
+
+		f->node = n;
+		f->life = nd->life;
+		f->started = w->now;
+		f->end = at;
+		f->result = WS_EDA_FAILED;
+	}
+}
+
+static size_t find_server(const struct world *w, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < SERVERS; i++)
+		if (!strcmp(w->servers[i].name, name))
+			return i;
+	ck_abort_msg("no server %s", name);
+	return 0;
+}
+
+static void send_call(struct world *w, size_t n, const struct ws_ed_effect *x)
+{
+	struct message *m = post(w, MSG_CALL, between(w, WS_MS, 8 * WS_MS));
+	bool grant = x->kind == WS_EDFX_GRANT;
+
+	m->node = n;
+	m->life = w->nodes[n].life;
+	m->grant = grant;
+	m->call = x->u.call;
+	m->arrival = m->at;
+	m->born = w->servers[find_server(w, m->call.name)].born;
+	/* An order may be left unanswered and carried out seconds later. */
+	m->lost = !w->calm && chance(w, 40);
+	if (m->lost && grant && chance(w, 500))
+		m->at += between(w, WS_SECOND, 10 * WS_SECOND);
+	if (m->lost) {
+		struct message *f =
+			post(w, MSG_CALLED,
+			     grant ? GRANT_TIMEOUT : RELEASE_TIMEOUT);
+
+		f->node = n;
+		f->life = w->nodes[n].life;
+		f->call = x->u.call;
+		f->call_end = WS_EDC_FAILED;
+	}
+}
+
+static void carry_out(struct world *w, size_t n, struct ws_ed_fx *fx)
+{
+	size_t i;
+
+	for (i = 0; i < fx->n; i++) {
+		const struct ws_ed_effect *x = &fx->items[i];
+
+		if (x->kind == WS_EDFX_APPEND)
+			send_append(w, n, x->u.append.at);
+		else if (x->kind == WS_EDFX_GRANT || x->kind == WS_EDFX_RELEASE)
+			send_call(w, n, x);
+		else if (x->kind == WS_EDFX_READ)
+			w->nodes[n].next_read = w->now;
+	}
+	fx->n = 0;
+}
+
+/* ===== Servers ===== */
+
+static bool concerns(const struct message *m, uint32_t point)
+{
+	uint32_t key = point * POINT_KEYS;
+
+	return key >= m->call.from && key <= m->call.to;
+}
+
+static enum ws_ed_call_end take_grant(struct world *w, size_t s,
+				      const struct message *m)
+{
+	struct server *sv = &w->servers[s];
+	ws_us until;
+	uint32_t p;
+
+	/* Its time counts from its arrival: carried out late, it may be over. */
+	until = m->arrival + m->call.hold * SLOWNESS / 100;
+	if (until <= w->now)
+		return WS_EDC_DONE;
+	for (p = 0; p < POINTS; p++)
+		if (concerns(m, p) && sv->fence[p] > m->call.fence)
+			return WS_EDC_FENCED;
+	for (p = 0; p < POINTS; p++) {
+		if (!concerns(m, p))
+			continue;
+		if (w->top_server[p] != s) {
+			ck_assert_uint_gt(m->call.fence, w->top_fence[p]);
+			w->moves++;
+		}
+		if (m->call.fence > w->top_fence[p])
+			w->top_fence[p] = m->call.fence;
+		w->top_server[p] = s;
+		/* A renewal that is carried out late shortens nothing. */
+		if (until > sv->until[p] || m->call.fence > sv->fence[p])
+			sv->until[p] = until;
+		sv->fence[p] = m->call.fence;
+	}
+	w->grants++;
+	return WS_EDC_DONE;
+}
+
+static void take_release(struct server *sv, const struct message *m)
+{
+	uint32_t p;
+
+	for (p = 0; p < POINTS; p++)
+		if (concerns(m, p))
+			sv->until[p] = 0;
+}
+
+static void arrive_call(struct world *w, struct message *m)
+{
+	size_t s = find_server(w, m->call.name);
+	struct server *sv = &w->servers[s];
+	struct message answer = *m;
+	struct message *a;
+	ws_us delay = between(w, WS_MS, 8 * WS_MS);
+
+	m->kind = MSG_FREE;
+	answer.call_end = WS_EDC_UNREACHED;
+	if (sv->up && sv->born != answer.born) {
+		answer.lost = true;
+	} else if (sv->up && answer.grant) {
+		answer.call_end = take_grant(w, s, &answer);
+	} else if (sv->up) {
+		take_release(sv, &answer);
+		answer.call_end = WS_EDC_DONE;
+		/* Work that runs on the keys ends first. */
+		delay += between(w, 0, 400 * WS_MS);
+	}
+	if (answer.lost)
+		return;
+	a = post(w, MSG_CALLED, delay);
+	a->node = answer.node;
+	a->life = answer.life;
+	a->call = answer.call;
+	a->call_end = answer.call_end;
+}
+
+static void tell_list(struct world *w, size_t s)
+{
+	struct server *sv = &w->servers[s];
+	struct ws_ed_listing l = {
+		.service = SERVICE,
+		.zone = 1,
+		.slots = 4,
+		.born_ms = sv->born,
+	};
+	size_t n;
+
+	memcpy(l.name, sv->name, sizeof(l.name));
+	memcpy(l.address, sv->name, sizeof(l.address));
+	for (n = 0; n < NODES; n++) {
+		if (sv->listed)
+			ws_ed_pool_listed(&w->nodes[n].pool, w->now, &l,
+					  &w->service);
+		else
+			ws_ed_pool_unlisted(&w->nodes[n].pool, w->now, sv->id,
+					    0);
+	}
+}
+
+static void step_server(struct world *w, size_t s, bool calm)
+{
+	struct server *sv = &w->servers[s];
+
+	if (sv->up) {
+		if (!calm && chance(w, 1)) {
+			sv->up = false;
+			sv->down_since = w->now;
+			sv->back_at = w->now + between(w, 500 * WS_MS,
+						       8 * WS_SECOND);
+		}
+		return;
+	}
+	if (sv->listed && w->now - sv->down_since > LOST_FROM_LIST) {
+		sv->listed = false;
+		tell_list(w, s);
+	}
+	if (w->now < sv->back_at)
+		return;
+	sv->up = true;
+	sv->listed = true;
+	sv->born++;
+	memset(sv->fence, 0, sizeof(sv->fence));
+	memset(sv->until, 0, sizeof(sv->until));
+	tell_list(w, s);
+}
+
+/* ===== Store ===== */
+
+static void arrive_append(struct world *w, struct message *m)
+{
+	bool fits = m->end == w->n_log;
+	struct message sent = *m;
+	struct message *a;
+
+	if (fits) {
+		ws_grow(&w->log, &w->cap_log, w->n_log + 1, sizeof(*w->log));
+		memset(&w->log[w->n_log], 0, sizeof(*w->log));
+		ws_ed_map_copy(&w->log[w->n_log++], &m->map);
+	}
+	m->kind = MSG_FREE;
+	if (sent.lost)
+		return;
+	a = post(w, MSG_APPENDED, between(w, WS_MS, 10 * WS_MS));
+	a->node = sent.node;
+	a->life = sent.life;
+	a->started = sent.started;
+	a->end = sent.end;
+	a->result = fits ? WS_EDA_DONE : WS_EDA_CONFLICT;
+}
+
+static void read_store(struct world *w, size_t n)
+{
+	struct node *nd = &w->nodes[n];
+	struct message *m;
+
+	if (w->now < nd->next_read)
+		return;
+	nd->next_read = w->now + between(w, 150 * WS_MS, 400 * WS_MS);
+	if (nd->no_store || w->store_down)
+		return;
+	m = post(w, MSG_READ, between(w, 2 * WS_MS, 12 * WS_MS));
+	m->node = n;
+	m->life = nd->life;
+	m->started = w->now;
+	m->end = w->n_log;
+	m->has_map = w->n_log > nd->read_end;
+	if (m->has_map)
+		ws_ed_map_copy(&m->map, &w->log[w->n_log - 1]);
+}
+
+/* ===== Instances ===== */
+
+static void start_node(struct world *w, size_t n)
+{
+	struct node *nd = &w->nodes[n];
+	size_t i;
+
+	ws_ed_lead_free(&nd->lead);
+	memset(&nd->lead, 0, sizeof(nd->lead));
+	ws_ed_peers_free(&nd->peers);
+	nd->life++;
+	nd->read_end = 0;
+	nd->peers.self = 100 + n;
+	nd->lead.self = 100 + n;
+	nd->lead.started = w->now;
+	nd->lead.peers = &nd->peers;
+	nd->lead.pool = &nd->pool;
+	nd->lead.heat = &nd->heat;
+	nd->lead.conf = &w->conf;
+	nd->pool.instances = NODES;
+	for (i = 0; i < NODES; i++)
+		ws_ed_peers_add(&nd->peers, w->now, 100 + i, "x");
+}
+
+static void send_beats(struct world *w, size_t n)
+{
+	struct node *nd = &w->nodes[n];
+	size_t i;
+
+	if (w->now < nd->next_beat)
+		return;
+	nd->next_beat = w->now + WS_ED_BEAT_PERIOD;
+	for (i = 0; i < NODES; i++) {
+		const struct ws_ed_member *p;
+		struct message *m;
+
+		if (i == n || nd->cut || w->nodes[i].cut || chance(w, 20))
+			continue;
+		m = post(w, MSG_BEAT, between(w, WS_MS, 10 * WS_MS));
+		m->node = i;
+		m->life = w->nodes[i].life;
+		m->from = n;
+		m->epoch = ws_ed_lead_epoch(&nd->lead);
+		m->map_end = nd->lead.end;
+		m->sound = ws_ed_lead_store_sound(&nd->lead, w->now);
+		m->stamp = w->now;
+		p = ws_ed_peers_find(&nd->peers, 100 + i);
+		m->echo = p && nd->lead.known ? p->stamp : 0;
+	}
+}
+
+static void take_beat(struct node *nd, const struct message *m, ws_us now)
+{
+	struct ws_ed_member *p = ws_ed_peers_find(&nd->peers, 100 + m->from);
+
+	if (!p || m->stamp <= p->stamp)
+		return;
+	p->stamp = m->stamp;
+	p->heard = now;
+	p->store_sound = m->sound;
+	p->map_end = m->map_end;
+	if (m->epoch > p->epoch)
+		p->epoch = m->epoch;
+	if (m->echo > p->echoed)
+		p->echoed = m->echo;
+}
+
+static void take_read(struct node *nd, struct message *m, ws_us now,
+		      struct ws_ed_fx *fx)
+{
+	if (m->started > nd->lead.store_seen)
+		nd->lead.store_seen = m->started;
+	if (m->end > nd->read_end)
+		nd->read_end = m->end;
+	ws_ed_lead_read(&nd->lead, now, m->started,
+			m->has_map ? &m->map : NULL, m->end, fx);
+}
+
+static void deliver(struct world *w, struct message *m, struct ws_ed_fx *fx)
+{
+	struct node *nd = &w->nodes[m->node];
+	size_t n = m->node;
+
+	if (m->kind == MSG_CALL) {
+		arrive_call(w, m);
+		return;
+	}
+	if (m->kind == MSG_APPEND) {
+		arrive_append(w, m);
+		return;
+	}
+	if (w->now < nd->frozen_until) {
+		/* A frozen process gets it when it wakes. */
+		m->at = nd->frozen_until;
+		return;
+	}
+	if (m->life == nd->life) {
+		if (m->kind == MSG_BEAT)
+			take_beat(nd, m, w->now);
+		else if (m->kind == MSG_READ)
+			take_read(nd, m, w->now, fx);
+		else if (m->kind == MSG_APPENDED)
+			ws_ed_lead_appended(&nd->lead, w->now, m->end,
+					    m->started, m->result, fx);
+		else
+			ws_ed_lead_called(&nd->lead, w->now, m->call.ref,
+					  m->call_end, "t", fx);
+	}
+	m->kind = MSG_FREE;
+	carry_out(w, n, fx);
+}
+
+static void disturb(struct world *w, size_t n, bool calm)
+{
+	struct node *nd = &w->nodes[n];
+
+	if (calm) {
+		nd->no_store = false;
+		nd->cut = false;
+		return;
+	}
+	if (chance(w, 1))
+		nd->frozen_until = w->now + between(w, WS_SECOND,
+						    6 * WS_SECOND);
+	if (chance(w, 2))
+		nd->no_store = !nd->no_store;
+	if (chance(w, 2))
+		nd->cut = !nd->cut;
+	if (chance(w, 1))
+		start_node(w, n);
+}
+
+static void step_node(struct world *w, size_t n, bool calm,
+		      struct ws_ed_fx *fx)
+{
+	struct node *nd = &w->nodes[n];
+
+	disturb(w, n, calm);
+	if (w->now < nd->frozen_until)
+		return;
+	if (chance(w, 300))
+		ws_ed_heat_count(&nd->heat, SERVICE,
+				 (uint32_t)ws_rand_below(&w->rand, 3000));
+	ws_ed_heat_tick(&nd->heat, w->now);
+	ws_ed_peers_tick(&nd->peers, w->now);
+	read_store(w, n);
+	send_beats(w, n);
+	ws_ed_lead_tick(&nd->lead, w->now, fx);
+	carry_out(w, n, fx);
+}
+
+/* ===== Checks ===== */
+
+static void check_owners(struct world *w)
+{
+	size_t p;
+	size_t s;
+
+	for (p = 0; p < POINTS; p++) {
+		size_t owners = 0;
+
+		for (s = 0; s < SERVERS; s++)
+			owners += w->servers[s].up &&
+				  w->servers[s].until[p] > w->now;
+		ck_assert_msg(owners <= 1, "%zu owners of point %zu at %ld ms",
+			      owners, p, (long)(w->now / WS_MS));
+		if (owners)
+			w->owned[p] = w->now;
+	}
+}
+
+/* A planned move leaves a key without an owner for less than this. */
+static void check_all_owned(const struct world *w)
+{
+	size_t p;
+
+	for (p = 0; p < POINTS; p++)
+		ck_assert_msg(w->now - w->owned[p] < MOVE_MAX,
+			      "point %zu has no owner", p);
+}
+
+static void start_world(struct world *w, uint64_t seed)
+{
+	size_t i;
+
+	memset(w, 0, sizeof(*w));
+	ws_rand_seed(&w->rand, ws_mix(seed, 9));
+	w->messages = ws_alloc(MESSAGES_MAX, sizeof(*w->messages));
+	w->now = WS_SECOND;
+	w->service = (struct ws_ed_service){ .id = SERVICE, .sharded = true };
+	w->conf.services = &w->service;
+	w->conf.n_services = 1;
+	for (i = 0; i < NODES; i++)
+		start_node(w, i);
+	for (i = 0; i < SERVERS; i++) {
+		struct server *sv = &w->servers[i];
+
+		snprintf(sv->name, sizeof(sv->name), "s%zu", i);
+		sv->id = ws_ed_id(sv->name);
+		sv->up = true;
+		sv->listed = true;
+		sv->born = 1;
+		tell_list(w, i);
+	}
+}
+
+static void end_world(struct world *w)
+{
+	size_t i;
+
+	for (i = 0; i < NODES; i++) {
+		ws_ed_lead_free(&w->nodes[i].lead);
+		ws_ed_peers_free(&w->nodes[i].peers);
+		ws_ed_pool_free(&w->nodes[i].pool);
+		ws_ed_heat_free(&w->nodes[i].heat);
+	}
+	for (i = 0; i < MESSAGES_MAX; i++)
+		ws_ed_map_free(&w->messages[i].map);
+	for (i = 0; i < w->n_log; i++)
+		ws_ed_map_free(&w->log[i]);
+	free(w->log);
+	free(w->messages);
+}
+
+/* @return how often a key got another server */
+static uint64_t run_seed(uint64_t seed)
+{
+	uint64_t moves;
+	struct ws_ed_fx fx = { NULL, 0, 0 };
+	struct world w;
+	size_t i;
+
+	start_world(&w, seed);
+	while (w.now < RUN) {
+		bool calm = w.now > CALM;
+
+		w.now += STEP;
+		w.calm = calm;
+		if (calm)
+			w.store_down = false;
+		else if (chance(&w, 1))
+			w.store_down = !w.store_down;
+		for (i = 0; i < MESSAGES_MAX; i++)
+			if (w.messages[i].kind && w.messages[i].at <= w.now)
+				deliver(&w, &w.messages[i], &fx);
+		for (i = 0; i < SERVERS; i++)
+			step_server(&w, i, calm);
+		for (i = 0; i < NODES; i++)
+			step_node(&w, i, calm, &fx);
+		check_owners(&w);
+	}
+	check_all_owned(&w);
+	moves = w.moves;
+	end_world(&w);
+	ws_ed_fx_free(&fx);
+	return moves;
+}
+
+START_TEST(one_owner_under_faults)
+{
+	struct seed_range range = seed_range_get(12);
+	uint64_t moves = 0;
+	uint64_t n = range.last - range.first + 1;
+	uint64_t seed;
+
+	for (seed = range.first; seed <= range.last; seed++)
+		moves += run_seed(seed);
+	/* The faults of the average run take each key from its server. */
+	ck_assert_uint_gt(moves, n * POINTS);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("ed_lead_random");
+	TCase *t = tcase_create("all");
+	SRunner *r;
+	int failed;
+
+	tcase_set_timeout(t, 600);
+	tcase_add_test(t, one_owner_under_faults);
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
