--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -632,7 +632,8 @@
 {
 	return c->state == CALL_SENT && c->idempotent && !c->sharded &&
 	       c->lanes[0].active && !c->lanes[1].active &&
-	       c->attempts + 1 < c->max_attempts && c->sendings < SENDINGS_MAX &&
+	       c->attempts + 1 < c->max_attempts &&
+	       c->sendings < SENDINGS_MAX &&
 	       c->n_excluded < WS_ED_EXCLUDED_MAX &&
 	       e->now + SEND_MIN < c->end_at;
 }
--- a/lib/edge/ws_ed_codec.c
+++ b/lib/edge/ws_ed_codec.c
@@ -165,8 +165,7 @@
 	       xdr_int64_t(x, &b->stamp) && xdr_id(x, &b->epoch) &&
 	       xdr_ends(x, b) && xdr_flag(x, &b->leaving) &&
 	       xdr_flag(x, &b->store_sound) && xdr_echoes(x, b) &&
-	       xdr_demands(x, b) && xdr_counts(x, b) &&
-	       xdr_loads(x, b) &&
+	       xdr_demands(x, b) && xdr_counts(x, b) && xdr_loads(x, b) &&
 	       xdr_flag(x, &b->has_map) && (!b->has_map || xdr_map(x, &b->map));
 }
 
--- a/lib/edge/ws_ed_lead.c
+++ b/lib/edge/ws_ed_lead.c
@@ -281,8 +281,7 @@
 			 struct ws_ed_fx *fx)
 {
 	/* The answer may belong to an append of before a step down. */
-	if (!l->appending || at != l->append_at ||
-	    l->role == WS_EDL_FOLLOWER)
+	if (!l->appending || at != l->append_at || l->role == WS_EDL_FOLLOWER)
 		return;
 	l->appending = false;
 	if (end != WS_EDA_DONE) {
--- a/lib/edge/ws_ed_peers.c
+++ b/lib/edge/ws_ed_peers.c
@@ -51,8 +51,8 @@
 {
 	ws_us most = WS_ED_ALIVE_PERIODS * ws_ed_peers_period(p);
 
-	return m->heard && now - m->heard < (most > WS_ED_ALIVE ? most :
-								  WS_ED_ALIVE);
+	return m->heard &&
+	       now - m->heard < (most > WS_ED_ALIVE ? most : WS_ED_ALIVE);
 }
 
 size_t ws_ed_peers_count(const struct ws_ed_peers *p)
--- a/lib/edge/ws_ed_quota.c
+++ b/lib/edge/ws_ed_quota.c
@@ -12,10 +12,11 @@
 #define CALM_PART 0.85
 /* Debt that all instances may run up together, in seconds of the rate. */
 #define DEBT_S 0.4
+#define DEBT_TOLD (150 * WS_MS)
 /* Part of the rate that is split evenly, so that a new caller finds tokens. */
 #define EVEN_PART 0.1
 /* Part of the allowed slack that is used. */
-#define SLACK_PART 0.7
+#define SLACK_PART 0.9
 #define RETRY_MIN (50 * WS_MS)
 
 void ws_ed_quota_free(struct ws_ed_quota *q)
@@ -101,8 +102,8 @@
 		return 0;
 	refill(b, now);
 	if (b->global < CALM_PART * b->rate)
-		floor -= DEBT_S * b->rate * b->share +
-			 q->slack * SLACK_PART * b->share;
+		floor -= q->debt * b->rate * b->share +
+			 q->slack * SLACK_PART / (double)q->instances;
 	if (b->tokens >= floor) {
 		b->tokens -= 1.0;
 		return 0;
@@ -162,10 +163,16 @@
 	return sum;
 }
 
-void ws_ed_quota_tick(struct ws_ed_quota *q, ws_us now, size_t instances)
+void ws_ed_quota_tick(struct ws_ed_quota *q, ws_us now, size_t instances,
+		      ws_us told_every)
 {
 	size_t i;
 
+	q->instances = instances;
+	/* A surge is noticed late where demands are told seldom. */
+	q->debt = told_every > DEBT_TOLD ?
+			  DEBT_S * (double)DEBT_TOLD / (double)told_every :
+			  DEBT_S;
 	for (i = 0; i < q->n; i++) {
 		struct ws_ed_bucket *b = &q->buckets[i];
 		double own = ws_ed_quota_demand(b, now);
--- a/lib/edge/ws_ed_quota.h
+++ b/lib/edge/ws_ed_quota.h
@@ -38,6 +38,8 @@
 	struct ws_ed_bucket *buckets;
 	size_t n;
 	size_t cap;
+	size_t instances; /* that share the rates */
+	double debt; /* in seconds of the rate, all instances together */
 	double slack; /* requests that all instances may be over, together */
 };
 
@@ -63,7 +65,11 @@
 /* Own smoothed arrivals per second of a bucket, at this time. */
 double ws_ed_quota_demand(const struct ws_ed_bucket *b, ws_us now);
 
-/* Recomputes the parts. */
-void ws_ed_quota_tick(struct ws_ed_quota *q, ws_us now, size_t instances);
+/*
+ * Recomputes the parts.
+ * @param told_every how often instances tell each other their demand
+ */
+void ws_ed_quota_tick(struct ws_ed_quota *q, ws_us now, size_t instances,
+		      ws_us told_every);
 
 #endif
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -84,7 +84,8 @@
 	e->lead.conf = conf;
 	ws_ed_pool_configure(&e->pool, conf);
 	ws_ed_quota_configure(&e->quota, e->now, conf);
-	ws_ed_quota_tick(&e->quota, e->now, ws_ed_peers_count(&e->peers));
+	ws_ed_quota_tick(&e->quota, e->now, ws_ed_peers_count(&e->peers),
+			 ws_ed_peers_period(&e->peers));
 	snprintf(detail, sizeof(detail), "%zu routes, %zu services, %zu keys",
 		 conf->n_routes, conf->n_services, conf->n_keys);
 	ws_ed_fx_note(fx, WS_LOG_BUNDLE_IN_FORCE, 0, (int64_t)conf->version,
@@ -284,7 +285,8 @@
 	e->pool.instances = ws_ed_peers_count(&e->peers);
 	ws_ed_pool_tick(&e->pool, e->now);
 	ws_ed_heat_tick(&e->heat, e->now);
-	ws_ed_quota_tick(&e->quota, e->now, e->pool.instances);
+	ws_ed_quota_tick(&e->quota, e->now, e->pool.instances,
+			 ws_ed_peers_period(&e->peers));
 	ws_ed_lead_tick(&e->lead, e->now, fx);
 	check_behind(e, fx);
 }
--- a/lib/edgeio/ws_eio_store.c
+++ b/lib/edgeio/ws_eio_store.c
@@ -194,8 +194,7 @@
 	f->started = ws_eio_now();
 	if (f->following)
 		f->call = wp_store_read(f->store->client, f->ops->topic,
-					f->next, spread_wait(f),
-					&reader);
+					f->next, spread_wait(f), &reader);
 	else
 		f->call = wp_store_newest(f->store->client, f->ops->topic,
 					  f->after, &reader);
@@ -558,7 +557,6 @@
 	f->due = ws_eio_now();
 }
 
-
 static void check(void *arg, ws_us now)
 {
 	struct ws_eio_store *s = arg;
--- /dev/null
+++ b/tests/ed_suite.h
@@ -0,0 +1,9 @@
+#ifndef ED_SUITE_H
+#define ED_SUITE_H
+
+#include <check.h>
+
+/* Runs the tests of one module; returns the exit code of the program. */
+int ed_suite_run(const char *name, const TTest *const *tests, int n);
+
+#endif
--- /dev/null
+++ b/tests/test_ed_admit.c
@@ -0,0 +1,240 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "ed_suite.h"
+#include "edge/ws_ed_admit.h"
+
+/*
+ * Admission and hedges: single decisions, and a replay of an overload against
+ * two simple policies.
+ */
+
+#define SERVERS 9
+#define SLOTS 4
+#define WORK (90 * WS_MS)
+#define OBJECTIVE (300 * WS_MS)
+#define DEADLINE (1200 * WS_MS)
+#define STEP WS_MS
+#define SECONDS 20
+#define PENDING_MAX 4096
+#define LATE_WORTH 0.3
+
+enum policy {
+	POLICY_ADMIT = 0, /* ws_ed_admit() */
+	POLICY_SEND_ALL,
+	POLICY_FREE_ONLY, /* refuse when no slot is free */
+};
+
+/* Servers as one queue of slots: when each slot is free again. */
+struct replay {
+	ws_us free_at[SERVERS * SLOTS];
+	struct ws_rand rand;
+	double worth;
+	int served;
+	int asked;
+};
+
+static size_t first_free(const struct replay *r)
+{
+	size_t best = 0;
+	size_t i;
+
+	for (i = 1; i < SERVERS * SLOTS; i++)
+		if (r->free_at[i] < r->free_at[best])
+			best = i;
+	return best;
+}
+
+static ws_us work_time(struct replay *r)
+{
+	return WORK / 2 + (ws_us)ws_rand_below(&r->rand, (uint64_t)WORK);
+}
+
+static void serve(struct replay *r, ws_us now, ws_us arrived)
+{
+	size_t slot = first_free(r);
+	ws_us start = r->free_at[slot] > now ? r->free_at[slot] : now;
+	ws_us end = start + work_time(r);
+
+	if (end - arrived > DEADLINE) {
+		/* The server drops it when its time is over. */
+		return;
+	}
+	r->free_at[slot] = end;
+	r->served++;
+	r->worth += end - arrived <= OBJECTIVE ? 1.0 : LATE_WORTH;
+}
+
+static enum ws_ed_verdict decide(struct replay *r, enum policy p, ws_us now,
+				 ws_us arrived)
+{
+	ws_us ahead = r->free_at[first_free(r)] - now;
+	struct ws_ed_outlook o = {
+		.left = arrived + DEADLINE - now,
+		.objective_left = arrived + OBJECTIVE - now,
+		.objective = OBJECTIVE,
+		.waited = now - arrived,
+		.expect = WORK + (ahead > 0 ? ahead : 0),
+		.load = ahead > 0 ? 1.0 + (double)ahead / (double)WORK : 0.9,
+	};
+
+	if (p == POLICY_SEND_ALL)
+		return WS_EDV_SEND;
+	if (p == POLICY_FREE_ONLY)
+		return ahead > 0 ? WS_EDV_REFUSE : WS_EDV_SEND;
+	return ws_ed_admit(&o);
+}
+
+/* Load of 1.4 times the capacity for a third of the time, else 0.6. */
+static double play(enum policy p, int *served)
+{
+	static ws_us pending[PENDING_MAX];
+	struct replay r = { .asked = 0 };
+	double capacity = SERVERS * SLOTS / ((double)WORK / (double)WS_SECOND);
+	size_t n = 0;
+	ws_us now;
+
+	ws_rand_seed(&r.rand, 3);
+	for (now = 0; now < SECONDS * WS_SECOND; now += STEP) {
+		bool burst = now > 5 * WS_SECOND && now < 12 * WS_SECOND;
+		double per_step = capacity * (burst ? 1.4 : 0.6) *
+				  (double)STEP / (double)WS_SECOND;
+		size_t kept = 0;
+		size_t i;
+
+		if ((double)ws_rand_below(&r.rand, 1000) / 1000.0 < per_step &&
+		    n < PENDING_MAX) {
+			r.asked++;
+			pending[n++] = now;
+		}
+		for (i = 0; i < n; i++) {
+			enum ws_ed_verdict v = decide(&r, p, now, pending[i]);
+
+			if (v == WS_EDV_SEND)
+				serve(&r, now, pending[i]);
+			else if (v == WS_EDV_WAIT)
+				pending[kept++] = pending[i];
+		}
+		n = kept;
+	}
+	*served = r.served;
+	return r.worth / r.asked;
+}
+
+/* Guards against an admission that is worse than a simple one. */
+START_TEST(overload_is_worth_more_than_with_simple_policies)
+{
+	int served[3];
+	double admit = play(POLICY_ADMIT, &served[0]);
+	double all = play(POLICY_SEND_ALL, &served[1]);
+	double free_only = play(POLICY_FREE_ONLY, &served[2]);
+
+	ck_assert_double_gt(admit, all);
+	ck_assert_double_ge(admit, free_only * 0.98);
+	ck_assert_int_gt(served[0], served[2]);
+}
+END_TEST
+
+static struct ws_ed_outlook fresh(void)
+{
+	return (struct ws_ed_outlook){
+		.left = DEADLINE,
+		.objective_left = OBJECTIVE,
+		.objective = OBJECTIVE,
+		.expect = WORK,
+		.load = 0.5,
+	};
+}
+
+START_TEST(free_servers_refuse_nothing)
+{
+	struct ws_ed_outlook o = fresh();
+
+	ck_assert_int_eq(ws_ed_admit(&o), WS_EDV_SEND);
+	o.objective_left = -OBJECTIVE;
+	ck_assert_int_eq(ws_ed_admit(&o), WS_EDV_SEND);
+}
+END_TEST
+
+/* Guards against a request that waits until its time is over. */
+START_TEST(hopeless_request_is_refused_at_once)
+{
+	struct ws_ed_outlook o = fresh();
+
+	o.load = 4.0;
+	o.expect = 2 * DEADLINE;
+	ck_assert_int_eq(ws_ed_admit(&o), WS_EDV_REFUSE);
+}
+END_TEST
+
+START_TEST(wait_is_short)
+{
+	struct ws_ed_outlook o = fresh();
+
+	o.load = 3.0;
+	o.expect = 2 * OBJECTIVE;
+	ck_assert_int_eq(ws_ed_admit(&o), WS_EDV_WAIT);
+	o.waited = OBJECTIVE / 4;
+	ck_assert_int_eq(ws_ed_admit(&o), WS_EDV_REFUSE);
+}
+END_TEST
+
+/* Guards against refused requests that all come back together. */
+START_TEST(retry_after_is_spread)
+{
+	struct ws_ed_outlook o = fresh();
+	ws_us low;
+	ws_us high;
+
+	o.load = 3.0;
+	o.expect = 600 * WS_MS;
+	low = ws_ed_admit_retry(&o, 0.0);
+	high = ws_ed_admit_retry(&o, 1.0);
+	ck_assert_int_gt(low, 0);
+	ck_assert_int_gt(high, low + 100 * WS_MS);
+}
+END_TEST
+
+START_TEST(hedge_needs_lateness_room_and_budget)
+{
+	struct ws_ed_hedge h = {
+		.elapsed = 2 * WORK,
+		.expected = WORK,
+		.objective_left = OBJECTIVE - 2 * WORK,
+		.left = DEADLINE - 2 * WORK,
+		.expect = WORK,
+		.load = 0.5,
+		.budget = 3.0,
+	};
+
+	ck_assert(ws_ed_hedge(&h));
+	h.elapsed = WORK;
+	ck_assert(!ws_ed_hedge(&h));
+	h.elapsed = 2 * WORK;
+	h.load = 1.2;
+	ck_assert(!ws_ed_hedge(&h));
+	h.load = 0.5;
+	h.budget = 1.0;
+	ck_assert(!ws_ed_hedge(&h));
+	h.budget = 3.0;
+	h.objective_left = -WORK;
+	ck_assert(!ws_ed_hedge(&h));
+	/* Long after that the first sending counts as lost. */
+	h.elapsed = 6 * WORK;
+	ck_assert(ws_ed_hedge(&h));
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		overload_is_worth_more_than_with_simple_policies,
+		free_servers_refuse_nothing,
+		hopeless_request_is_refused_at_once,
+		wait_is_short,
+		retry_after_is_spread,
+		hedge_needs_lateness_room_and_budget,
+	};
+
+	return ed_suite_run("ed_admit", tests, 6);
+}
--- /dev/null
+++ b/tests/test_ed_codec.c
@@ -0,0 +1,122 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "ed_suite.h"
+#include "edge/ws_ed_codec.h"
+
+/* Heartbeats and maps: whole, cut short and altered. */
+
+static struct ws_ed_beat beat;
+static struct ws_ed_beat back;
+static unsigned char buf[16384];
+
+static int encode_sample(void)
+{
+	struct ws_ed_entry e = {
+		.service = 3, .from = 5, .to = 9, .server = 8
+	};
+
+	ws_ed_map_free(&beat.map);
+	memset(&beat, 0, sizeof(beat));
+	beat.from = 11;
+	beat.stamp = 77 * WS_SECOND;
+	beat.ends[WS_EDT_MAP] = 6;
+	beat.n_echoes = 1;
+	beat.echoes[0] = (struct ws_ed_echo){ .peer = 4, .stamp = 5 };
+	beat.n_demands = 1;
+	beat.demands[0] =
+		(struct ws_ed_told_demand){ .customer = 9, .per_s = 1.5F };
+	beat.n_counts = 1;
+	beat.counts[0] = (struct ws_ed_count){ .service = 3, .count = 2 };
+	beat.n_loads = 1;
+	beat.loads[0] = (struct ws_ed_told_load){ .server = 8, .age_ms = 40 };
+	beat.has_map = true;
+	beat.map.epoch = 2;
+	ws_ed_map_add(&beat.map, &e);
+	return ws_ed_beat_encode(&beat, buf, sizeof(buf));
+}
+
+START_TEST(beat_comes_back_whole)
+{
+	int len = encode_sample();
+
+	ck_assert_int_gt(len, 0);
+	ck_assert_int_eq(ws_ed_beat_decode(&back, buf, (size_t)len), 0);
+	ck_assert_uint_eq(back.from, 11);
+	ck_assert_int_eq(back.stamp, 77 * WS_SECOND);
+	ck_assert_uint_eq(back.ends[WS_EDT_MAP], 6);
+	ck_assert_int_eq(back.echoes[0].stamp, 5);
+	ck_assert_uint_eq(back.loads[0].age_ms, 40);
+	ck_assert(back.has_map);
+	ck_assert_uint_eq(ws_ed_map_owner(&back.map, 3, 7), 8);
+	ck_assert_uint_eq(ws_ed_map_owner(&back.map, 3, 10), 0);
+	ck_assert_uint_eq(ws_ed_map_owner(&back.map, 4, 7), 0);
+}
+END_TEST
+
+/* Guards against a cut or altered datagram that is taken or read past. */
+START_TEST(damaged_beats_are_refused_or_bounded)
+{
+	int len = encode_sample();
+	struct ws_rand r;
+	int i;
+
+	for (i = 0; i < len; i++)
+		ck_assert_int_eq(ws_ed_beat_decode(&back, buf, (size_t)i),
+				 WS_ERR_SYNTAX);
+	ws_rand_seed(&r, 1);
+	for (i = 0; i < 20000; i++) {
+		unsigned char copy[sizeof(buf)];
+
+		memcpy(copy, buf, (size_t)len);
+		copy[ws_rand_below(&r, (uint64_t)len)] =
+			(unsigned char)ws_rand_next(&r);
+		if (ws_ed_beat_decode(&back, copy, (size_t)len))
+			continue;
+		ck_assert_uint_le(back.n_echoes, WS_ED_ECHOES_MAX);
+		ck_assert_uint_le(back.n_loads, WS_ED_LOADS_MAX);
+	}
+}
+END_TEST
+
+START_TEST(too_small_a_buffer_is_told)
+{
+	encode_sample();
+	ck_assert_int_eq(ws_ed_beat_encode(&beat, buf, 100), WS_ERR_LIMIT);
+}
+END_TEST
+
+/* Guards against a map that gives a key to two servers after joining. */
+START_TEST(neighbours_of_one_server_are_joined)
+{
+	static const struct ws_ed_entry parts[] = {
+		{ .service = 1, .from = 10, .to = 19, .server = 7 },
+		{ .service = 1, .from = 0, .to = 9, .server = 7 },
+		{ .service = 1, .from = 20, .to = 29, .server = 8 },
+		{ .service = 2, .from = 30, .to = 39, .server = 8 },
+	};
+	struct ws_ed_map m = { .n = 0 };
+	size_t i;
+
+	for (i = 0; i < 4; i++)
+		ws_ed_map_add(&m, &parts[i]);
+	ws_ed_map_sort(&m);
+	ck_assert_uint_eq(m.n, 3);
+	ck_assert_uint_eq(ws_ed_map_owner(&m, 1, 19), 7);
+	ck_assert_uint_eq(ws_ed_map_owner(&m, 1, 20), 8);
+	ck_assert_uint_eq(ws_ed_map_owner(&m, 1, 30), 0);
+	ws_ed_map_free(&m);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		beat_comes_back_whole,
+		damaged_beats_are_refused_or_bounded,
+		too_small_a_buffer_is_told,
+		neighbours_of_one_server_are_joined,
+	};
+
+	return ed_suite_run("ed_codec", tests, 4);
+}
--- /dev/null
+++ b/tests/test_ed_conf.c
@@ -0,0 +1,250 @@
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform/wp_decode.h"
+#include "platform/wp_wire.h"
+
+/* Configuration and entries of servers, as the platform writes them. */
+
+static const char config_text[] =
+	"{\"version\":\"0000001f\",\"services\":["
+	"{\"name\":\"stock\",\"health_path\":\"/h\",\"max_connections\":120,"
+	"\"warmup_s\":3.0,\"warmup_per_s\":9.3},"
+	"{\"name\":\"calib\",\"sharded\":true,\"warm_s\":2.0}],"
+	"\"limits\":{\"max_header_bytes\":16384,\"idle_timeout_s\":15},"
+	"\"tenants\":[{\"name\":\"lab\",\"api_keys\":[\"k1\",\"k2\"],"
+	"\"priority\":1,\"rate_per_s\":153,\"burst\":150}],"
+	"\"virtual_hosts\":[{\"host\":\"a.example\",\"path_rules\":["
+	"{\"name\":\"r1\",\"path_prefix\":\"/x/\",\"kind\":\"idempotent\","
+	"\"timeout_s\":1.2,\"target_latency_s\":0.3,\"priority\":2,"
+	"\"traffic_split\":[{\"service\":\"stock\",\"weight\":90},"
+	"{\"service\":\"calib\",\"weight\":10}],\"max_attempts\":2,"
+	"\"auth_exempt\":false},"
+	"{\"name\":\"r2\",\"path_prefix\":\"/x/deep/\","
+	"\"kind\":\"non_idempotent\",\"service\":\"calib\","
+	"\"max_attempts\":1}]}]}";
+
+static struct ws_ed_conf *decode(void)
+{
+	struct ws_ed_conf *c =
+		wp_decode_config(config_text, sizeof(config_text) - 1);
+
+	ck_assert_ptr_nonnull(c);
+	return c;
+}
+
+/* Guards against units and names that are read wrongly. */
+START_TEST(config_is_decoded)
+{
+	struct ws_ed_conf *c = decode();
+	const struct ws_ed_customer *cu = ws_ed_conf_customer(c, "k2");
+	const struct ws_ed_route *r = ws_ed_conf_route(c, "a.example", "/x/1");
+
+	ck_assert_uint_eq(c->version, 0x1f);
+	ck_assert_ptr_nonnull(cu);
+	ck_assert_str_eq(cu->name, "lab");
+	ck_assert_int_eq(cu->priority, 1);
+	ck_assert_double_eq(cu->rate, 153.0);
+	ck_assert_ptr_null(ws_ed_conf_customer(c, "k3"));
+	ck_assert_ptr_nonnull(r);
+	ck_assert(r->idempotent && !r->auth_exempt);
+	ck_assert_int_eq(r->timeout, 1200 * WS_MS);
+	ck_assert_int_eq(r->objective, 300 * WS_MS);
+	ck_assert_int_eq(c->limits.idle_timeout, 15 * WS_SECOND);
+	ck_assert(ws_ed_conf_service(c, ws_ed_id("calib"))->sharded);
+	ws_ed_conf_free(c);
+}
+END_TEST
+
+/* Guards against a shorter prefix or another host taking a request. */
+START_TEST(longest_prefix_wins)
+{
+	struct ws_ed_conf *c = decode();
+
+	ck_assert_str_eq(ws_ed_conf_route(c, "a.example", "/x/y?q=/x/")->name,
+			 "r1");
+	ck_assert_str_eq(ws_ed_conf_route(c, "a.example:80", "/x/deep/1")->name,
+			 "r2");
+	ck_assert_str_eq(ws_ed_conf_route(c, "a.example", "/x/deep")->name,
+			 "r1");
+	ck_assert_ptr_null(ws_ed_conf_route(c, "b.example", "/x/y"));
+	ck_assert_ptr_null(ws_ed_conf_route(c, "a.example", "/y/"));
+	ck_assert_ptr_null(ws_ed_conf_route(c, "a.example", ""));
+	ws_ed_conf_free(c);
+}
+END_TEST
+
+/* Guards against a split whose parts stray from their weights. */
+START_TEST(split_keeps_its_weights)
+{
+	struct ws_ed_conf *c = decode();
+	struct ws_ed_route *r = ws_ed_conf_route(c, "a.example", "/x/1");
+	int stock = 0;
+	int i;
+
+	for (i = 0; i < 50; i++)
+		stock += ws_ed_route_next(r) == ws_ed_id("stock");
+	ck_assert_int_eq(stock, 45);
+	ws_ed_conf_free(c);
+}
+END_TEST
+
+/* Guards against bytes of other writers that stop the instance. */
+START_TEST(malformed_config_is_refused)
+{
+	static const char *const bad[] = {
+		"", "{", "[]", "7", "{\"a\":1}", "{\"version\":7}"
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		ck_assert_ptr_null(wp_decode_config(bad[i], strlen(bad[i])));
+	for (i = 0; i < sizeof(config_text) - 1; i += 7)
+		ck_assert_ptr_null(wp_decode_config(config_text, i));
+}
+END_TEST
+
+static int decode_server(const char *text, struct ws_ed_listing *l)
+{
+	return wp_decode_server("i-1", text, strlen(text), l);
+}
+
+START_TEST(server_entry_is_decoded)
+{
+	struct ws_ed_listing l;
+
+	ck_assert_int_eq(
+		decode_server("{\"address\":\"10.0.0.1:80\",\"born\":1774,"
+			      "\"info\":{\"service\":\"stock\",\"zone\":\"z\","
+			      "\"slots\":4},\"status\":{\"state\":\"draining\","
+			      "\"sequence\":8,\"warmup_left_s\":1.5}}",
+			      &l),
+		0);
+	ck_assert_str_eq(l.name, "i-1");
+	ck_assert_int_eq(l.born_ms, 1774);
+	ck_assert_int_eq(l.sequence, 8);
+	ck_assert_int_eq(l.cold_for, 1500 * WS_MS);
+	ck_assert(l.draining);
+}
+END_TEST
+
+/* Guards against entries of other writers that name no server to use. */
+START_TEST(odd_server_entries_are_refused)
+{
+	static const char *const bad[] = {
+		"",
+		"\xff\xfe",
+		"[]",
+		"{}",
+		"{\"address\":\"a:1\",\"info\":{\"service\":\"s\","
+		"\"zone\":\"z\"},\"status\":{\"state\":\"asleep\"}}",
+		"{\"address\":7,\"info\":{\"service\":\"s\",\"zone\":\"z\"},"
+		"\"status\":{\"state\":\"ready\"}}",
+		"{\"address\":\"a:1\",\"info\":[],\"status\":{\"state\":"
+		"\"ready\"}}",
+		"{\"address\":\"a:1\",\"info\":{\"service\":\"s\","
+		"\"zone\":\"z\"},\"status\":\"ready\"}",
+	};
+	struct ws_ed_listing l;
+	size_t i;
+
+	for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		ck_assert_int_eq(decode_server(bad[i], &l), WS_ERR_SYNTAX);
+}
+END_TEST
+
+static struct ws_body answer_of(uint16_t status, const char *headers,
+				size_t len)
+{
+	return (struct ws_body){ .status = status,
+				 .headers = headers,
+				 .headers_len = len };
+}
+
+/* Guards against an answer that belongs to another request. */
+START_TEST(answers_are_told_apart)
+{
+	static const char own[] = "Wagtailshift-Request-Id: r1\0"
+				  "Wagtailshift-Server-Seal: s\0"
+				  "Wagtailshift-Server-Load: 3,1,8,250\0"
+				  "Keep-Alive: timeout=10";
+	static const char shed[] = "Wagtailshift-Not-Executed: 1";
+	struct ws_body b = answer_of(200, own, sizeof(own));
+	struct ws_ed_report r;
+
+	ck_assert(wp_wire_belongs(&b, "r1"));
+	ck_assert(!wp_wire_belongs(&b, "r2"));
+	ck_assert(!wp_wire_not_run(&b));
+	wp_wire_report(&b, &r);
+	ck_assert(r.known);
+	ck_assert_uint_eq(r.running, 3);
+	ck_assert_uint_eq(r.waiting, 1);
+	ck_assert_double_eq(r.pace, 2.5);
+	ck_assert_int_eq(r.idle_close, 10 * WS_SECOND);
+	b = answer_of(503, shed, sizeof(shed));
+	ck_assert(wp_wire_belongs(&b, "r1"));
+	ck_assert(wp_wire_not_run(&b));
+	/* Without an echo and without that promise it may be anybody's. */
+	b = answer_of(200, "", 0);
+	ck_assert(!wp_wire_belongs(&b, "r1"));
+	ck_assert(!wp_wire_not_run(&b));
+}
+END_TEST
+
+START_TEST(numbers_are_checked)
+{
+	ck_assert_int_eq(wp_wire_shard_key("65535"), 65535);
+	ck_assert_int_eq(wp_wire_shard_key("65536"), -1);
+	ck_assert_int_eq(wp_wire_shard_key("-1"), -1);
+	ck_assert_int_eq(wp_wire_shard_key(""), -1);
+	ck_assert_int_eq(wp_wire_shard_key("1x"), -1);
+	ck_assert_int_eq(wp_wire_deadline("1200"), 1200 * WS_MS);
+	ck_assert_int_eq(wp_wire_deadline("1e9"), 0);
+	ck_assert(wp_wire_is_own("wagtailshift-tenant"));
+	ck_assert(wp_wire_is_own("api-key"));
+	ck_assert(!wp_wire_is_own("Wagtailshift-Shard-Key"));
+	ck_assert(!wp_wire_is_own("Accept"));
+}
+END_TEST
+
+START_TEST(grant_names_its_handover)
+{
+	struct ws_ed_key_call c = {
+		.from = 1, .to = 9, .fence = 12, .hold = 3 * WS_SECOND
+	};
+	char buf[160];
+
+	wp_wire_grant_body(&c, buf, sizeof(buf));
+	ck_assert_str_eq(buf,
+			 "{\"from\":1,\"to\":9,\"fence\":12,\"hold_s\":3.000}");
+	snprintf(c.handover, sizeof(c.handover), "ab");
+	wp_wire_grant_body(&c, buf, sizeof(buf));
+	ck_assert_ptr_nonnull(strstr(buf, ",\"handover\":\"ab\"}"));
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("ed_conf");
+	TCase *t = tcase_create("all");
+	SRunner *r;
+	int failed;
+
+	tcase_add_test(t, config_is_decoded);
+	tcase_add_test(t, longest_prefix_wins);
+	tcase_add_test(t, split_keeps_its_weights);
+	tcase_add_test(t, malformed_config_is_refused);
+	tcase_add_test(t, server_entry_is_decoded);
+	tcase_add_test(t, odd_server_entries_are_refused);
+	tcase_add_test(t, answers_are_told_apart);
+	tcase_add_test(t, numbers_are_checked);
+	tcase_add_test(t, grant_names_its_handover);
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/tests/test_ed_lead_random.c
+++ b/tests/test_ed_lead_random.c
@@ -201,9 +201,8 @@
 	if (m->lost && grant && chance(w, 500))
 		m->at += between(w, WS_SECOND, 10 * WS_SECOND);
 	if (m->lost) {
-		struct message *f =
-			post(w, MSG_CALLED,
-			     grant ? GRANT_TIMEOUT : RELEASE_TIMEOUT);
+		struct message *f = post(
+			w, MSG_CALLED, grant ? GRANT_TIMEOUT : RELEASE_TIMEOUT);
 
 		f->node = n;
 		f->life = w->nodes[n].life;
@@ -245,7 +244,8 @@
 	ws_us until;
 	uint32_t p;
 
-	/* Its time counts from its arrival: carried out late, it may be over. */
+	/* Its time counts from its arrival: carried out late, it may be over.
+	 */
 	until = m->arrival + m->call.hold * SLOWNESS / 100;
 	if (until <= w->now)
 		return WS_EDC_DONE;
@@ -340,8 +340,8 @@
 		if (!calm && chance(w, 1)) {
 			sv->up = false;
 			sv->down_since = w->now;
-			sv->back_at = w->now + between(w, 500 * WS_MS,
-						       8 * WS_SECOND);
+			sv->back_at =
+				w->now + between(w, 500 * WS_MS, 8 * WS_SECOND);
 		}
 		return;
 	}
@@ -477,8 +477,8 @@
 		nd->lead.store_seen = m->started;
 	if (m->end > nd->read_end)
 		nd->read_end = m->end;
-	ws_ed_lead_read(&nd->lead, now, m->started,
-			m->has_map ? &m->map : NULL, m->end, fx);
+	ws_ed_lead_read(&nd->lead, now, m->started, m->has_map ? &m->map : NULL,
+			m->end, fx);
 }
 
 static void deliver(struct world *w, struct message *m, struct ws_ed_fx *fx)
@@ -525,8 +525,8 @@
 		return;
 	}
 	if (chance(w, 1))
-		nd->frozen_until = w->now + between(w, WS_SECOND,
-						    6 * WS_SECOND);
+		nd->frozen_until =
+			w->now + between(w, WS_SECOND, 6 * WS_SECOND);
 	if (chance(w, 2))
 		nd->no_store = !nd->no_store;
 	if (chance(w, 2))
@@ -535,8 +535,7 @@
 		start_node(w, n);
 }
 
-static void step_node(struct world *w, size_t n, bool calm,
-		      struct ws_ed_fx *fx)
+static void step_node(struct world *w, size_t n, bool calm, struct ws_ed_fx *fx)
 {
 	struct node *nd = &w->nodes[n];
 
--- /dev/null
+++ b/tests/test_ed_pool.c
@@ -0,0 +1,229 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ed_suite.h"
+#include "edge/ws_ed_pool.h"
+
+/* Placement: one test for each load pattern that ws_ed_pool.h names. */
+
+#define SERVICE 5
+#define OWN_ZONE 1
+#define FAR_ZONE 2
+#define INSTANCES 11
+
+static const struct ws_ed_service service = {
+	.id = SERVICE,
+	.max_connections = 120,
+	.warmup = 3 * WS_SECOND,
+	.warmup_per_s = 9.3,
+};
+
+static struct ws_ed_pool pool;
+static uint32_t work;
+
+static uint32_t list(const char *name, ws_id zone, int64_t born,
+		     int64_t sequence, bool draining, ws_us cold_for, ws_us now)
+{
+	struct ws_ed_listing l = {
+		.service = SERVICE,
+		.zone = zone,
+		.slots = 4,
+		.draining = draining,
+		.cold_for = cold_for,
+		.born_ms = born,
+		.sequence = sequence,
+	};
+
+	snprintf(l.name, sizeof(l.name), "%s", name);
+	snprintf(l.address, sizeof(l.address), "10.0.0.1:80");
+	return ws_ed_pool_listed(&pool, now, &l, &service);
+}
+
+static void setup(size_t instances)
+{
+	ws_ed_pool_free(&pool);
+	memset(&pool, 0, sizeof(pool));
+	ws_rand_seed(&pool.rand, 4);
+	pool.instances = instances;
+	work = ws_ed_pool_work(&pool, 1, SERVICE);
+}
+
+static int32_t choose(ws_us now)
+{
+	struct ws_ed_need need = { .service = SERVICE,
+				   .work = work,
+				   .zone = OWN_ZONE };
+	struct ws_ed_choice at;
+
+	ws_ed_pool_choose(&pool, now, &need, &at);
+	return at.server;
+}
+
+static void answer(uint32_t server, ws_us now, enum ws_ed_end end, double pace,
+		   uint32_t running)
+{
+	struct ws_ed_report r = {
+		.known = true, .running = running, .slots = 4, .pace = pace
+	};
+
+	ws_ed_pool_sent(&pool, now, server, &service);
+	ws_ed_pool_ended(&pool, now, server, work, end, 80 * WS_MS, 0.25, &r);
+}
+
+/* Guards against bytes between zones without need. */
+START_TEST(own_zone_is_preferred_while_it_is_as_good)
+{
+	uint32_t own;
+	int i;
+
+	setup(INSTANCES);
+	own = list("a", OWN_ZONE, 1, 1, false, 0, 0);
+	list("b", FAR_ZONE, 1, 1, false, 0, 0);
+	for (i = 0; i < 50; i++)
+		ck_assert_int_eq(choose(WS_SECOND), (int32_t)own);
+	/* Four of its slots and more are taken. */
+	for (i = 0; i < 8; i++)
+		ws_ed_pool_sent(&pool, WS_SECOND, own, &service);
+	ck_assert_int_ne(choose(WS_SECOND), (int32_t)own);
+}
+END_TEST
+
+/* Guards against requests for a machine that is slow at this moment. */
+START_TEST(slow_machine_is_avoided_until_its_report_is_old)
+{
+	uint32_t slow;
+	uint32_t other;
+
+	setup(INSTANCES);
+	slow = list("a", OWN_ZONE, 1, 1, false, 0, 0);
+	other = list("b", OWN_ZONE, 1, 1, false, 0, 0);
+	answer(slow, WS_SECOND, WS_ED_END_OK, 3.0, 0);
+	answer(other, WS_SECOND, WS_ED_END_OK, 1.0, 0);
+	ck_assert_int_eq(choose(WS_SECOND), (int32_t)other);
+	/* Reports that other instances tell count like own ones. */
+	ws_ed_pool_told(&pool, WS_SECOND + 100 * WS_MS, ws_ed_id("b"),
+			&(struct ws_ed_report){ .known = true,
+						.running = 9,
+						.waiting = 9,
+						.pace = 3.0 });
+	ck_assert_int_eq(choose(WS_SECOND + 100 * WS_MS), (int32_t)slow);
+}
+END_TEST
+
+/* Guards against a server that fails quickly and therefore looks idle. */
+START_TEST(failing_server_loses_its_share)
+{
+	uint32_t bad;
+	int i;
+
+	setup(INSTANCES);
+	bad = list("a", OWN_ZONE, 1, 1, false, 0, 0);
+	list("b", OWN_ZONE, 1, 1, false, 0, 0);
+	for (i = 0; i < 6; i++)
+		answer(bad, WS_SECOND, WS_ED_END_SHED, 1.0, 0);
+	for (i = 0; i < 20; i++)
+		ck_assert_int_ne(choose(WS_SECOND), (int32_t)bad);
+}
+END_TEST
+
+/* Guards against a cold server that gets more than it bears from all. */
+START_TEST(cold_server_is_paced_over_all_instances)
+{
+	int sent[400] = { 0 };
+	int most = 0;
+	int i;
+	int step;
+
+	for (i = 0; i < INSTANCES; i++) {
+		setup(INSTANCES);
+		ws_rand_seed(&pool.rand, 100 + (uint64_t)i);
+		list("a", OWN_ZONE, 1, 1, false, 4 * WS_SECOND, 0);
+		for (step = 0; step < 400; step++) {
+			ws_us now = step * 10 * WS_MS;
+			int32_t at = choose(now);
+
+			if (at < 0)
+				continue;
+			ws_ed_pool_sent(&pool, now, (uint32_t)at, &service);
+			sent[step]++;
+		}
+	}
+	for (step = 0; step < 300; step++) {
+		int sum = 0;
+
+		for (i = step; i < step + 100; i++)
+			sum += sent[i];
+		if (sum > most)
+			most = sum;
+	}
+	/* The platform allows 9.3 * 1.5 + 5 in a second. */
+	ck_assert_int_le(most, 18);
+	ck_assert_int_gt(most, 4);
+}
+END_TEST
+
+/* Guards against an entry that arrives late and undoes a newer one. */
+START_TEST(older_entries_change_nothing)
+{
+	uint32_t s;
+
+	setup(INSTANCES);
+	s = list("a", OWN_ZONE, 10, 8, true, 0, 0);
+	list("a", OWN_ZONE, 10, 7, false, 0, 0);
+	ck_assert(!ws_ed_pool_usable(&pool, 1, s));
+	list("a", OWN_ZONE, 9, 99, false, 0, 0);
+	ck_assert(!ws_ed_pool_usable(&pool, 1, s));
+	/* A new life counts anew. */
+	list("a", OWN_ZONE, 11, 1, false, 0, 0);
+	ck_assert(ws_ed_pool_usable(&pool, 1, s));
+}
+END_TEST
+
+/* Guards against work for a zone that operators took out of service. */
+START_TEST(zone_out_gets_nothing_and_comes_back_cold)
+{
+	struct ws_ed_conf conf = {
+		.services = (struct ws_ed_service *)(uintptr_t)&service,
+		.n_services = 1,
+	};
+	uint32_t s;
+
+	setup(INSTANCES);
+	s = list("a", OWN_ZONE, 1, 1, false, 0, 0);
+	ws_ed_pool_zone(&pool, WS_SECOND, OWN_ZONE, true, &conf);
+	ck_assert_int_eq(choose(WS_SECOND), -1);
+	ws_ed_pool_zone(&pool, 2 * WS_SECOND, OWN_ZONE, false, &conf);
+	ck_assert(ws_ed_pool_usable(&pool, 2 * WS_SECOND, s));
+	ck_assert_int_gt(pool.servers[s].cold_until, 2 * WS_SECOND);
+}
+END_TEST
+
+START_TEST(unlisted_server_lingers_as_told)
+{
+	uint32_t s;
+
+	setup(INSTANCES);
+	s = list("a", OWN_ZONE, 1, 1, false, 0, 0);
+	ws_ed_pool_unlisted(&pool, WS_SECOND, ws_ed_id("a"), WS_SECOND);
+	ck_assert(ws_ed_pool_usable(&pool, WS_SECOND + 900 * WS_MS, s));
+	ck_assert(!ws_ed_pool_usable(&pool, 2 * WS_SECOND, s));
+	ws_ed_pool_tick(&pool, 3 * WS_SECOND);
+	ck_assert_int_eq(ws_ed_pool_find(&pool, ws_ed_id("a")), -1);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		own_zone_is_preferred_while_it_is_as_good,
+		slow_machine_is_avoided_until_its_report_is_old,
+		failing_server_loses_its_share,
+		cold_server_is_paced_over_all_instances,
+		older_entries_change_nothing,
+		zone_out_gets_nothing_and_comes_back_cold,
+		unlisted_server_lingers_as_told,
+	};
+
+	return ed_suite_run("ed_pool", tests, 7);
+}
--- /dev/null
+++ b/tests/test_edge.c
@@ -0,0 +1,374 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ed_suite.h"
+#include "edge/ws_edge.h"
+#include "platform/wp_decode.h"
+
+/* The reducer: what becomes of requests, from arrival to answer. */
+
+static const char config_text[] =
+	"{\"version\":\"00000001\",\"services\":["
+	"{\"name\":\"open\",\"max_connections\":120,\"warmup_s\":3,"
+	"\"warmup_per_s\":9},"
+	"{\"name\":\"keyed\",\"sharded\":true}],"
+	"\"tenants\":[{\"name\":\"lab\",\"api_keys\":[\"k1\"]}],"
+	"\"virtual_hosts\":[{\"host\":\"h\",\"path_rules\":["
+	"{\"name\":\"read\",\"path_prefix\":\"/r/\",\"kind\":\"idempotent\","
+	"\"timeout_s\":1.2,\"target_latency_s\":0.3,\"service\":\"open\","
+	"\"max_attempts\":2},"
+	"{\"name\":\"order\",\"path_prefix\":\"/o/\","
+	"\"kind\":\"non_idempotent\",\"timeout_s\":1.2,"
+	"\"target_latency_s\":0.3,\"service\":\"open\",\"max_attempts\":2},"
+	"{\"name\":\"keyed\",\"path_prefix\":\"/k/\",\"kind\":\"idempotent\","
+	"\"timeout_s\":1.2,\"target_latency_s\":0.3,\"service\":\"keyed\","
+	"\"max_attempts\":2}]}]}";
+
+static struct ws_edge *edge;
+static struct ws_ed_fx fx;
+static ws_us now;
+static uint64_t next_id;
+
+static void step(struct ws_ed_event *ev)
+{
+	ev->now = now;
+	fx.n = 0;
+	ws_edge_step(edge, ev, &fx);
+}
+
+static void tick(ws_us later)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_TICK };
+
+	now += later;
+	step(&ev);
+}
+
+static void sync_topics(void)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_SYNC };
+
+	ev.u.sync.started = now;
+	ev.u.sync.topic = WS_EDT_CONFIG;
+	step(&ev);
+	ev.u.sync.topic = WS_EDT_SERVERS;
+	step(&ev);
+}
+
+static void list(const char *name, const char *svc)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_LISTED };
+	struct ws_ed_listing l = {
+		.service = ws_ed_id(svc),
+		.zone = 1,
+		.slots = 4,
+	};
+
+	snprintf(l.name, sizeof(l.name), "%s", name);
+	snprintf(l.address, sizeof(l.address), "10.0.0.1:80");
+	ev.u.listing = &l;
+	step(&ev);
+}
+
+static void setup(void)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_CONFIG };
+	struct ws_ed_settings set = {
+		.self = 1,
+		.incarnation = 1,
+		.zone = 1,
+		.seed = 1,
+		.now = WS_SECOND,
+		.max_calls = 100,
+		.bounds = { .key_evidence_max = 4600 * WS_MS,
+			    .retry_ratio = 0.2,
+			    .retry_slack = 60.0,
+			    .rate_slack = 20.0 },
+	};
+
+	ws_edge_free(edge);
+	now = WS_SECOND;
+	edge = ws_edge_new(&set);
+	ev.u.config = wp_decode_config(config_text, sizeof(config_text) - 1);
+	step(&ev);
+	list("a", "open");
+	list("b", "open");
+	sync_topics();
+}
+
+static uint64_t arrive(const char *path, const char *key)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_ARRIVAL };
+	struct ws_ed_arrival a = {
+		.id = ++next_id,
+		.host = "h",
+		.path = path,
+		.caller_key = key,
+		.deadline = 1200 * WS_MS,
+		.key = 7,
+		.started = now,
+	};
+
+	ev.u.arrival = &a;
+	step(&ev);
+	return a.id;
+}
+
+static void end(uint64_t id, uint8_t lane, enum ws_ed_end how)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_ENDED };
+
+	ev.u.ending = (struct ws_ed_ending){
+		.request = id,
+		.lane = lane,
+		.end = how,
+		.latency = 50 * WS_MS,
+	};
+	step(&ev);
+}
+
+static const struct ws_ed_effect *find(uint8_t kind)
+{
+	size_t i;
+
+	for (i = 0; i < fx.n; i++)
+		if (fx.items[i].kind == kind)
+			return &fx.items[i];
+	return NULL;
+}
+
+static void expect_reply(int status, enum ws_ed_reason reason)
+{
+	const struct ws_ed_effect *x = find(WS_EDFX_REPLY);
+
+	ck_assert_ptr_nonnull(x);
+	ck_assert_int_eq(x->u.reply.status, status);
+	ck_assert_int_eq(x->u.reply.reason, reason);
+}
+
+START_TEST(answer_is_passed_on)
+{
+	uint64_t id;
+
+	setup();
+	id = arrive("/r/1", "k1");
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	ck_assert_str_eq(ws_edge_customer(edge, id), "lab");
+	end(id, 0, WS_ED_END_OK);
+	ck_assert_ptr_nonnull(find(WS_EDFX_PASS));
+	ck_assert_uint_eq(ws_edge_open(edge), 0);
+}
+END_TEST
+
+START_TEST(callers_are_checked)
+{
+	setup();
+	arrive("/x/1", "k1");
+	expect_reply(404, WS_EDR_NO_ROUTE);
+	arrive("/r/1", "k2");
+	expect_reply(401, WS_EDR_BAD_KEY);
+	arrive("/r/1", NULL);
+	expect_reply(401, WS_EDR_BAD_KEY);
+}
+END_TEST
+
+/* Guards against a withdrawn key that an instance cut off still takes. */
+START_TEST(keys_need_recent_evidence)
+{
+	setup();
+	now += 4700 * WS_MS;
+	arrive("/r/1", "k1");
+	expect_reply(503, WS_EDR_STALE);
+	ck_assert(!ws_edge_ready(edge, now));
+	sync_topics();
+	arrive("/r/1", "k1");
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	ck_assert(ws_edge_ready(edge, now));
+}
+END_TEST
+
+/* Guards against an order that runs twice, and a "not run" that is untrue. */
+START_TEST(lost_order_is_not_sent_again)
+{
+	uint64_t id;
+
+	setup();
+	id = arrive("/o/1", "k1");
+	end(id, 0, WS_ED_END_BROKEN);
+	ck_assert_ptr_null(find(WS_EDFX_SEND));
+	expect_reply(502, WS_EDR_SERVER_LOST);
+	id = arrive("/o/1", "k1");
+	end(id, 0, WS_ED_END_TIMEOUT);
+	expect_reply(504, WS_EDR_TIMEOUT);
+}
+END_TEST
+
+/* Guards against orders that are given up although they did not run. */
+START_TEST(shed_order_goes_to_another_server)
+{
+	const struct ws_ed_effect *x;
+	uint32_t first;
+	uint64_t id;
+
+	setup();
+	id = arrive("/o/1", "k1");
+	first = find(WS_EDFX_SEND)->u.send.server;
+	end(id, 0, WS_ED_END_SHED);
+	x = find(WS_EDFX_SEND);
+	ck_assert_ptr_nonnull(x);
+	ck_assert_uint_ne(x->u.send.server, first);
+	end(id, 0, WS_ED_END_SHED);
+	expect_reply(503, WS_EDR_NO_SERVER);
+}
+END_TEST
+
+START_TEST(lost_read_is_sent_again)
+{
+	uint64_t id;
+
+	setup();
+	id = arrive("/r/1", "k1");
+	end(id, 0, WS_ED_END_BROKEN);
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	end(id, 0, WS_ED_END_OK);
+	ck_assert_ptr_nonnull(find(WS_EDFX_PASS));
+}
+END_TEST
+
+/* Guards against a hedge whose loser goes on, or which answers twice. */
+START_TEST(late_read_is_hedged_and_the_loser_broken_off)
+{
+	const struct ws_ed_effect *x;
+	uint64_t id;
+
+	setup();
+	id = arrive("/r/1", "k1");
+	ck_assert_uint_eq(find(WS_EDFX_SEND)->u.send.lane, 0);
+	tick(190 * WS_MS);
+	x = find(WS_EDFX_SEND);
+	ck_assert_ptr_nonnull(x);
+	ck_assert_uint_eq(x->u.send.lane, 1);
+	end(id, 1, WS_ED_END_OK);
+	ck_assert_ptr_nonnull(find(WS_EDFX_PASS));
+	x = find(WS_EDFX_CANCEL);
+	ck_assert_ptr_nonnull(x);
+	ck_assert_uint_eq(x->u.send.lane, 0);
+	/* What the loser still reports is ignored. */
+	end(id, 0, WS_ED_END_OK);
+	ck_assert_ptr_null(find(WS_EDFX_PASS));
+}
+END_TEST
+
+START_TEST(orders_are_never_hedged)
+{
+	setup();
+	arrive("/o/1", "k1");
+	tick(400 * WS_MS);
+	ck_assert_ptr_null(find(WS_EDFX_SEND));
+}
+END_TEST
+
+/* Guards against work for a caller that has left. */
+START_TEST(caller_that_leaves_is_cancelled)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_GONE };
+
+	setup();
+	ev.u.gone = arrive("/r/1", "k1");
+	step(&ev);
+	ck_assert_ptr_nonnull(find(WS_EDFX_CANCEL));
+	ck_assert_uint_eq(ws_edge_open(edge), 0);
+	ck_assert_uint_eq(ws_edge_pool(edge)->servers[0].in_flight, 0);
+	ck_assert_uint_eq(ws_edge_pool(edge)->servers[1].in_flight, 0);
+}
+END_TEST
+
+/* Guards against requests that a process takes and cuts off by its exit. */
+START_TEST(draining_instance_refuses_in_its_second_half)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_DRAIN };
+
+	setup();
+	ev.u.drain_time = 5600 * WS_MS;
+	step(&ev);
+	ck_assert(!ws_edge_ready(edge, now));
+	now += 2700 * WS_MS;
+	sync_topics();
+	arrive("/r/1", "k1");
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	now += 200 * WS_MS;
+	arrive("/r/1", "k1");
+	expect_reply(503, WS_EDR_DRAINING);
+}
+END_TEST
+
+/* Guards against a key without a server that holds its callers to the end. */
+START_TEST(key_without_owner_is_refused_soon)
+{
+	int ticks = 0;
+
+	setup();
+	arrive("/k/1", "k1");
+	while (!find(WS_EDFX_REPLY) && ticks++ < 40)
+		tick(20 * WS_MS);
+	expect_reply(503, WS_EDR_NO_OWNER);
+	ck_assert_int_lt(ticks, 10);
+}
+END_TEST
+
+/* Guards against a missed record: nine of eleven reads missed one. */
+START_TEST(instance_behind_others_reads_anew)
+{
+	static struct ws_ed_beat b;
+	struct ws_ed_event ev = { .kind = WS_EDEV_BEAT };
+	const struct ws_ed_effect *x = NULL;
+	int i;
+
+	setup();
+	b.from = 2;
+	b.stamp = 5;
+	b.ends[WS_EDT_SERVERS] = 9;
+	ev.u.beat = &b;
+	step(&ev);
+	for (i = 0; i < 6 && !x; i++) {
+		tick(50 * WS_MS);
+		x = find(WS_EDFX_READ);
+	}
+	ck_assert_ptr_nonnull(x);
+	ck_assert_int_eq(x->u.topic, WS_EDT_SERVERS);
+}
+END_TEST
+
+/* Guards against memory that grows with requests beyond the bound. */
+START_TEST(requests_beyond_the_bound_are_refused)
+{
+	int i;
+
+	setup();
+	for (i = 0; i < 300; i++)
+		arrive("/o/1", "k1");
+	ck_assert_uint_le(ws_edge_open(edge), 100);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		answer_is_passed_on,
+		callers_are_checked,
+		keys_need_recent_evidence,
+		lost_order_is_not_sent_again,
+		shed_order_goes_to_another_server,
+		lost_read_is_sent_again,
+		late_read_is_hedged_and_the_loser_broken_off,
+		orders_are_never_hedged,
+		caller_that_leaves_is_cancelled,
+		draining_instance_refuses_in_its_second_half,
+		key_without_owner_is_refused_soon,
+		instance_behind_others_reads_anew,
+		requests_beyond_the_bound_are_refused,
+	};
+
+	return ed_suite_run("edge", tests, 13);
+}
