Let two instances read the store for all

Change: the two living members with the lowest ids that reach the store wait for records; others are told by heartbeats how far the topics go, and read when they are behind. Evidence for caller keys is told as well: a heartbeat echoes the receiver's own stamp of before the read began, so that its age is on the receiver's clock and a frozen process does not take it for fresh.

--- a/lib/edge/ws_ed_codec.c
+++ b/lib/edge/ws_ed_codec.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 /* First words of a message: name and version of the format. */
-#define BEAT_MAGIC 0x57534203U
+#define BEAT_MAGIC 0x57534204U
 #define MAP_MAGIC 0x57534d01U
 #define MAP_ENTRIES_MAX 65536
 
@@ -95,7 +95,8 @@
 		return false;
 	for (i = 0; i < b->n_echoes; i++)
 		if (!xdr_id(x, &b->echoes[i].peer) ||
-		    !xdr_int64_t(x, &b->echoes[i].stamp))
+		    !xdr_int64_t(x, &b->echoes[i].stamp) ||
+		    !xdr_int64_t(x, &b->echoes[i].read_stamp))
 			return false;
 	return true;
 }
--- a/lib/edge/ws_ed_peers.c
+++ b/lib/edge/ws_ed_peers.c
@@ -88,6 +88,11 @@
 	return rank;
 }
 
+bool ws_ed_peers_reader(const struct ws_ed_peers *p, ws_us now)
+{
+	return ws_ed_peers_rank(p, now) < WS_ED_READERS;
+}
+
 static int by_time_down(const void *a, const void *b)
 {
 	ws_us x = *(const ws_us *)a;
--- a/lib/edge/ws_ed_peers.h
+++ b/lib/edge/ws_ed_peers.h
@@ -33,6 +33,9 @@
 	uint64_t epoch; /* highest leader epoch it knows */
 	ws_us stamp; /* of its last heartbeat, on its own clock */
 	ws_us echoed; /* newest own stamp that it has echoed */
+	/* Its newest stamp when the own read of the configuration began */
+	ws_us stamp_at_start; /* of the read under way */
+	ws_us stamp_at_read; /* of the last one that came back */
 };
 
 struct ws_ed_peers {
@@ -62,6 +65,15 @@
 /* Members that are alive and stay, self included. */
 size_t ws_ed_peers_alive(const struct ws_ed_peers *p, ws_us now);
 
+/*
+ * Members that follow the store for all; the others are told by them, so that
+ * the calls to the store do not grow with the number of instances.
+ */
+#define WS_ED_READERS 2
+
+/* This instance is one of the readers. */
+bool ws_ed_peers_reader(const struct ws_ed_peers *p, ws_us now);
+
 /* Number of living members with the store whose id is below the own one. */
 size_t ws_ed_peers_rank(const struct ws_ed_peers *p, ws_us now);
 
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -22,6 +22,8 @@
  * instance for this time, it reads anew.
  */
 #define BEHIND_MAX (80 * WS_MS)
+/* Evidence older than this is not waited for; the store is read instead. */
+#define EVIDENCE_TOLD (1900 * WS_MS)
 /* Demands below this are not worth telling. */
 #define DEMAND_MIN 0.05
 /* Reports of servers older than this are of no use to others. */
@@ -118,6 +120,24 @@
 
 /* ===== Other instances ===== */
 
+/*
+ * The sender has read the configuration after it received this instance's
+ * stamp. If nothing is missing here, that read is evidence here as well, as
+ * old as the stamp.
+ */
+static void take_echo(struct ws_edge *e, struct ws_ed_member *m,
+		      const struct ws_ed_beat *b, const struct ws_ed_echo *echo)
+{
+	ws_us *evidence = &e->evidence[WS_EDT_CONFIG];
+
+	if (echo->stamp > m->echoed && echo->stamp <= e->now)
+		m->echoed = echo->stamp;
+	if (*evidence && echo->read_stamp > *evidence &&
+	    echo->read_stamp <= e->now &&
+	    e->ends[WS_EDT_CONFIG] >= b->ends[WS_EDT_CONFIG])
+		*evidence = echo->read_stamp;
+}
+
 static void take_load(struct ws_edge *e, const struct ws_ed_told_load *l)
 {
 	const struct ws_ed_report r = {
@@ -144,6 +164,8 @@
 		m->incarnation = b->incarnation;
 		m->echoed = 0;
 		m->stamp = 0;
+		m->stamp_at_start = 0;
+		m->stamp_at_read = 0;
 		ws_ed_fx_note(fx, WS_LOG_INSTANCE_SEEN, b->from, 0, b->address);
 	}
 	/* Datagrams may overtake each other. */
@@ -157,10 +179,8 @@
 	if (b->epoch > m->epoch)
 		m->epoch = b->epoch;
 	for (i = 0; i < b->n_echoes; i++)
-		if (b->echoes[i].peer == e->set.self &&
-		    b->echoes[i].stamp > m->echoed &&
-		    b->echoes[i].stamp <= e->now)
-			m->echoed = b->echoes[i].stamp;
+		if (b->echoes[i].peer == e->set.self)
+			take_echo(e, m, b, &b->echoes[i]);
 	for (i = 0; i < b->n_demands; i++)
 		ws_ed_quota_told(&e->quota, e->now, b->from,
 				 b->demands[i].customer,
@@ -232,6 +252,7 @@
 			b->echoes[b->n_echoes++] = (struct ws_ed_echo){
 				.peer = m->id,
 				.stamp = m->stamp,
+				.read_stamp = m->stamp_at_read,
 			};
 	}
 	for (i = 0; i < e->quota.n && b->n_demands < WS_ED_DEMANDS_MAX; i++) {
@@ -268,11 +289,32 @@
 	}
 }
 
+static void take_reading(struct ws_edge *e, enum ws_ed_topic topic)
+{
+	size_t i;
+
+	if (topic != WS_EDT_CONFIG)
+		return;
+	for (i = 0; i < e->peers.n; i++)
+		e->peers.members[i].stamp_at_start = e->peers.members[i].stamp;
+}
+
+static void note_read_stamps(struct ws_edge *e)
+{
+	size_t i;
+
+	for (i = 0; i < e->peers.n; i++)
+		e->peers.members[i].stamp_at_read =
+			e->peers.members[i].stamp_at_start;
+}
+
 static void take_sync(struct ws_edge *e, enum ws_ed_topic topic, ws_us started,
 		      uint64_t end)
 {
 	if (started > e->evidence[topic])
 		e->evidence[topic] = started;
+	if (started && topic == WS_EDT_CONFIG)
+		note_read_stamps(e);
 	if (started > e->lead.store_seen)
 		e->lead.store_seen = started;
 	if (end > e->ends[topic])
@@ -323,6 +365,9 @@
 		ws_ed_pool_zone(&e->pool, e->now, ev->u.zone.zone,
 				ev->u.zone.out, e->conf);
 		break;
+	case WS_EDEV_READING:
+		take_reading(e, ev->u.reading);
+		break;
 	case WS_EDEV_SYNC:
 		take_sync(e, ev->u.sync.topic, ev->u.sync.started,
 			  ev->u.sync.end);
@@ -385,6 +430,25 @@
 	       now - e->evidence[WS_EDT_CONFIG] < READY_EVIDENCE;
 }
 
+/* Told evidence is older where heartbeats are rare. */
+static ws_us evidence_wanted(const struct ws_edge *e)
+{
+	ws_us age = EVIDENCE_TOLD + 2 * ws_ed_peers_period(&e->peers);
+
+	return age < READY_EVIDENCE ? age : READY_EVIDENCE;
+}
+
+bool ws_edge_should_read(const struct ws_edge *e, ws_us now,
+			 enum ws_ed_topic topic)
+{
+	if (topic == WS_EDT_MAP)
+		return e->lead.role == WS_EDL_LEADER;
+	if (!e->evidence[topic] || ws_ed_peers_reader(&e->peers, now))
+		return true;
+	return topic == WS_EDT_CONFIG &&
+	       ws_edge_evidence_age(e, now) > evidence_wanted(e);
+}
+
 ws_us ws_edge_evidence_age(const struct ws_edge *e, ws_us now)
 {
 	return now - e->evidence[WS_EDT_CONFIG];
--- a/lib/edge/ws_edge.h
+++ b/lib/edge/ws_edge.h
@@ -49,6 +49,7 @@
 	WS_EDEV_LISTED, /* a server's entry was read */
 	WS_EDEV_UNLISTED, /* a server's entry is gone */
 	WS_EDEV_ZONE, /* a zone is taken out of service or back */
+	WS_EDEV_READING, /* a read of one of the store's topics begins */
 	WS_EDEV_SYNC, /* a read of one of the store's topics came back */
 	WS_EDEV_STORE_LOST, /* a call to the store has failed */
 	WS_EDEV_MAP, /* a read of the map's topic came back */
@@ -90,9 +91,11 @@
 #define WS_ED_ECHOES_MAX 512
 #define WS_ED_DEMANDS_MAX 256
 
+/* Stamps are on the peer's clock, so that it can tell how old they are. */
 struct ws_ed_echo {
 	ws_id peer;
-	ws_us stamp;
+	ws_us stamp; /* newest that has arrived */
+	ws_us read_stamp; /* newest before the last read of the config began */
 };
 
 struct ws_ed_told_demand {
@@ -146,9 +149,10 @@
 			ws_id zone;
 			bool out;
 		} zone;
+		enum ws_ed_topic reading;
 		struct {
 			enum ws_ed_topic topic;
-			ws_us started;
+			ws_us started; /* 0: told by another instance */
 			uint64_t end; /* offset after the newest record */
 		} sync;
 		struct {
@@ -194,6 +198,10 @@
 /* Takes callers: has a configuration, servers and recent evidence. */
 bool ws_edge_ready(const struct ws_edge *e, ws_us now);
 
+/* Whether this instance should read a topic by itself now. */
+bool ws_edge_should_read(const struct ws_edge *e, ws_us now,
+			 enum ws_ed_topic topic);
+
 /* Time since the store last told what is in force. */
 ws_us ws_edge_evidence_age(const struct ws_edge *e, ws_us now);
 
--- a/lib/edgeio/ws_eio_store.c
+++ b/lib/edgeio/ws_eio_store.c
@@ -10,10 +10,11 @@
 #include "platform/wp_decode.h"
 
 /* Waits of reads; each ends with evidence of what is in force. */
-#define CONFIG_WAIT (2 * WS_SECOND)
-#define SERVERS_WAIT (4 * WS_SECOND)
-#define MAP_WAIT_LEADER (900 * WS_MS)
-#define MAP_REFRESH (8 * WS_SECOND)
+#define CONFIG_WAIT (1 * WS_SECOND)
+#define SERVERS_WAIT (1 * WS_SECOND)
+#define MAP_WAIT (900 * WS_MS)
+/* Instances that are told by others read by themselves this often. */
+#define TOLD_REFRESH (8 * WS_SECOND)
 /* Each call to the store has a price; changes often come in bunches. */
 #define CONFIG_REST (150 * WS_MS)
 #define SERVERS_REST (300 * WS_MS)
@@ -34,6 +35,8 @@
 
 struct feed_ops {
 	enum wp_topic topic;
+	enum ws_ed_topic id; /* WS_EDT_COUNT: of no interest to the reducer */
+	ws_us refresh; /* instances that are told by others read this often */
 	ws_us rest; /* after records, so that others join the next reading */
 	ws_us (*wait)(struct ws_eio *io);
 	void (*record)(struct feed *f, const struct wp_record *r);
@@ -147,6 +150,14 @@
 }
 
 static void start_call(struct feed *f);
+static bool reads_itself(const struct feed *f);
+
+/* An instance that is told by others pauses after each read. */
+static void rest_if_told(struct feed *f)
+{
+	if (f->following && f->ops->refresh && !reads_itself(f))
+		f->due = ws_eio_now() + f->ops->refresh;
+}
 
 static void on_reply(void *arg, const struct wp_reply *r)
 {
@@ -171,14 +182,35 @@
 			take_page(f, r);
 		}
 	}
+	rest_if_told(f);
 	if (!f->call && !f->due)
 		start_call(f);
 }
 
+static bool reads_itself(const struct feed *f)
+{
+	return f->ops->id == WS_EDT_COUNT ||
+	       ws_edge_should_read(f->store->io->edge, ws_eio_now(),
+				   f->ops->id);
+}
+
+static void tell_reading(struct feed *f)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_READING };
+
+	if (f->ops->id == WS_EDT_COUNT)
+		return;
+	ev.u.reading = f->ops->id;
+	ws_eio_feed(f->store->io, &ev);
+}
+
+/* Only an instance that reads all the time waits for records. */
 static ws_us spread_wait(struct feed *f)
 {
 	double part = (double)ws_rand_below(&f->store->rand, 1000) / 1000.0;
 
+	if (!reads_itself(f))
+		return 0;
 	return (ws_us)((double)f->ops->wait(f->store->io) *
 		       (1.0 - WAIT_SPREAD * part));
 }
@@ -192,6 +224,7 @@
 	};
 
 	f->started = ws_eio_now();
+	tell_reading(f);
 	if (f->following)
 		f->call = wp_store_read(f->store->client, f->ops->topic,
 					f->next, spread_wait(f), &reader);
@@ -202,6 +235,9 @@
 
 static void check_feed(struct feed *f, ws_us now)
 {
+	if (!f->failed && f->due > now + f->ops->rest && f->ops->refresh &&
+	    reads_itself(f))
+		f->due = now;
 	if (!f->call && now >= f->due) {
 		f->due = 0;
 		start_call(f);
@@ -314,6 +350,8 @@
 
 static const struct feed_ops operator_ops = {
 	.topic = WP_TOPIC_OPERATOR,
+	.id = WS_EDT_CONFIG,
+	.refresh = TOLD_REFRESH,
 	.rest = CONFIG_REST,
 	.wait = operator_wait,
 	.record = operator_record,
@@ -382,6 +420,8 @@
 
 static const struct feed_ops servers_ops = {
 	.topic = WP_TOPIC_SERVERS,
+	.id = WS_EDT_SERVERS,
+	.refresh = TOLD_REFRESH,
 	.rest = SERVERS_REST,
 	.wait = servers_wait,
 	.record = servers_record,
@@ -405,11 +445,6 @@
 		s->decoded_new = true;
 }
 
-static bool is_leader(struct ws_eio *io)
-{
-	return ws_edge_lead(io->edge)->role == WS_EDL_LEADER;
-}
-
 static void map_synced(struct feed *f, ws_us started, uint64_t end,
 		       bool caught_up)
 {
@@ -423,18 +458,18 @@
 	ev.u.map.end = end;
 	s->decoded_new = false;
 	ws_eio_feed(s->io, &ev);
-	/* Followers are told by the leader and read when they were not. */
-	if (!is_leader(s->io))
-		f->due = ws_eio_now() + MAP_REFRESH;
 }
 
 static ws_us map_wait(struct ws_eio *io)
 {
-	return is_leader(io) ? MAP_WAIT_LEADER : 0;
+	(void)io;
+	return MAP_WAIT;
 }
 
 static const struct feed_ops map_ops = {
 	.topic = WP_TOPIC_MAP,
+	.id = WS_EDT_MAP,
+	.refresh = TOLD_REFRESH,
 	.wait = map_wait,
 	.record = map_record,
 	.synced = map_synced,
@@ -506,6 +541,7 @@
 
 static const struct feed_ops members_ops = {
 	.topic = WP_TOPIC_MEMBERS,
+	.id = WS_EDT_COUNT,
 	.wait = servers_wait,
 	.record = members_record,
 	.synced = members_synced,
@@ -563,9 +599,6 @@
 
 	check_feed(&s->config, now);
 	check_feed(&s->servers, now);
-	/* A leader needs evidence all the time that it still is one. */
-	if (is_leader(s->io) && !s->map.failed)
-		s->map.due = 0;
 	check_feed(&s->map, now);
 	check_feed(&s->members, now);
 	if (!s->own_written && !s->own_entry && now >= s->own_due)
