Keep a heartbeat within one datagram

Cause: at 79 instances a heartbeat with an echo for each member outgrew what a link carries whole.

Change: each member is sent its own echo only; other parts are bounded; the map goes in slices, in messages of their own.

--- a/lib/edge/ws_ed_codec.c
+++ b/lib/edge/ws_ed_codec.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 /* First words of a message: name and version of the format. */
-#define BEAT_MAGIC 0x57534204U
+#define BEAT_MAGIC 0x57534205U
 #define MAP_MAGIC 0x57534d01U
 #define MAP_ENTRIES_MAX 65536
 
@@ -70,7 +70,6 @@
 			return false;
 		ws_ed_map_add(m, &e);
 	}
-	ws_ed_map_sort(m);
 	return true;
 }
 
@@ -87,18 +86,10 @@
 
 /* ===== Heartbeats ===== */
 
-static bool xdr_echoes(XDR *x, struct ws_ed_beat *b)
+static bool xdr_echo(XDR *x, struct ws_ed_echo *e)
 {
-	uint32_t i;
-
-	if (!xdr_uint32_t(x, &b->n_echoes) || b->n_echoes > WS_ED_ECHOES_MAX)
-		return false;
-	for (i = 0; i < b->n_echoes; i++)
-		if (!xdr_id(x, &b->echoes[i].peer) ||
-		    !xdr_int64_t(x, &b->echoes[i].stamp) ||
-		    !xdr_int64_t(x, &b->echoes[i].read_stamp))
-			return false;
-	return true;
+	return xdr_id(x, &e->peer) && xdr_int64_t(x, &e->stamp) &&
+	       xdr_int64_t(x, &e->read_stamp);
 }
 
 static bool xdr_demands(XDR *x, struct ws_ed_beat *b)
@@ -158,6 +149,12 @@
 	return true;
 }
 
+static bool xdr_map_slice(XDR *x, struct ws_ed_beat *b)
+{
+	return xdr_uint32_t(x, &b->map_total) &&
+	       xdr_uint32_t(x, &b->map_first) && xdr_map(x, &b->map);
+}
+
 static bool xdr_beat(XDR *x, struct ws_ed_beat *b)
 {
 	return xdr_magic(x, BEAT_MAGIC) && xdr_id(x, &b->from) &&
@@ -165,9 +162,9 @@
 	       xdr_opaque(x, b->address, sizeof(b->address)) &&
 	       xdr_int64_t(x, &b->stamp) && xdr_id(x, &b->epoch) &&
 	       xdr_ends(x, b) && xdr_flag(x, &b->leaving) &&
-	       xdr_flag(x, &b->store_sound) && xdr_echoes(x, b) &&
+	       xdr_flag(x, &b->store_sound) && xdr_echo(x, &b->echo) &&
 	       xdr_demands(x, b) && xdr_counts(x, b) && xdr_loads(x, b) &&
-	       xdr_flag(x, &b->has_map) && (!b->has_map || xdr_map(x, &b->map));
+	       xdr_flag(x, &b->has_map) && (!b->has_map || xdr_map_slice(x, b));
 }
 
 int ws_ed_beat_encode(const struct ws_ed_beat *b, void *buf, size_t size)
@@ -207,5 +204,8 @@
 	XDR x;
 
 	xdrmem_create(&x, (char *)(uintptr_t)buf, (u_int)len, XDR_DECODE);
-	return xdr_map(&x, m) ? 0 : WS_ERR_SYNTAX;
+	if (!xdr_map(&x, m))
+		return WS_ERR_SYNTAX;
+	ws_ed_map_sort(m);
+	return 0;
 }
--- a/lib/edge/ws_ed_lead.c
+++ b/lib/edge/ws_ed_lead.c
@@ -256,19 +256,11 @@
 	adopt(l, now, map, fx);
 }
 
-bool ws_ed_lead_tells(const struct ws_ed_lead *l, ws_us now)
+bool ws_ed_lead_tells(const struct ws_ed_lead *l, ws_us now,
+		      const struct ws_ed_member *m)
 {
-	size_t i;
-
-	if (!ws_ed_lead_valid(l, now) || l->map.epoch != l->epoch)
-		return false;
-	for (i = 0; i < l->peers->n; i++) {
-		const struct ws_ed_member *m = &l->peers->members[i];
-
-		if (ws_ed_member_alive(l->peers, m, now) && m->map_end < l->end)
-			return true;
-	}
-	return false;
+	return ws_ed_lead_valid(l, now) && l->map.epoch == l->epoch &&
+	       ws_ed_member_alive(l->peers, m, now) && m->map_end < l->end;
 }
 
 const struct ws_ed_map *ws_ed_lead_proposal(const struct ws_ed_lead *l)
--- a/lib/edge/ws_ed_lead.h
+++ b/lib/edge/ws_ed_lead.h
@@ -129,8 +129,9 @@
 		     const struct ws_ed_map *map, uint64_t end,
 		     struct ws_ed_fx *fx);
 
-/* Tells whether others should be told of the map. */
-bool ws_ed_lead_tells(const struct ws_ed_lead *l, ws_us now);
+/* Tells whether a member should be told of the map. */
+bool ws_ed_lead_tells(const struct ws_ed_lead *l, ws_us now,
+		      const struct ws_ed_member *m);
 
 /* What WS_EDFX_APPEND is to write. */
 const struct ws_ed_map *ws_ed_lead_proposal(const struct ws_ed_lead *l);
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -26,6 +26,8 @@
 #define EVIDENCE_TOLD (1900 * WS_MS)
 /* Demands below this are not worth telling. */
 #define DEMAND_MIN 0.05
+/* Entries of the map in one heartbeat. */
+#define MAP_SLICE 45
 /* Reports of servers older than this are of no use to others. */
 #define LOAD_AGE_MAX (500 * WS_MS)
 
@@ -64,6 +66,7 @@
 	ws_ed_heat_free(&e->heat);
 	ws_ed_quota_free(&e->quota);
 	ws_ed_lead_free(&e->lead);
+	ws_ed_map_free(&e->told_map);
 	free(e->calls);
 	free(e->order);
 	free(e->budgets);
@@ -151,6 +154,31 @@
 			&r);
 }
 
+/* Slices come in order; after a gap the leader's next telling starts anew. */
+static void take_map(struct ws_edge *e, const struct ws_ed_beat *b,
+		     struct ws_ed_fx *fx)
+{
+	uint64_t end = b->ends[WS_EDT_MAP];
+	size_t i;
+
+	if (end <= e->lead.end)
+		return;
+	if (!b->map_first) {
+		e->told_map.n = 0;
+		e->told_map.epoch = b->map.epoch;
+		e->told_map.leader = b->map.leader;
+		e->told_map_end = end;
+	}
+	if (e->told_map_end != end || e->told_map.n != b->map_first)
+		return;
+	for (i = 0; i < b->map.n; i++)
+		ws_ed_map_add(&e->told_map, &b->map.entries[i]);
+	if (e->told_map.n != b->map_total)
+		return;
+	ws_ed_lead_told(&e->lead, e->now, &e->told_map, end, fx);
+	e->ends[WS_EDT_MAP] = e->lead.end;
+}
+
 static void take_beat(struct ws_edge *e, const struct ws_ed_beat *b,
 		      struct ws_ed_fx *fx)
 {
@@ -169,7 +197,7 @@
 		ws_ed_fx_note(fx, WS_LOG_INSTANCE_SEEN, b->from, 0, b->address);
 	}
 	/* Datagrams may overtake each other. */
-	if (b->stamp <= m->stamp)
+	if (b->has_map ? b->stamp < m->stamp : b->stamp <= m->stamp)
 		return;
 	m->stamp = b->stamp;
 	m->heard = e->now;
@@ -178,9 +206,12 @@
 	m->map_end = b->ends[WS_EDT_MAP];
 	if (b->epoch > m->epoch)
 		m->epoch = b->epoch;
-	for (i = 0; i < b->n_echoes; i++)
-		if (b->echoes[i].peer == e->set.self)
-			take_echo(e, m, b, &b->echoes[i]);
+	if (b->echo.peer == e->set.self)
+		take_echo(e, m, b, &b->echo);
+	if (b->has_map) {
+		take_map(e, b, fx);
+		return;
+	}
 	for (i = 0; i < b->n_demands; i++)
 		ws_ed_quota_told(&e->quota, e->now, b->from,
 				 b->demands[i].customer,
@@ -190,11 +221,6 @@
 		ws_ed_heat_told(&e->heat, &b->counts[i]);
 	for (i = 0; i < b->n_loads; i++)
 		take_load(e, &b->loads[i]);
-	if (b->has_map) {
-		ws_ed_lead_told(&e->lead, e->now, &b->map, b->ends[WS_EDT_MAP],
-				fx);
-		e->ends[WS_EDT_MAP] = e->lead.end;
-	}
 	for (i = 0; i < WS_EDT_COUNT; i++)
 		if (b->ends[i] > e->told_ends[i])
 			e->told_ends[i] = b->ends[i];
@@ -223,10 +249,27 @@
 	}
 }
 
-void ws_edge_beat(struct ws_edge *e, ws_us now, struct ws_ed_beat *b)
+static void tell_demands(struct ws_edge *e, ws_us now, struct ws_ed_beat *b)
 {
 	size_t i;
 
+	for (i = 0; i < e->quota.n && b->n_demands < WS_ED_DEMANDS_MAX; i++) {
+		const struct ws_ed_bucket *q =
+			&e->quota.buckets[(e->next_demand + i) % e->quota.n];
+		double per_s = ws_ed_quota_demand(q, now);
+
+		if (q->rate > 0.0 && per_s > DEMAND_MIN)
+			b->demands[b->n_demands++] = (struct ws_ed_told_demand){
+				.customer = q->customer,
+				.per_s = (float)per_s,
+			};
+	}
+	e->next_demand += i;
+}
+
+void ws_edge_beat(struct ws_edge *e, ws_us now, struct ws_ed_beat *b)
+{
+
 	b->from = e->set.self;
 	b->incarnation = e->set.incarnation;
 	b->stamp = now;
@@ -235,42 +278,54 @@
 	if (e->lead.end > b->ends[WS_EDT_MAP])
 		b->ends[WS_EDT_MAP] = e->lead.end;
 	tell_loads(e, now, b);
-	b->has_map = ws_ed_lead_tells(&e->lead, now);
-	if (b->has_map)
-		ws_ed_map_copy(&b->map, &e->lead.map);
 	b->leaving = e->draining;
 	b->store_sound = ws_ed_lead_store_sound(&e->lead, now);
-	b->n_echoes = 0;
 	b->n_demands = 0;
-	/* Before it knows the map, an instance may support an old leader. */
-	for (i = 0;
-	     e->lead.known && i < e->peers.n && b->n_echoes < WS_ED_ECHOES_MAX;
-	     i++) {
-		const struct ws_ed_member *m = &e->peers.members[i];
-
-		if (ws_ed_member_alive(&e->peers, m, now))
-			b->echoes[b->n_echoes++] = (struct ws_ed_echo){
-				.peer = m->id,
-				.stamp = m->stamp,
-				.read_stamp = m->stamp_at_read,
-			};
-	}
-	for (i = 0; i < e->quota.n && b->n_demands < WS_ED_DEMANDS_MAX; i++) {
-		const struct ws_ed_bucket *q = &e->quota.buckets[i];
-		double per_s = ws_ed_quota_demand(q, now);
-
-		if (q->rate > 0.0 && per_s > DEMAND_MIN)
-			b->demands[b->n_demands++] = (struct ws_ed_told_demand){
-				.customer = q->customer,
-				.per_s = (float)per_s,
-			};
-	}
+	b->has_map = false;
+	tell_demands(e, now, b);
 	b->n_counts = (uint32_t)e->heat.n_fresh;
 	memcpy(b->counts, e->heat.fresh,
 	       e->heat.n_fresh * sizeof(e->heat.fresh[0]));
 	e->heat.n_fresh = 0;
 }
 
+void ws_edge_beat_for(const struct ws_edge *e, const struct ws_ed_member *m,
+		      struct ws_ed_beat *b)
+{
+	b->echo = (struct ws_ed_echo){ .peer = m->id };
+	/* Before it knows the map, an instance may support an old leader. */
+	if (!e->lead.known || !ws_ed_member_alive(&e->peers, m, b->stamp))
+		return;
+	b->echo.stamp = m->stamp;
+	b->echo.read_stamp = m->stamp_at_read;
+}
+
+bool ws_edge_tells_map(const struct ws_edge *e, ws_us now,
+		       const struct ws_ed_member *m)
+{
+	return ws_ed_lead_tells(&e->lead, now, m);
+}
+
+uint32_t ws_edge_beat_map(const struct ws_edge *e, uint32_t first,
+			  struct ws_ed_beat *b)
+{
+	const struct ws_ed_map *m = &e->lead.map;
+	uint32_t i;
+
+	b->has_map = true;
+	b->n_demands = 0;
+	b->n_counts = 0;
+	b->n_loads = 0;
+	b->map_total = (uint32_t)m->n;
+	b->map_first = first;
+	b->map.epoch = m->epoch;
+	b->map.leader = m->leader;
+	b->map.n = 0;
+	for (i = first; i < m->n && b->map.n < MAP_SLICE; i++)
+		ws_ed_map_add(&b->map, &m->entries[i]);
+	return i < m->n ? i : 0;
+}
+
 /* ===== Time ===== */
 
 static void check_behind(struct ws_edge *e, struct ws_ed_fx *fx)
--- a/lib/edge/ws_edge.h
+++ b/lib/edge/ws_edge.h
@@ -88,8 +88,12 @@
 	struct ws_ed_report report;
 };
 
-#define WS_ED_ECHOES_MAX 512
-#define WS_ED_DEMANDS_MAX 256
+/*
+ * A heartbeat must fit into one datagram that no link splits; what does not
+ * fit waits for the next one.
+ */
+#define WS_ED_BEAT_BYTES 1400
+#define WS_ED_DEMANDS_MAX 32
 
 /* Stamps are on the peer's clock, so that it can tell how old they are. */
 struct ws_ed_echo {
@@ -103,7 +107,7 @@
 	float per_s;
 };
 
-#define WS_ED_LOADS_MAX 64
+#define WS_ED_LOADS_MAX 14
 
 /* What a server told the sender of itself. */
 struct ws_ed_told_load {
@@ -124,17 +128,20 @@
 	uint64_t ends[WS_EDT_COUNT]; /* of the topics, as the sender knows */
 	bool leaving;
 	bool store_sound;
-	uint32_t n_echoes;
-	struct ws_ed_echo echoes[WS_ED_ECHOES_MAX];
+	struct ws_ed_echo echo; /* for the receiver */
 	uint32_t n_demands;
 	struct ws_ed_told_demand demands[WS_ED_DEMANDS_MAX];
 	uint32_t n_counts;
 	struct ws_ed_count counts[WS_ED_TOLD_MAX];
 	uint32_t n_loads;
 	struct ws_ed_told_load loads[WS_ED_LOADS_MAX];
-	/* From the leader, while others have not read as far: ends[MAP] is its
-	 * end. */
+	/*
+	 * From the leader, while the receiver has not read as far: a slice of
+	 * the map whose end is ends[MAP]. Nothing else is told then.
+	 */
 	bool has_map;
+	uint32_t map_total; /* entries of the whole map */
+	uint32_t map_first; /* index of the slice's first entry */
 	struct ws_ed_map map;
 };
 
@@ -192,9 +199,27 @@
 
 /* ===== Questions of the shell ===== */
 
-/* Fills in the next heartbeat; counts told in it are not told again. */
+/*
+ * Fills in the next heartbeat, which is the same for all members but for the
+ * echo; counts told in it are not told again.
+ */
 void ws_edge_beat(struct ws_edge *e, ws_us now, struct ws_ed_beat *beat);
 
+/* Adds what a heartbeat tells one member only. */
+void ws_edge_beat_for(const struct ws_edge *e, const struct ws_ed_member *m,
+		      struct ws_ed_beat *beat);
+
+/*
+ * Turns a heartbeat into one that carries a slice of the map for a member.
+ * @return index of the next slice's first entry; 0: that was the last one
+ */
+uint32_t ws_edge_beat_map(const struct ws_edge *e, uint32_t first,
+			  struct ws_ed_beat *beat);
+
+/* Tells whether a member must be told of the map. */
+bool ws_edge_tells_map(const struct ws_edge *e, ws_us now,
+		       const struct ws_ed_member *m);
+
 /* Takes callers: has a configuration, servers and recent evidence. */
 bool ws_edge_ready(const struct ws_edge *e, ws_us now);
 
--- a/lib/edge/ws_edge_int.h
+++ b/lib/edge/ws_edge_int.h
@@ -82,6 +82,10 @@
 	ws_us behind_since[WS_EDT_COUNT]; /* others have read more; 0: no */
 	ws_us store_lost; /* last failure of the store */
 	ws_us next_slow_tick;
+	/* Slices of a map that the leader tells */
+	struct ws_ed_map told_map;
+	uint64_t told_map_end;
+	size_t next_demand; /* customer to start with in the next heartbeat */
 	bool draining;
 	ws_us refuse_from; /* draining: no new requests from here on */
 	/* Keys that their server did not hold are left alone until then. */
--- a/lib/edgeio/ws_eio_beats.c
+++ b/lib/edgeio/ws_eio_beats.c
@@ -10,7 +10,6 @@
 #include "config/ws_config.h"
 #include "edge/ws_ed_codec.h"
 
-#define DATAGRAM_MAX 16384
 /* Datagrams read in one turn of the loop. */
 #define READS_MAX 64
 
@@ -22,37 +21,53 @@
 	ws_us next;
 	struct ws_ed_beat beat; /* work space of sending */
 	struct ws_ed_beat received; /* the one being taken */
-	unsigned char buf[DATAGRAM_MAX];
-	unsigned char in[DATAGRAM_MAX];
+	unsigned char buf[WS_ED_BEAT_BYTES];
+	unsigned char in[WS_ED_BEAT_BYTES];
 };
 
+static void send_to(struct ws_eio_beats *b, const struct ws_ed_member *m)
+{
+	int len = ws_ed_beat_encode(&b->beat, b->buf, sizeof(b->buf));
+	struct sockaddr_storage to;
+	socklen_t to_len;
+
+	WS_INVARIANT(len > 0);
+	if (ws_config_address(m->address, &to, &to_len))
+		return;
+	/* A lost heartbeat is made up for by the next one. */
+	(void)!sendto(b->fd, b->buf, (size_t)len, MSG_DONTWAIT,
+		      (struct sockaddr *)&to, to_len);
+}
+
+static void send_map(struct ws_eio_beats *b, const struct ws_ed_member *m)
+{
+	uint32_t next = 0;
+
+	do {
+		next = ws_edge_beat_map(b->io->edge, next, &b->beat);
+		send_to(b, m);
+	} while (next);
+}
+
 void ws_eio_beats_send(struct ws_eio_beats *b)
 {
 	const struct ws_ed_peers *peers = ws_edge_peers(b->io->edge);
 	ws_us now = ws_eio_now();
-	int len;
 	size_t i;
 
 	b->next = now + ws_ed_peers_period(peers);
 	ws_edge_beat(b->io->edge, now, &b->beat);
 	snprintf(b->beat.address, sizeof(b->beat.address), "%s",
 		 b->io->set.peers);
-	len = ws_ed_beat_encode(&b->beat, b->buf, sizeof(b->buf));
-	if (len < 0) {
-		/* A map of many parts is left to be read from the store. */
-		b->beat.has_map = false;
-		len = ws_ed_beat_encode(&b->beat, b->buf, sizeof(b->buf));
+	for (i = 0; i < peers->n; i++) {
+		ws_edge_beat_for(b->io->edge, &peers->members[i], &b->beat);
+		send_to(b, &peers->members[i]);
 	}
-	WS_INVARIANT(len > 0);
 	for (i = 0; i < peers->n; i++) {
-		struct sockaddr_storage to;
-		socklen_t to_len;
-
-		if (ws_config_address(peers->members[i].address, &to, &to_len))
+		if (!ws_edge_tells_map(b->io->edge, now, &peers->members[i]))
 			continue;
-		/* A lost heartbeat is made up for by the next one. */
-		(void)!sendto(b->fd, b->buf, (size_t)len, MSG_DONTWAIT,
-			      (struct sockaddr *)&to, to_len);
+		ws_edge_beat_for(b->io->edge, &peers->members[i], &b->beat);
+		send_map(b, &peers->members[i]);
 	}
 }
 
--- a/tests/test_ed_codec.c
+++ b/tests/test_ed_codec.c
@@ -21,8 +21,7 @@
 	beat.from = 11;
 	beat.stamp = 77 * WS_SECOND;
 	beat.ends[WS_EDT_MAP] = 6;
-	beat.n_echoes = 1;
-	beat.echoes[0] = (struct ws_ed_echo){ .peer = 4, .stamp = 5 };
+	beat.echo = (struct ws_ed_echo){ .peer = 4, .stamp = 5 };
 	beat.n_demands = 1;
 	beat.demands[0] =
 		(struct ws_ed_told_demand){ .customer = 9, .per_s = 1.5F };
@@ -45,7 +44,7 @@
 	ck_assert_uint_eq(back.from, 11);
 	ck_assert_int_eq(back.stamp, 77 * WS_SECOND);
 	ck_assert_uint_eq(back.ends[WS_EDT_MAP], 6);
-	ck_assert_int_eq(back.echoes[0].stamp, 5);
+	ck_assert_int_eq(back.echo.stamp, 5);
 	ck_assert_uint_eq(back.loads[0].age_ms, 40);
 	ck_assert(back.has_map);
 	ck_assert_uint_eq(ws_ed_map_owner(&back.map, 3, 7), 8);
@@ -73,12 +72,24 @@
 			(unsigned char)ws_rand_next(&r);
 		if (ws_ed_beat_decode(&back, copy, (size_t)len))
 			continue;
-		ck_assert_uint_le(back.n_echoes, WS_ED_ECHOES_MAX);
+		ck_assert_uint_le(back.n_demands, WS_ED_DEMANDS_MAX);
 		ck_assert_uint_le(back.n_loads, WS_ED_LOADS_MAX);
 	}
 }
 END_TEST
 
+/* Guards against datagrams that are lost because a link would split them. */
+START_TEST(full_beat_fits_one_datagram)
+{
+	encode_sample();
+	beat.has_map = false;
+	beat.n_demands = WS_ED_DEMANDS_MAX;
+	beat.n_counts = WS_ED_TOLD_MAX;
+	beat.n_loads = WS_ED_LOADS_MAX;
+	ck_assert_int_gt(ws_ed_beat_encode(&beat, buf, WS_ED_BEAT_BYTES), 0);
+}
+END_TEST
+
 START_TEST(too_small_a_buffer_is_told)
 {
 	encode_sample();
@@ -114,9 +125,10 @@
 	const TTest *const tests[] = {
 		beat_comes_back_whole,
 		damaged_beats_are_refused_or_bounded,
+		full_beat_fits_one_datagram,
 		too_small_a_buffer_is_told,
 		neighbours_of_one_server_are_joined,
 	};
 
-	return ed_suite_run("ed_codec", tests, 4);
+	return ed_suite_run("ed_codec", tests, 5);
 }
