Spread keys faster over many servers, read the map less often

Members read the map 80 ms after they heard of it, before its slices had left a link of 10 Mbit/s: 4,067 reads.

Change: the first placement waits 2.5 s; moves at a time grow with the servers; with many ranges leases are renewed each 1.3 s; where heartbeats are rare, members wait two periods for the map, and readers read more often so that told evidence is fresh.

--- a/lib/edge/ws_ed_balance.c
+++ b/lib/edge/ws_ed_balance.c
@@ -12,8 +12,12 @@
 /* A server this much above its share gives, one this much below it takes. */
 #define OVER 1.3
 #define UNDER 0.9
-/* Ranges on the move at the same time, of one service. */
-#define MOVES_MAX 3
+/* Ranges on the move at the same time, of one service: a few, and a part of
+ * the servers. */
+#define MOVES_MIN 3
+#define MOVES_PART 8
+/* The first placement waits until the servers have listed themselves. */
+#define FIRST_WAIT (2500 * WS_MS)
 /* Parts smaller than this share of a server's load are not worth a move. */
 #define PART_MIN 0.1
 /* A range is left alone for this time after it has changed hands. */
@@ -325,8 +329,8 @@
 static void even_out(struct ws_ed_lead *l, ws_id service, struct plan *pl,
 		     ws_us now)
 {
-	while (ws_ed_lead_may_move(l, now) && pl->moving < MOVES_MAX &&
-	       pl->n > 1) {
+	while (ws_ed_lead_may_move(l, now) &&
+	       pl->moving < MOVES_MIN + pl->n / MOVES_PART && pl->n > 1) {
 		struct site *over = most_loaded(pl);
 		struct site *under = least_loaded(pl);
 		double excess = over->heat - over->target;
@@ -350,6 +354,8 @@
 	(void)fx;
 	if (!l->conf || now < l->next_balance)
 		return;
+	if (!l->map.n && now < l->started + FIRST_WAIT)
+		return;
 	l->next_balance = now + BALANCE_PERIOD;
 	drop_unsharded(l);
 	pl.sites = ws_alloc(l->pool->n + 1, sizeof(*pl.sites));
--- a/lib/edge/ws_ed_hold.c
+++ b/lib/edge/ws_ed_hold.c
@@ -9,6 +9,9 @@
  */
 
 #define RENEW_PERIOD (800 * WS_MS)
+/* With many ranges, so that a small instance can lead; two tries a lease. */
+#define RENEW_PERIOD_MANY (1300 * WS_MS)
+#define RANGES_MANY 40
 #define CALL_RETRY (200 * WS_MS)
 /* A server that lets its lease run out gets no keys for this time. */
 #define KEYS_REFUSED (2 * WS_SECOND)
@@ -102,7 +105,8 @@
 	ws_us end = now + WS_EDH_HOLD_END;
 
 	call(l, h, WS_EDFX_GRANT, fx);
-	h->next_call = now + RENEW_PERIOD;
+	h->next_call = now + (l->n_holds > RANGES_MANY ? RENEW_PERIOD_MANY :
+							 RENEW_PERIOD);
 	if (end > h->held_until)
 		h->held_until = end;
 }
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -328,6 +328,15 @@
 
 /* ===== Time ===== */
 
+/* The map is told again with the next heartbeats if a slice was lost. */
+static ws_us behind_max(const struct ws_edge *e, int topic)
+{
+	if (topic != WS_EDT_MAP ||
+	    ws_ed_peers_period(&e->peers) == WS_ED_BEAT_PERIOD)
+		return BEHIND_MAX;
+	return 2 * ws_ed_peers_period(&e->peers);
+}
+
 static void check_behind(struct ws_edge *e, struct ws_ed_fx *fx)
 {
 	int i;
@@ -337,7 +346,7 @@
 			e->behind_since[i] = 0;
 		} else if (!e->behind_since[i]) {
 			e->behind_since[i] = e->now;
-		} else if (e->now - e->behind_since[i] >= BEHIND_MAX) {
+		} else if (e->now - e->behind_since[i] >= behind_max(e, i)) {
 			e->behind_since[i] = 0;
 			ws_ed_fx_read(fx, (enum ws_ed_topic)i);
 		}
--- a/lib/edgeio/ws_eio_store.c
+++ b/lib/edgeio/ws_eio_store.c
@@ -11,6 +11,8 @@
 
 /* Waits of reads; each ends with evidence of what is in force. */
 #define CONFIG_WAIT (1 * WS_SECOND)
+#define CONFIG_WAIT_MANY (300 * WS_MS)
+#define RARE_BEATS (300 * WS_MS)
 #define SERVERS_WAIT (1 * WS_SECOND)
 #define MAP_WAIT (900 * WS_MS)
 /* Instances that are told by others read by themselves this often. */
@@ -342,9 +344,11 @@
 	sync_topic(f, WS_EDT_CONFIG, started, end, caught_up);
 }
 
+/* Where heartbeats are rare, fresher reads make up for it. */
 static ws_us operator_wait(struct ws_eio *io)
 {
-	(void)io;
+	if (ws_ed_peers_period(ws_edge_peers(io->edge)) > RARE_BEATS)
+		return CONFIG_WAIT_MANY;
 	return CONFIG_WAIT;
 }
 
