Tell evidence for the list of servers, share hang-up detection

One of the two readers was cut from the store at that moment, and the others relied on the other one without knowing how old its word was.

Change: echoes carry the stamp for the list of servers as well; an instance reads by itself when nobody has told it evidence for 1.2 s. Readers wait 450 ms, reads time out 0.5 s later: worst case with one lost read 1.8 s. Besides: one module finds hung-up callers for both daemons, the table of calls has a file of its own, tests share one main.

Figures: a test of the reducer fails without the change.

--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -30,63 +30,6 @@
 /* Part of the bound on extra sendings that is used. */
 #define BUDGET_PART 0.75
 
-/* ===== Table ===== */
-
-static size_t slot_of(const struct ws_edge *e, uint64_t id)
-{
-	return ws_mix(id, 0) & (e->cap_calls - 1);
-}
-
-struct ed_call *ws_ed_call_find(const struct ws_edge *e, uint64_t id)
-{
-	size_t i = slot_of(e, id);
-
-	for (; e->calls[i].state; i = (i + 1) & (e->cap_calls - 1))
-		if (e->calls[i].id == id)
-			return &e->calls[i];
-	return NULL;
-}
-
-static struct ed_call *add_call(struct ws_edge *e, uint64_t id)
-{
-	size_t i = slot_of(e, id);
-
-	while (e->calls[i].state)
-		i = (i + 1) & (e->cap_calls - 1);
-	memset(&e->calls[i], 0, sizeof(e->calls[i]));
-	e->calls[i].id = id;
-	e->calls[i].state = CALL_WAITING;
-	e->n_calls++;
-	e->n_waiting++;
-	return &e->calls[i];
-}
-
-/* Removes a call; other calls may move, so no pointer to one stays valid. */
-static void remove_call(struct ws_edge *e, struct ed_call *c)
-{
-	size_t mask = e->cap_calls - 1;
-	size_t hole = (size_t)(c - e->calls);
-	size_t i = hole;
-
-	e->n_calls--;
-	if (c->state == CALL_WAITING)
-		e->n_waiting--;
-	c->state = CALL_FREE;
-	for (;;) {
-		size_t home;
-
-		i = (i + 1) & mask;
-		if (!e->calls[i].state)
-			return;
-		home = slot_of(e, e->calls[i].id);
-		if (((i - home) & mask) < ((i - hole) & mask))
-			continue;
-		e->calls[hole] = e->calls[i];
-		e->calls[i].state = CALL_FREE;
-		hole = i;
-	}
-}
-
 /* ===== Ends ===== */
 
 static void reply(struct ws_edge *e, uint64_t id, const char *customer,
@@ -113,7 +56,7 @@
 {
 	WS_INVARIANT(!c->may_have_run);
 	reply(e, c->id, c->customer, 503, retry_after, reason, fx);
-	remove_call(e, c);
+	ws_ed_call_remove(e, c);
 }
 
 /* Ends a call that may have run. */
@@ -121,7 +64,7 @@
 		 enum ws_ed_reason reason, struct ws_ed_fx *fx)
 {
 	reply(e, c->id, c->customer, status, 0, reason, fx);
-	remove_call(e, c);
+	ws_ed_call_remove(e, c);
 }
 
 /* Ends a call for which no server can be used any more. */
@@ -484,7 +427,7 @@
 	count_request(e, svc->id);
 	if (svc->sharded)
 		ws_ed_heat_count(&e->heat, svc->id, (uint32_t)a->key);
-	c = add_call(e, a->id);
+	c = ws_ed_call_add(e, a->id);
 	fill_call(e, c, a, r, customer, svc);
 	place(e, c, fx);
 }
@@ -519,7 +462,7 @@
 		return;
 	e->counters.gone++;
 	cancel_lanes(e, c, fx);
-	remove_call(e, c);
+	ws_ed_call_remove(e, c);
 }
 
 /* ===== Answers of servers ===== */
@@ -538,7 +481,7 @@
 	memcpy(x->u.reply.customer, c->customer, sizeof(c->customer));
 	e->counters.passed++;
 	cancel_lanes(e, c, fx);
-	remove_call(e, c);
+	ws_ed_call_remove(e, c);
 }
 
 static void try_again(struct ws_edge *e, struct ed_call *c, ws_us pause,
--- a/lib/edge/ws_ed_codec.c
+++ b/lib/edge/ws_ed_codec.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 /* First words of a message: name and version of the format. */
-#define BEAT_MAGIC 0x57534205U
+#define BEAT_MAGIC 0x57534206U
 #define MAP_MAGIC 0x57534d01U
 #define MAP_ENTRIES_MAX 65536
 
@@ -88,8 +88,14 @@
 
 static bool xdr_echo(XDR *x, struct ws_ed_echo *e)
 {
-	return xdr_id(x, &e->peer) && xdr_int64_t(x, &e->stamp) &&
-	       xdr_int64_t(x, &e->read_stamp);
+	int i;
+
+	if (!xdr_id(x, &e->peer) || !xdr_int64_t(x, &e->stamp))
+		return false;
+	for (i = 0; i < WS_ED_TOLD_TOPICS; i++)
+		if (!xdr_int64_t(x, &e->read_stamps[i]))
+			return false;
+	return true;
 }
 
 static bool xdr_demands(XDR *x, struct ws_ed_beat *b)
--- a/lib/edge/ws_ed_peers.h
+++ b/lib/edge/ws_ed_peers.h
@@ -20,6 +20,8 @@
 #define WS_ED_FORGET (20 * WS_SECOND)
 
 #define WS_ED_ADDRESS_MAX 48
+/* Topics for which instances tell each other evidence: config and servers. */
+#define WS_ED_TOLD_TOPICS 2
 
 struct ws_ed_member {
 	ws_id id; /* of the machine's name */
@@ -33,9 +35,9 @@
 	uint64_t epoch; /* highest leader epoch it knows */
 	ws_us stamp; /* of its last heartbeat, on its own clock */
 	ws_us echoed; /* newest own stamp that it has echoed */
-	/* Its newest stamp when the own read of the configuration began */
-	ws_us stamp_at_start; /* of the read under way */
-	ws_us stamp_at_read; /* of the last one that came back */
+	/* Its newest stamp when the own read of a topic began */
+	ws_us stamp_at_start[WS_ED_TOLD_TOPICS]; /* of the read under way */
+	ws_us stamp_at_read[WS_ED_TOLD_TOPICS]; /* of the last that came back */
 };
 
 struct ws_ed_peers {
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -22,8 +22,12 @@
  * instance for this time, it reads anew.
  */
 #define BEHIND_MAX (80 * WS_MS)
-/* Evidence older than this is not waited for; the store is read instead. */
-#define EVIDENCE_TOLD (1900 * WS_MS)
+/*
+ * Evidence older than this is not waited for; the store is read instead. A
+ * leaving server must get nothing after 2 s, although one read may be lost.
+ */
+#define CONFIG_TOLD (1900 * WS_MS)
+#define SERVERS_TOLD (1 * WS_SECOND)
 /* Demands below this are not worth telling. */
 #define DEMAND_MIN 0.05
 /* Entries of the map in one heartbeat. */
@@ -124,21 +128,29 @@
 /* ===== Other instances ===== */
 
 /*
- * The sender has read the configuration after it received this instance's
- * stamp. If nothing is missing here, that read is evidence here as well, as
- * old as the stamp.
+ * The sender has read a topic after it received this instance's stamp. If
+ * nothing is missing here, that read is evidence here as well, as old as the
+ * stamp.
  */
+static void take_evidence(struct ws_edge *e, const struct ws_ed_beat *b,
+			  ws_us stamp, int topic)
+{
+	ws_us *evidence = &e->evidence[topic];
+
+	if (*evidence && stamp > *evidence && stamp <= e->now &&
+	    e->ends[topic] >= b->ends[topic])
+		*evidence = stamp;
+}
+
 static void take_echo(struct ws_edge *e, struct ws_ed_member *m,
-		      const struct ws_ed_beat *b, const struct ws_ed_echo *echo)
+		      const struct ws_ed_beat *b)
 {
-	ws_us *evidence = &e->evidence[WS_EDT_CONFIG];
+	int i;
 
-	if (echo->stamp > m->echoed && echo->stamp <= e->now)
-		m->echoed = echo->stamp;
-	if (*evidence && echo->read_stamp > *evidence &&
-	    echo->read_stamp <= e->now &&
-	    e->ends[WS_EDT_CONFIG] >= b->ends[WS_EDT_CONFIG])
-		*evidence = echo->read_stamp;
+	if (b->echo.stamp > m->echoed && b->echo.stamp <= e->now)
+		m->echoed = b->echo.stamp;
+	for (i = 0; i < WS_ED_TOLD_TOPICS; i++)
+		take_evidence(e, b, b->echo.read_stamps[i], i);
 }
 
 static void take_load(struct ws_edge *e, const struct ws_ed_told_load *l)
@@ -192,8 +204,8 @@
 		m->incarnation = b->incarnation;
 		m->echoed = 0;
 		m->stamp = 0;
-		m->stamp_at_start = 0;
-		m->stamp_at_read = 0;
+		memset(m->stamp_at_start, 0, sizeof(m->stamp_at_start));
+		memset(m->stamp_at_read, 0, sizeof(m->stamp_at_read));
 		ws_ed_fx_note(fx, WS_LOG_INSTANCE_SEEN, b->from, 0, b->address);
 	}
 	/* Datagrams may overtake each other. */
@@ -207,7 +219,7 @@
 	if (b->epoch > m->epoch)
 		m->epoch = b->epoch;
 	if (b->echo.peer == e->set.self)
-		take_echo(e, m, b, &b->echo);
+		take_echo(e, m, b);
 	if (b->has_map) {
 		take_map(e, b, fx);
 		return;
@@ -297,7 +309,8 @@
 	if (!e->lead.known || !ws_ed_member_alive(&e->peers, m, b->stamp))
 		return;
 	b->echo.stamp = m->stamp;
-	b->echo.read_stamp = m->stamp_at_read;
+	memcpy(b->echo.read_stamps, m->stamp_at_read,
+	       sizeof(b->echo.read_stamps));
 }
 
 bool ws_edge_tells_map(const struct ws_edge *e, ws_us now,
@@ -357,19 +370,22 @@
 {
 	size_t i;
 
-	if (topic != WS_EDT_CONFIG)
+	if (topic >= WS_ED_TOLD_TOPICS)
 		return;
 	for (i = 0; i < e->peers.n; i++)
-		e->peers.members[i].stamp_at_start = e->peers.members[i].stamp;
+		e->peers.members[i].stamp_at_start[topic] =
+			e->peers.members[i].stamp;
 }
 
-static void note_read_stamps(struct ws_edge *e)
+static void note_read_stamps(struct ws_edge *e, enum ws_ed_topic topic)
 {
 	size_t i;
 
+	if (topic >= WS_ED_TOLD_TOPICS)
+		return;
 	for (i = 0; i < e->peers.n; i++)
-		e->peers.members[i].stamp_at_read =
-			e->peers.members[i].stamp_at_start;
+		e->peers.members[i].stamp_at_read[topic] =
+			e->peers.members[i].stamp_at_start[topic];
 }
 
 static void take_sync(struct ws_edge *e, enum ws_ed_topic topic, ws_us started,
@@ -377,8 +393,8 @@
 {
 	if (started > e->evidence[topic])
 		e->evidence[topic] = started;
-	if (started && topic == WS_EDT_CONFIG)
-		note_read_stamps(e);
+	if (started)
+		note_read_stamps(e, topic);
 	if (started > e->lead.store_seen)
 		e->lead.store_seen = started;
 	if (end > e->ends[topic])
@@ -495,9 +511,10 @@
 }
 
 /* Told evidence is older where heartbeats are rare. */
-static ws_us evidence_wanted(const struct ws_edge *e)
+static ws_us evidence_wanted(const struct ws_edge *e, enum ws_ed_topic topic)
 {
-	ws_us age = EVIDENCE_TOLD + 2 * ws_ed_peers_period(&e->peers);
+	ws_us told = topic == WS_EDT_CONFIG ? CONFIG_TOLD : SERVERS_TOLD;
+	ws_us age = told + 2 * ws_ed_peers_period(&e->peers);
 
 	return age < READY_EVIDENCE ? age : READY_EVIDENCE;
 }
@@ -509,8 +526,7 @@
 		return e->lead.role == WS_EDL_LEADER;
 	if (!e->evidence[topic] || ws_ed_peers_reader(&e->peers, now))
 		return true;
-	return topic == WS_EDT_CONFIG &&
-	       ws_edge_evidence_age(e, now) > evidence_wanted(e);
+	return now - e->evidence[topic] > evidence_wanted(e, topic);
 }
 
 ws_us ws_edge_evidence_age(const struct ws_edge *e, ws_us now)
--- a/lib/edge/ws_edge.h
+++ b/lib/edge/ws_edge.h
@@ -99,7 +99,8 @@
 struct ws_ed_echo {
 	ws_id peer;
 	ws_us stamp; /* newest that has arrived */
-	ws_us read_stamp; /* newest before the last read of the config began */
+	/* Newest before the last read of each topic began */
+	ws_us read_stamps[WS_ED_TOLD_TOPICS];
 };
 
 struct ws_ed_told_demand {
--- a/lib/edge/ws_edge_int.h
+++ b/lib/edge/ws_edge_int.h
@@ -115,7 +115,15 @@
 /* Places calls that wait, and ends those whose time is over. */
 void ws_ed_call_tick(struct ws_edge *e, struct ws_ed_fx *fx);
 
+/* ===== ws_ed_call_table.c ===== */
+
 /* Finds a call by its id, or NULL. */
 struct ed_call *ws_ed_call_find(const struct ws_edge *e, uint64_t id);
 
+/* Adds a waiting call; the table must have room. */
+struct ed_call *ws_ed_call_add(struct ws_edge *e, uint64_t id);
+
+/* Removes a call; other calls may move, so no pointer to one stays valid. */
+void ws_ed_call_remove(struct ws_edge *e, struct ed_call *c);
+
 #endif
--- a/lib/edgeio/ws_eio_front.c
+++ b/lib/edgeio/ws_eio_front.c
@@ -1,9 +1,7 @@
-#define _GNU_SOURCE /* POLLRDHUP */
 #include "edgeio/ws_eio_front.h"
 
 #include <errno.h>
 #include <glib.h>
-#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -13,6 +11,7 @@
 #include "edgeio/ws_eio_log.h"
 #include "edgeio/ws_eio_metrics.h"
 #include "edgeio/ws_eio_targets.h"
+#include "io/ws_hangup.h"
 #include "io/ws_headers.h"
 #include "io/ws_mhd.h"
 #include "platform/wp_wire.h"
@@ -73,10 +72,7 @@
 	unsigned crowded; /* connections above which answers close theirs */
 	size_t arriving; /* bytes of bodies not yet given to the reducer */
 	int timer;
-	/* Work space of find_gone() */
-	GPtrArray *polled;
-	struct pollfd *fds;
-	size_t cap_fds;
+	struct ws_hangup hangup; /* work space of find_gone() */
 };
 
 /* ===== Records of callers ===== */
@@ -508,48 +504,35 @@
 
 /* ===== Callers that go away ===== */
 
-static size_t collect_waiting(struct ws_eio_front *f, ws_us now)
+/* Requests that have waited for long. */
+static void collect_waiting(struct ws_eio_front *f, ws_us now)
 {
 	GHashTableIter it;
 	gpointer value;
-	size_t n = 0;
 
-	g_ptr_array_set_size(f->polled, 0);
+	ws_hangup_reset(&f->hangup);
 	g_hash_table_iter_init(&it, f->waiting);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct caller *r = value;
-		const union MHD_ConnectionInfo *info;
 
-		if (now - r->started < GONE_PERIOD)
-			continue;
-		info = MHD_get_connection_info(
-			r->con, MHD_CONNECTION_INFO_CONNECTION_FD);
-		ws_grow(&f->fds, &f->cap_fds, n + 1, sizeof(*f->fds));
-		g_ptr_array_add(f->polled, r);
-		f->fds[n++] = (struct pollfd){
-			.fd = info->connect_fd,
-			.events = POLLRDHUP,
-		};
+		if (now - r->started >= GONE_PERIOD)
+			ws_hangup_add(&f->hangup, r->con, r);
 	}
-	return n;
 }
 
-/*
- * libmicrohttpd does not watch suspended connections. A caller that shuts
- * down its sending side only is taken for gone as well.
- */
 static void find_gone(void *arg, ws_us now)
 {
 	struct ws_eio_front *f = arg;
-	size_t n = collect_waiting(f, now);
 	size_t i;
 
-	if (!n || poll(f->fds, n, 0) <= 0)
+	collect_waiting(f, now);
+	if (!ws_hangup_poll(&f->hangup))
 		return;
-	for (i = 0; i < n; i++) {
-		struct caller *r = g_ptr_array_index(f->polled, i);
+	for (i = 0; i < f->hangup.n; i++) {
+		struct caller *r = ws_hangup_item(&f->hangup, i);
 
-		if (!f->fds[i].revents || r->stage != STAGE_WAITING)
+		/* Ending one request may have answered another one. */
+		if (!r || r->stage != STAGE_WAITING)
 			continue;
 		report_gone(f, r);
 		r->suspended = false;
@@ -639,7 +622,6 @@
 	f->io = io;
 	f->crowded = callers.max_connections / CROWDED_PART;
 	f->waiting = g_hash_table_new(g_int64_hash, g_int64_equal);
-	f->polled = g_ptr_array_new();
 	f->timer = ws_timer_every(io->timers, ws_eio_now(), GONE_PERIOD,
 				  find_gone, f);
 	f->callers = listen_on(io, &callers, why);
@@ -683,8 +665,7 @@
 		free(r);
 	}
 	g_hash_table_destroy(f->waiting);
-	g_ptr_array_free(f->polled, TRUE);
-	free(f->fds);
+	ws_hangup_free(&f->hangup);
 	free(f);
 }
 
--- a/lib/edgeio/ws_eio_store.c
+++ b/lib/edgeio/ws_eio_store.c
@@ -13,7 +13,7 @@
 #define CONFIG_WAIT (1 * WS_SECOND)
 #define CONFIG_WAIT_MANY (300 * WS_MS)
 #define RARE_BEATS (300 * WS_MS)
-#define SERVERS_WAIT (1 * WS_SECOND)
+#define SERVERS_WAIT (450 * WS_MS)
 #define MAP_WAIT (900 * WS_MS)
 /* Instances that are told by others read by themselves this often. */
 #define TOLD_REFRESH (8 * WS_SECOND)
--- a/lib/io/ws_front.c
+++ b/lib/io/ws_front.c
@@ -1,9 +1,7 @@
-#define _GNU_SOURCE /* POLLRDHUP */
 #include "io/ws_front.h"
 
 #include <errno.h>
 #include <glib.h>
-#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -11,6 +9,7 @@
 
 #include "codec/ws_codec.h"
 #include "io/ws_answer.h"
+#include "io/ws_hangup.h"
 #include "io/ws_headers.h"
 #include "io/ws_metrics.h"
 #include "io/ws_mhd.h"
@@ -68,10 +67,7 @@
 	size_t open;
 	size_t arriving; /* bytes of bodies not yet given to the core */
 	int timer;
-	/* Work space of find_gone() */
-	GPtrArray *polled; /* of struct request */
-	struct pollfd *fds;
-	size_t cap_fds;
+	struct ws_hangup hangup; /* work space of find_gone() */
 };
 
 /* ===== Requests ===== */
@@ -436,54 +432,35 @@
 
 /* ===== Callers that go away ===== */
 
-static int connection_fd(const struct request *r)
-{
-	return MHD_get_connection_info(r->con,
-				       MHD_CONNECTION_INFO_CONNECTION_FD)
-		->connect_fd;
-}
-
-/* Fills the room for polling with the requests that have waited for long. */
-static size_t collect_waiting(struct ws_front *f, ws_us now)
+/* Requests that have waited for long. */
+static void collect_waiting(struct ws_front *f, ws_us now)
 {
 	GHashTableIter it;
 	gpointer value;
-	size_t n = 0;
 
-	g_ptr_array_set_size(f->polled, 0);
+	ws_hangup_reset(&f->hangup);
 	g_hash_table_iter_init(&it, f->waiting);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct request *r = value;
 
-		if (now - r->started < GONE_PERIOD)
-			continue;
-		ws_grow(&f->fds, &f->cap_fds, n + 1, sizeof(*f->fds));
-		g_ptr_array_add(f->polled, r);
-		f->fds[n++] = (struct pollfd){
-			.fd = connection_fd(r),
-			.events = POLLRDHUP,
-		};
+		if (now - r->started >= GONE_PERIOD)
+			ws_hangup_add(&f->hangup, r->con, r);
 	}
-	return n;
 }
 
-/*
- * libmicrohttpd does not watch suspended connections. A caller that shuts
- * down its sending side only is taken for gone as well.
- */
 static void find_gone(void *arg, ws_us now)
 {
 	struct ws_front *f = arg;
-	size_t n = collect_waiting(f, now);
 	size_t i;
 
-	if (!n || poll(f->fds, n, 0) <= 0)
+	collect_waiting(f, now);
+	if (!ws_hangup_poll(&f->hangup))
 		return;
-	for (i = 0; i < n; i++) {
-		struct request *r = g_ptr_array_index(f->polled, i);
+	for (i = 0; i < f->hangup.n; i++) {
+		struct request *r = ws_hangup_item(&f->hangup, i);
 
 		/* Ending one request may have answered another one. */
-		if (!f->fds[i].revents || r->stage != STAGE_WAITING)
+		if (!r || r->stage != STAGE_WAITING)
 			continue;
 		report_gone(f, r);
 		r->suspended = false;
@@ -525,7 +502,6 @@
 
 	f->sh = sh;
 	f->waiting = g_hash_table_new(g_int64_hash, g_int64_equal);
-	f->polled = g_ptr_array_new();
 	f->timer = ws_timer_every(sh->timers, ws_shell_now(), GONE_PERIOD,
 				  find_gone, f);
 	res = open_listener(f, &f->listeners[0], sh->conf->callers, false, why);
@@ -570,8 +546,7 @@
 	}
 	g_hash_table_destroy(f->waiting);
 	ws_headers_free(&f->headers);
-	g_ptr_array_free(f->polled, TRUE);
-	free(f->fds);
+	ws_hangup_free(&f->hangup);
 	free(f);
 }
 
--- a/tests/ed_suite.c
+++ b/tests/ed_suite.c
@@ -2,7 +2,7 @@
 
 #include <stdlib.h>
 
-#define TIMEOUT_S 120
+#define TIMEOUT_S 600
 
 int ed_suite_run(const char *name, const TTest *const *tests, int n)
 {
--- a/tests/test_ed_conf.c
+++ b/tests/test_ed_conf.c
@@ -1,8 +1,8 @@
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "ed_suite.h"
 #include "platform/wp_decode.h"
 #include "platform/wp_wire.h"
 
@@ -227,24 +227,13 @@
 
 int main(void)
 {
-	Suite *s = suite_create("ed_conf");
-	TCase *t = tcase_create("all");
-	SRunner *r;
-	int failed;
-
-	tcase_add_test(t, config_is_decoded);
-	tcase_add_test(t, longest_prefix_wins);
-	tcase_add_test(t, split_keeps_its_weights);
-	tcase_add_test(t, malformed_config_is_refused);
-	tcase_add_test(t, server_entry_is_decoded);
-	tcase_add_test(t, odd_server_entries_are_refused);
-	tcase_add_test(t, answers_are_told_apart);
-	tcase_add_test(t, numbers_are_checked);
-	tcase_add_test(t, grant_names_its_handover);
-	suite_add_tcase(s, t);
-	r = srunner_create(s);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	const TTest *const tests[] = {
+		config_is_decoded,	  longest_prefix_wins,
+		split_keeps_its_weights,  malformed_config_is_refused,
+		server_entry_is_decoded,  odd_server_entries_are_refused,
+		answers_are_told_apart,	  numbers_are_checked,
+		grant_names_its_handover,
+	};
+
+	return ed_suite_run("ed_conf", tests, 9);
 }
--- a/tests/test_ed_lead_random.c
+++ b/tests/test_ed_lead_random.c
@@ -1,8 +1,8 @@
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "ed_suite.h"
 #include "edge/ws_ed_lead.h"
 #include "seed_range.h"
 
@@ -676,17 +676,9 @@
 
 int main(void)
 {
-	Suite *s = suite_create("ed_lead_random");
-	TCase *t = tcase_create("all");
-	SRunner *r;
-	int failed;
-
-	tcase_set_timeout(t, 600);
-	tcase_add_test(t, one_owner_under_faults);
-	suite_add_tcase(s, t);
-	r = srunner_create(s);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	const TTest *const tests[] = {
+		one_owner_under_faults,
+	};
+
+	return ed_suite_run("ed_lead_random", tests, 1);
 }
--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -25,6 +25,8 @@
 	"\"timeout_s\":1.2,\"target_latency_s\":0.3,\"service\":\"keyed\","
 	"\"max_attempts\":2}]}]}";
 
+#define SELF 0x100
+
 static struct ws_edge *edge;
 static struct ws_ed_fx fx;
 static ws_us now;
@@ -75,7 +77,7 @@
 {
 	struct ws_ed_event ev = { .kind = WS_EDEV_CONFIG };
 	struct ws_ed_settings set = {
-		.self = 1,
+		.self = SELF,
 		.incarnation = 1,
 		.zone = 1,
 		.seed = 1,
@@ -340,6 +342,44 @@
 }
 END_TEST
 
+/*
+ * Guards against a leaving server that one instance goes on using: its reader
+ * was cut from the store, and the other reader's answer was lost.
+ */
+START_TEST(list_of_servers_is_read_when_nobody_tells)
+{
+	static struct ws_ed_beat b;
+	struct ws_ed_event ev = { .kind = WS_EDEV_BEAT };
+	ws_id id;
+
+	setup();
+	/* Two others with lower ids would read for all. */
+	for (id = 0x10; id < 0x12; id++) {
+		b.from = id;
+		b.stamp = 5;
+		b.store_sound = true;
+		ev.u.beat = &b;
+		step(&ev);
+	}
+	ck_assert(ws_edge_should_read(edge, now, WS_EDT_MAP) == false);
+	now += 1300 * WS_MS;
+	ck_assert(ws_edge_should_read(edge, now, WS_EDT_SERVERS));
+	/* Told by one that read after it had received this stamp. */
+	sync_topics();
+	b.stamp = 6;
+	b.echo.peer = SELF;
+	b.echo.read_stamps[WS_EDT_SERVERS] = now + 500 * WS_MS;
+	now += 900 * WS_MS;
+	for (id = 0x10; id < 0x12; id++) {
+		b.from = id;
+		step(&ev);
+	}
+	ck_assert(
+		!ws_edge_should_read(edge, now + 500 * WS_MS, WS_EDT_SERVERS));
+	ck_assert(ws_edge_should_read(edge, now + 900 * WS_MS, WS_EDT_SERVERS));
+}
+END_TEST
+
 /* Guards against memory that grows with requests beyond the bound. */
 START_TEST(requests_beyond_the_bound_are_refused)
 {
@@ -368,7 +408,8 @@
 		key_without_owner_is_refused_soon,
 		instance_behind_others_reads_anew,
 		requests_beyond_the_bound_are_refused,
+		list_of_servers_is_read_when_nobody_tells,
 	};
 
-	return ed_suite_run("edge", tests, 13);
+	return ed_suite_run("edge", tests, 14);
 }
