--- /dev/null
+++ b/tests/test_wp_settings.c
@@ -0,0 +1,84 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "ed_suite.h"
+#include "platform/wp_settings.h"
+
+/* The platform's settings file. */
+
+static const char whole[] =
+	"{\"local_node\":{\"node\":\"n1\",\"ip\":\"10.0.0.1\",\"zone\":\"z\","
+	"\"limits\":{\"memory_mb\":260,\"max_fds\":4100}},"
+	"\"network\":{\"listen\":{\"front\":\"10.0.0.1:80\","
+	"\"ready\":\"10.0.0.1:81\"},\"internal_ports\":[7340,7355]},"
+	"\"platform\":{\"platform\":{\"address\":\"10.0.0.9:90\"}},"
+	"\"terms\":{\"bounds\":{\"revoke_s\":5,\"grace_s\":6,"
+	"\"budget_ratio\":0.2,\"budget_slack\":60,\"quota_slack\":20}}}";
+
+static struct wp_settings set;
+static struct wp_error why;
+
+static int load(const char *text)
+{
+	char path[] = "/tmp/wp-settings-XXXXXX";
+	int fd = mkstemp(path);
+	int res;
+
+	ck_assert_int_ge(fd, 0);
+	ck_assert_int_eq((int)write(fd, text, strlen(text)), (int)strlen(text));
+	close(fd);
+	res = wp_settings_load(path, &set, &why);
+	unlink(path);
+	return res;
+}
+
+START_TEST(whole_file_is_read)
+{
+	ck_assert_int_eq(load(whole), 0);
+	ck_assert_str_eq(set.name, "n1");
+	ck_assert_str_eq(set.callers, "10.0.0.1:80");
+	ck_assert_str_eq(set.peers, "10.0.0.1:7340");
+	ck_assert_str_eq(set.store, "10.0.0.9:90");
+	ck_assert_int_eq(set.grace, 6 * WS_SECOND);
+	ck_assert_uint_eq(set.memory, (size_t)260 * 1024 * 1024);
+	/* Keys must be refused before their withdrawal binds. */
+	ck_assert_int_lt(set.bounds.key_evidence_max, 5 * WS_SECOND);
+	ck_assert_int_gt(set.bounds.key_evidence_max, 4 * WS_SECOND);
+	ck_assert_double_eq(set.bounds.retry_ratio, 0.2);
+}
+END_TEST
+
+/* Guards against a start with half of the settings, and a mute refusal. */
+START_TEST(missing_fields_are_named)
+{
+	ck_assert_int_eq(load("{}"), WS_ERR_CONFIG);
+	ck_assert_ptr_nonnull(strstr(why.text, "local_node.node"));
+	ck_assert_int_eq(load("{\"local_node\":{\"node\":\"n\",\"zone\":\"z\","
+			      "\"ip\":\"10.0.0.1\"}}"),
+			 WS_ERR_CONFIG);
+	ck_assert_ptr_nonnull(strstr(why.text, "network.listen.front"));
+}
+END_TEST
+
+START_TEST(malformed_file_is_refused)
+{
+	ck_assert_int_eq(load("{\"local_node\":"), WS_ERR_CONFIG);
+	ck_assert_ptr_nonnull(strstr(why.text, "must be JSON"));
+	ck_assert_int_eq(load("[1]"), WS_ERR_CONFIG);
+	ck_assert_int_eq(wp_settings_load("/nonexistent", &set, &why),
+			 WS_ERR_CONFIG);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		whole_file_is_read,
+		missing_fields_are_named,
+		malformed_file_is_refused,
+	};
+
+	return ed_suite_run("wp_settings", tests, 3);
+}
