Do not sort an empty list of ranges

Ruled out: a fault under load; it fails each time with that build. Change: sort only when there is something to sort.

--- a/lib/edge/ws_ed_balance.c
+++ b/lib/edge/ws_ed_balance.c
@@ -155,7 +155,8 @@
 	size_t n = l->n_holds;
 	size_t i;
 
-	qsort(l->holds, l->n_holds, sizeof(*l->holds), by_from);
+	if (n)
+		qsort(l->holds, n, sizeof(*l->holds), by_from);
 	for (i = 0; i < n; i++) {
 		const struct ws_ed_hold *h = &l->holds[i];
 		uint32_t from = h->from;
