Remove what the edge declares and never uses

Cause: reading the diff as a newcomer: an event that no part of the shell sends (probes), a header that nobody asks for, and fields that are written and never read. Ruled out: needing them soon; probes and quarantine are open in docs/design-edge.md and INVARIANTS.md and will bring what they need. Change: removed; a hash over each request's body goes with them. Conclusion: no behaviour changes; the edge's tests pass.

--- a/lib/edge/ws_ed_balance.c
+++ b/lib/edge/ws_ed_balance.c
@@ -210,7 +210,6 @@
 	ws_ed_hold_set_server(h, &l->pool->servers[site->handle]);
 	h->state = WS_EDH_CHOSEN;
 	h->changed = now;
-	h->in_append = false;
 	h->failures = 0;
 	h->held_until = 0;
 	h->unanswered_until = 0;
--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -321,8 +321,6 @@
 	c->priority = r->priority;
 	c->max_attempts = r->max_attempts ? r->max_attempts : 1;
 	c->key = a->key >= 0 ? (uint32_t)a->key : 0;
-	c->fingerprint = a->fingerprint;
-	c->arrived = e->now;
 	c->end_at = a->started + end;
 	c->objective = objective_left(r, deadline);
 	c->objective_at = a->started + c->objective;
--- a/lib/edge/ws_ed_fx.c
+++ b/lib/edge/ws_ed_fx.c
@@ -57,7 +57,6 @@
 		[WS_EDR_SERVER_LOST] = "server_connection_lost",
 		[WS_EDR_CALLER_GONE] = "caller_gone",
 		[WS_EDR_LIMIT] = "instance_full",
-		[WS_EDR_TOO_LARGE] = "body_too_large",
 		[WS_EDR_DRAINING] = "shutting_down",
 	};
 
--- a/lib/edge/ws_ed_lead.c
+++ b/lib/edge/ws_ed_lead.c
@@ -143,7 +143,6 @@
 			.server = h->server,
 		};
 
-		h->in_append = h->state == WS_EDH_CHOSEN;
 		if (h->state != WS_EDH_FREE)
 			ws_ed_map_add(&l->proposal, &e);
 	}
@@ -211,7 +210,6 @@
 			continue;
 		h->state = WS_EDH_OWNED;
 		h->changed = now;
-		h->in_append = false;
 		h->fence = ws_ed_lead_next_fence(l);
 		h->next_call = now;
 		h->failures = 0;
--- a/lib/edge/ws_ed_lead.h
+++ b/lib/edge/ws_ed_lead.h
@@ -47,7 +47,6 @@
 	char address[WS_ED_NAME_MAX];
 	int64_t born_ms; /* life of the server that was given the keys */
 	uint8_t state;
-	bool in_append; /* CHOSEN: part of the append under way */
 	uint64_t fence;
 	uint64_t ref; /* of the call under way; 0: none */
 	bool granting; /* the call under way is a grant */
@@ -74,7 +73,6 @@
 	ws_id self;
 	ws_us started;
 	bool leaving;
-	bool restart; /* keys may have been leased by former processes */
 
 	/* What the store says */
 	bool known;
--- a/lib/edge/ws_ed_pool.c
+++ b/lib/edge/ws_ed_pool.c
@@ -201,7 +201,6 @@
 		*z = (struct ws_ed_zone_out){ .zone = zone };
 	}
 	if (z->out && !out) {
-		z->back = now;
 		/* Servers may have gone cold while nothing was sent to them. */
 		for (i = 0; i < p->n; i++) {
 			struct ws_ed_server *s = &p->servers[i];
--- a/lib/edge/ws_ed_pool.h
+++ b/lib/edge/ws_ed_pool.h
@@ -72,7 +72,6 @@
 struct ws_ed_zone_out {
 	ws_id zone;
 	bool out;
-	ws_us back; /* when it was taken back into service */
 };
 
 struct ws_ed_pool {
--- a/lib/edge/ws_ed_quota.h
+++ b/lib/edge/ws_ed_quota.h
@@ -31,7 +31,6 @@
 	size_t cap_peers;
 	double global; /* demand of all instances, per tick */
 	double share; /* own part of the rate, per tick */
-	ws_us fresh; /* all living peers have told at this time or later */
 };
 
 struct ws_ed_quota {
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -117,14 +117,6 @@
 			    excused ? e->set.bounds.linger : 0);
 }
 
-static void take_probe(struct ws_edge *e, ws_id server, ws_us cold_for)
-{
-	int32_t h = ws_ed_pool_find(&e->pool, server);
-
-	if (h >= 0)
-		e->pool.servers[h].cold_until = e->now + cold_for;
-}
-
 /* ===== Other instances ===== */
 
 /*
@@ -487,9 +479,6 @@
 				  ev->u.key_called.handover, fx);
 		ws_ed_lead_tick(&e->lead, e->now, fx);
 		break;
-	case WS_EDEV_PROBED:
-		take_probe(e, ev->u.probed.server, ev->u.probed.cold_for);
-		break;
 	case WS_EDEV_DRAIN:
 		e->draining = true;
 		e->refuse_from = e->now + (ws_us)(DRAIN_ACCEPT_PART *
--- a/lib/edge/ws_edge.h
+++ b/lib/edge/ws_edge.h
@@ -60,7 +60,6 @@
 	WS_EDEV_GONE, /* the caller has left */
 	WS_EDEV_ENDED, /* a request at a server has ended */
 	WS_EDEV_KEY_CALLED, /* a grant or release has ended */
-	WS_EDEV_PROBED, /* a server told how long it stays cold */
 	WS_EDEV_DRAIN,
 };
 
@@ -73,7 +72,6 @@
 	ws_us deadline; /* time the caller will wait; 0: not told */
 	int32_t key; /* -1: none */
 	bool bad; /* a header of the request can't be read */
-	uint64_t fingerprint; /* of caller, method, path and body */
 	ws_us started; /* when its first byte was read */
 };
 
@@ -186,10 +184,6 @@
 			enum ws_ed_call_end end;
 			const char *handover;
 		} key_called;
-		struct {
-			ws_id server;
-			ws_us cold_for;
-		} probed;
 		ws_us drain_time; /* until the process ends */
 	} u;
 };
--- a/lib/edge/ws_edge_int.h
+++ b/lib/edge/ws_edge_int.h
@@ -40,8 +40,6 @@
 	uint32_t arrivals; /* sendings that reached a server */
 	char customer[WS_ED_NAME_MAX];
 	uint32_t key;
-	uint64_t fingerprint;
-	ws_us arrived;
 	ws_us end_at; /* of the deadline and the route's timeout */
 	ws_us objective_at;
 	ws_us objective; /* what was left of it on arrival */
--- a/lib/edgeio/ws_eio_front.c
+++ b/lib/edgeio/ws_eio_front.c
@@ -364,16 +364,6 @@
 	return MHD_YES;
 }
 
-static uint64_t fingerprint(const struct caller *r, const char *caller_key)
-{
-	uint64_t h = ws_ed_hash(0, r->method, strlen(r->method));
-
-	h = ws_ed_hash(h, r->uri, strlen(r->uri));
-	if (caller_key)
-		h = ws_ed_hash(h, caller_key, strlen(caller_key));
-	return ws_ed_hash(h, r->body, r->body_len);
-}
-
 static void read_caller(struct caller *r, struct reading *rd)
 {
 	MHD_get_connection_values(r->con, MHD_HEADER_KIND, scan_header, rd);
@@ -400,7 +390,6 @@
 	a.deadline = rd.deadline ? wp_wire_deadline(rd.deadline) : 0;
 	a.key = rd.shard_key ? wp_wire_shard_key(rd.shard_key) : -1;
 	a.bad = !r->request_id[0];
-	a.fingerprint = fingerprint(r, rd.caller_key);
 	a.started = r->started;
 	r->stage = STAGE_WAITING;
 	g_hash_table_insert(f->waiting, &r->id, r);
