Do not ask libmicrohttpd for its connections inside MHD_run()

Ruled out: nothing else yet. test_mhd, which lets a handler ask while other connections close, passes without the change as well, also with perturbed freed memory and under valgrind, so the cause is likely and not shown.

Change: the count is taken after MHD_run() and handed out inside it.

--- a/lib/io/ws_mhd.c
+++ b/lib/io/ws_mhd.c
@@ -24,14 +24,28 @@
 	ev_prepare prepare;
 	bool dirty; /* something was resumed */
 	bool quiesced;
+	bool running; /* inside MHD_run() */
+	unsigned connections; /* open when MHD_run() last came back */
 };
 
 /* ===== Loop ===== */
 
+/* Asking libmicrohttpd frees closed connections, so not inside MHD_run(). */
+static unsigned count_connections(const struct ws_mhd *m)
+{
+	const union MHD_DaemonInfo *info = MHD_get_daemon_info(
+		m->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+
+	return info ? info->num_connections : 0;
+}
+
 static void run_daemon(struct ws_mhd *m)
 {
 	m->dirty = false;
+	m->running = true;
 	MHD_run(m->daemon);
+	m->running = false;
+	m->connections = count_connections(m);
 }
 
 static void on_ready(EV_P_ ev_io *w, int revents)
@@ -160,8 +174,5 @@
 
 unsigned ws_mhd_connections(const struct ws_mhd *m)
 {
-	const union MHD_DaemonInfo *info = MHD_get_daemon_info(
-		m->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
-
-	return info ? info->num_connections : 0;
+	return m->running ? m->connections : count_connections(m);
 }
--- a/lib/io/ws_mhd.h
+++ b/lib/io/ws_mhd.h
@@ -33,6 +33,7 @@
 /* Resumes a suspended connection in the next turn of the loop. */
 void ws_mhd_resume(struct ws_mhd *m, struct MHD_Connection *con);
 
+/* Open connections; may be asked by a handler, who gets the last count. */
 unsigned ws_mhd_connections(const struct ws_mhd *m);
 
 #endif
