Cut the log apart from peers in the random test of ownership

Cause: the mutation ANSWERS_SKIPPED (a takeover is activated without the answers of a majority) had not been noticed by test_own_random since heartbeats list whom the sender hears. An instance is taken over only if no peer hears it, and the random faults seldom cut the peers while the log stays. Change: a fault that leaves one zone the log and takes its peers away, while the others keep each other and lose the log.

--- a/tests/own_sim.c
+++ b/tests/own_sim.c
@@ -9,7 +9,7 @@
 	"zone cut",	   "platform cut",	"log outage",
 	"reply lost",	   "append late",	"instance paused",
 	"instance killed", "target frozen",	"target killed",
-	"target leaving",  "instance draining",
+	"target leaving",  "instance draining", "log apart from peers",
 };
 
 /* ===== Small helpers ===== */
@@ -523,6 +523,26 @@
 		s->cut_until[b][a] = s->cut_until[a][b];
 }
 
+/*
+ * One zone keeps the log and loses the peers, the others keep each other and
+ * lose the log: whoever takes over without the answers of a majority meets an
+ * owner that a majority still confirms.
+ */
+static void part_log_from_peers(struct sim *s)
+{
+	ws_us until = some_time(s, 8 * WS_SECOND);
+	int zone = (int)sim_random(s, SIM_ZONES);
+	int z;
+
+	for (z = 0; z < SIM_ZONES; z++) {
+		if (z == zone)
+			continue;
+		s->platform_cut_until[z] = until;
+		s->cut_until[z][zone] = until;
+		s->cut_until[zone][z] = until;
+	}
+}
+
 static void fault_at_node(struct sim *s, enum sim_fault f)
 {
 	struct node *n = &s->nodes[sim_random(s, (uint64_t)s->n_nodes)];
@@ -563,6 +583,8 @@
 	sim_fault(s, f);
 	if (f == SIM_ZONE_CUT)
 		cut_zones(s);
+	else if (f == SIM_APART)
+		part_log_from_peers(s);
 	else if (f == SIM_PLATFORM_CUT)
 		s->platform_cut_until[sim_random(s, SIM_ZONES)] =
 			some_time(s, 6 * WS_SECOND);
--- a/tests/own_sim.h
+++ b/tests/own_sim.h
@@ -31,6 +31,7 @@
 	SIM_TARGET_KILL,
 	SIM_LEAVE,
 	SIM_DRAIN,
+	SIM_APART,
 	SIM_FAULTS,
 };
 
