--- a/lib/edge/ws_ed_balance.c
+++ b/lib/edge/ws_ed_balance.c
@@ -33,6 +33,7 @@
 	double capacity;
 	double heat;
 	double target; /* its part of all heat */
+	bool settled; /* nothing of it can be moved now */
 };
 
 struct plan {
@@ -325,17 +326,26 @@
 	return true;
 }
 
+/* The server furthest beyond its share from which keys may be taken. */
 static struct site *most_loaded(const struct plan *pl)
 {
 	struct site *best = NULL;
 	size_t i;
 
-	for (i = 0; i < pl->n; i++)
-		if (!best || ratio_of(&pl->sites[i]) > ratio_of(best))
-			best = &pl->sites[i];
+	for (i = 0; i < pl->n; i++) {
+		struct site *s = &pl->sites[i];
+
+		if (!s->settled && is_over(s) &&
+		    (!best || ratio_of(s) > ratio_of(best)))
+			best = s;
+	}
 	return best;
 }
 
+/*
+ * Hot keys that lie close together load some servers at once. One whose keys
+ * can't be taken at this moment must not hold up the others.
+ */
 static void even_out(struct ws_ed_lead *l, ws_id service, struct plan *pl,
 		     ws_us now)
 {
@@ -343,14 +353,20 @@
 	       pl->moving < MOVES_MIN + pl->n / MOVES_PART && pl->n > 1) {
 		struct site *over = most_loaded(pl);
 		struct site *under = least_loaded(pl);
-		double excess = over->heat - over->target;
-		double room = under->target - under->heat;
-		double wanted = excess < room ? excess : room;
+		double excess;
+		double room;
+		double wanted;
 
-		if (!is_over(over) || ratio_of(under) > UNDER ||
-		    wanted < PART_MIN * over->target ||
-		    !take_part(l, service, over, wanted, now))
+		if (!over || ratio_of(under) > UNDER)
 			return;
+		excess = over->heat - over->target;
+		room = under->target - under->heat;
+		wanted = excess < room ? excess : room;
+		if (wanted < PART_MIN * over->target ||
+		    !take_part(l, service, over, wanted, now)) {
+			over->settled = true;
+			continue;
+		}
 		under->heat += wanted;
 		pl->moving++;
 	}
--- a/lib/edge/ws_ed_beat.c
+++ b/lib/edge/ws_ed_beat.c
@@ -40,19 +40,36 @@
 		take_evidence(e, b, b->echo.read_stamps[i], i);
 }
 
-/* A relay hands on within its zone what it is told there. */
-static void take_load(struct ws_edge *e, const struct ws_ed_told_load *l,
-		      bool near)
-{
-	const struct ws_ed_report r = {
-		.known = true,
-		.running = l->running,
-		.waiting = l->waiting,
-		.pace = (double)l->pace_percent / 100.0,
-	};
+/*
+ * A relay hands on to the other relays what its zone tells, and to its zone
+ * what it hears from anybody.
+ */
+static uint8_t hand_on(const struct ws_edge *e, bool near)
+{
+	if (!e->peers.relay)
+		return 0;
+	return near ? WS_ED_UNTOLD_ZONE | WS_ED_UNTOLD_RELAYS :
+		      WS_ED_UNTOLD_ZONE;
+}
 
-	ws_ed_pool_told(&e->pool, e->now - (ws_us)l->age_ms * WS_MS, l->server,
-			&r, e->peers.relay && near);
+static void take_loads(struct ws_edge *e, const struct ws_ed_beat *b)
+{
+	uint8_t next = hand_on(e, b->zone == e->peers.zone);
+	uint32_t i;
+
+	for (i = 0; i < b->n_loads; i++) {
+		const struct ws_ed_told_load *l = &b->loads[i];
+		const struct ws_ed_report r = {
+			.known = true,
+			.running = l->running,
+			.waiting = l->waiting,
+			.pace = (double)l->pace * WS_ED_PACE_STEP,
+		};
+
+		ws_ed_pool_told(&e->pool,
+				e->now - (ws_us)l->age * WS_ED_AGE_STEP,
+				l->server, &r, next);
+	}
 }
 
 static void take_changes(struct ws_edge *e, const struct ws_ed_beat *b,
@@ -60,7 +77,11 @@
 {
 	struct ws_ed_map *m = &e->told_map;
 
-	if (e->lead.end != b->map_base || !e->lead.known)
+	/*
+	 * The receiver may have come further since the sender last heard it:
+	 * the changes are steps in their order, which may be applied again.
+	 */
+	if (e->lead.end < b->map_base || !e->lead.known)
 		return;
 	ws_ed_map_copy(m, &e->lead.map);
 	ws_ed_map_apply(m, &b->map);
@@ -98,7 +119,12 @@
 		take_changes(e, b, fx);
 	else
 		take_slice(e, b, fx);
+	if (e->lead.end == e->ends[WS_EDT_MAP])
+		return;
 	e->ends[WS_EDT_MAP] = e->lead.end;
+	/* Its zone waits for the news. */
+	if (e->peers.relayed && e->peers.relay)
+		ws_ed_fx_add(fx, WS_EDFX_BEAT);
 }
 
 static void take_members(struct ws_edge *e, const struct ws_ed_beat *b)
@@ -119,6 +145,18 @@
 	}
 }
 
+/* A member's customers are those whose rates it must share out. */
+static void note_customers(struct ws_ed_member *m, const struct ws_ed_beat *b)
+{
+	uint32_t i;
+
+	m->n_customers = b->n_demands < WS_ED_CUSTOMERS_MAX ?
+				 b->n_demands :
+				 WS_ED_CUSTOMERS_MAX;
+	for (i = 0; i < m->n_customers; i++)
+		m->customers[i] = b->demands[i].customer;
+}
+
 static void take_demands(struct ws_edge *e, const struct ws_ed_beat *b)
 {
 	const struct ws_ed_teller t = {
@@ -149,13 +187,10 @@
 static void take_all(struct ws_edge *e, const struct ws_ed_beat *b,
 		     struct ws_ed_fx *fx)
 {
-	uint32_t i;
-
 	take_strikes(e, b, fx);
 	take_demands(e, b);
 	take_members(e, b);
-	for (i = 0; i < b->n_loads; i++)
-		take_load(e, &b->loads[i], b->zone == e->peers.zone);
+	take_loads(e, b);
 }
 
 static void greet(struct ws_ed_member *m, const struct ws_ed_beat *b,
@@ -210,8 +245,13 @@
 	if (m->incarnation != b->incarnation)
 		greet(m, b, fx);
 	/* Datagrams may overtake each other. */
-	if (b->map_part ? b->stamp < m->stamp : b->stamp <= m->stamp)
+	if (b->map_part || b->more ? b->stamp < m->stamp : b->stamp <= m->stamp)
 		return;
+	if (b->more) {
+		take_demands(e, b);
+		take_loads(e, b);
+		return;
+	}
 	take_head(e, m, b);
 	if (b->map_part) {
 		take_map(e, b, fx);
@@ -219,33 +259,45 @@
 	}
 	for (i = 0; i < b->n_counts; i++)
 		ws_ed_heat_told(&e->heat, &b->counts[i]);
-	if (b->told == WS_ED_TELL_ALL)
-		take_all(e, b, fx);
+	if (b->told != WS_ED_TELL_ALL)
+		return;
+	note_customers(m, b);
+	take_all(e, b, fx);
 }
 
 /* ===== Telling ===== */
 
-static void tell_loads(struct ws_edge *e, ws_us now, struct ws_ed_beat *b)
+static uint8_t at_most(double value)
+{
+	return value < 255.0 ? (uint8_t)value : 255;
+}
+
+/* Adds reports of servers that were not told yet, in turn. */
+static void tell_loads(struct ws_edge *e, ws_us now, uint8_t who, uint32_t max,
+		       struct ws_ed_beat *b)
 {
 	size_t i;
 
 	b->n_loads = 0;
-	for (i = 0; i < e->pool.n && b->n_loads < WS_ED_LOADS_MAX; i++) {
-		struct ws_ed_server *s = &e->pool.servers[i];
+	for (i = 0; i < e->pool.n && b->n_loads < max; i++) {
+		struct ws_ed_server *s =
+			&e->pool.servers[(e->next_load + i) % e->pool.n];
+		ws_us age = now - s->reported;
 
-		if (!s->untold)
+		if (!(s->untold & who))
 			continue;
-		s->untold = false;
-		if (now - s->reported > LOAD_AGE_MAX)
+		s->untold &= (uint8_t)~who;
+		if (age > LOAD_AGE_MAX)
 			continue;
 		b->loads[b->n_loads++] = (struct ws_ed_told_load){
-			.server = s->id,
-			.running = (uint16_t)s->report.running,
-			.waiting = (uint16_t)s->report.waiting,
-			.pace_percent = (uint16_t)(s->report.pace * 100.0),
-			.age_ms = (uint16_t)((now - s->reported) / WS_MS),
+			.server = ws_ed_short_id(s->id),
+			.running = at_most((double)s->report.running),
+			.waiting = at_most((double)s->report.waiting),
+			.pace = at_most(s->report.pace / WS_ED_PACE_STEP),
+			.age = at_most((double)(age / WS_ED_AGE_STEP)),
 		};
 	}
+	e->next_load += i;
 }
 
 /* Customers with a demand worth telling, some of them in each round. */
@@ -295,14 +347,23 @@
 	b->alone = e->peers.alone;
 	b->store_sound = ws_ed_lead_store_sound(&e->lead, now);
 	b->map_part = WS_EDMP_NONE;
-	tell_loads(e, now, b);
+	b->more = false;
+	/* A relay goes on with loads, which are the same for many. */
+	if (e->peers.relay)
+		b->n_loads = 0;
+	else
+		tell_loads(e, now, WS_ED_UNTOLD_ZONE | WS_ED_UNTOLD_RELAYS,
+			   WS_ED_LOADS_MAX, b);
 	choose_demands(e, now, b);
 	tell_counts(e, b);
 	b->n_strikes = ws_ed_suspects_tell(&e->suspects, b->strikes);
 	e->round.n_strikes = b->n_strikes;
 	e->round.n_loads = b->n_loads;
 	e->round.n_demands = b->n_demands;
+	memcpy(e->round.demands, b->demands,
+	       b->n_demands * sizeof(b->demands[0]));
 	e->round.n_counts = b->n_counts;
+	e->round.next_more = 0;
 	e->next_member += WS_ED_MEMBERS_MAX;
 }
 
@@ -327,12 +388,24 @@
 	return m->zone == e->peers.zone ? WS_EDD_REST : WS_EDD_ZONE;
 }
 
+/* More than a heartbeat tells at a time. */
+static bool has_many_customers(const struct ws_edge *e)
+{
+	return e->quota.n > WS_ED_DEMANDS_MAX;
+}
+
 static void fill_demands(const struct ws_edge *e, const struct ws_ed_member *m,
 			 struct ws_ed_beat *b)
 {
 	uint32_t i;
 
 	b->demands_of = demands_for(e, m);
+	/* Of many customers a member wants to hear of those that it serves. */
+	if (b->demands_of == WS_EDD_REST && has_many_customers(e)) {
+		b->n_demands = m->n_customers;
+		for (i = 0; i < b->n_demands; i++)
+			b->demands[i].customer = m->customers[i];
+	}
 	for (i = 0; i < b->n_demands; i++)
 		b->demands[i].per_s = (float)ws_ed_quota_tell(
 			&e->quota, b->stamp, b->demands[i].customer,
@@ -381,6 +454,9 @@
 	b->n_counts = e->round.n_counts;
 	b->n_loads = all && near ? e->round.n_loads : 0;
 	b->n_demands = all ? e->round.n_demands : 0;
+	if (b->n_demands)
+		memcpy(b->demands, e->round.demands,
+		       b->n_demands * sizeof(b->demands[0]));
 	b->n_strikes = all ? e->round.n_strikes : 0;
 	b->n_members = 0;
 	fill_echo(e, m, b);
@@ -390,6 +466,63 @@
 	return true;
 }
 
+/* ===== Going on ===== */
+
+bool ws_edge_in_audience(const struct ws_edge *e, const struct ws_ed_member *m,
+			 enum ws_ed_audience to)
+{
+	bool near = m->zone == e->peers.zone;
+
+	return to == WS_EDA_ZONE ? near : !near && m->relay;
+}
+
+/* Demand of the own zone, of all customers that have some. */
+static void tell_zone_demands(struct ws_edge *e, struct ws_ed_beat *b)
+{
+	const struct ws_ed_quota *q = &e->quota;
+	size_t i;
+
+	b->demands_of = WS_EDD_ZONE;
+	b->n_demands = 0;
+	for (i = e->round.next_more;
+	     i < q->n && b->n_demands < WS_ED_DEMANDS_MORE; i++) {
+		const struct ws_ed_bucket *c = &q->buckets[i];
+		double per_s = ws_ed_quota_tell(q, b->stamp, c->customer,
+						WS_EDD_ZONE, 0, e->peers.zone);
+
+		if (c->rate > 0.0 && per_s > DEMAND_MIN)
+			b->demands[b->n_demands++] = (struct ws_ed_told_demand){
+				.customer = c->customer,
+				.per_s = (float)per_s,
+			};
+	}
+	e->round.next_more = i;
+}
+
+bool ws_edge_beat_more(struct ws_edge *e, enum ws_ed_audience to,
+		       struct ws_ed_beat *b)
+{
+	if (!e->peers.relayed || !e->peers.relay)
+		return false;
+	b->more = true;
+	b->map_part = WS_EDMP_NONE;
+	b->echo = (struct ws_ed_echo){ .peer = 0 };
+	b->told = WS_ED_TELL_BRIEFLY;
+	b->n_counts = 0;
+	b->n_strikes = 0;
+	b->n_members = 0;
+	b->n_loads = 0;
+	b->n_demands = 0;
+	if (to == WS_EDA_RELAYS && has_many_customers(e))
+		tell_zone_demands(e, b);
+	if (!b->n_demands)
+		tell_loads(e, b->stamp,
+			   to == WS_EDA_RELAYS ? WS_ED_UNTOLD_RELAYS :
+						 WS_ED_UNTOLD_ZONE,
+			   WS_ED_LOADS_MORE, b);
+	return b->n_demands || b->n_loads;
+}
+
 /* ===== The map of keys ===== */
 
 static bool has_changes(const struct ws_edge *e, const struct ws_ed_member *m,
--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -33,6 +34,11 @@
 #define DEADLINE_STANDARD (2 * WS_SECOND)
 /* Part of the bound on extra sendings that is used. */
 #define BUDGET_PART 0.75
+/* Parts of the allowed ratio that a request earns at once, and for later. */
+#define EARNED_PART 0.75
+#define SAVED_PART 0.15
+/* Time in which requests are counted for what may be saved. */
+#define BUDGET_WINDOW (8 * WS_SECOND)
 
 /* ===== Ends ===== */
 
@@ -83,6 +89,19 @@
 
 /* ===== Extra sendings ===== */
 
+/*
+ * Of hundreds of instances each has about one sending of the slack. What the
+ * requests of a window add beyond what is earned at once may be saved.
+ */
+static double budget_cap(const struct ws_edge *e, const struct ed_budget *b)
+{
+	double slack = e->set.bounds.retry_slack * BUDGET_PART /
+		       (double)e->pool.instances;
+	double saved = e->set.bounds.retry_ratio * SAVED_PART * b->requests;
+
+	return slack + saved;
+}
+
 static struct ed_budget *budget_of(struct ws_edge *e, ws_id service)
 {
 	struct ed_budget *b;
@@ -94,19 +113,21 @@
 	ws_grow(&e->budgets, &e->cap_budgets, e->n_budgets + 1,
 		sizeof(*e->budgets));
 	b = &e->budgets[e->n_budgets++];
-	b->service = service;
-	b->tokens = e->set.bounds.retry_slack * BUDGET_PART /
-		    (double)e->pool.instances;
+	*b = (struct ed_budget){ .service = service, .counted = e->now };
+	b->tokens = budget_cap(e, b);
 	return b;
 }
 
 static void count_request(struct ws_edge *e, ws_id service)
 {
 	struct ed_budget *b = budget_of(e, service);
-	double cap = e->set.bounds.retry_slack * BUDGET_PART /
-		     (double)e->pool.instances;
+	double cap;
 
-	b->tokens += e->set.bounds.retry_ratio * BUDGET_PART;
+	b->requests = 1.0 + b->requests * exp(-(double)(e->now - b->counted) /
+					      (double)BUDGET_WINDOW);
+	b->counted = e->now;
+	cap = budget_cap(e, b);
+	b->tokens += e->set.bounds.retry_ratio * EARNED_PART;
 	if (b->tokens > cap)
 		b->tokens = cap;
 }
--- a/lib/edge/ws_ed_codec.c
+++ b/lib/edge/ws_ed_codec.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 /* First words of a message: name and version of the format. */
-#define BEAT_MAGIC 0x57534209U
+#define BEAT_MAGIC 0x5753420aU
 #define MAP_MAGIC 0x57534d01U
 #define MAP_ENTRIES_MAX 65536
 
@@ -135,7 +135,8 @@
 	uint32_t i;
 
 	if (!xdr_uint32_t(x, &b->demands_of) || b->demands_of >= WS_EDD_COUNT ||
-	    !xdr_uint32_t(x, &b->n_demands) || b->n_demands > WS_ED_DEMANDS_MAX)
+	    !xdr_uint32_t(x, &b->n_demands) ||
+	    b->n_demands > WS_ED_DEMANDS_MORE)
 		return false;
 	for (i = 0; i < b->n_demands; i++)
 		if (!xdr_id(x, &b->demands[i].customer) ||
@@ -164,16 +165,20 @@
 {
 	uint32_t i;
 
-	if (!xdr_uint32_t(x, &b->n_loads) || b->n_loads > WS_ED_LOADS_MAX)
+	if (!xdr_uint32_t(x, &b->n_loads) || b->n_loads > WS_ED_LOADS_MORE)
 		return false;
 	for (i = 0; i < b->n_loads; i++) {
 		struct ws_ed_told_load *l = &b->loads[i];
+		uint32_t word = (uint32_t)l->running << 24 |
+				(uint32_t)l->waiting << 16 |
+				(uint32_t)l->pace << 8 | l->age;
 
-		if (!xdr_id(x, &l->server) || !xdr_uint16_t(x, &l->running) ||
-		    !xdr_uint16_t(x, &l->waiting) ||
-		    !xdr_uint16_t(x, &l->pace_percent) ||
-		    !xdr_uint16_t(x, &l->age_ms))
+		if (!xdr_uint32_t(x, &l->server) || !xdr_uint32_t(x, &word))
 			return false;
+		l->running = (uint8_t)(word >> 24);
+		l->waiting = (uint8_t)(word >> 16);
+		l->pace = (uint8_t)(word >> 8);
+		l->age = (uint8_t)word;
 	}
 	return true;
 }
@@ -219,10 +224,11 @@
 	       xdr_int64_t(x, &b->stamp) && xdr_id(x, &b->epoch) &&
 	       xdr_ends(x, b) && xdr_flag(x, &b->leaving) &&
 	       xdr_flag(x, &b->leads) && xdr_flag(x, &b->alone) &&
-	       xdr_flag(x, &b->store_sound) && xdr_echo(x, &b->echo) &&
-	       xdr_uint32_t(x, &b->told) && b->told <= WS_ED_TELL_ALL &&
-	       xdr_demands(x, b) && xdr_counts(x, b) && xdr_loads(x, b) &&
-	       xdr_strikes(x, b) && xdr_members(x, b) && xdr_map_part(x, b);
+	       xdr_flag(x, &b->store_sound) && xdr_flag(x, &b->more) &&
+	       xdr_echo(x, &b->echo) && xdr_uint32_t(x, &b->told) &&
+	       b->told <= WS_ED_TELL_ALL && xdr_demands(x, b) &&
+	       xdr_counts(x, b) && xdr_loads(x, b) && xdr_strikes(x, b) &&
+	       xdr_members(x, b) && xdr_map_part(x, b);
 }
 
 int ws_ed_beat_encode(const struct ws_ed_beat *b, void *buf, size_t size)
--- a/lib/edge/ws_ed_heat.c
+++ b/lib/edge/ws_ed_heat.c
@@ -8,7 +8,7 @@
 #define HEAT_TAU (2.5 * (double)WS_SECOND)
 #define DECAY_PERIOD (250 * WS_MS)
 /* Every bucket counts as this much, so that idle ranges have a weight. */
-#define HEAT_FLOOR 0.004
+#define HEAT_FLOOR 0.001
 
 void ws_ed_heat_free(struct ws_ed_heat *h)
 {
--- a/lib/edge/ws_ed_heat.h
+++ b/lib/edge/ws_ed_heat.h
@@ -11,7 +11,7 @@
  */
 
 #define WS_ED_KEYS 65536
-#define WS_ED_BUCKET_KEYS 8
+#define WS_ED_BUCKET_KEYS 2
 #define WS_ED_BUCKETS (WS_ED_KEYS / WS_ED_BUCKET_KEYS)
 /* Most counts that one heartbeat carries. */
 #define WS_ED_TOLD_MAX 17
--- a/lib/edge/ws_ed_lead.c
+++ b/lib/edge/ws_ed_lead.c
@@ -259,9 +259,10 @@
 	uint64_t i = first;
 	size_t j;
 
-	while (i < l->n_steps && l->steps[i % WS_ED_STEPS].from != from)
+	/* Steps may be applied again; the end may lie within one of them. */
+	while (i < l->n_steps && l->steps[i % WS_ED_STEPS].to <= from)
 		i++;
-	if (i == l->n_steps)
+	if (i == l->n_steps || l->steps[i % WS_ED_STEPS].from > from)
 		return false;
 	changes->n = 0;
 	changes->epoch = l->map.epoch;
--- a/lib/edge/ws_ed_peers.c
+++ b/lib/edge/ws_ed_peers.c
@@ -163,6 +163,9 @@
 {
 	if (p->relayed)
 		return p->reader;
+	/* Who is there is not known yet; each has just read the store. */
+	if (now < p->mesh_until)
+		return false;
 	return ws_ed_peers_rank(p, now) < WS_ED_READERS;
 }
 
--- a/lib/edge/ws_ed_peers.h
+++ b/lib/edge/ws_ed_peers.h
@@ -20,7 +20,7 @@
 
 /* Time between heartbeats; grows with the receivers, so that the load stays. */
 #define WS_ED_BEAT_PERIOD (100 * WS_MS)
-#define WS_ED_BEAT_MEMBERS 12
+#define WS_ED_BEAT_MEMBERS 28
 /* The leader of the keys and the members hear each other each so many. */
 #define WS_ED_BRIEF_EACH 3
 /* A member is alive if it was heard within this time, or some periods. */
@@ -43,6 +43,8 @@
 #define WS_ED_RELAY_STEP (250 * WS_MS)
 
 #define WS_ED_ADDRESS_MAX 48
+/* Customers of a member that a relay keeps in mind. */
+#define WS_ED_CUSTOMERS_MAX 24
 /* Topics for which instances tell each other evidence: config and servers. */
 #define WS_ED_TOLD_TOPICS 2
 /* All topics that instances follow; see enum ws_ed_topic. */
@@ -65,6 +67,9 @@
 	uint64_t ends[WS_ED_TOPICS]; /* how far it has read the topics */
 	uint64_t epoch; /* highest leader epoch it knows */
 	ws_us map_told; /* when it was last told the whole map of keys */
+	/* Customers that came to it, as it told last */
+	uint32_t n_customers;
+	ws_id customers[WS_ED_CUSTOMERS_MAX];
 	ws_us stamp; /* of its last heartbeat, on its own clock */
 	ws_us echoed; /* newest own stamp that it has echoed */
 	/* Its newest stamp when the own read of a topic began */
--- a/lib/edge/ws_ed_pool.c
+++ b/lib/edge/ws_ed_pool.c
@@ -7,6 +7,11 @@
 
 /* Reports of other instances' requests decay to the mean with this time. */
 #define REPORT_TAU (250.0 * (double)WS_MS)
+/*
+ * Where many instances choose by the same reports, each report draws all of
+ * them to the same server: it counts for a shorter time the more there are.
+ */
+#define CHOICE_INSTANCES 24.0
 /* An own report that comes back through a relay looks a little newer. */
 #define TOLD_MARGIN (20 * WS_MS)
 /* The slowness of a machine changes several times a second. */
@@ -16,6 +21,18 @@
 /* Another zone is taken when the own one takes this many times as long. */
 #define FAR_FACTOR 1.6
 #define FAR_COST (5.0 * (double)WS_MS)
+/*
+ * A server to which no connection is open is taken when others take so many
+ * times as long: an instance among hundreds meets each server seldom, and
+ * would open a connection for each request.
+ */
+#define CONNECT_FACTOR 1.3
+/* A server that has joined takes its part without this for some time. */
+#define NEW_TIME (15 * WS_SECOND)
+/* Idle connections of a server that told no time-out. */
+#define IDLE_STANDARD (4 * WS_SECOND)
+/* Part of the told time after which a connection is left alone. */
+#define IDLE_PART 0.9
 /* Cost of a server all of whose requests fail, relative to a sound one. */
 #define FAIL_FACTOR 8.0
 /* Spread of the cost that keeps instances from picking the same server. */
@@ -120,6 +137,7 @@
 	s->benched_until = 0;
 	s->benched_times = 0;
 	s->cold_until = 0;
+	s->idle = 0;
 }
 
 static bool is_older(const struct ws_ed_listing *l,
@@ -141,8 +159,10 @@
 
 	if (found >= 0 && is_older(l, s))
 		return h;
-	if (found < 0 || s->born_ms != l->born_ms)
+	if (found < 0 || s->born_ms != l->born_ms) {
 		restart(s);
+		s->known_since = now;
+	}
 	s->sequence = l->sequence;
 	s->id = id;
 	snprintf(s->name, sizeof(s->name), "%s", l->name);
@@ -260,9 +280,9 @@
 	return exp(-(double)age / tau);
 }
 
-static double load_of(const struct ws_ed_server *s, ws_us now)
+static double load_of(const struct ws_ed_server *s, ws_us now, double tau)
 {
-	double d = decay(now - s->reported, REPORT_TAU);
+	double d = decay(now - s->reported, tau);
 	double others = s->others * d + s->others_mean * (1.0 - d);
 
 	return (double)s->in_flight + others;
@@ -286,11 +306,12 @@
 	return part * (1.0 + BUSY_SLOWNESS);
 }
 
-void ws_ed_pool_expect(const struct ws_ed_pool *p, ws_us now, uint32_t server,
-		       uint32_t work, struct ws_ed_choice *out)
+/* @param tau time for which reports of others' requests count */
+static void expect(const struct ws_ed_pool *p, ws_us now, uint32_t server,
+		   uint32_t work, double tau, struct ws_ed_choice *out)
 {
 	const struct ws_ed_server *s = &p->servers[server];
-	double load = load_of(s, now) + 1.0;
+	double load = load_of(s, now, tau) + 1.0;
 	double time = p->works[work].unit * s->speed * pace_of(s, now) *
 		      crowding(load, s->slots);
 
@@ -300,6 +321,20 @@
 	out->paced = now < s->cold_until && now < s->cold_next;
 }
 
+void ws_ed_pool_expect(const struct ws_ed_pool *p, ws_us now, uint32_t server,
+		       uint32_t work, struct ws_ed_choice *out)
+{
+	expect(p, now, server, work, REPORT_TAU, out);
+}
+
+static double choice_tau(const struct ws_ed_pool *p)
+{
+	double n = (double)p->instances;
+
+	return n > CHOICE_INSTANCES ? REPORT_TAU * CHOICE_INSTANCES / n :
+				      REPORT_TAU;
+}
+
 /* ===== Choice ===== */
 
 static bool is_excluded(const struct ws_ed_need *need, uint32_t h)
@@ -312,6 +347,20 @@
 	return false;
 }
 
+ws_us ws_ed_pool_idle_max(const struct ws_ed_server *s)
+{
+	ws_us max = IDLE_STANDARD;
+
+	if (s->idle_close)
+		max = (ws_us)(IDLE_PART * (double)s->idle_close);
+	return max > WS_SECOND ? max : WS_SECOND;
+}
+
+static bool has_idle(const struct ws_ed_server *s, ws_us now)
+{
+	return s->idle && now < s->idle_until;
+}
+
 static double cost_of(struct ws_ed_pool *p, ws_us now,
 		      const struct ws_ed_need *need,
 		      const struct ws_ed_server *s,
@@ -321,6 +370,8 @@
 
 	if (s->zone != need->zone)
 		cost = cost * FAR_FACTOR + FAR_COST;
+	if (!has_idle(s, now) && now - s->known_since > NEW_TIME)
+		cost *= CONNECT_FACTOR;
 	if (now < s->benched_until ||
 	    (s->max_connections && s->in_flight >= s->max_connections))
 		cost += 1e9;
@@ -331,6 +382,7 @@
 void ws_ed_pool_choose(struct ws_ed_pool *p, ws_us now,
 		       const struct ws_ed_need *need, struct ws_ed_choice *out)
 {
+	double tau = choice_tau(p);
 	double best = 0.0;
 	size_t i;
 
@@ -344,7 +396,7 @@
 		    !ws_ed_pool_usable(p, now, (uint32_t)i) ||
 		    is_excluded(need, (uint32_t)i))
 			continue;
-		ws_ed_pool_expect(p, now, (uint32_t)i, need->work, &c);
+		expect(p, now, (uint32_t)i, need->work, tau, &c);
 		if (c.paced) {
 			out->paced = true;
 			continue;
@@ -367,6 +419,10 @@
 	double rate = cold_rate(p, svc);
 
 	s->in_flight++;
+	if (!has_idle(s, now))
+		s->idle = 0;
+	else
+		s->idle--;
 	if (now < s->cold_until && rate > 0.0)
 		s->cold_next = now + (ws_us)((double)WS_SECOND / rate);
 }
@@ -428,10 +484,15 @@
 	if (report && report->known) {
 		take_report(s, now, report);
 		s->report = *report;
-		s->untold = true;
+		s->untold = WS_ED_UNTOLD_ZONE | WS_ED_UNTOLD_RELAYS;
 	}
 	if (report && report->idle_close)
 		s->idle_close = report->idle_close;
+	if (end == WS_ED_END_OK || end == WS_ED_END_FAILED ||
+	    end == WS_ED_END_SHED) {
+		s->idle++;
+		s->idle_until = now + ws_ed_pool_idle_max(s);
+	}
 	switch (end) {
 	case WS_ED_END_OK:
 		learn_speed(p, s, work, latency, load, now);
@@ -450,15 +511,28 @@
 	s->fail += FAIL_GAIN * (failed - s->fail);
 }
 
-void ws_ed_pool_told(struct ws_ed_pool *p, ws_us at, ws_id server,
-		     const struct ws_ed_report *report, bool hand_on)
+uint32_t ws_ed_short_id(ws_id server)
 {
-	int32_t h = ws_ed_pool_find(p, server);
-	struct ws_ed_server *s;
+	return (uint32_t)(server >> 32);
+}
+
+static struct ws_ed_server *find_short(struct ws_ed_pool *p, uint32_t id)
+{
+	size_t i;
+
+	for (i = 0; i < p->n; i++)
+		if (p->servers[i].id && ws_ed_short_id(p->servers[i].id) == id)
+			return &p->servers[i];
+	return NULL;
+}
+
+void ws_ed_pool_told(struct ws_ed_pool *p, ws_us at, uint32_t server,
+		     const struct ws_ed_report *report, uint8_t hand_on)
+{
+	struct ws_ed_server *s = find_short(p, server);
 
-	if (h < 0 || at <= p->servers[h].reported + TOLD_MARGIN)
+	if (!s || at <= s->reported + TOLD_MARGIN)
 		return;
-	s = &p->servers[h];
 	take_report(s, at, report);
 	s->report = *report;
 	s->untold = hand_on;
--- a/lib/edge/ws_ed_pool.h
+++ b/lib/edge/ws_ed_pool.h
@@ -39,6 +39,12 @@
 	ws_us idle_close; /* 0: not told */
 };
 
+/* Whom a relay has still to tell of a report; others tell their relay. */
+enum ws_ed_untold {
+	WS_ED_UNTOLD_ZONE = 1, /* the own zone, or the relay */
+	WS_ED_UNTOLD_RELAYS = 2, /* relays of other zones */
+};
+
 struct ws_ed_server {
 	ws_id id; /* 0: free entry */
 	char name[WS_ED_NAME_MAX];
@@ -49,6 +55,7 @@
 	int64_t born_ms; /* wall clock of its start, as it says */
 	int64_t sequence; /* of the newest entry taken */
 	bool listed;
+	ws_us known_since; /* when this life of it was first listed */
 	bool draining;
 	ws_us gone_at; /* not listed: no longer used from here on */
 	ws_us cold_until;
@@ -58,7 +65,7 @@
 	double others_mean;
 	ws_us reported;
 	struct ws_ed_report report; /* the last one to this instance */
-	bool untold; /* it was not yet told to other instances */
+	uint8_t untold; /* enum ws_ed_untold: who was not yet told of it */
 	double pace; /* slowness of its machine as reported; 1: usual */
 	double pace_mean; /* lasting slowness of its machine */
 	uint32_t paces; /* reports it is the mean of */
@@ -67,6 +74,8 @@
 	ws_us benched_until;
 	uint32_t benched_times;
 	ws_us idle_close; /* idle connections are closed after it; 0: unknown */
+	uint32_t idle; /* connections that may be used again */
+	ws_us idle_until; /* they are closed by then */
 	uint32_t max_connections; /* own share; 0: no bound */
 	ws_us keys_refused_until; /* does not answer calls about its keys */
 };
@@ -180,10 +189,16 @@
 /*
  * Another instance tells what a server reported to it.
  * @param at when it was reported
- * @param hand_on it is to be told to others
+ * @param hand_on enum ws_ed_untold: who is to be told
  */
-void ws_ed_pool_told(struct ws_ed_pool *p, ws_us at, ws_id server,
-		     const struct ws_ed_report *report, bool hand_on);
+void ws_ed_pool_told(struct ws_ed_pool *p, ws_us at, uint32_t server,
+		     const struct ws_ed_report *report, uint8_t hand_on);
+
+/* Names a server in few bytes; the list of servers is short beside it. */
+uint32_t ws_ed_short_id(ws_id server);
+
+/* Time after which an idle connection to a server is left alone. */
+ws_us ws_ed_pool_idle_max(const struct ws_ed_server *s);
 
 /* Forgets servers that are gone and idle. */
 void ws_ed_pool_tick(struct ws_ed_pool *p, ws_us now);
--- a/lib/edge/ws_ed_quota.c
+++ b/lib/edge/ws_ed_quota.c
@@ -25,6 +25,7 @@
 /* Debt that all instances may run up together, in seconds of the rate. */
 #define DEBT_S 0.4
 #define DEBT_TOLD (150 * WS_MS)
+#define DEBT_MIN_S 0.25
 /* Others were heard within this time. */
 #define NEWS_MAX (1 * WS_SECOND)
 /* Silent instances keep at most this part of a rate together. */
@@ -33,6 +34,8 @@
 #define EVEN_PART 0.1
 /* Part of the allowed slack that is used. */
 #define SLACK_PART 0.9
+/* Part of that which goes with the demand. */
+#define SLACK_BY_DEMAND 0.5
 #define RETRY_MIN (50 * WS_MS)
 /* A demand of a few requests counts at once, also when others were not heard.
  */
@@ -114,6 +117,20 @@
 	return q->instances <= 1 || now - q->heard < NEWS_MAX;
 }
 
+/*
+ * Own part of the slack: one part goes with the demand, as the callers of a
+ * customer come to few of hundreds of instances, the other is even, for those
+ * that have little demand yet.
+ */
+static double slack_of(const struct ws_ed_quota *q,
+		       const struct ws_ed_bucket *b)
+{
+	double even = 1.0 / (double)q->instances;
+
+	return q->slack * SLACK_PART *
+	       (SLACK_BY_DEMAND * b->share + (1.0 - SLACK_BY_DEMAND) * even);
+}
+
 ws_us ws_ed_quota_take(struct ws_ed_quota *q, ws_us now, ws_id customer)
 {
 	struct ws_ed_bucket *b = find(q, customer);
@@ -127,8 +144,7 @@
 		return 0;
 	refill(b, q->used, now);
 	if (b->global < CALM_PART * b->rate && hears_others(q, now))
-		floor -= q->debt * b->rate * b->share +
-			 q->slack * SLACK_PART / (double)q->instances;
+		floor -= q->debt * b->rate * b->share + slack_of(q, b);
 	if (b->tokens >= floor) {
 		b->tokens -= 1.0;
 		return 0;
@@ -351,6 +367,8 @@
 	q->debt = told_every > DEBT_TOLD ?
 			  DEBT_S * (double)DEBT_TOLD / (double)told_every :
 			  DEBT_S;
+	if (q->debt < DEBT_MIN_S)
+		q->debt = DEBT_MIN_S;
 	for (i = 0; i < q->n; i++) {
 		struct ws_ed_bucket *b = &q->buckets[i];
 		double own = settled_demand(b, now);
--- a/lib/edge/ws_edge.h
+++ b/lib/edge/ws_edge.h
@@ -95,6 +95,8 @@
  */
 #define WS_ED_BEAT_BYTES 1400
 #define WS_ED_DEMANDS_MAX 24
+/* A heartbeat that goes on has room for more, as it carries little else. */
+#define WS_ED_DEMANDS_MORE 90
 #define WS_ED_MEMBERS_MAX 4
 
 /* Stamps are on the peer's clock, so that it can tell how old they are. */
@@ -110,7 +112,8 @@
 	float per_s;
 };
 
-#define WS_ED_LOADS_MAX 11
+#define WS_ED_LOADS_MAX 30
+#define WS_ED_LOADS_MORE 130
 
 /* A member that a relay has heard. */
 struct ws_ed_told_member {
@@ -121,15 +124,18 @@
 	char address[WS_ED_ADDRESS_MAX];
 };
 
-/* What a server told the sender of itself. */
+/* What a server told an instance of itself, in eight bytes on the wire. */
 struct ws_ed_told_load {
-	ws_id server;
-	uint16_t running;
-	uint16_t waiting;
-	uint16_t pace_percent; /* 0: not told */
-	uint16_t age_ms;
+	uint32_t server; /* ws_ed_short_id() */
+	uint8_t running;
+	uint8_t waiting;
+	uint8_t pace; /* in WS_ED_PACE_STEP; 0: not told */
+	uint8_t age; /* in WS_ED_AGE_STEP */
 };
 
+#define WS_ED_PACE_STEP 0.05 /* of the usual time */
+#define WS_ED_AGE_STEP (4 * WS_MS)
+
 enum ws_ed_map_part {
 	WS_EDMP_NONE = 0,
 	WS_EDMP_SLICE,
@@ -150,15 +156,17 @@
 	bool leads; /* the sender leads the keys */
 	bool alone; /* it is a relay that hears no other one */
 	bool store_sound;
+	/* It goes on with what did not fit into the one of the same stamp. */
+	bool more;
 	struct ws_ed_echo echo; /* for the receiver */
 	uint32_t told; /* enum ws_ed_tell: what the rest covers */
 	uint32_t demands_of; /* enum ws_ed_demand_source */
 	uint32_t n_demands;
-	struct ws_ed_told_demand demands[WS_ED_DEMANDS_MAX];
+	struct ws_ed_told_demand demands[WS_ED_DEMANDS_MORE];
 	uint32_t n_counts;
 	struct ws_ed_count counts[WS_ED_TOLD_MAX];
 	uint32_t n_loads;
-	struct ws_ed_told_load loads[WS_ED_LOADS_MAX];
+	struct ws_ed_told_load loads[WS_ED_LOADS_MORE];
 	uint32_t n_strikes;
 	struct ws_ed_strike strikes[WS_ED_STRIKES_MAX];
 	uint32_t n_members;
@@ -235,6 +243,25 @@
 bool ws_edge_beat_for(const struct ws_edge *e, const struct ws_ed_member *m,
 		      struct ws_ed_beat *beat);
 
+/* Receivers of the heartbeats with which a relay goes on. */
+enum ws_ed_audience {
+	WS_EDA_ZONE = 0, /* the relay's own zone */
+	WS_EDA_RELAYS, /* relays of other zones */
+	WS_EDA_COUNT,
+};
+
+/*
+ * Goes on with a round of heartbeats: loads of servers, and to relays also the
+ * demand of the own zone. All receivers are told the same.
+ * @return false when there is nothing more
+ */
+bool ws_edge_beat_more(struct ws_edge *e, enum ws_ed_audience to,
+		       struct ws_ed_beat *beat);
+
+/* Tells whether a member is among the receivers. */
+bool ws_edge_in_audience(const struct ws_edge *e, const struct ws_ed_member *m,
+			 enum ws_ed_audience to);
+
 /* Tells whether a member must be told of the map by this instance. */
 bool ws_edge_tells_map(const struct ws_edge *e, ws_us now,
 		       const struct ws_ed_member *m);
--- a/lib/edge/ws_edge_int.h
+++ b/lib/edge/ws_edge_int.h
@@ -56,6 +56,8 @@
 struct ed_budget {
 	ws_id service;
 	double tokens;
+	double requests; /* of late, at this instance */
+	ws_us counted;
 };
 
 /* A waiting call in the order of its turn. */
@@ -91,6 +93,7 @@
 	uint64_t told_map_end;
 	size_t next_demand; /* customer to start with in the next heartbeat */
 	size_t next_member; /* member to start with */
+	size_t next_load; /* server to start with */
 	/* The round of heartbeats under way */
 	struct {
 		uint64_t number;
@@ -99,6 +102,8 @@
 		uint32_t n_counts;
 		uint32_t n_loads;
 		uint32_t n_strikes;
+		struct ws_ed_told_demand demands[WS_ED_DEMANDS_MAX];
+		size_t next_more; /* customer to go on with, to relays */
 	} round;
 	bool members_named; /* by the store's list of instances, or heard */
 	bool draining;
--- a/lib/edgeio/ws_eio_beats.c
+++ b/lib/edgeio/ws_eio_beats.c
@@ -25,9 +25,9 @@
 	unsigned char in[WS_ED_BEAT_BYTES];
 };
 
-static void send_to(struct ws_eio_beats *b, const struct ws_ed_member *m)
+static void send_bytes(struct ws_eio_beats *b, const struct ws_ed_member *m,
+		       int len)
 {
-	int len = ws_ed_beat_encode(&b->beat, b->buf, sizeof(b->buf));
 	struct sockaddr_storage to;
 	socklen_t to_len;
 
@@ -39,6 +39,26 @@
 		      (struct sockaddr *)&to, to_len);
 }
 
+static void send_to(struct ws_eio_beats *b, const struct ws_ed_member *m)
+{
+	send_bytes(b, m, ws_ed_beat_encode(&b->beat, b->buf, sizeof(b->buf)));
+}
+
+/* What many are told is encoded once. */
+static void send_more(struct ws_eio_beats *b, const struct ws_ed_peers *peers,
+		      enum ws_ed_audience to)
+{
+	while (ws_edge_beat_more(b->io->edge, to, &b->beat)) {
+		int len = ws_ed_beat_encode(&b->beat, b->buf, sizeof(b->buf));
+		size_t i;
+
+		for (i = 0; i < peers->n; i++)
+			if (ws_edge_in_audience(b->io->edge, &peers->members[i],
+						to))
+				send_bytes(b, &peers->members[i], len);
+	}
+}
+
 static void send_map(struct ws_eio_beats *b, const struct ws_ed_member *m)
 {
 	uint32_t next = 0;
@@ -69,6 +89,8 @@
 		if (ws_edge_tells_map(b->io->edge, now, m))
 			send_map(b, m);
 	}
+	for (i = 0; i < WS_EDA_COUNT; i++)
+		send_more(b, peers, (enum ws_ed_audience)i);
 }
 
 static void on_timer(void *arg, ws_us now)
