Keep late copies of answers away from calls about keys

Ruled out: grants with a late copy; they only make the leader believe in a longer lease than there is. Bytes of all answers that are being read are bounded by a quarter of the memory, those of one answer by a sixteenth (64 MiB each before, so that three answers without end were more than the smallest machine has), heads by 128 KiB. Figures: test_eio_targets fails on the old code (second release on the kept connection).

--- a/lib/edgeio/ws_eio_targets.c
+++ b/lib/edgeio/ws_eio_targets.c
@@ -11,15 +11,18 @@
 #include "io/ws_headers.h"
 #include "platform/wp_wire.h"
 
-#define ANSWER_MAX ((size_t)64 * 1024 * 1024)
+/*
+ * Answers are gathered whole before they are passed on. All of them together
+ * may take one part of the memory, each of them one part of that.
+ */
+#define GATHERED_SHARE 4
+#define ANSWER_SHARE 4
 /* A grant without an answer in this time is repeated. */
 #define GRANT_TIMEOUT (700 * WS_MS)
 /* A release waits for the work that runs on the keys. */
 #define RELEASE_TIMEOUT (3 * WS_SECOND)
-/* Idle connections of a server that told no time-out. */
+/* Idle connections that calls about keys may use. */
 #define IDLE_STANDARD (4 * WS_SECOND)
-/* Part of the told time after which a connection is left alone. */
-#define IDLE_PART 0.7
 #define KEY_ANSWER_MAX ((size_t)64 * 1024)
 #define LINE_MAX_BYTES 256
 #define JSON_MAX 256
@@ -175,13 +178,9 @@
 	free_sending(s);
 }
 
-static ws_us idle_max(const struct ws_ed_server *s)
+static size_t gathered_max(const struct ws_eio *io)
 {
-	ws_us max = IDLE_STANDARD;
-
-	if (s->idle_close)
-		max = (ws_us)(IDLE_PART * (double)s->idle_close);
-	return max > WS_SECOND ? max : WS_SECOND;
+	return io->set.memory / GATHERED_SHARE;
 }
 
 void ws_eio_targets_send(struct ws_eio_targets *t,
@@ -198,8 +197,8 @@
 		.data = r->body,
 		.data_len = r->body_len,
 		.timeout = left > WS_MS ? left : WS_MS,
-		.max_answer = ANSWER_MAX,
-		.idle_max = idle_max(to),
+		.max_answer = gathered_max(t->io) / ANSWER_SHARE,
+		.idle_max = ws_ed_pool_idle_max(to),
 		.allow_unframed = true,
 		.done = on_done,
 		.arg = s,
@@ -238,7 +237,7 @@
 {
 	if (res->end == WS_HTTP_NOT_SENT)
 		return WS_EDC_UNREACHED;
-	if (res->end != WS_HTTP_DONE)
+	if (res->end != WS_HTTP_DONE || !wp_wire_is_key_answer(&res->answer))
 		return WS_EDC_FAILED;
 	if (res->answer.status == 200)
 		return WS_EDC_DONE;
@@ -260,6 +259,8 @@
 	ev.u.key_called.ref = c->ref;
 	ev.u.key_called.end = key_end_of(res);
 	ev.u.key_called.handover = "";
+	if (res->end == WS_HTTP_DONE && ev.u.key_called.end == WS_EDC_FAILED)
+		ws_http_disconnect(c->http);
 	if (ev.u.key_called.end == WS_EDC_DONE && !c->grant)
 		ev.u.key_called.handover = wp_wire_handover(&res->answer);
 	ws_eio_feed(c->targets->io, &ev);
@@ -277,6 +278,12 @@
 		.timeout = grant ? GRANT_TIMEOUT : RELEASE_TIMEOUT,
 		.max_answer = KEY_ANSWER_MAX,
 		.idle_max = IDLE_STANDARD,
+		/*
+		 * A late second copy of an answer on a kept connection must
+		 * not be taken for a release: the keys would be given on while
+		 * their holder works on them.
+		 */
+		.fresh = !grant,
 		.allow_unframed = true,
 		.done = on_key_done,
 		.arg = c,
@@ -307,6 +314,7 @@
 	struct ws_eio_targets *t = ws_alloc(1, sizeof(*t));
 
 	t->io = io;
+	ws_http_limit(io->http, gathered_max(io));
 	t->sendings = g_hash_table_new(g_int64_hash, g_int64_equal);
 	t->key_calls = g_hash_table_new(NULL, NULL);
 	return t;
--- a/lib/io/ws_http.c
+++ b/lib/io/ws_http.c
@@ -20,6 +20,10 @@
 #define KEEPALIVE_S 1L
 #define KEEPALIVE_PROBES 3
 #define POOL_MAX 1024
+/* Bytes of status lines and headers of one answer, informational ones too. */
+#define HEAD_MAX ((size_t)128 * 1024)
+/* A free call keeps a buffer of this size at most. */
+#define BUFFER_KEPT ((size_t)64 * 1024)
 
 struct ws_http_call {
 	struct ws_http *http;
@@ -29,7 +33,7 @@
 	void *arg;
 	unsigned sendings; /* how often libcurl was about to send */
 	bool active;
-	bool too_large;
+	size_t head_len; /* bytes of status lines and headers so far */
 	bool head;
 	bool allow_unframed;
 	struct ws_headers headers;
@@ -53,6 +57,8 @@
 	size_t n_free;
 	struct watched *free_watched;
 	uint64_t connections;
+	size_t gathered; /* bytes of answers that are being read */
+	size_t max_gathered; /* 0: no bound */
 };
 
 /* ===== Answers ===== */
@@ -62,10 +68,13 @@
 	struct ws_http_call *c = arg;
 	size_t len = size * n;
 
-	if (len > c->max_answer - c->data_len) {
-		c->too_large = true;
+	/* A target may send without end; what is too much is broken off. */
+	if (len > c->max_answer - c->data_len)
 		return 0;
-	}
+	if (c->http->max_gathered &&
+	    c->http->gathered + len > c->http->max_gathered)
+		return 0;
+	c->http->gathered += len;
 	ws_grow(&c->data, &c->data_cap, c->data_len + len, 1);
 	memcpy(c->data + c->data_len, data, len);
 	c->data_len += len;
@@ -80,6 +89,9 @@
 	char *colon;
 	size_t skip;
 
+	c->head_len += len;
+	if (c->head_len > HEAD_MAX)
+		return 0;
 	/* A status line starts a new block, for instance after 100. */
 	if (len > 5 && !memcmp(line, "HTTP/", 5)) {
 		ws_headers_reset(&c->headers);
@@ -189,6 +201,13 @@
 	struct ws_http *h = c->http;
 
 	c->active = false;
+	h->gathered -= c->data_len;
+	c->data_len = 0;
+	if (c->data_cap > BUFFER_KEPT) {
+		free(c->data);
+		c->data = NULL;
+		c->data_cap = 0;
+	}
 	if (h->n_free >= POOL_MAX) {
 		destroy_call(c);
 		return;
@@ -232,7 +251,7 @@
 	c->done = req->done;
 	c->arg = req->arg;
 	c->sendings = 0;
-	c->too_large = false;
+	c->head_len = 0;
 	c->head = !strcmp(req->method, "HEAD");
 	c->data_len = 0;
 	c->max_answer = req->max_answer;
@@ -463,6 +482,11 @@
 	free(h);
 }
 
+void ws_http_limit(struct ws_http *h, size_t max_gathered)
+{
+	h->max_gathered = max_gathered;
+}
+
 uint64_t ws_http_connections(const struct ws_http *h)
 {
 	return h->connections;
--- a/lib/io/ws_http.h
+++ b/lib/io/ws_http.h
@@ -49,6 +49,12 @@
 struct ws_http *ws_http_new(struct ev_loop *loop);
 void ws_http_free(struct ws_http *h);
 
+/*
+ * Bounds the bytes of all answers that are being read; an answer that goes
+ * beyond is broken off. 0: no bound.
+ */
+void ws_http_limit(struct ws_http *h, size_t max_gathered);
+
 /* Starts a request; done is called later, never from within this call. */
 struct ws_http_call *ws_http_start(struct ws_http *h,
 				   const struct ws_http_request *req);
--- /dev/null
+++ b/tests/test_eio_targets.c
@@ -0,0 +1,128 @@
+#include <curl/curl.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "ed_suite.h"
+#include "edgeio/ws_eio_targets.h"
+#include "io/ws_server.h"
+
+/* Calls about keys on their way to a server on loopback. */
+
+#define ADDRESS "127.19.22.1:7000"
+
+static struct ev_loop *loop;
+static struct ws_timers *timers;
+static struct ws_server *server;
+static struct ws_eio io;
+static unsigned arrived;
+static unsigned connections; /* open when the last call arrived */
+
+static void on_call(void *arg, struct ws_server_request *req)
+{
+	const struct ws_server_answer a = { .status = 200 };
+
+	(void)arg;
+	arrived++;
+	connections = ws_server_connections(server);
+	ws_server_answer(req, &a);
+}
+
+static void on_gone(void *arg, struct ws_server_request *req)
+{
+	(void)arg;
+	(void)req;
+}
+
+static void start(void)
+{
+	static const struct ws_server_ops ops = {
+		.arrived = on_call,
+		.gone = on_gone,
+	};
+	const struct ws_server_conf conf = {
+		.ops = &ops,
+		.address = ADDRESS,
+		.max_connections = 10,
+		.max_arriving = 10000,
+		.now = ws_eio_now,
+	};
+	const struct ws_ed_settings set = { .self = 1, .max_calls = 10 };
+	struct ws_server_conf c = conf;
+
+	curl_global_init(CURL_GLOBAL_NOTHING);
+	loop = ev_loop_new(0);
+	timers = ws_timer_new();
+	c.timers = timers;
+	server = ws_server_new(loop, &c);
+	ck_assert_ptr_nonnull(server);
+	memset(&io, 0, sizeof(io));
+	io.loop = loop;
+	io.set.memory = (size_t)160 * 1024 * 1024;
+	io.http = ws_http_new(loop);
+	io.edge = ws_edge_new(&set);
+	io.targets = ws_eio_targets_new(&io);
+	arrived = 0;
+}
+
+static void stop(void)
+{
+	ws_eio_targets_free(io.targets);
+	ws_edge_free(io.edge);
+	ws_http_free(io.http);
+	ws_ed_fx_free(&io.fx);
+	ws_server_free(server);
+	ws_timer_free(timers);
+	ev_loop_destroy(loop);
+}
+
+static void on_wake(EV_P_ ev_timer *w, int revents)
+{
+	(void)loop;
+	(void)w;
+	(void)revents;
+}
+
+static void call(bool grant)
+{
+	struct ws_ed_key_call c = { .ref = 1, .to = 9, .hold = WS_SECOND };
+	unsigned before = arrived;
+	ev_timer wake;
+	int i;
+
+	snprintf(c.name, sizeof(c.name), "s1");
+	snprintf(c.address, sizeof(c.address), ADDRESS);
+	ws_eio_targets_call(io.targets, &c, grant);
+	ev_timer_init(&wake, on_wake, 0., 0.005);
+	ev_timer_start(loop, &wake);
+	for (i = 0; i < 100; i++)
+		ev_run(loop, EVRUN_ONCE);
+	ev_timer_stop(loop, &wake);
+	ck_assert_uint_eq(arrived, before + 1);
+}
+
+/*
+ * Guards against a release that a late second copy of an earlier answer ends:
+ * the keys went to another server while their holder worked on them
+ * (leiedal-vijver scale-1 with "extra late" answers: OWNER).
+ */
+START_TEST(release_uses_a_connection_of_its_own)
+{
+	start();
+	call(true);
+	ck_assert_uint_eq(connections, 1);
+	call(true);
+	ck_assert_uint_eq(connections, 1);
+	call(false);
+	ck_assert_uint_eq(connections, 2);
+	call(false);
+	ck_assert_uint_ge(connections, 3);
+	stop();
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = { release_uses_a_connection_of_its_own };
+
+	return ed_suite_run("eio_targets", tests, 1);
+}
