Admit by the demand of all instances, choose among drawn servers

Loads that all instances know make all of them choose, send and refuse alike: requests went to the same few servers, and a server of which a high load was told last was left alone for good, since servers report with their answers only. At the start each instance told all 294 others, 72 MB between zones. Change: demand of each service is told like that of customers; a part of the requests beyond the capacity of all servers is refused beforehand by chance, weighted by the number of instances, more while something has piled up; a server that nobody hears has worked off its requests; a choice looks at a part of the servers that falls with the instances; of more than 40 members only the own zone and likely relays are told at the start; debt of a rate up to its whole demand.

--- a/lib/edge/ws_ed_admit.c
+++ b/lib/edge/ws_ed_admit.c
@@ -18,14 +18,34 @@
 /* Only free servers take hedges, and failures keep a part of the budget. */
 #define HEDGE_LOAD 0.85
 #define HEDGE_BUDGET 2.0
+/* Demand that is admitted, over the capacity; a little waits at servers. */
+#define ADMITTED 1.0
+/* A server that was as free as this some time ago still is. */
+#define IDLE_LOAD 0.5
+/* One that comes back is refused so many times less often. */
+#define RETURNED_FACTOR 1.5
 #define RETRY_MIN (40 * WS_MS)
 #define RETRY_MAX (1 * WS_SECOND)
 
+/* Tells whether a request is among those that do not fit. */
+static bool is_beyond_capacity(const struct ws_ed_outlook *o)
+{
+	double part;
+
+	if (o->overload <= ADMITTED)
+		return false;
+	part = ADMITTED / o->overload;
+	return o->chance > (o->returned ? RETURNED_FACTOR * part : part);
+}
+
 enum ws_ed_verdict ws_ed_admit(const struct ws_ed_outlook *o)
 {
 	if ((double)o->expect > HOPELESS_PART * (double)o->left &&
 	    o->load > 1.0)
 		return WS_EDV_REFUSE;
+	/* Once; what waits here was admitted. */
+	if (!o->waited && o->load > IDLE_LOAD && is_beyond_capacity(o))
+		return WS_EDV_REFUSE;
 	if (o->load <= 1.0)
 		return WS_EDV_SEND;
 	if ((double)o->expect <= IN_TIME_PART * (double)o->objective_left)
--- a/lib/edge/ws_ed_admit.h
+++ b/lib/edge/ws_ed_admit.h
@@ -9,6 +9,11 @@
  * expected to meet its latency objective; beyond that a short wait here lets
  * places become free; after that it is sent late only where this delays few
  * others, and else refused at once, with the time when it may come back.
+ *
+ * Where hundreds of instances share the servers, what one knows of their load
+ * is old: all would refuse and all would send at the same time. So an instance
+ * refuses a part of the requests beforehand, by chance, as far as the demand
+ * of all instances is beyond the capacity of all servers.
  */
 
 struct ws_ed_outlook {
@@ -18,6 +23,10 @@
 	ws_us waited;
 	ws_us expect; /* time to the answer at the best server */
 	double load; /* of that server with this request, over its slots */
+	double overload; /* demand of all over the servers' capacity; 0: unknown
+			  */
+	double chance; /* a random number from 0 to 1 */
+	bool returned; /* it was refused before */
 };
 
 enum ws_ed_verdict {
--- a/lib/edge/ws_ed_beat.c
+++ b/lib/edge/ws_ed_beat.c
@@ -310,8 +310,9 @@
 		const struct ws_ed_bucket *q =
 			&e->quota.buckets[(e->next_demand + i) % e->quota.n];
 
-		if (q->rate > 0.0 && (ws_ed_quota_demand(q, now) > DEMAND_MIN ||
-				      q->global > DEMAND_MIN))
+		if ((q->rate > 0.0 || q->watched) &&
+		    (ws_ed_quota_demand(q, now) > DEMAND_MIN ||
+		     q->global > DEMAND_MIN))
 			b->demands[b->n_demands++].customer = q->customer;
 	}
 	e->next_demand += i;
@@ -490,7 +491,7 @@
 		double per_s = ws_ed_quota_tell(q, b->stamp, c->customer,
 						WS_EDD_ZONE, 0, e->peers.zone);
 
-		if (c->rate > 0.0 && per_s > DEMAND_MIN)
+		if ((c->rate > 0.0 || c->watched) && per_s > DEMAND_MIN)
 			b->demands[b->n_demands++] = (struct ws_ed_told_demand){
 				.customer = c->customer,
 				.per_s = (float)per_s,
--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -32,6 +32,8 @@
 #define DRAINING_RETRY (20 * WS_MS)
 #define CONFIG_RETRY (500 * WS_MS)
 #define DEADLINE_STANDARD (2 * WS_SECOND)
+/* A request with so much less time than others is its caller's second try. */
+#define RETURNED_MIN (30 * WS_MS)
 /* Part of the bound on extra sendings that is used. */
 #define BUDGET_PART 0.75
 /* Parts of the allowed ratio that a request earns at once, and for later. */
@@ -39,6 +41,16 @@
 #define SAVED_PART 0.15
 /* Time in which requests are counted for what may be saved. */
 #define BUDGET_WINDOW (8 * WS_SECOND)
+/* Makes the id of a service's demand, which no customer has. */
+#define WATCH_SEED 0x57a7c4
+/* Answers after which the work of a route's requests is known. */
+#define WORK_KNOWN 4
+#define WORK_GAIN 0.02
+/* Load of all servers over their slots beyond which it is worked off. */
+#define PILED_UP 1.5
+/* Instances from which on the demand of all counts, and counts in full. */
+#define SURVEY_FROM 24.0
+#define SURVEY_WHOLE 120.0
 
 /* ===== Ends ===== */
 
@@ -113,16 +125,78 @@
 	ws_grow(&e->budgets, &e->cap_budgets, e->n_budgets + 1,
 		sizeof(*e->budgets));
 	b = &e->budgets[e->n_budgets++];
-	*b = (struct ed_budget){ .service = service, .counted = e->now };
+	*b = (struct ed_budget){
+		.service = service,
+		.counted = e->now,
+		.watch = ws_mix(service, WATCH_SEED),
+	};
 	b->tokens = budget_cap(e, b);
+	ws_ed_quota_watch(&e->quota, e->now, b->watch);
 	return b;
 }
 
+static void note_work(struct ed_budget *b, const struct ws_ed_work *w)
+{
+	if (w->samples < WORK_KNOWN)
+		return;
+	if (b->unit <= 0.0)
+		b->unit = w->unit;
+	b->unit += WORK_GAIN * (w->unit - b->unit);
+}
+
+/*
+ * Few instances know the servers' load well and need no estimate of it.
+ * @return part from 0 to 1 by which the estimate counts
+ */
+static double survey_weight(const struct ws_edge *e)
+{
+	double n = (double)e->pool.instances;
+
+	if (n <= SURVEY_FROM)
+		return 0.0;
+	return n >= SURVEY_WHOLE ?
+		       1.0 :
+		       (n - SURVEY_FROM) / (SURVEY_WHOLE - SURVEY_FROM);
+}
+
+/*
+ * Demand over capacity. What has piled up at the servers is worked off first;
+ * it also shows an overload while the work of requests is not known yet.
+ */
+static double overload_of(const struct ws_edge *e, const struct ed_budget *b)
+{
+	double demand = ws_ed_quota_global(&e->quota, b->watch);
+	struct ws_ed_capacity c;
+	double ratio = 1.0;
+
+	ws_ed_pool_capacity(&e->pool, e->now, b->service, &c);
+	if (c.slots <= 0.0)
+		return 0.0;
+	if (b->unit > 0.0)
+		ratio = demand * b->unit / (c.slots * (double)WS_SECOND);
+	return c.load > PILED_UP ? ratio * c.load / PILED_UP : ratio;
+}
+
+void ws_ed_call_survey(struct ws_edge *e)
+{
+	double weight = survey_weight(e);
+	size_t i;
+
+	for (i = 0; i < e->n_budgets; i++) {
+		double ratio = overload_of(e, &e->budgets[i]);
+
+		e->budgets[i].overload =
+			ratio > 1.0 ? 1.0 + weight * (ratio - 1.0) : ratio;
+	}
+}
+
 static void count_request(struct ws_edge *e, ws_id service)
 {
 	struct ed_budget *b = budget_of(e, service);
 	double cap;
 
+	ws_ed_quota_take(&e->quota, e->now, b->watch);
+
 	b->requests = 1.0 + b->requests * exp(-(double)(e->now - b->counted) /
 					      (double)BUDGET_WINDOW);
 	b->counted = e->now;
@@ -195,7 +269,12 @@
 			ws_ed_conf_service(e->conf, c->service));
 }
 
-static void outlook_of(const struct ws_edge *e, const struct ed_call *c,
+static double spread(struct ws_edge *e)
+{
+	return (double)ws_rand_below(&e->rand, 1000) / 1000.0;
+}
+
+static void outlook_of(struct ws_edge *e, const struct ed_call *c,
 		       const struct ws_ed_choice *at, struct ws_ed_outlook *o)
 {
 	*o = (struct ws_ed_outlook){
@@ -205,14 +284,12 @@
 		.waited = c->waiting_since ? e->now - c->waiting_since : 0,
 		.expect = at->expect,
 		.load = at->load,
+		.overload = budget_of(e, c->service)->overload,
+		.chance = spread(e),
+		.returned = c->returned,
 	};
 }
 
-static double spread(struct ws_edge *e)
-{
-	return (double)ws_rand_below(&e->rand, 1000) / 1000.0;
-}
-
 /* A request for which no server may be used now. */
 static void no_server(struct ws_edge *e, struct ed_call *c, bool passing,
 		      enum ws_ed_reason reason, struct ws_ed_fx *fx)
@@ -352,6 +429,7 @@
 	c->fingerprint = a->fingerprint;
 	c->end_at = a->started + end;
 	c->objective = objective_left(r, deadline);
+	c->returned = deadline < r->longest_deadline - RETURNED_MIN;
 	c->objective_at = a->started + c->objective;
 	if (c->objective < 0)
 		c->objective = 0;
@@ -460,6 +538,7 @@
 		ws_ed_heat_count(&e->heat, svc->id, (uint32_t)a->key);
 	c = ws_ed_call_add(e, a->id);
 	fill_call(e, c, a, r, customer, svc);
+	note_work(budget_of(e, svc->id), &e->pool.works[c->work]);
 	place(e, c, fx);
 }
 
--- a/lib/edge/ws_ed_peers.c
+++ b/lib/edge/ws_ed_peers.c
@@ -152,8 +152,10 @@
 {
 	bool near = m->zone == p->zone;
 
-	if (!p->relayed)
+	if (!p->relayed && p->n <= WS_ED_MESH_MEMBERS)
 		return WS_ED_TELL_ALL;
+	if (!p->relayed)
+		return near || m->relay ? WS_ED_TELL_ALL : WS_ED_TELL_NOTHING;
 	if (p->relay)
 		return near || m->relay ? WS_ED_TELL_ALL : WS_ED_TELL_NOTHING;
 	return near && m->relay ? WS_ED_TELL_ALL : WS_ED_TELL_NOTHING;
@@ -356,15 +358,16 @@
 	p->reader = false;
 	for (i = 0; i < p->n; i++)
 		p->members[i].relay = false;
-	if (!p->relayed)
-		return;
-	find_own_relay(p, now);
+	if (p->relayed)
+		find_own_relay(p, now);
 	for (i = 0; i < p->n; i++) {
 		ws_id zone = p->members[i].zone;
 
 		if (zone && zone != p->zone && !zone_has_relay(p, zone))
 			find_relay(p, now, zone);
 	}
+	if (!p->relayed)
+		return;
 	p->alone = p->relay && !hears_relays(p, now);
 	p->reader = p->relay || is_second_reader(p, now);
 }
--- a/lib/edge/ws_ed_peers.h
+++ b/lib/edge/ws_ed_peers.h
@@ -32,6 +32,8 @@
 #define WS_ED_TOLD_ALIVE (6 * WS_SECOND)
 /* Time from its start in which an instance tells everybody. */
 #define WS_ED_MESH_TIME (2 * WS_SECOND)
+/* Of more members only the own zone and likely relays are told then. */
+#define WS_ED_MESH_MEMBERS 40
 /* Fewer members than this need no relays. */
 #define WS_ED_RELAY_MIN 4
 /* A zone whose relay is not heard is told through so many of its members. */
--- a/lib/edge/ws_ed_pool.c
+++ b/lib/edge/ws_ed_pool.c
@@ -9,9 +9,20 @@
 #define REPORT_TAU (250.0 * (double)WS_MS)
 /*
  * Where many instances choose by the same reports, each report draws all of
- * them to the same server: it counts for a shorter time the more there are.
+ * them to the same server. So it counts for a shorter time the more there are,
+ * and each choice looks at a part of the servers only, drawn by chance; those
+ * with an open connection are drawn more often.
  */
 #define CHOICE_INSTANCES 24.0
+#define DRAWN_OPEN_FACTOR 4.0
+/* Time over which the mean of others' requests is taken. */
+#define MEAN_TAU (500.0 * (double)WS_MS)
+/*
+ * Servers report with their answers: one that nobody has heard for some time
+ * has worked off what it had. Otherwise all would go on to avoid it.
+ */
+#define SILENT_AFTER (500 * WS_MS)
+#define SILENT_TAU (700.0 * (double)WS_MS)
 /* An own report that comes back through a relay looks a little newer. */
 #define TOLD_MARGIN (20 * WS_MS)
 /* The slowness of a machine changes several times a second. */
@@ -40,7 +51,6 @@
 #define FAIL_GAIN 0.15
 #define SPEED_GAIN 0.08
 #define UNIT_GAIN 0.05
-#define MEAN_GAIN 0.1
 #define SPEED_MIN 0.2
 #define SPEED_MAX 6.0
 /* Work expected before the first answer. */
@@ -65,6 +75,11 @@
 	memset(p, 0, sizeof(*p));
 }
 
+static double decay(ws_us age, double tau)
+{
+	return exp(-(double)age / tau);
+}
+
 /* ===== List ===== */
 
 int32_t ws_ed_pool_find(const struct ws_ed_pool *p, ws_id id)
@@ -275,16 +290,13 @@
 	return s->listed || now < s->gone_at;
 }
 
-static double decay(ws_us age, double tau)
-{
-	return exp(-(double)age / tau);
-}
-
 static double load_of(const struct ws_ed_server *s, ws_us now, double tau)
 {
 	double d = decay(now - s->reported, tau);
 	double others = s->others * d + s->others_mean * (1.0 - d);
 
+	if (now - s->reported > SILENT_AFTER)
+		others *= decay(now - s->reported - SILENT_AFTER, SILENT_TAU);
 	return (double)s->in_flight + others;
 }
 
@@ -335,6 +347,30 @@
 				      REPORT_TAU;
 }
 
+void ws_ed_pool_capacity(const struct ws_ed_pool *p, ws_us now, ws_id service,
+			 struct ws_ed_capacity *c)
+{
+	double slots = 0.0;
+	double load = 0.0;
+	size_t i;
+
+	c->slots = 0.0;
+	for (i = 0; i < p->n; i++) {
+		const struct ws_ed_server *s = &p->servers[i];
+		double part;
+
+		if (s->service != service ||
+		    !ws_ed_pool_usable(p, now, (uint32_t)i))
+			continue;
+		part = (double)s->slots / (s->speed * s->pace_mean);
+		c->slots += now < s->cold_until ? part / COLD_SLOWNESS : part;
+		slots += (double)s->slots;
+		load += load_of(s, now, REPORT_TAU);
+	}
+	c->slots /= 1.0 + BUSY_SLOWNESS;
+	c->load = slots > 0.0 ? load / slots : 0.0;
+}
+
 /* ===== Choice ===== */
 
 static bool is_excluded(const struct ws_ed_need *need, uint32_t h)
@@ -379,8 +415,22 @@
 	       (1.0 + JITTER * (double)ws_rand_below(&p->rand, 1000) / 1000.0);
 }
 
-void ws_ed_pool_choose(struct ws_ed_pool *p, ws_us now,
-		       const struct ws_ed_need *need, struct ws_ed_choice *out)
+/* Whether a choice looks at a server. */
+static bool is_drawn(struct ws_ed_pool *p, ws_us now,
+		     const struct ws_ed_server *s)
+{
+	double part = CHOICE_INSTANCES / (double)p->instances;
+
+	if (has_idle(s, now))
+		part *= DRAWN_OPEN_FACTOR;
+	return part >= 1.0 ||
+	       (double)ws_rand_below(&p->rand, 1000) < 1000.0 * part;
+}
+
+/* @param all look at all servers, not at a part of them */
+static void choose(struct ws_ed_pool *p, ws_us now,
+		   const struct ws_ed_need *need, bool all,
+		   struct ws_ed_choice *out)
 {
 	double tau = choice_tau(p);
 	double best = 0.0;
@@ -394,7 +444,8 @@
 
 		if (s->service != need->service ||
 		    !ws_ed_pool_usable(p, now, (uint32_t)i) ||
-		    is_excluded(need, (uint32_t)i))
+		    is_excluded(need, (uint32_t)i) ||
+		    (!all && !is_drawn(p, now, s)))
 			continue;
 		expect(p, now, (uint32_t)i, need->work, tau, &c);
 		if (c.paced) {
@@ -410,6 +461,15 @@
 	}
 }
 
+void ws_ed_pool_choose(struct ws_ed_pool *p, ws_us now,
+		       const struct ws_ed_need *need, struct ws_ed_choice *out)
+{
+	choose(p, now, need, false, out);
+	/* Nothing that may be used was drawn. */
+	if (out->server < 0)
+		choose(p, now, need, true, out);
+}
+
 /* ===== Observations ===== */
 
 void ws_ed_pool_sent(struct ws_ed_pool *p, ws_us now, uint32_t server,
@@ -434,7 +494,8 @@
 		(double)(r->running + r->waiting) - (double)s->in_flight;
 
 	s->others = others > 0.0 ? others : 0.0;
-	s->others_mean += MEAN_GAIN * (s->others - s->others_mean);
+	s->others_mean += (1.0 - decay(now - s->reported, MEAN_TAU)) *
+			  (s->others - s->others_mean);
 	s->reported = now;
 	s->pace = r->pace > 0.0 ? r->pace : 1.0;
 	if (s->paces < PACE_REPORTS)
--- a/lib/edge/ws_ed_pool.h
+++ b/lib/edge/ws_ed_pool.h
@@ -173,6 +173,15 @@
 void ws_ed_pool_expect(const struct ws_ed_pool *p, ws_us now, uint32_t server,
 		       uint32_t work, struct ws_ed_choice *out);
 
+/* All servers of a service that may be used, taken together. */
+struct ws_ed_capacity {
+	double slots; /* counted by lasting speed: of servers of speed 1 */
+	double load; /* requests at the servers over their slots */
+};
+
+void ws_ed_pool_capacity(const struct ws_ed_pool *p, ws_us now, ws_id service,
+			 struct ws_ed_capacity *c);
+
 /* Picks a server of an open service. */
 void ws_ed_pool_choose(struct ws_ed_pool *p, ws_us now,
 		       const struct ws_ed_need *need, struct ws_ed_choice *out);
--- a/lib/edge/ws_ed_quota.c
+++ b/lib/edge/ws_ed_quota.c
@@ -21,7 +21,7 @@
 /* After a change of relay, what others told before counts so long beside it. */
 #define OVERLAP (2 * WS_SECOND)
 /* Below this part of the rate the global demand leaves room for debt. */
-#define CALM_PART 0.85
+#define CALM_PART 1.0
 /* Debt that all instances may run up together, in seconds of the rate. */
 #define DEBT_S 0.4
 #define DEBT_TOLD (150 * WS_MS)
@@ -66,6 +66,34 @@
 	return b->burst * b->share > 1.0 ? b->burst * b->share : 1.0;
 }
 
+static struct ws_ed_bucket *find_or_add(struct ws_ed_quota *q, ws_us now,
+					ws_id id)
+{
+	struct ws_ed_bucket *b = find(q, id);
+
+	if (b)
+		return b;
+	ws_grow(&q->buckets, &q->cap, q->n + 1, sizeof(*q->buckets));
+	b = &q->buckets[q->n++];
+	memset(b, 0, sizeof(*b));
+	b->customer = id;
+	b->filled = now;
+	b->demand_at = now;
+	return b;
+}
+
+void ws_ed_quota_watch(struct ws_ed_quota *q, ws_us now, ws_id id)
+{
+	find_or_add(q, now, id)->watched = true;
+}
+
+double ws_ed_quota_global(const struct ws_ed_quota *q, ws_id id)
+{
+	const struct ws_ed_bucket *b = find(q, id);
+
+	return b ? b->global : 0.0;
+}
+
 void ws_ed_quota_configure(struct ws_ed_quota *q, ws_us now,
 			   const struct ws_ed_conf *conf)
 {
@@ -73,17 +101,8 @@
 
 	for (i = 0; i < conf->n_customers; i++) {
 		const struct ws_ed_customer *c = &conf->customers[i];
-		struct ws_ed_bucket *b = find(q, c->id);
-
-		if (!b) {
-			ws_grow(&q->buckets, &q->cap, q->n + 1,
-				sizeof(*q->buckets));
-			b = &q->buckets[q->n++];
-			memset(b, 0, sizeof(*b));
-			b->customer = c->id;
-			b->filled = now;
-			b->demand_at = now;
-		}
+		struct ws_ed_bucket *b = find_or_add(q, now, c->id);
+
 		b->rate = c->rate;
 		b->burst = c->burst;
 	}
--- a/lib/edge/ws_ed_quota.h
+++ b/lib/edge/ws_ed_quota.h
@@ -46,6 +46,7 @@
 	ws_id customer;
 	double rate; /* requests/s over all instances; 0: no limit */
 	double burst;
+	bool watched; /* its demand is told, though it has no limit */
 	double tokens;
 	ws_us filled;
 	double demand; /* own arrivals per second, smoothed */
@@ -77,6 +78,12 @@
 void ws_ed_quota_configure(struct ws_ed_quota *q, ws_us now,
 			   const struct ws_ed_conf *conf);
 
+/* Follows the demand of something that has no rate, by an id of its own. */
+void ws_ed_quota_watch(struct ws_ed_quota *q, ws_us now, ws_id id);
+
+/* Demand of all instances, as last recomputed; 0: not followed. */
+double ws_ed_quota_global(const struct ws_ed_quota *q, ws_id id);
+
 /*
  * Counts an arrival and takes a token.
  * @return 0, or the time in which a token may be expected
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -259,6 +259,7 @@
 	ws_ed_suspects_tick(&e->suspects, e->now);
 	ws_ed_quota_tick(&e->quota, e->now, e->pool.instances,
 			 demands_told_every(e));
+	ws_ed_call_survey(e);
 	ws_ed_lead_tick(&e->lead, e->now, fx);
 	check_behind(e, fx);
 }
@@ -408,6 +409,12 @@
 
 _Static_assert(WS_ED_TOPICS == (int)WS_EDT_COUNT, "one end for each topic");
 
+ws_us ws_edge_topic_age(const struct ws_edge *e, ws_us now,
+			enum ws_ed_topic topic)
+{
+	return now - e->evidence[topic];
+}
+
 ws_us ws_edge_evidence_age(const struct ws_edge *e, ws_us now)
 {
 	return now - e->evidence[WS_EDT_CONFIG];
--- a/lib/edge/ws_edge.h
+++ b/lib/edge/ws_edge.h
@@ -291,6 +291,10 @@
 /* Offset up to which a topic is known here, read or told. */
 uint64_t ws_edge_end(const struct ws_edge *e, enum ws_ed_topic topic);
 
+/* Time since a topic was last known to be read whole, here or as told. */
+ws_us ws_edge_topic_age(const struct ws_edge *e, ws_us now,
+			enum ws_ed_topic topic);
+
 /* Time since the store last told what is in force. */
 ws_us ws_edge_evidence_age(const struct ws_edge *e, ws_us now);
 
--- a/lib/edge/ws_edge_int.h
+++ b/lib/edge/ws_edge_int.h
@@ -47,17 +47,21 @@
 	ws_us waiting_since;
 	ws_us not_before; /* no sending before this */
 	bool may_have_run;
+	bool returned; /* its caller was refused before */
 	struct ed_lane lanes[LANES]; /* CALL_SENT */
 	size_t n_excluded;
 	uint32_t excluded[WS_ED_EXCLUDED_MAX];
 };
 
-/* Extra sendings that this instance may make for a service. */
+/* Demand of a service, and extra sendings that this instance may make. */
 struct ed_budget {
 	ws_id service;
 	double tokens;
 	double requests; /* of late, at this instance */
 	ws_us counted;
+	ws_id watch; /* of its demand over all instances */
+	double unit; /* work of its requests, as ws_ed_work.unit, smoothed */
+	double overload; /* demand over the servers' capacity; 0: unknown */
 };
 
 /* A waiting call in the order of its turn. */
@@ -146,6 +150,9 @@
 void ws_ed_call_ended(struct ws_edge *e, const struct ws_ed_ending *end,
 		      struct ws_ed_fx *fx);
 
+/* Recomputes how far the demand of services is beyond their servers. */
+void ws_ed_call_survey(struct ws_edge *e);
+
 /* Places calls that wait, and ends those whose time is over. */
 void ws_ed_call_tick(struct ws_edge *e, struct ws_ed_fx *fx);
 
--- a/tests/test_ed_admit.c
+++ b/tests/test_ed_admit.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -227,6 +228,163 @@
 }
 END_TEST
 
+/* ===== Hundreds of instances ===== */
+
+/*
+ * Instances that all know the servers' load as it was some time ago, at twice
+ * the demand that fits: trouble-3 of the large deployment, seconds 2 to 6.
+ */
+
+#define MANY_SERVERS 150
+#define QUEUE_MAX 16
+#define KNOWN_AFTER 400 /* ms */
+#define MANY_SECONDS 8
+#define MANY_WORK (230 * WS_MS)
+#define MANY_OBJECTIVE (600 * WS_MS)
+#define MANY_DEADLINE (1200 * WS_MS)
+
+struct queue {
+	ws_us free_at[SLOTS];
+	ws_us arrived[QUEUE_MAX]; /* of those that wait */
+	int waiting;
+};
+
+struct fleet {
+	struct queue servers[MANY_SERVERS];
+	int known[KNOWN_AFTER][MANY_SERVERS]; /* loads of the last ms */
+	struct ws_rand rand;
+	double worth;
+	int asked;
+};
+
+static int load_at(const struct queue *q, ws_us now)
+{
+	int n = q->waiting;
+	int i;
+
+	for (i = 0; i < SLOTS; i++)
+		n += q->free_at[i] > now;
+	return n;
+}
+
+static void end_work(struct fleet *f, ws_us end, ws_us arrived)
+{
+	if (end - arrived <= MANY_OBJECTIVE)
+		f->worth += 1.0;
+	else if (end - arrived <= MANY_DEADLINE)
+		f->worth += LATE_WORTH;
+}
+
+/* Free slots take what waits; the server drops what is out of time. */
+static void work(struct fleet *f, struct queue *q, ws_us now)
+{
+	int i;
+
+	for (i = 0; i < SLOTS && q->waiting; i++) {
+		ws_us arrived = q->arrived[0];
+
+		if (q->free_at[i] > now)
+			continue;
+		memmove(&q->arrived[0], &q->arrived[1],
+			(size_t)--q->waiting * sizeof(q->arrived[0]));
+		if (now - arrived > MANY_DEADLINE) {
+			i--;
+			continue;
+		}
+		q->free_at[i] = now + MANY_WORK / 2 +
+				(ws_us)ws_rand_below(&f->rand, MANY_WORK);
+		end_work(f, q->free_at[i], arrived);
+	}
+}
+
+static void ask_fleet(struct fleet *f, ws_us now, const int *known,
+		      double overload)
+{
+	uint64_t a = ws_rand_below(&f->rand, MANY_SERVERS);
+	uint64_t b = ws_rand_below(&f->rand, MANY_SERVERS);
+	uint64_t at = known[a] <= known[b] ? a : b;
+	double load = (double)(known[at] + 1) / SLOTS;
+	struct queue *q = &f->servers[at];
+	const struct ws_ed_outlook o = {
+		.left = MANY_DEADLINE,
+		.objective_left = MANY_OBJECTIVE,
+		/* Nothing waits at the instances here. */
+		.objective = 0,
+		.expect =
+			(ws_us)((double)MANY_WORK * (load > 1.0 ? load : 1.0)),
+		.load = load,
+		.overload = overload,
+		.chance = (double)ws_rand_below(&f->rand, 1000) / 1000.0,
+	};
+
+	f->asked++;
+	if (ws_ed_admit(&o) == WS_EDV_SEND && q->waiting < QUEUE_MAX)
+		q->arrived[q->waiting++] = now;
+}
+
+/* @param told the demand of all is known; else only the servers' loads */
+static double play_fleet(double demand, bool told)
+{
+	static struct fleet f;
+	double per_ms = demand * MANY_SERVERS * SLOTS * (double)WS_MS /
+			(double)MANY_WORK;
+	ws_us now;
+	int ms;
+	int i;
+
+	memset(&f, 0, sizeof(f));
+	ws_rand_seed(&f.rand, 11);
+	for (ms = 0; ms < MANY_SECONDS * 1000; ms++) {
+		int *known = f.known[ms % KNOWN_AFTER];
+		double n = per_ms;
+
+		now = WS_SECOND + (ws_us)ms * WS_MS;
+		for (i = 0; i < MANY_SERVERS; i++)
+			work(&f, &f.servers[i], now);
+		for (; n > 0.0; n -= 1.0)
+			if (n >= 1.0 ||
+			    (double)ws_rand_below(&f.rand, 1000) < 1000.0 * n)
+				ask_fleet(&f, now, known, told ? demand : 0.0);
+		for (i = 0; i < MANY_SERVERS; i++)
+			known[i] = load_at(&f.servers[i], now);
+	}
+	return f.worth / (double)f.asked;
+}
+
+/* Guards against instances that all send and all refuse at the same time. */
+START_TEST(old_news_of_loads_do_not_decide_alone)
+{
+	double alone = play_fleet(2.0, false);
+	double told = play_fleet(2.0, true);
+
+	printf("demand 2.0: worth %.3f by loads alone, %.3f by the demand\n",
+	       alone, told);
+	/* Half of it fits; seven in ten of that must be served in time. */
+	ck_assert_double_gt(told, 0.7 * 0.5);
+	ck_assert_double_gt(told, alone + 0.05);
+	/* What fits is not refused. */
+	ck_assert_double_ge(play_fleet(0.8, true), play_fleet(0.8, false));
+}
+END_TEST
+
+/* Guards against callers that are refused a second time rather than a first. */
+START_TEST(returned_request_is_preferred)
+{
+	struct ws_ed_outlook o = fresh();
+
+	o.load = 1.2;
+	o.overload = 2.0;
+	o.chance = 0.7;
+	ck_assert_int_eq(ws_ed_admit(&o), WS_EDV_REFUSE);
+	o.returned = true;
+	ck_assert_int_eq(ws_ed_admit(&o), WS_EDV_SEND);
+	/* A free server is used, whatever the demand of all is. */
+	o.returned = false;
+	o.load = 0.4;
+	ck_assert_int_eq(ws_ed_admit(&o), WS_EDV_SEND);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -236,7 +394,9 @@
 		wait_is_short,
 		retry_after_is_spread,
 		hedge_needs_lateness_room_and_budget,
+		old_news_of_loads_do_not_decide_alone,
+		returned_request_is_preferred,
 	};
 
-	return ed_suite_run("ed_admit", tests, 6);
+	return ed_suite_run("ed_admit", tests, 8);
 }
