Give out a part of the burst after a restart

Ruled out: shares before others are heard; they are even there, and enough for the usual demand. Change: a quarter of the burst, which is less than the tenth that the rates may be over; about the half token at 295 instances as before.

--- a/lib/edge/ws_ed_quota.c
+++ b/lib/edge/ws_ed_quota.c
@@ -37,11 +37,10 @@
 /* Part of that which goes with the demand. */
 #define SLACK_BY_DEMAND 0.5
 /*
- * Tokens after a restart: of a customer whose burst is some requests at each
- * instance, and of one whose callers come to few instances.
+ * Part of the burst that is given out after a restart; one token where that is
+ * less than a request an instance, as such a customer's callers come to few.
  */
-#define RESTART_LARGE 0.5
-#define RESTART_SMALL 1.0
+#define RESTART_PART 0.25
 #define RETRY_MIN (50 * WS_MS)
 /* A demand of a few requests counts at once, also when others were not heard.
  */
@@ -124,9 +123,9 @@
  */
 static double first_tokens(const struct ws_ed_bucket *b)
 {
-	if (!b->restarted)
-		return cap_of(b);
-	return b->burst * b->share > 1.0 ? RESTART_LARGE : RESTART_SMALL;
+	double cap = cap_of(b);
+
+	return b->restarted && cap > 1.0 ? RESTART_PART * cap : cap;
 }
 
 double ws_ed_quota_demand(const struct ws_ed_bucket *b, ws_us now)
