--- a/lib/edge/ws_ed_beat.c
+++ b/lib/edge/ws_ed_beat.c
@@ -294,7 +294,7 @@
 			.running = at_most((double)s->report.running),
 			.waiting = at_most((double)s->report.waiting),
 			.pace = at_most(s->report.pace / WS_ED_PACE_STEP),
-			.age = at_most((double)(age / WS_ED_AGE_STEP)),
+			.age = at_most((double)age / (double)WS_ED_AGE_STEP),
 		};
 	}
 	e->next_load += i;
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -42,11 +42,12 @@
 	[ENDLESS_BODY] = "01234567890123456789012345678901",
 };
 
+#define CHUNKED_HEAD "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
 static const char *const opening[SCRIPTS] = {
 	[ENDLESS_HEAD] = "HTTP/1.1 200 OK\r\n",
 	[ENDLESS_INFORMATIONAL] = "",
-	[ENDLESS_CHUNKS] = "HTTP/1.1 200 OK\r\n"
-			   "Transfer-Encoding: chunked\r\n\r\n",
+	[ENDLESS_CHUNKS] = CHUNKED_HEAD,
 	[ENDLESS_BODY] = "HTTP/1.1 200 OK\r\n\r\n",
 };
 
