--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -1,4 +1,3 @@
-#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -34,23 +33,6 @@
 #define DEADLINE_STANDARD (2 * WS_SECOND)
 /* A request with so much less time than others is its caller's second try. */
 #define RETURNED_MIN (30 * WS_MS)
-/* Part of the bound on extra sendings that is used. */
-#define BUDGET_PART 0.75
-/* Parts of the allowed ratio that a request earns at once, and for later. */
-#define EARNED_PART 0.75
-#define SAVED_PART 0.15
-/* Time in which requests are counted for what may be saved. */
-#define BUDGET_WINDOW (8 * WS_SECOND)
-/* Makes the id of a service's demand, which no customer has. */
-#define WATCH_SEED 0x57a7c4
-/* Answers after which the work of a route's requests is known. */
-#define WORK_KNOWN 4
-#define WORK_GAIN 0.02
-/* Load of all servers over their slots beyond which it is worked off. */
-#define PILED_UP 1.5
-/* Instances from which on the demand of all counts, and counts in full. */
-#define SURVEY_FROM 24.0
-#define SURVEY_WHOLE 120.0
 
 /* ===== Ends ===== */
 
@@ -99,112 +81,7 @@
 		refuse(e, c, retry_after, reason, fx);
 }
 
-/* ===== Extra sendings ===== */
-
-/*
- * Of hundreds of instances each has about one sending of the slack. What the
- * requests of a window add beyond what is earned at once may be saved.
- */
-static double budget_cap(const struct ws_edge *e, const struct ed_budget *b)
-{
-	double slack = e->set.bounds.retry_slack * BUDGET_PART /
-		       (double)e->pool.instances;
-	double saved = e->set.bounds.retry_ratio * SAVED_PART * b->requests;
-
-	return slack + saved;
-}
-
-static struct ed_budget *budget_of(struct ws_edge *e, ws_id service)
-{
-	struct ed_budget *b;
-	size_t i;
-
-	for (i = 0; i < e->n_budgets; i++)
-		if (e->budgets[i].service == service)
-			return &e->budgets[i];
-	ws_grow(&e->budgets, &e->cap_budgets, e->n_budgets + 1,
-		sizeof(*e->budgets));
-	b = &e->budgets[e->n_budgets++];
-	*b = (struct ed_budget){
-		.service = service,
-		.counted = e->now,
-		.watch = ws_mix(service, WATCH_SEED),
-	};
-	b->tokens = budget_cap(e, b);
-	ws_ed_quota_watch(&e->quota, e->now, b->watch);
-	return b;
-}
-
-static void note_work(struct ed_budget *b, const struct ws_ed_work *w)
-{
-	if (w->samples < WORK_KNOWN)
-		return;
-	if (b->unit <= 0.0)
-		b->unit = w->unit;
-	b->unit += WORK_GAIN * (w->unit - b->unit);
-}
-
-/*
- * Few instances know the servers' load well and need no estimate of it.
- * @return part from 0 to 1 by which the estimate counts
- */
-static double survey_weight(const struct ws_edge *e)
-{
-	double n = (double)e->pool.instances;
-
-	if (n <= SURVEY_FROM)
-		return 0.0;
-	return n >= SURVEY_WHOLE ?
-		       1.0 :
-		       (n - SURVEY_FROM) / (SURVEY_WHOLE - SURVEY_FROM);
-}
-
-/*
- * Demand over capacity. What has piled up at the servers is worked off first;
- * it also shows an overload while the work of requests is not known yet.
- */
-static double overload_of(const struct ws_edge *e, const struct ed_budget *b)
-{
-	double demand = ws_ed_quota_global(&e->quota, b->watch);
-	struct ws_ed_capacity c;
-	double ratio = 1.0;
-
-	ws_ed_pool_capacity(&e->pool, e->now, b->service, &c);
-	if (c.slots <= 0.0)
-		return 0.0;
-	if (b->unit > 0.0)
-		ratio = demand * b->unit / (c.slots * (double)WS_SECOND);
-	return c.load > PILED_UP ? ratio * c.load / PILED_UP : ratio;
-}
-
-void ws_ed_call_survey(struct ws_edge *e)
-{
-	double weight = survey_weight(e);
-	size_t i;
-
-	for (i = 0; i < e->n_budgets; i++) {
-		double ratio = overload_of(e, &e->budgets[i]);
-
-		e->budgets[i].overload =
-			ratio > 1.0 ? 1.0 + weight * (ratio - 1.0) : ratio;
-	}
-}
-
-static void count_request(struct ws_edge *e, ws_id service)
-{
-	struct ed_budget *b = budget_of(e, service);
-	double cap;
-
-	ws_ed_quota_take(&e->quota, e->now, b->watch);
-
-	b->requests = 1.0 + b->requests * exp(-(double)(e->now - b->counted) /
-					      (double)BUDGET_WINDOW);
-	b->counted = e->now;
-	cap = budget_cap(e, b);
-	b->tokens += e->set.bounds.retry_ratio * EARNED_PART;
-	if (b->tokens > cap)
-		b->tokens = cap;
-}
+/* ===== Placement ===== */
 
 static bool may_repeat(struct ws_edge *e, const struct ed_call *c)
 {
@@ -213,11 +90,9 @@
 		return false;
 	return c->sendings < SENDINGS_MAX && c->attempts < c->max_attempts &&
 	       e->now + SEND_MIN < c->end_at &&
-	       budget_of(e, c->service)->tokens >= 1.0;
+	       ws_ed_budget_of(e, c->service)->tokens >= 1.0;
 }
 
-/* ===== Placement ===== */
-
 static void set_waiting(struct ws_edge *e, struct ed_call *c, ws_us not_before)
 {
 	if (c->state == CALL_SENT)
@@ -249,7 +124,7 @@
 	x->u.send.server = (uint32_t)at->server;
 	x->u.send.deadline = c->end_at;
 	if (c->arrivals || has_lane(c)) {
-		budget_of(e, c->service)->tokens -= 1.0;
+		ws_ed_budget_of(e, c->service)->tokens -= 1.0;
 		e->counters.repeats++;
 	}
 	c->sendings++;
@@ -284,7 +159,7 @@
 		.waited = c->waiting_since ? e->now - c->waiting_since : 0,
 		.expect = at->expect,
 		.load = at->load,
-		.overload = budget_of(e, c->service)->overload,
+		.overload = ws_ed_budget_of(e, c->service)->overload,
 		.chance = spread(e),
 		.returned = c->returned,
 	};
@@ -533,12 +408,12 @@
 		refuse_arrival(e, a, 400, 0, WS_EDR_BAD_REQUEST, fx);
 		return;
 	}
-	count_request(e, svc->id);
+	ws_ed_budget_count(e, svc->id);
 	if (svc->sharded)
 		ws_ed_heat_count(&e->heat, svc->id, (uint32_t)a->key);
 	c = ws_ed_call_add(e, a->id);
 	fill_call(e, c, a, r, customer, svc);
-	note_work(budget_of(e, svc->id), &e->pool.works[c->work]);
+	ws_ed_budget_work(e, svc->id, &e->pool.works[c->work]);
 	place(e, c, fx);
 }
 
@@ -732,7 +607,7 @@
 		.expected = first->expect,
 		.objective_left = c->objective_at - e->now,
 		.left = c->end_at - e->now,
-		.budget = budget_of(e, c->service)->tokens,
+		.budget = ws_ed_budget_of(e, c->service)->tokens,
 	};
 	struct ws_ed_need need;
 	struct ws_ed_choice at;
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -280,7 +280,7 @@
 	e->quota.coverage = demand_coverage(e);
 	ws_ed_quota_tick(&e->quota, e->now, e->pool.instances,
 			 demands_told_every(e));
-	ws_ed_call_survey(e);
+	ws_ed_budget_survey(e);
 	ws_ed_lead_tick(&e->lead, e->now, fx);
 	check_behind(e, fx);
 }
--- a/lib/edge/ws_edge_int.h
+++ b/lib/edge/ws_edge_int.h
@@ -142,6 +142,21 @@
 void ws_ed_beat_take(struct ws_edge *e, const struct ws_ed_beat *b,
 		     struct ws_ed_fx *fx);
 
+/* ===== ws_ed_budget.c ===== */
+
+/* What is kept of a service; adds it when it is new. */
+struct ed_budget *ws_ed_budget_of(struct ws_edge *e, ws_id service);
+
+/* Counts an arrival for a service. */
+void ws_ed_budget_count(struct ws_edge *e, ws_id service);
+
+/* Notes the work of a request that has arrived for a service. */
+void ws_ed_budget_work(struct ws_edge *e, ws_id service,
+		       const struct ws_ed_work *w);
+
+/* Recomputes how far the demand of services is beyond their servers. */
+void ws_ed_budget_survey(struct ws_edge *e);
+
 /* ===== ws_ed_call.c ===== */
 
 void ws_ed_call_arrive(struct ws_edge *e, const struct ws_ed_arrival *a,
@@ -150,9 +165,6 @@
 void ws_ed_call_ended(struct ws_edge *e, const struct ws_ed_ending *end,
 		      struct ws_ed_fx *fx);
 
-/* Recomputes how far the demand of services is beyond their servers. */
-void ws_ed_call_survey(struct ws_edge *e);
-
 /* Places calls that wait, and ends those whose time is over. */
 void ws_ed_call_tick(struct ws_edge *e, struct ws_ed_fx *fx);
 
