--- a/tests/test_ed_pool.c
+++ b/tests/test_ed_pool.c
@@ -215,6 +215,99 @@
 }
 END_TEST
 
+/* ===== Hundreds of instances ===== */
+
+#define MANY 295
+#define LATER (100 * WS_SECOND) /* all servers are known for long */
+
+static void tell(const char *name, ws_us at, uint32_t running)
+{
+	const struct ws_ed_report r = {
+		.known = true, .running = running, .slots = 4, .pace = 1.0
+	};
+
+	ws_ed_pool_told(&pool, at, ws_ed_short_id(ws_ed_id(name)), &r, 0);
+}
+
+/* Part of 1,000 choices, each by another instance, that one server gets. */
+static double part_of(size_t instances, uint32_t wanted)
+{
+	int n = 0;
+	int i;
+
+	pool.instances = instances;
+	for (i = 0; i < 1000; i++)
+		n += choose(LATER + 10 * WS_MS) == (int32_t)wanted;
+	return (double)n / 1000.0;
+}
+
+/*
+ * Guards against reports that draw all instances to the same server: they all
+ * hear of it at the same time (large deployment, trouble-3, seconds 0 to 2).
+ */
+START_TEST(one_report_does_not_draw_all_instances)
+{
+	char name[16];
+	uint32_t free_one = 0;
+	int i;
+
+	setup(MANY);
+	for (i = 0; i < 20; i++) {
+		uint32_t h;
+
+		snprintf(name, sizeof(name), "s%d", i);
+		h = list(name, OWN_ZONE, 1, 1, false, 0, 0);
+		if (!i)
+			free_one = h;
+		tell(name, LATER, i ? 6 : 0);
+	}
+	/* Few instances use what they know; many keep it to a part. */
+	ck_assert_double_gt(part_of(INSTANCES, free_one), 0.95);
+	ck_assert_double_lt(part_of(MANY, free_one), 0.25);
+}
+END_TEST
+
+/*
+ * Guards against a server that all avoid for good: it reports with its answers
+ * only, so that a high load that was told last stands.
+ */
+START_TEST(silent_server_counts_as_worked_off)
+{
+	struct ws_ed_choice at;
+	uint32_t h;
+
+	setup(INSTANCES);
+	h = list("a", OWN_ZONE, 1, 1, false, 0, 0);
+	tell("a", LATER - 100 * WS_MS, 16);
+	tell("a", LATER, 16);
+	ws_ed_pool_expect(&pool, LATER, h, work, &at);
+	ck_assert_double_gt(at.load, 3.0);
+	ws_ed_pool_expect(&pool, LATER + 4 * WS_SECOND, h, work, &at);
+	ck_assert_double_lt(at.load, 0.5);
+}
+END_TEST
+
+/* Guards against a connection for each request where servers are many. */
+START_TEST(open_connection_is_preferred)
+{
+	uint32_t open;
+	int i;
+
+	setup(INSTANCES);
+	open = list("a", OWN_ZONE, 1, 1, false, 0, 0);
+	list("b", OWN_ZONE, 1, 1, false, 0, 0);
+	answer(open, LATER, WS_ED_END_OK, 1.0, 0);
+	for (i = 0; i < 50; i++)
+		ck_assert_int_eq(choose(LATER + WS_SECOND), (int32_t)open);
+	/* A server that has just joined must get its part. */
+	list("c", OWN_ZONE, 1, 1, false, 0, LATER);
+	for (i = 0; i < 50; i++)
+		if (choose(LATER + WS_SECOND) != (int32_t)open)
+			break;
+	ck_assert_int_lt(i, 50);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -225,7 +318,10 @@
 		older_entries_change_nothing,
 		zone_out_gets_nothing_and_comes_back_cold,
 		unlisted_server_lingers_as_told,
+		one_report_does_not_draw_all_instances,
+		silent_server_counts_as_worked_off,
+		open_connection_is_preferred,
 	};
 
-	return ed_suite_run("ed_pool", tests, 7);
+	return ed_suite_run("ed_pool", tests, 10);
 }
