--- a/lib/edge/ws_ed_beat.c
+++ b/lib/edge/ws_ed_beat.c
@@ -474,7 +474,7 @@
 {
 	bool near = m->zone == e->peers.zone;
 
-	return to == WS_EDA_ZONE ? near : !near && m->relay;
+	return to == WS_ED_TO_ZONE ? near : !near && m->relay;
 }
 
 /* Demand of the own zone, of all customers that have some. */
@@ -514,12 +514,12 @@
 	b->n_members = 0;
 	b->n_loads = 0;
 	b->n_demands = 0;
-	if (to == WS_EDA_RELAYS && has_many_customers(e))
+	if (to == WS_ED_TO_RELAYS && has_many_customers(e))
 		tell_zone_demands(e, b);
 	if (!b->n_demands)
 		tell_loads(e, b->stamp,
-			   to == WS_EDA_RELAYS ? WS_ED_UNTOLD_RELAYS :
-						 WS_ED_UNTOLD_ZONE,
+			   to == WS_ED_TO_RELAYS ? WS_ED_UNTOLD_RELAYS :
+						   WS_ED_UNTOLD_ZONE,
 			   WS_ED_LOADS_MORE, b);
 	return b->n_demands || b->n_loads;
 }
--- a/lib/edge/ws_edge.h
+++ b/lib/edge/ws_edge.h
@@ -246,9 +246,9 @@
 
 /* Receivers of the heartbeats with which a relay goes on. */
 enum ws_ed_audience {
-	WS_EDA_ZONE = 0, /* the relay's own zone */
-	WS_EDA_RELAYS, /* relays of other zones */
-	WS_EDA_COUNT,
+	WS_ED_TO_ZONE = 0, /* the relay's own zone */
+	WS_ED_TO_RELAYS, /* relays of other zones */
+	WS_ED_AUDIENCES,
 };
 
 /*
--- a/lib/edgeio/ws_eio_beats.c
+++ b/lib/edgeio/ws_eio_beats.c
@@ -89,7 +89,7 @@
 		if (ws_edge_tells_map(b->io->edge, now, m))
 			send_map(b, m);
 	}
-	for (i = 0; i < WS_EDA_COUNT; i++)
+	for (i = 0; i < WS_ED_AUDIENCES; i++)
 		send_more(b, peers, (enum ws_ed_audience)i);
 }
 
--- a/tests/test_ed_beat.c
+++ b/tests/test_ed_beat.c
@@ -234,8 +234,8 @@
 		if (ws_edge_beat_for(nodes[i].edge, &p->members[j], &beat))
 			deliver(i, index_of(p->members[j].id),
 				ws_ed_beat_encode(&beat, buf, sizeof(buf)));
-	send_more(i, WS_EDA_ZONE);
-	send_more(i, WS_EDA_RELAYS);
+	send_more(i, WS_ED_TO_ZONE);
+	send_more(i, WS_ED_TO_RELAYS);
 }
 
 static void run(ws_us time)
