Give out less of the burst after a restart, test two restarts

Cause: restart_of_all_gives_no_second_burst passed with the fix switched off, so that it guarded nothing. With two restarts of all, a second apart, during the surge it fails without the fix (693 and 742 of 680 at two of three ways of telling) and showed a real excess with it: 681 of 680. Ruled out: another bound; 680 is the platform's. Change: the test restarts twice; 0.15 of the burst is given out after a restart, so that two in a window fit into the tenth that it may be over. Figures: all 19 checks of test_ed_quota pass.

--- a/lib/edge/ws_ed_quota.c
+++ b/lib/edge/ws_ed_quota.c
@@ -37,10 +37,11 @@
 /* Part of that which goes with the demand. */
 #define SLACK_BY_DEMAND 0.5
 /*
- * Part of the burst that is given out after a restart; one token where that is
+ * Part of the burst that is given out after a restart, of which two may come in
+ * a window that may be over by a tenth; one token where the burst is
  * less than a request an instance, as such a customer's callers come to few.
  */
-#define RESTART_PART 0.25
+#define RESTART_PART 0.15
 #define RETRY_MIN (50 * WS_MS)
 /* A demand of a few requests counts at once, also when others were not heard.
  */
--- a/tests/test_ed_quota.c
+++ b/tests/test_ed_quota.c
@@ -288,6 +288,21 @@
 }
 END_TEST
 
+static void fleet_restart(struct fleet *f)
+{
+	int i;
+
+	for (i = 0; i < INSTANCES; i++) {
+		struct ws_ed_quota *q = &f->quotas[i];
+
+		ws_ed_quota_free(q);
+		q->slack = SLACK;
+		q->restarted = true;
+		ws_ed_quota_configure(q, f->now, &f->conf);
+		ws_ed_quota_tick(q, f->now, INSTANCES, f->told);
+	}
+}
+
 /*
  * Guards against a burst that is given out a second time when all instances
  * restart during a surge: 4,031 requests of 3,775 (large deployment,
@@ -295,9 +310,9 @@
  */
 START_TEST(restart_of_all_gives_no_second_burst)
 {
+	const int second = (int)(WS_SECOND / STEP);
 	struct fleet f;
 	int step;
-	int i;
 
 	fleet_init(&f);
 	fleet_tell(&f, _i);
@@ -305,16 +320,9 @@
 		double per_s = step > STEPS / 6 ? 8.0 * RATE : 0.3 * RATE;
 
 		/* A second after the surge began its burst is used up. */
-		if (step == STEPS / 6 + (int)(WS_SECOND / STEP))
-			for (i = 0; i < INSTANCES; i++) {
-				struct ws_ed_quota *q = &f.quotas[i];
-
-				ws_ed_quota_free(q);
-				q->slack = SLACK;
-				q->restarted = true;
-				ws_ed_quota_configure(q, f.now, &f.conf);
-				ws_ed_quota_tick(q, f.now, INSTANCES, f.told);
-			}
+		if (step == STEPS / 6 + second ||
+		    step == STEPS / 6 + 2 * second)
+			fleet_restart(&f);
 		fleet_step(&f, step, per_s, false);
 	}
 	ck_assert_int_le(most_in_window(&f), window_bound());
