--- a/tests/test_wp_wire.c
+++ b/tests/test_wp_wire.c
@@ -8,6 +8,7 @@
 static const char plain[] = "Content-Length: 0";
 static const char with_id[] = "Wagtailshift-Request-Id: r1\0"
 			      "Wagtailshift-Server-Seal: s";
+static const char sealed[] = "Wagtailshift-Server-Seal: s";
 static const char rejected[] = "Wagtailshift-Request-Id: r1\0"
 			       "Wagtailshift-Not-Executed: full";
 static const char rejected_without_id[] = "Wagtailshift-Not-Executed: full";
@@ -58,6 +59,9 @@
 	ck_assert(!wp_wire_is_key_answer(&b));
 	b = BODY(200, plain);
 	ck_assert(wp_wire_is_key_answer(&b));
+	/* A server may seal all its answers (soak seed 2 beside load). */
+	b = BODY(200, sealed);
+	ck_assert(wp_wire_is_key_answer(&b));
 }
 END_TEST
 
