Read and log the limit that a server states in its answers

What callers saw: nothing; servers got far more requests than the limit that they had stated, and no log line or counter showed that there was one.

The header is parsed with the load report, kept for each server, and logged when it changes (404 TARGET_LIMIT, 405 TARGET_UNLIMITED); sends to such servers are counted. An answer without it lifts the limit only if its request was sent after the limit was last stated, as answers may overtake each other. Nothing is decided by it yet.

--- a/lib/common/ws_events.h
+++ b/lib/common/ws_events.h
@@ -39,6 +39,8 @@
 	X(401, TARGET_COLD, NOTICE, "target is cold, slow start")           \
 	X(402, TARGET_CRASHED, WARNING, "target closed mid-request")        \
 	X(403, TARGET_SHED, NOTICE, "target refused to run a request")      \
+	X(404, TARGET_LIMIT, NOTICE, "target limits its requests")          \
+	X(405, TARGET_UNLIMITED, NOTICE, "target has lifted its limit")     \
 	X(501, PEER_UP, NOTICE, "peer connection established")              \
 	X(502, PEER_DOWN, WARNING, "peer connection closed")                \
 	X(503, PEER_REJECTED, WARNING, "peer failed authentication")        \
--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -144,6 +144,7 @@
 		e->n_waiting--;
 	c->state = CALL_SENT;
 	e->counters.sent++;
+	e->counters.sent_limited += e->pool.servers[at->server].limit.named;
 	ws_ed_pool_sent(&e->pool, e->now, (uint32_t)at->server,
 			ws_ed_conf_service(e->conf, c->service));
 }
@@ -572,6 +573,20 @@
 		ws_ed_server_crashed(e, s->id, fx);
 }
 
+/* Applies what a server's own answer says of its limit of requests. */
+static void update_limit(struct ws_edge *e, const struct ed_lane *l,
+			 const struct ws_ed_ending *end, struct ws_ed_fx *fx)
+{
+	struct ws_ed_server *s = &e->pool.servers[l->server];
+
+	if (end->end != WS_ED_END_OK && end->end != WS_ED_END_FAILED &&
+	    end->end != WS_ED_END_SHED)
+		return;
+	if (ws_ed_limit_on_answer(&s->limit, e->now, l->sent_at,
+				  &end->report.limit))
+		ws_ed_limit_log(&s->limit, s->id, "stated in its answer", fx);
+}
+
 void ws_ed_call_ended(struct ws_edge *e, const struct ws_ed_ending *end,
 		      struct ws_ed_fx *fx)
 {
@@ -584,6 +599,7 @@
 	l->active = false;
 	ws_ed_pool_ended(&e->pool, e->now, l->server, c->work_stats, end->end,
 			 end->latency, l->load, &end->report);
+	update_limit(e, l, end, fx);
 	c->sends_received += end->end != WS_ED_END_NOT_SENT;
 	update_suspects(e, c, l->server, end->end, fx);
 	exclude(c, l->server);
--- a/lib/edge/ws_ed_pool.c
+++ b/lib/edge/ws_ed_pool.c
@@ -158,6 +158,7 @@
 	s->n_backoffs = 0;
 	s->cold_until = 0;
 	s->idle_connections = 0;
+	s->limit = (struct ws_ed_limit){ .named = false };
 }
 
 static bool is_stale_listing(const struct ws_ed_listing *l,
--- a/lib/edge/ws_ed_pool.h
+++ b/lib/edge/ws_ed_pool.h
@@ -2,6 +2,7 @@
 #define WS_ED_POOL_H
 
 #include "edge/ws_ed_conf.h"
+#include "edge/ws_ed_limit.h"
 
 /*
  * The servers (targets) and the load balancing over them. It handles:
@@ -39,6 +40,7 @@
 	uint32_t slots;
 	double pace; /* slowness of its machine; 0: not reported */
 	ws_us idle_timeout; /* of its connections; 0: not reported */
+	struct ws_ed_limit_news limit;
 };
 
 /*
@@ -84,6 +86,7 @@
 	ws_us idle_until; /* when they will have been closed */
 	uint32_t max_connections; /* this instance's share; 0: no bound */
 	ws_us keys_refused_until; /* until then it gets no grant or release */
+	struct ws_ed_limit limit; /* of its requests from all instances */
 };
 
 struct ws_ed_zone_out {
--- a/lib/edge/ws_edge.h
+++ b/lib/edge/ws_edge.h
@@ -322,6 +322,7 @@
 struct ws_ed_counters {
 	uint64_t arrivals;
 	uint64_t sent;
+	uint64_t sent_limited; /* of these to servers that state a limit */
 	uint64_t forwarded;
 	uint64_t repeats; /* extra sends: retries and hedges */
 	uint64_t hedges; /* those of them sent while the first was active */
--- a/lib/edgeio/ws_eio_metrics.c
+++ b/lib/edgeio/ws_eio_metrics.c
@@ -33,15 +33,16 @@
 {
 	int i;
 
-	g_string_append_printf(s,
-			       "wagtailshift_requests_total %" PRIu64 "\n"
-			       "wagtailshift_sendings_total %" PRIu64 "\n"
-			       "wagtailshift_repeats_total %" PRIu64 "\n"
-			       "wagtailshift_outcome_unknown_total %" PRIu64
-			       "\n"
-			       "wagtailshift_callers_gone_total %" PRIu64 "\n",
-			       c->arrivals, c->sent, c->repeats, c->lost,
-			       c->gone);
+	g_string_append_printf(
+		s,
+		"wagtailshift_requests_total %" PRIu64 "\n"
+		"wagtailshift_sendings_total %" PRIu64 "\n"
+		"wagtailshift_sendings_limited_total %" PRIu64 "\n"
+		"wagtailshift_repeats_total %" PRIu64 "\n"
+		"wagtailshift_outcome_unknown_total %" PRIu64 "\n"
+		"wagtailshift_callers_gone_total %" PRIu64 "\n",
+		c->arrivals, c->sent, c->sent_limited, c->repeats, c->lost,
+		c->gone);
 	for (i = 1; i < WS_EDR_COUNT; i++)
 		g_string_append_printf(s,
 				       "wagtailshift_refused_total{reason="
--- a/tests/test_ed_conf.c
+++ b/tests/test_ed_conf.c
@@ -255,6 +255,39 @@
 }
 END_TEST
 
+static struct ws_ed_limit_news limit_of(const char *header)
+{
+	char text[64] = { 0 };
+	struct ws_ed_report r;
+	struct ws_body b;
+	int n = snprintf(text, sizeof(text), "%s", header);
+
+	b = answer_of(200, text, (size_t)n + 1);
+	wp_wire_parse_report(&b, &r);
+	return r.limit;
+}
+
+/* Guards against a limit that is not read, or read from malformed text. */
+START_TEST(limit_of_a_server_is_read)
+{
+	static const char *const malformed[] = {
+		"Server-Limit: -1",  "Server-Limit: nan",  "Server-Limit: 0x10",
+		"Server-Limit: 1e3", "Server-Limit: 1.2.", "Server-Limit: .",
+		"Server-Limit: ",    "Server-Limit: 1 ",
+	};
+	size_t i;
+
+	ck_assert_int_eq(limit_of("Server-Limit: 2.2").kind, WS_ED_LIMIT_NAMED);
+	ck_assert_double_eq(limit_of("Server-Limit: 2.2").per_s, 2.2);
+	ck_assert_double_eq(limit_of("server-limit: 56").per_s, 56.0);
+	ck_assert_int_eq(limit_of("Server-Limit: 0").kind, WS_ED_LIMIT_NAMED);
+	ck_assert_int_eq(limit_of("Accept: 1").kind, WS_ED_LIMIT_NONE);
+	for (i = 0; i < sizeof(malformed) / sizeof(malformed[0]); i++)
+		ck_assert_int_eq(limit_of(malformed[i]).kind,
+				 WS_ED_LIMIT_UNKNOWN);
+}
+END_TEST
+
 START_TEST(numbers_are_checked)
 {
 	ck_assert_int_eq(wp_wire_parse_shard_key("65535"), 65535);
@@ -300,9 +333,10 @@
 		server_entry_is_decoded,
 		malformed_server_entries_are_refused,
 		answer_of_another_request_is_detected,
+		limit_of_a_server_is_read,
 		numbers_are_checked,
 		grant_body_contains_the_handover_token,
 	};
 
-	return ed_suite_run("ed_conf", tests, 10);
+	return ed_suite_run("ed_conf", tests, 11);
 }
