--- a/lib/edgeio/ws_eio_topic.c
+++ b/lib/edgeio/ws_eio_topic.c
@@ -1,5 +1,6 @@
 #include "edgeio/ws_eio_topic.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #include "common/ws_events.h"
@@ -156,6 +157,23 @@
 	finish_read(t, r, r->started_at);
 }
 
+static void note_era(struct ws_eio_topic *t, const struct wp_reply *r)
+{
+	char *detail;
+
+	if (r->era <= t->era)
+		return;
+	if (t->era) {
+		detail = g_strdup_printf("topic %d ended at %" PRIu64
+					 ", now at %" PRIu64,
+					 (int)t->ops->topic, t->next_offset,
+					 r->end_offset);
+		ws_eio_log(WS_LOG_LOG_RESTORED, 0, (int64_t)r->era, detail);
+		g_free(detail);
+	}
+	t->era = r->era;
+}
+
 static void on_reply(void *arg, const struct wp_reply *r)
 {
 	struct ws_eio_topic *t = arg;
@@ -165,6 +183,7 @@
 		handle_member_reply(t, r);
 		return;
 	}
+	note_era(t, r);
 	if (r->outcome == WP_TRUNCATED) {
 		ws_eio_topic_restart(t);
 	} else if (r->outcome != WP_DONE) {
--- a/lib/edgeio/ws_eio_topic.h
+++ b/lib/edgeio/ws_eio_topic.h
@@ -37,6 +37,7 @@
 	struct ws_eio_store *store;
 	struct wp_call *call;
 	bool following; /* the snapshot is complete */
+	uint64_t era; /* of the store, as of the last answer; 0: unknown */
 	uint64_t next_offset;
 	uint64_t snapshot_end; /* end of the topic when the snapshot began */
 	ws_us snapshot_started_at;
