Add a failing test of a store that was restored from a copy

change_after_a_restore_is_read: a complete instance that hears of new records from others; the store stand-in of test_eio_store comes back with fewer records and the next number of its state, and a new configuration is written. On this code it never comes into force, since its offset lies below the one that was read before: version 14 instead of 17.

--- a/tests/test_eio_store.c
+++ b/tests/test_eio_store.c
@@ -1,4 +1,5 @@
 #include <curl/curl.h>
+#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -37,14 +38,21 @@
 static bool no_evidence; /* heartbeats of other instances carry no evidence */
 static int member_reads; /* reads sent to the other instance */
 
-static const char snapshot_answer[] =
-	"{\"items\":[],\"has_more\":false,\"end\":1}";
+static int snapshots; /* of the configuration's topic */
+static unsigned era; /* of the store; rises when it is restored from a copy */
+/* Newest configuration in the operator's topic; 0: none */
+static unsigned config_version;
 
 static void answer(struct ws_server_request *req, unsigned status,
 		   const void *data, size_t len)
 {
+	char header[32] = { 0 };
 	const struct ws_server_answer a = {
 		.status = status,
+		.headers = header,
+		.headers_len = (size_t)snprintf(header, sizeof(header),
+						"Store-Era: %u", era) +
+			       1,
 		.data = data,
 		.data_len = len,
 	};
@@ -52,9 +60,52 @@
 	ws_server_answer(req, &a);
 }
 
+static int write_config(char *buf, size_t size)
+{
+	return snprintf(buf, size,
+			"{\"version\":\"%08x\",\"services\":[],"
+			"\"virtual_hosts\":[]}",
+			config_version);
+}
+
+/* The newest record of each key: at most a configuration. */
+static void answer_snapshot(struct ws_server_request *req, bool config)
+{
+	char text[256];
+	char buf[512];
+	int len = write_config(text, sizeof(text));
+	char *value = g_base64_encode((const guchar *)text, (gsize)len);
+
+	if (config && config_version)
+		len = snprintf(buf, sizeof(buf),
+			       "{\"items\":[{\"key\":\"config\",\"value\":"
+			       "\"%s\",\"offset\":0}],\"has_more\":false,"
+			       "\"end\":%u}",
+			       value, (unsigned)config_end);
+	else
+		len = snprintf(buf, sizeof(buf),
+			       "{\"items\":[],\"has_more\":false,\"end\":%u}",
+			       config ? (unsigned)config_end : 1U);
+	g_free(value);
+	answer(req, 200, buf, (size_t)len);
+}
+
+static size_t write_config_record(unsigned char *p, size_t size)
+{
+	static const unsigned char key[] = { 6, 'c', 'o', 'n', 'f', 'i', 'g' };
+	size_t head = 4 + sizeof(key);
+	int len = write_config((char *)p + head, size - head);
+
+	memset(p, 0, 4);
+	p[3] = (unsigned char)(sizeof(key) + (size_t)len);
+	memcpy(p + 4, key, sizeof(key));
+	return head + (size_t)len;
+}
+
 /* Answers with end and first offset and with records that have no value. */
 static void answer_pending_read(struct pending_read *h)
 {
+	static const unsigned char record[] = { 0, 0, 0, 2, 1, 'x' };
 	struct ws_server_request *req = h->req;
 	unsigned char buf[512] = { 0 };
 	uint64_t end = h->config ? config_end : 1;
@@ -63,13 +114,20 @@
 
 	buf[7] = (unsigned char)end;
 	for (i = h->from; i < end; i++) {
-		static const unsigned char record[] = { 0, 0, 0, 2, 1, 'x' };
-
 		memcpy(buf + n, record, sizeof(record));
 		n += sizeof(record);
 	}
 	h->req = NULL;
 	req->user_data = NULL;
+	if (h->from > end) {
+		answer(req, 410, "{\"first\":0}", 11);
+		return;
+	}
+	/* The newest record is a configuration, if there is one. */
+	if (h->config && config_version && h->from < end) {
+		n -= sizeof(record);
+		n += write_config_record(buf + n, sizeof(buf) - n);
+	}
 	answer(req, 200, buf, n);
 }
 
@@ -82,7 +140,8 @@
 	(void)arg;
 	req->user_data = NULL;
 	if (strstr(req->uri, "/log-newest")) {
-		answer(req, 200, snapshot_answer, sizeof(snapshot_answer) - 1);
+		snapshots += config;
+		answer_snapshot(req, config);
 		return;
 	}
 	if (!from) {
@@ -188,6 +247,9 @@
 	loop = ev_loop_new(0);
 	timers = ws_timer_new();
 	config_end = 1;
+	config_version = 0;
+	era = 1;
+	snapshots = 0;
 	store_latency = 5 * WS_MS;
 	store = listen_on(IP "2:7000", &store_ops);
 	member = listen_on(IP "3:7111", &member_ops);
@@ -329,13 +391,56 @@
 }
 END_TEST
 
+/*
+ * Where other instances report the end of a topic of the store, as of its
+ * current state.
+ */
+static uint64_t reported_end(uint64_t offset)
+{
+	return offset;
+}
+
+static uint64_t version_in_force(void)
+{
+	const struct ws_ed_conf *c = ws_edge_conf(io->edge);
+
+	return c ? c->version : 0;
+}
+
+/*
+ * Guards against a configuration that never comes into force: the store was
+ * restored from a copy, so that its topic ends before the offset that this
+ * instance has read up to (recorded day "restored").
+ */
+START_TEST(change_after_a_restore_is_read)
+{
+	start();
+	config_end = 4;
+	config_version = 14;
+	run_for(2500 * WS_MS, reported_end(4));
+	ck_assert(!ws_edge_peers(io->edge)->reads_store);
+	ck_assert_uint_eq(version_in_force(), 14);
+	/* The copy lacks two changes; the newest one is written again. */
+	era = 2;
+	config_end = 2;
+	run_for(1500 * WS_MS, reported_end(2));
+	ck_assert_uint_eq(version_in_force(), 14);
+	config_end = 3;
+	config_version = 17;
+	run_for(1 * WS_SECOND, reported_end(3));
+	ck_assert_uint_eq(version_in_force(), 17);
+	stop();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		read_under_way_is_not_cancelled,
 		member_without_records_is_not_asked_again_at_once,
 		outage_is_left_to_the_relay,
+		change_after_a_restore_is_read,
 	};
 
-	return ed_suite_run("eio_store", tests, 3);
+	return ed_suite_run("eio_store", tests, 4);
 }
