Announce an epoch only when its claim has been written

Cause: an instance that tried to claim told the epoch of its attempt in heartbeats before the store had acknowledged it, and kept telling it after a conflict. The leader took it for a successor. Its class is a claim that others take for its success; the read evidence and the map itself are told only after an answer.

Evidence: failed_claim_is_not_announced (test_ed_lead) fails on the code before.

Change: only the epoch of the known map and that of an acknowledged claim are told. It is safe, as a leader acts only on an acknowledged claim; one whose answer is lost is found by reading the map.

--- a/lib/edge/ws_ed_lead.c
+++ b/lib/edge/ws_ed_lead.c
@@ -47,9 +47,13 @@
 
 uint64_t ws_ed_lead_epoch(const struct ws_ed_lead *l)
 {
-	uint64_t epoch = l->epoch > l->map.epoch ? l->epoch : l->map.epoch;
+	uint64_t epoch = l->map.epoch;
 	size_t i;
 
+	/* A claim that is not acknowledged may never take effect. */
+	if (l->role == WS_EDL_LEADER && l->epoch > epoch)
+		epoch = l->epoch;
+
 	for (i = 0; i < l->peers->n; i++)
 		if (l->peers->members[i].epoch > epoch)
 			epoch = l->peers->members[i].epoch;
--- a/tests/test_ed_lead.c
+++ b/tests/test_ed_lead.c
@@ -132,6 +132,31 @@
 	ck_assert(ws_ed_lead_valid(&lead, now));
 }
 
+/*
+ * Guards against a leader that steps down, and lets the leases of keys expire,
+ * because another instance has tried to claim at an offset that is taken.
+ */
+START_TEST(failed_claim_is_not_announced)
+{
+	struct ws_ed_map m;
+	uint64_t known;
+
+	setup();
+	m = map_of(7, OTHER);
+	read_map(0, 5, &m);
+	ws_ed_map_free(&m);
+	known = ws_ed_lead_epoch(&lead);
+	peers.members[0].heard_at = 0;
+	now += 5 * WS_SECOND;
+	lead.store_reached_at = now;
+	for (fx.n = 0; !lead.appending; now += 10 * WS_MS)
+		ws_ed_lead_tick(&lead, now, &fx);
+	ck_assert_uint_eq(ws_ed_lead_epoch(&lead), known);
+	finish_append(WS_EDA_CONFLICT);
+	ck_assert_uint_eq(ws_ed_lead_epoch(&lead), known);
+}
+END_TEST
+
 /* Guards against keys without a lease after a restore, with a leader alive. */
 START_TEST(leader_goes_on_after_a_restore)
 {
@@ -223,11 +248,12 @@
 int main(void)
 {
 	const TTest *const tests[] = {
+		failed_claim_is_not_announced,
 		leader_goes_on_after_a_restore,
 		new_leader_waits_for_leases_after_a_restore,
 		late_append_of_an_earlier_era_is_overwritten,
 		leader_claims_again_before_its_tokens_are_used_up,
 	};
 
-	return ed_suite_run("ed_lead", tests, 4);
+	return ed_suite_run("ed_lead", tests, 5);
 }
