Keep a server that has left out after a restore of the list

A server that had left would have been used again.

Cause: when the list of servers is read anew, entries of servers unknown to the pool are taken for new ones, and the copy still names those that left after it was made. The entries expire only when the store has missed some of their heartbeats.

Evidence: server_that_left_is_not_taken_from_an_old_copy (test_ed_pool) and the last part of gaps_of_a_restored_copy_are_not_applied_at_once (test_eio_store) fail without the change.

Entries that are written later count as before.

Result: test_ed_pool and test_eio_store pass.

--- a/lib/edge/ws_ed_pool.c
+++ b/lib/edge/ws_ed_pool.c
@@ -150,17 +150,38 @@
 	return l->sequence < s->sequence;
 }
 
-uint32_t ws_ed_pool_listed(struct ws_ed_pool *p, ws_us now,
-			   const struct ws_ed_listing *l,
-			   const struct ws_ed_service *svc)
+static bool has_left(const struct ws_ed_pool *p, ws_id id,
+		     const struct ws_ed_listing *l)
+{
+	size_t i;
+
+	for (i = 0; i < WS_ED_LEFT_SERVERS && i < p->n_left; i++) {
+		const struct ws_ed_left_server *s = &p->left[i];
+
+		if (s->id == id && (s->started_ms > l->started_ms ||
+				    (s->started_ms == l->started_ms &&
+				     s->sequence >= l->sequence)))
+			return true;
+	}
+	return false;
+}
+
+int32_t ws_ed_pool_listed(struct ws_ed_pool *p, ws_us now,
+			  const struct ws_ed_listing *l,
+			  const struct ws_ed_service *svc)
 {
 	ws_id id = ws_ed_id(l->name);
 	int32_t found = ws_ed_pool_find(p, id);
-	uint32_t h = found >= 0 ? (uint32_t)found : add_server(p);
-	struct ws_ed_server *s = &p->servers[h];
-
-	if (found >= 0 && is_stale_listing(l, s))
-		return h;
+	struct ws_ed_server *s;
+	uint32_t h;
+
+	if (found >= 0 && is_stale_listing(l, &p->servers[found]))
+		return found;
+	if ((found < 0 || !p->servers[found].listed) && l->from_snapshot &&
+	    has_left(p, id, l))
+		return found;
+	h = found >= 0 ? (uint32_t)found : add_server(p);
+	s = &p->servers[h];
 	if (found < 0 || s->started_ms != l->started_ms) {
 		reset_estimates(s);
 		s->known_since = now;
@@ -179,7 +200,7 @@
 	if (l->cold_for > 0)
 		ws_ed_throttle_make_cold(p, now, s,
 					 now + l->cold_for + COLD_MARGIN, svc);
-	return h;
+	return (int32_t)h;
 }
 
 void ws_ed_pool_unlisted(struct ws_ed_pool *p, ws_us now, ws_id id,
@@ -191,8 +212,15 @@
 	if (h < 0)
 		return;
 	s = &p->servers[h];
-	if (s->listed)
+	if (s->listed) {
 		s->usable_until = now + linger;
+		p->left[p->n_left++ % WS_ED_LEFT_SERVERS] =
+			(struct ws_ed_left_server){
+				.id = id,
+				.started_ms = s->started_ms,
+				.sequence = s->sequence,
+			};
+	}
 	s->listed = false;
 }
 
--- a/lib/edge/ws_ed_pool.h
+++ b/lib/edge/ws_ed_pool.h
@@ -96,6 +96,15 @@
 	bool out;
 };
 
+/* The last entry of a server that has left. */
+struct ws_ed_left_server {
+	ws_id id;
+	int64_t started_ms;
+	int64_t sequence;
+};
+
+#define WS_ED_LEFT_SERVERS 256
+
 struct ws_ed_pool {
 	struct ws_ed_server *servers;
 	size_t n;
@@ -106,6 +115,9 @@
 	struct ws_ed_zone_out *zones;
 	size_t n_zones;
 	size_t cap_zones;
+	/* Ring buffer, so that an old copy of the list brings none back */
+	struct ws_ed_left_server left[WS_ED_LEFT_SERVERS];
+	size_t n_left; /* added so far */
 	size_t instances; /* number of those that share connections */
 	struct ws_ed_group group; /* those that share request rates */
 	struct ws_rand rand;
@@ -122,6 +134,7 @@
 	ws_us cold_for; /* remaining warm-up time, as it reports it */
 	int64_t started_ms;
 	int64_t sequence; /* counts the entries of one incarnation */
+	bool from_snapshot; /* it is not known to have been written lately */
 };
 
 enum ws_ed_end {
@@ -158,12 +171,15 @@
 void ws_ed_pool_free(struct ws_ed_pool *p);
 
 /*
- * Applies a server's entry of the list and returns its handle. Entries may
- * arrive out of order: one that is older than the last one applied is ignored.
+ * Applies a server's entry of the list. Entries may arrive out of order: one
+ * that is older than the last one applied is ignored. So is one of a snapshot
+ * that is not newer than the last one of a server that has left, as the store
+ * may have been restored from a copy.
+ * @return the server's handle, or -1
  */
-uint32_t ws_ed_pool_listed(struct ws_ed_pool *p, ws_us now,
-			   const struct ws_ed_listing *l,
-			   const struct ws_ed_service *svc);
+int32_t ws_ed_pool_listed(struct ws_ed_pool *p, ws_us now,
+			  const struct ws_ed_listing *l,
+			  const struct ws_ed_service *svc);
 
 /* Marks a server as no longer listed; it may be used for linger at most. */
 void ws_ed_pool_unlisted(struct ws_ed_pool *p, ws_us now, ws_id id,
--- a/lib/edgeio/ws_eio_store.c
+++ b/lib/edgeio/ws_eio_store.c
@@ -189,6 +189,7 @@
 		remove_server(t, r->key);
 		return;
 	}
+	l.from_snapshot = !t->following;
 	/* It may have left since the copy was made. */
 	if (ws_eio_topic_is_settling(t) &&
 	    !g_hash_table_contains(t->store->listed_servers, r->key))
--- a/tests/test_ed_pool.c
+++ b/tests/test_ed_pool.c
@@ -38,7 +38,7 @@
 
 	snprintf(l.name, sizeof(l.name), "%s", name);
 	snprintf(l.address, sizeof(l.address), "10.0.0.1:80");
-	return ws_ed_pool_listed(&pool, now, &l, &service);
+	return (uint32_t)ws_ed_pool_listed(&pool, now, &l, &service);
 }
 
 static void setup(size_t instances)
@@ -251,6 +251,41 @@
 }
 END_TEST
 
+static void list_from_copy(const char *name, int64_t sequence)
+{
+	struct ws_ed_listing l = {
+		.service = SERVICE,
+		.zone = OWN_ZONE,
+		.slots = 4,
+		.started_ms = 1,
+		.sequence = sequence,
+		.from_snapshot = true,
+	};
+
+	snprintf(l.name, sizeof(l.name), "%s", name);
+	ws_ed_pool_listed(&pool, 4 * WS_SECOND, &l, &service);
+}
+
+/*
+ * Guards against a server that has left and is used again, as the list was
+ * restored from a copy that still names it.
+ */
+START_TEST(server_that_left_is_not_taken_from_an_old_copy)
+{
+	setup(INSTANCES);
+	list("a", OWN_ZONE, 1, 9, false, 0, 0);
+	ws_ed_pool_unlisted(&pool, WS_SECOND, ws_ed_id("a"), 0);
+	list_from_copy("a", 9);
+	ck_assert_int_eq(choose(4 * WS_SECOND), -1);
+	ws_ed_pool_tick(&pool, 3 * WS_SECOND);
+	list_from_copy("a", 7);
+	ck_assert_int_eq(choose(4 * WS_SECOND), -1);
+	/* A newer entry shows that it is there. */
+	list_from_copy("a", 10);
+	ck_assert_int_ge(choose(4 * WS_SECOND), 0);
+}
+END_TEST
+
 /* ===== Hundreds of instances ===== */
 
 #define MANY 295
@@ -356,10 +391,11 @@
 		older_entries_are_ignored,
 		zone_out_gets_no_requests_and_returns_cold,
 		unlisted_server_is_used_for_the_linger_time,
+		server_that_left_is_not_taken_from_an_old_copy,
 		one_report_does_not_attract_all_instances,
 		load_of_silent_server_decays,
 		open_connection_is_preferred,
 	};
 
-	return ed_suite_run("ed_pool", tests, 11);
+	return ed_suite_run("ed_pool", tests, 12);
 }
--- a/tests/test_eio_store.c
+++ b/tests/test_eio_store.c
@@ -489,6 +489,16 @@
 	run_for(3 * WS_SECOND, 1);
 	ck_assert(!knows_server());
 	ck_assert(!knows_zone_out());
+	/* And what an old copy still names has left. */
+	era = 3;
+	server_listed = true;
+	zone_out = true;
+	run_for(1000 * WS_MS, 1);
+	ck_assert(!knows_server());
+	ck_assert(!knows_zone_out());
+	run_for(2500 * WS_MS, 1);
+	ck_assert(!knows_server());
+	ck_assert(knows_zone_out());
 	stop();
 }
 END_TEST
