Ignore a claim that is carried out after the store was restored

Cause: an instance that had not noticed the restore claimed at an offset that was the end of the topic once more. The store carried it out; its sender took it for a conflict, as the era had changed, but the leader read it, found a higher epoch and stepped down. Its class is a condition on an offset that holds again in another era.

Change: a record whose epoch belongs to an earlier era than its position is used only by an instance that knows no map. A leader that others follow is known from heartbeats, and one that nobody follows confirms nothing.

Evidence: late_claim_of_an_earlier_era_deposes_nobody (test_ed_lead) fails before.

--- a/lib/edge/ws_ed_lead.c
+++ b/lib/edge/ws_ed_lead.c
@@ -367,11 +367,12 @@
 		  uint64_t end, struct ws_ed_fx *fx)
 {
 	/*
-	 * Ignores the map of an earlier leader, and one that was written before
-	 * the store was restored, as the known one is not older.
+	 * Ignores the map of an earlier leader. One of an earlier era is used
+	 * only if no other is known: it is older than what was lost, or a late
+	 * append of an instance that had not noticed the restore.
 	 */
 	if (map->epoch < l->map.epoch ||
-	    (map->epoch == l->map.epoch && map->epoch < epoch_floor(end))) {
+	    (l->map.epoch && map->epoch < epoch_floor(end))) {
 		l->rewrites |= l->role == WS_EDL_LEADER && end > l->map_end;
 		store_version(l, NULL, end);
 		return;
--- a/tests/test_ed_lead.c
+++ b/tests/test_ed_lead.c
@@ -275,6 +275,27 @@
 }
 END_TEST
 
+/*
+ * Guards against a leader that gives way to a claim that was sent before the
+ * restore and carried out after it (soak, seed 503 of "restore").
+ */
+START_TEST(late_claim_of_an_earlier_era_deposes_nobody)
+{
+	struct ws_ed_map late;
+
+	become_leader(1);
+	run(WS_SECOND);
+	late = map_of((UINT64_C(1) << 23) + 9, OTHER);
+	read_map(2, 4, &late);
+	ws_ed_map_free(&late);
+	run(100 * WS_MS);
+	ck_assert(ws_ed_lead_valid(&lead, now));
+	ck_assert_uint_eq(ws_ed_position_offset(lead.append_offset), 4);
+	finish_append(WS_EDA_DONE);
+	ck_assert_uint_eq(lead.map.leader, SELF);
+}
+END_TEST
+
 /* Guards against tokens that reach into those of the next epoch. */
 START_TEST(leader_claims_again_before_its_tokens_are_used_up)
 {
@@ -298,8 +319,9 @@
 		leader_without_a_majority_does_not_go_on,
 		new_leader_waits_for_leases_after_a_restore,
 		late_append_of_an_earlier_era_is_overwritten,
+		late_claim_of_an_earlier_era_deposes_nobody,
 		leader_claims_again_before_its_tokens_are_used_up,
 	};
 
-	return ed_suite_run("ed_lead", tests, 6);
+	return ed_suite_run("ed_lead", tests, 7);
 }
