Restore the store in the soak

The soak brings its store back from a copy 0.5 to 12 s old, with the next era, and lets its operator and servers write again what was lost after 0.3 s.

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -82,6 +82,12 @@
 
 /* Makes all current records unreadable by offset, as after log retention. */
 void soak_store_truncate(void);
+
+/*
+ * Brings the store back from a copy of this age: newer records are lost, and
+ * offsets are given out again.
+ */
+void soak_store_restore(ws_us age);
 uint64_t soak_store_calls(void);
 
 /* ===== soak_server.c ===== */
--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -181,6 +181,19 @@
 	soak_store_fault(SOAK_STORE_HEALTHY);
 }
 
+static void begin_restore(struct fault *f)
+{
+	(void)f;
+	soak_store_fault(SOAK_STORE_DOWN);
+}
+
+static void end_restore(struct fault *f)
+{
+	(void)f;
+	soak_store_restore(soak_random_between(500 * WS_MS, 12 * WS_SECOND));
+	soak_store_fault(SOAK_STORE_HEALTHY);
+}
+
 static void begin_truncate(struct fault *f)
 {
 	(void)f;
@@ -300,6 +313,7 @@
 	{ .name = "pause", .begin = begin_pause },
 	{ .name = "reload", .begin = begin_reload },
 	{ .name = "store", .begin = begin_store_fault, .end = end_store_fault },
+	{ .name = "restore", .begin = begin_restore, .end = end_restore },
 	{ .name = "forget", .begin = begin_truncate },
 	{ .name = "cut", .begin = begin_store_proxy, .end = end_store_proxy },
 	{ .name = "way", .begin = begin_server_proxy, .end = end_server_proxy },
--- a/tests/soak/soak_store.c
+++ b/tests/soak/soak_store.c
@@ -14,14 +14,19 @@
 #define SLOW_DELAY (400 * WS_MS)
 #define PENDING_MAX 1024
 
+/* Time until records of other writers that a restore lost are written again */
+#define REWRITE_DELAY (300 * WS_MS)
+
 struct record {
 	char *key;
 	GBytes *value;
+	ws_us at;
 };
 
 struct topic {
 	char name[64];
 	GArray *records; /* of struct record */
+	GArray *lost; /* of struct record, to be written again */
 	uint64_t first; /* offset of the oldest readable record */
 };
 
@@ -41,6 +46,8 @@
 static enum soak_store_fault active_fault;
 static int timer;
 static uint64_t calls;
+static unsigned era = 1;
+static ws_us rewrite_at; /* 0: nothing to write again */
 
 static struct topic *find_topic(const char *name)
 {
@@ -52,6 +59,8 @@
 				 name);
 			topics[i].records = g_array_new(FALSE, FALSE,
 							sizeof(struct record));
+			topics[i].lost = g_array_new(FALSE, FALSE,
+						     sizeof(struct record));
 		}
 		if (!strcmp(topics[i].name, name))
 			return &topics[i];
@@ -69,13 +78,15 @@
 static void answer_now(struct ws_server_request *req, unsigned status,
 		       GBytes *body)
 {
-	static const char type[] = "Content-Type: application/json";
+	char header[32] = { 0 };
 	gsize len;
 	const void *data = g_bytes_get_data(body, &len);
 	struct ws_server_answer a = {
 		.status = status,
-		.headers = type,
-		.headers_len = sizeof(type),
+		.headers = header,
+		.headers_len = (size_t)snprintf(header, sizeof(header),
+						"Store-Era: %u", era) +
+			       1,
 		.data = data,
 		.data_len = len,
 	};
@@ -151,7 +162,7 @@
 	GByteArray *a = g_byte_array_new();
 	uint64_t i;
 
-	if (from < t->first) {
+	if (from < t->first || from > end_offset(t)) {
 		g_byte_array_unref(a);
 		answer_json(req, 410,
 			    json_pack("{s:I}", "first", (json_int_t)t->first));
@@ -226,6 +237,7 @@
 	struct record r = {
 		.key = g_strndup(key, key_len),
 		.value = g_bytes_new(value, len),
+		.at = soak_now(),
 	};
 
 	g_array_append_val(t->records, r);
@@ -263,6 +275,57 @@
 	wake_readers(t);
 }
 
+/* ===== Restore ===== */
+
+/* The operator and the servers write again what they have written before. */
+static void rewrite_lost(void)
+{
+	int i;
+
+	rewrite_at = 0;
+	for (i = 0; i < TOPICS_MAX && topics[i].records; i++) {
+		g_array_append_vals(topics[i].records, topics[i].lost->data,
+				    topics[i].lost->len);
+		g_array_set_size(topics[i].lost, 0);
+		wake_readers(&topics[i]);
+	}
+}
+
+static bool is_of_other_writers(const struct topic *t)
+{
+	return !strcmp(t->name, "keyed.op") ||
+	       !strcmp(t->name, "keyed.servers");
+}
+
+static void lose_records(struct topic *t, ws_us since)
+{
+	guint n = t->records->len;
+
+	while (n && g_array_index(t->records, struct record, n - 1).at > since)
+		n--;
+	if (is_of_other_writers(t))
+		g_array_append_vals(
+			t->lost, &g_array_index(t->records, struct record, n),
+			t->records->len - n);
+	g_array_set_size(t->records, n);
+	if (t->first > n)
+		t->first = n;
+}
+
+void soak_store_restore(ws_us age)
+{
+	int i;
+
+	if (rewrite_at)
+		rewrite_lost();
+	era++;
+	for (i = 0; i < TOPICS_MAX && topics[i].records; i++) {
+		lose_records(&topics[i], soak_now() - age);
+		wake_readers(&topics[i]);
+	}
+	rewrite_at = soak_now() + REWRITE_DELAY;
+}
+
 /* ===== Requests ===== */
 
 static bool get_parameter(const char *uri, const char *name, char *buf,
@@ -288,7 +351,7 @@
 {
 	struct pending *h;
 
-	if (from < end_offset(t) || from < t->first || !wait) {
+	if (from != end_offset(t) || from < t->first || !wait) {
 		answer_read(req, t, from);
 		return;
 	}
@@ -347,6 +410,8 @@
 	int i;
 
 	(void)arg;
+	if (rewrite_at && now >= rewrite_at)
+		rewrite_lost();
 	for (i = 0; i < PENDING_MAX; i++) {
 		struct pending *h = &pending[i];
 		struct ws_server_request *req = h->req;
@@ -369,6 +434,9 @@
 {
 	struct topic *t = find_topic(topic);
 
+	/* A newer record must not be followed by an older one of its writer. */
+	if (rewrite_at)
+		rewrite_lost();
 	add_record(t, key, strlen(key), value, strlen(value));
 	wake_readers(t);
 }
