Let servers state limits in the soak

Servers may state a limit of 1 to 12 requests a second for some seconds; the bound of 1.5 times the limit and 5 more is checked over 4 s in quiet times.

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -99,6 +99,9 @@
 void soak_server_shed(int i, bool on);
 void soak_server_slow(int i, int factor);
 
+/* The server states how many requests/s it takes; < 0: no limit. */
+void soak_server_limit(int i, double per_s);
+
 /* ===== soak_proxy.c ===== */
 
 struct soak_proxy;
@@ -166,6 +169,9 @@
 
 /* A zone is taken out of service; "": it is in service again. */
 void soak_check_zone_out(const char *zone);
+/* A server states a limit of requests, or none any more (< 0). */
+void soak_check_limit(int server, double per_s);
+void soak_check_limited_request(int server);
 void soak_check_request_arrived(const char *server, const char *zone);
 
 /* A customer's key was revoked, or is valid again. */
--- a/tests/soak/soak_check.c
+++ b/tests/soak/soak_check.c
@@ -162,6 +162,56 @@
 			       (double)(now - zone_out_since) / 1e6);
 }
 
+/* ===== Limits ===== */
+
+#define LIMIT_WINDOW (4 * WS_SECOND)
+#define LIMIT_FACTOR 1.5
+#define LIMIT_SLACK 5.0
+/* From the first statement on until it binds, and a margin. */
+#define LIMIT_BINDS_AFTER (3 * WS_SECOND + SCHEDULING_MARGIN)
+#define LIMITED_MAX 1024
+
+struct limited {
+	double per_s; /* < 0: none */
+	ws_us since;
+	ws_us arrivals[LIMITED_MAX]; /* ring buffer */
+	unsigned n;
+};
+
+static struct limited limited[SOAK_SERVERS_MAX];
+
+void soak_check_limit(int server, double per_s)
+{
+	limited[server].per_s = per_s;
+	limited[server].since = soak_now();
+	limited[server].n = 0;
+}
+
+/* A disturbed instance is excused, so the limit is checked in quiet times. */
+void soak_check_limited_request(int server)
+{
+	struct limited *l = &limited[server];
+	ws_us now = soak_now();
+	unsigned in_window = 1;
+	unsigned i;
+
+	if (now - l->since < LIMIT_BINDS_AFTER)
+		return;
+	l->arrivals[l->n++ % LIMITED_MAX] = now;
+	for (i = 1; i < l->n && i < LIMITED_MAX; i++, in_window++)
+		if (l->arrivals[(l->n - 1 - i) % LIMITED_MAX] <=
+		    now - LIMIT_WINDOW)
+			break;
+	if ((double)in_window >
+		    LIMIT_FACTOR * l->per_s * (double)LIMIT_WINDOW / 1e6 +
+			    LIMIT_SLACK &&
+	    soak_is_quiet(LIMIT_WINDOW))
+		soak_violation("LIMIT",
+			       "s%d got %u requests in 4 s with a limit of "
+			       "%.1f/s",
+			       server, in_window, l->per_s);
+}
+
 /* ===== Keys ===== */
 
 void soak_check_key_revoked(const char *customer, bool is_revoked)
--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -194,6 +194,16 @@
 	soak_store_fault(SOAK_STORE_HEALTHY);
 }
 
+static void begin_limit(struct fault *f)
+{
+	soak_server_limit(f->server, (double)soak_random_between(1, 12));
+}
+
+static void end_limit(struct fault *f)
+{
+	soak_server_limit(f->server, -1.0);
+}
+
 static void begin_truncate(struct fault *f)
 {
 	(void)f;
@@ -314,6 +324,7 @@
 	{ .name = "reload", .begin = begin_reload },
 	{ .name = "store", .begin = begin_store_fault, .end = end_store_fault },
 	{ .name = "restore", .begin = begin_restore, .end = end_restore },
+	{ .name = "limit", .begin = begin_limit, .end = end_limit },
 	{ .name = "forget", .begin = begin_truncate },
 	{ .name = "cut", .begin = begin_store_proxy, .end = end_store_proxy },
 	{ .name = "way", .begin = begin_server_proxy, .end = end_server_proxy },
@@ -329,8 +340,9 @@
 /* Planned operations: strict checks apply during them, unlike during faults. */
 static bool is_planned(const struct fault *f)
 {
-	return f->begin == begin_drain || f->begin == begin_reload ||
-	       f->begin == begin_zone_out || f->begin == begin_revoke;
+	return f->begin == begin_drain || f->begin == begin_limit ||
+	       f->begin == begin_reload || f->begin == begin_zone_out ||
+	       f->begin == begin_revoke;
 }
 
 static void begin(struct fault *f, ws_us now)
--- a/tests/soak/soak_server.c
+++ b/tests/soak/soak_server.c
@@ -46,6 +46,7 @@
 	bool listed;
 	bool sheds;
 	int slowdown; /* factor of run times; 0: none */
+	double limit; /* requests/s that it states; 0: none */
 	ws_us down_at; /* draining: when it will stop; down: when it stopped */
 	ws_us restart_at;
 	ws_us next_beat;
@@ -107,6 +108,7 @@
 	struct ws_headers h = { NULL, 0, 0 };
 	char text[512];
 	char load[32];
+	char limit[32];
 	int waiting = 0;
 	const struct job *w;
 	struct ws_server_answer a = { .status = status, .data = text };
@@ -126,6 +128,10 @@
 		ws_headers_add(&h, "Wagtailshift-Handover", 21, extra,
 			       strlen(extra));
 	ws_headers_add(&h, "Wagtailshift-Server-Load", 24, load, strlen(load));
+	if (s->limit > 0.0) {
+		snprintf(limit, sizeof(limit), "%.1f", s->limit);
+		ws_headers_add(&h, "Server-Limit", 12, limit, strlen(limit));
+	}
 	a.data_len = (size_t)snprintf(text, sizeof(text), "%s %s", id ? id : "",
 				      req->uri);
 	a.headers = h.text;
@@ -285,6 +291,8 @@
 		return;
 	}
 	soak_check_request_arrived(s->name, s->zone);
+	if (s->limit > 0.0)
+		soak_check_limited_request(s->i);
 	if (!id || header(req, "Api-Key"))
 		soak_violation("UNASKED",
 			       "%s got a request without id or with an API key",
@@ -443,6 +451,12 @@
 	servers[i].sheds = on;
 }
 
+void soak_server_limit(int i, double per_s)
+{
+	servers[i].limit = per_s > 0.0 ? per_s : 0.0;
+	soak_check_limit(i, per_s);
+}
+
 void soak_server_slow(int i, int factor)
 {
 	servers[i].slowdown = factor;
