Name the wait of an instance that holds no share

Reading the diff anew: ws_ed_share_permits() had no caller, and the wait of an instance without a share is WS_ED_NO_SHARE.

--- a/lib/edge/ws_ed_pool.h
+++ b/lib/edge/ws_ed_pool.h
@@ -155,17 +155,16 @@
 	uint32_t excluded[WS_ED_EXCLUDED_MAX]; /* handles tried before */
 };
 
-/* Only other instances may send to the server. */
-#define WS_ED_THROTTLED_HERE ((ws_us)INT64_MAX)
+/* This instance holds no share of the rate; only others may send. */
+#define WS_ED_NO_SHARE ((ws_us)INT64_MAX)
 
 struct ws_ed_choice {
 	int32_t server; /* handle; -1: none may be used now */
 	ws_us expected_latency;
 	double load; /* requests at the server per slot */
-	/* A server that may get no request now, as its rate is used up; or -1
-	 */
+	/* A server whose rate is used up, so that it gets no request; or -1 */
 	int32_t throttled;
-	ws_us throttled_for; /* if throttled; WS_ED_THROTTLED_HERE: see there */
+	ws_us throttled_for; /* until it may get one, or WS_ED_NO_SHARE */
 };
 
 void ws_ed_pool_free(struct ws_ed_pool *p);
--- a/lib/edge/ws_ed_share.c
+++ b/lib/edge/ws_ed_share.c
@@ -75,12 +75,6 @@
 	}
 }
 
-bool ws_ed_share_permits(const struct ws_ed_share *s,
-			 const struct ws_ed_group *g, ws_us now)
-{
-	return !ws_ed_share_wait(s, g, now);
-}
-
 void ws_ed_share_sent(struct ws_ed_share *s, ws_us now)
 {
 	s->next_at = now + interval(s, s->holders);
--- a/lib/edge/ws_ed_share.h
+++ b/lib/edge/ws_ed_share.h
@@ -37,7 +37,7 @@
 	bool is_holder; /* this instance is one of them */
 	uint32_t version; /* of the group that is_holder was determined for */
 	ws_us next_at; /* earliest time of the next request */
-	ws_us return_at; /* last time that a refused request was given */
+	ws_us return_at; /* time that the next refused request is given */
 };
 
 /*
@@ -49,15 +49,11 @@
 		     ws_id server, double per_s, size_t holders_max, ws_us now,
 		     struct ws_rand *rand);
 
-/* Whether a request may be sent now. */
-bool ws_ed_share_permits(const struct ws_ed_share *s,
-			 const struct ws_ed_group *g, ws_us now);
-
 /* Records that a request is sent. */
 void ws_ed_share_sent(struct ws_ed_share *s, ws_us now);
 
 /*
- * Time until the next request may be sent here; holders only.
+ * Time until the next request may be sent here; 0: now.
  * @return a negative value if this instance holds no share
  */
 ws_us ws_ed_share_wait(const struct ws_ed_share *s, const struct ws_ed_group *g,
--- a/lib/edge/ws_ed_throttle.c
+++ b/lib/edge/ws_ed_throttle.c
@@ -60,8 +60,8 @@
 /* Time until one share permits a request, at least as long as another one. */
 static ws_us longer_wait(ws_us wait, ws_us other)
 {
-	if (wait == WS_ED_THROTTLED_HERE || other < 0)
-		return WS_ED_THROTTLED_HERE;
+	if (wait == WS_ED_NO_SHARE || other < 0)
+		return WS_ED_NO_SHARE;
 	return wait > other ? wait : other;
 }
 
--- a/lib/edge/ws_ed_throttle.h
+++ b/lib/edge/ws_ed_throttle.h
@@ -15,7 +15,7 @@
 			      const struct ws_ed_service *svc);
 
 /*
- * Time until this instance may send to a server; 0: now, WS_ED_THROTTLED_HERE:
+ * Time until this instance may send to a server; 0: now, WS_ED_NO_SHARE:
  * only others may.
  */
 ws_us ws_ed_throttle_time(const struct ws_ed_pool *p, ws_us now,
