--- a/lib/edge/ws_ed_lead.c
+++ b/lib/edge/ws_ed_lead.c
@@ -225,7 +225,7 @@
 static void append(struct ws_ed_lead *l, struct ws_ed_fx *fx)
 {
 	l->appending = true;
-	l->append_offset = l->map_end;
+	l->append_position = l->map_end;
 	ws_ed_fx_add(fx, WS_EDFX_APPEND)->u.append.at = l->map_end;
 }
 
@@ -444,7 +444,7 @@
 			  struct ws_ed_fx *fx)
 {
 	/* The result may belong to an append from before stepping down. */
-	if (!l->appending || at != l->append_offset ||
+	if (!l->appending || at != l->append_position ||
 	    l->role == WS_EDL_FOLLOWER)
 		return;
 	l->appending = false;
--- a/lib/edge/ws_ed_lead.h
+++ b/lib/edge/ws_ed_lead.h
@@ -119,7 +119,7 @@
 	ws_us next_claim;
 	ws_us next_append;
 	bool appending;
-	uint64_t append_offset; /* offset required of the append in progress */
+	uint64_t append_position; /* required of the append in progress */
 	struct ws_ed_map proposal; /* record of the append in progress */
 	struct ws_ed_range *ranges;
 	size_t n_ranges;
--- a/tests/test_ed_lead.c
+++ b/tests/test_ed_lead.c
@@ -130,7 +130,8 @@
 {
 	fx.n = 0;
 	ck_assert(lead.appending);
-	ws_ed_lead_on_append(&lead, now, lead.append_offset, now, result, &fx);
+	ws_ed_lead_on_append(&lead, now, lead.append_position, now, result,
+			     &fx);
 }
 
 /* Becomes the leader in an era whose topic has one record of its own. */
@@ -186,7 +187,7 @@
 	read_map(2, 3, NULL);
 	run(2 * WS_SECOND);
 	ck_assert_uint_eq(effects_of(WS_EDFX_APPEND), 1);
-	ck_assert_uint_eq(ws_ed_position_offset(lead.append_offset), 3);
+	ck_assert_uint_eq(ws_ed_position_offset(lead.append_position), 3);
 	ck_assert_uint_ge(effects_of(WS_EDFX_GRANT), 2);
 	finish_append(WS_EDA_DONE);
 	ck_assert_uint_gt(lead.epoch, epoch);
@@ -271,7 +272,7 @@
 	ck_assert_uint_eq(lead.map.epoch, lead.epoch);
 	run(50 * WS_MS);
 	ck_assert_uint_eq(effects_of(WS_EDFX_APPEND), 1);
-	ck_assert_uint_eq(ws_ed_position_offset(lead.append_offset), 5);
+	ck_assert_uint_eq(ws_ed_position_offset(lead.append_position), 5);
 }
 END_TEST
 
@@ -290,7 +291,7 @@
 	ws_ed_map_free(&late);
 	run(100 * WS_MS);
 	ck_assert(ws_ed_lead_valid(&lead, now));
-	ck_assert_uint_eq(ws_ed_position_offset(lead.append_offset), 4);
+	ck_assert_uint_eq(ws_ed_position_offset(lead.append_position), 4);
 	finish_append(WS_EDA_DONE);
 	ck_assert_uint_eq(lead.map.leader, SELF);
 }
