--- a/lib/edge/ws_ed_limit.c
+++ b/lib/edge/ws_ed_limit.c
@@ -10,7 +10,7 @@
  * not heard counts as a member.
  */
 #define END_SENT_FOR (30 * WS_SECOND)
-/* A limit that nobody has read in an answer for this time may have ended. */
+/* A limit that no answer has confirmed for this time may have ended. */
 #define SILENCE_MAX (60 * WS_SECOND)
 /*
  * What a peer knows from the same answer arrives with a slightly later time,
--- a/lib/edge/ws_ed_share.c
+++ b/lib/edge/ws_ed_share.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Refused requests are not told to return later than this. */
+/* Longest time after which a refused request is asked to return. */
 #define RETURN_MAX (60 * WS_SECOND)
 
 /* ===== Group ===== */
