--- a/review/common/rig.c
+++ b/review/common/rig.c
@@ -1125,6 +1125,13 @@
 	kill(edges[i].pid, SIGTERM);
 }
 
+void rig_edge_kill(int i)
+{
+	rig_record("edge %d: SIGKILL", i);
+	edges[i].kill_expected = true;
+	kill(edges[i].pid, SIGKILL);
+}
+
 bool rig_edge_ready(int i)
 {
 	return edges[i].ready;
@@ -1183,6 +1190,11 @@
 	return s->conf.name;
 }
 
+void rig_server_set_work(struct rig_server *s, rig_us mean)
+{
+	s->conf.work_mean = mean;
+}
+
 static void send_server_answer(struct rig_server *s, struct rig_con *c,
 			       const char *id, int status, bool not_run)
 {
@@ -1378,6 +1390,8 @@
 	rig_header(r->head, "Wagtailshift-Request-Id", id, sizeof(id));
 	rig_header(r->head, "Wagtailshift-Shard-Key", key, sizeof(key));
 	rig_record("%s: gets %s", s->conf.name, id);
+	if (rig_hooks.on_head)
+		rig_hooks.on_head(s, id, r->head);
 	if (rig_hooks.on_arrival)
 		rig_hooks.on_arrival(s, c, id);
 	if ((target[0] && strcmp(target, s->conf.name) != 0) ||
--- a/review/common/rig.h
+++ b/review/common/rig.h
@@ -109,6 +109,7 @@
 void rig_edge_ip(int i, char *buf, size_t size);
 void rig_edge_start(int i, const char *zone, bool first_start);
 void rig_edge_terminate(int i); /* SIGTERM */
+void rig_edge_kill(int i); /* SIGKILL */
 pid_t rig_edge_pid(int i);
 bool rig_edge_ready(int i); /* as of the last check, once a second */
 void rig_edges_wait_ready(int n, rig_us until);
@@ -136,6 +137,8 @@
 	void (*send_answer)(struct rig_server *s, struct rig_con *c,
 			    const char *id, int status, bool not_run,
 			    const char *text, size_t len);
+	/* Called with the header lines of each request. */
+	void (*on_head)(struct rig_server *s, const char *id, const char *head);
 	/* Called when a request has arrived on a connection. */
 	void (*on_arrival)(struct rig_server *s, struct rig_con *c,
 			   const char *id);
@@ -158,4 +161,7 @@
 struct rig_server *rig_server_start(const struct rig_server_conf *conf);
 const char *rig_server_name(const struct rig_server *s);
 
+/* Sets the mean time that requests take from now on. */
+void rig_server_set_work(struct rig_server *s, rig_us mean);
+
 #endif
