Don't extend a lease by grants that were not sent

Cause: grant() extends lease_end before the call, as the server may execute it without an answer. When no byte was sent, the extension stayed. A server that is gone but still listed refuses each connection, and is tried again every 200 ms, so that ownership_end() was never reached.

Ruled out: that the ranges were not granted at all (the log shows attempts every 200 ms); that the leader was not confirmed (it moved other ranges).

Change: WS_EDC_NOT_SENT takes the extension of this grant back. Grants that were sent and not answered still count, so a key has one owner as before.

Evidence: the new case of test_ed_lead gives up after 100 steps without the change and passes with it.

--- a/lib/edge/ws_ed_lead.h
+++ b/lib/edge/ws_ed_lead.h
@@ -62,6 +62,7 @@
 	bool inherited; /* a previous leader may still renew it */
 	ws_us next_call;
 	ws_us lease_end; /* the server may own the keys until then */
+	ws_us lease_end_before; /* the same without the grant in progress */
 	ws_us unconfirmed_until; /* end of grants without an answer */
 	uint32_t failures; /* consecutive failed calls */
 	char handover[WS_ED_NAME_MAX]; /* from release to next grant */
--- a/lib/edge/ws_ed_range.c
+++ b/lib/edge/ws_ed_range.c
@@ -110,6 +110,7 @@
 	ws_us end = now + WS_ED_KEY_LEASE_BOUND;
 
 	send_call(l, r, WS_EDFX_GRANT, fx);
+	r->lease_end_before = r->lease_end;
 	r->next_call = now + (l->n_ranges > MANY_RANGES ? RENEW_PERIOD_MANY :
 							  RENEW_PERIOD);
 	if (end > r->lease_end)
@@ -242,6 +243,9 @@
 	case WS_EDC_FENCED:
 		r->fence = ws_ed_lead_next_fence(l);
 		break;
+	case WS_EDC_NOT_SENT:
+		r->lease_end = r->lease_end_before;
+		break;
 	case WS_EDC_FAILED:
 		/* The server may still execute the grant. */
 		r->unconfirmed_until = now + WS_ED_KEY_LEASE_BOUND;
--- a/tests/test_ed_lead.c
+++ b/tests/test_ed_lead.c
@@ -99,16 +99,24 @@
 	return m;
 }
 
-/* Servers carry out the calls from an index of fx on. */
+/* Servers carry out the calls from an index of fx on, but for the one in dark.
+ */
+static const char *dark = "";
+
 static void answer_calls(size_t first)
 {
 	size_t n = fx.n;
 
-	for (; first < n; first++)
-		if (fx.items[first].kind == WS_EDFX_GRANT)
-			ws_ed_lead_on_call_result(&lead, now,
-						  fx.items[first].u.call.ref,
-						  WS_EDC_DONE, "", &fx);
+	for (; first < n; first++) {
+		const struct ws_ed_effect *x = &fx.items[first];
+
+		if (x->kind == WS_EDFX_GRANT)
+			ws_ed_lead_on_call_result(&lead, now, x->u.call.ref,
+						  strcmp(x->u.call.name, dark) ?
+							  WS_EDC_DONE :
+							  WS_EDC_NOT_SENT,
+						  "", &fx);
+	}
 }
 
 /* Advances by a time in which the store can be read. */
@@ -297,6 +305,35 @@
 }
 END_TEST
 
+/*
+ * Guards against keys that are never served again: their server is gone but
+ * still listed, and each grant that did not reach it postponed the end of its
+ * lease (loss of a zone with the leader in it).
+ */
+START_TEST(inherited_keys_of_an_unreachable_server_are_given_to_another)
+{
+	const struct ws_ed_listing other = {
+		.name = "s1",
+		.address = "s1",
+		.service = SERVICE,
+		.slots = 4,
+		.started_ms = 1,
+	};
+	int i;
+
+	become_leader(1);
+	dark = "s0";
+	ws_ed_pool_listed(&pool, now, &other, &service);
+	for (i = 0; i < 100 && !lead.appending; i++)
+		run(100 * WS_MS);
+	dark = "";
+	ck_assert_int_lt(i, 100);
+	finish_append(WS_EDA_DONE);
+	ck_assert_uint_eq(ws_ed_map_owner(&lead.map, SERVICE, 5),
+			  ws_ed_id("s1"));
+}
+END_TEST
+
 /* Guards against tokens that reach into those of the next epoch. */
 START_TEST(leader_claims_again_before_its_tokens_are_used_up)
 {
@@ -322,7 +359,8 @@
 		late_append_of_an_earlier_era_is_overwritten,
 		late_claim_of_an_earlier_era_deposes_nobody,
 		leader_claims_again_before_its_tokens_are_used_up,
+		inherited_keys_of_an_unreachable_server_are_given_to_another,
 	};
 
-	return ed_suite_run("ed_lead", tests, 7);
+	return ed_suite_run("ed_lead", tests, 8);
 }
