Take a response for complete only if its head has ended

Ruled out: a body lost on the way to the caller (the length would be the server's); a body attributed to another request (its id would not match).

Evidence: test_http sends each of six kinds of response up to each byte.

Change: the blank line that ends the head of the final response must have been received. Fields of trailers no longer count as fields of the head. A response that fails the check is broken: its request may have run.

--- a/lib/io/ws_http.c
+++ b/lib/io/ws_http.c
@@ -34,6 +34,8 @@
 	unsigned n_sends; /* times that libcurl was about to send */
 	bool active;
 	size_t head_len; /* bytes of status lines and headers so far */
+	bool informational; /* the newest status line is a 1xx */
+	bool head_ended; /* the head of the final response is complete */
 	bool is_head; /* the method is HEAD */
 	bool allow_unframed;
 	struct ws_headers headers;
@@ -81,6 +83,14 @@
 	return len;
 }
 
+/* Whether the code of a status line is 1xx. */
+static bool is_informational(const char *line, size_t len)
+{
+	const char *space = memchr(line, ' ', len);
+
+	return space && space + 1 < line + len && space[1] == '1';
+}
+
 static size_t receive_header(char *line, size_t size, size_t n, void *arg)
 {
 	struct ws_http_call *c = arg;
@@ -92,13 +102,19 @@
 	c->head_len += len;
 	if (c->head_len > HEAD_MAX)
 		return 0;
+	/* Trailers may not replace or add to the fields of the head. */
+	if (c->head_ended)
+		return len;
 	/* A status line starts a new set of headers, for instance after 100. */
 	if (len > 5 && !memcmp(line, "HTTP/", 5)) {
 		ws_headers_reset(&c->headers);
+		c->informational = is_informational(line, len);
 		return len;
 	}
 	while (end && (line[end - 1] == '\r' || line[end - 1] == '\n'))
 		end--;
+	if (!end)
+		c->head_ended = !c->informational;
 	colon = memchr(line, ':', end);
 	if (!colon)
 		return len;
@@ -252,6 +268,8 @@
 	c->arg = req->arg;
 	c->n_sends = 0;
 	c->head_len = 0;
+	c->informational = false;
+	c->head_ended = false;
 	c->is_head = !strcmp(req->method, "HEAD");
 	c->data_len = 0;
 	c->max_answer = req->max_answer;
@@ -316,7 +334,11 @@
 		.data = c->data,
 		.data_len = c->data_len,
 	};
-	if (code == CURLE_OK && is_framed(c, &res->answer))
+	/*
+	 * libcurl also reports success when the connection is closed inside the
+	 * head, and then the fields of that head are missing.
+	 */
+	if (code == CURLE_OK && c->head_ended && is_framed(c, &res->answer))
 		res->outcome = WS_HTTP_DONE;
 	else if (!c->n_sends)
 		res->outcome = WS_HTTP_NOT_SENT;
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -32,9 +32,38 @@
 	ENDLESS_INFORMATIONAL, /* 1xx after 1xx */
 	ENDLESS_CHUNKS,
 	ENDLESS_BODY, /* neither a length nor chunks */
+	CUT_RESPONSE, /* closes after cut_at bytes of cut_text */
 	SCRIPTS,
 };
 
+struct cut_case {
+	const char *text; /* a complete response */
+	/* With fewer bytes of it, the body may be incomplete. */
+	size_t complete_from;
+};
+
+#define HEAD_200 "HTTP/1.1 200 OK\r\nX-Id: 7\r\n"
+#define UNFRAMED_HEAD HEAD_200 "X-Last: 1\r\n\r\n"
+#define CHUNKS_200 \
+	HEAD_200 "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n"
+#define WHOLE(text)                    \
+	{                              \
+		text, sizeof(text) - 1 \
+	}
+
+static const struct cut_case cut_cases[] = {
+	WHOLE(HEAD_200 "Content-Length: 12\r\nX-Last: 1\r\n\r\nhello, world"),
+	WHOLE("HTTP/1.1 503 Service Unavailable\r\nX-Id: 7\r\n"
+	      "X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"),
+	WHOLE("HTTP/1.1 204 No Content\r\nX-Id: 7\r\n\r\n"),
+	WHOLE("HTTP/1.1 100 Continue\r\nX-Id: 7\r\n\r\n" HEAD_200
+	      "Content-Length: 2\r\n\r\nok"),
+	/* The last chunk ends the body; trailers are not passed on. */
+	{ CHUNKS_200 "X-Sum: 3\r\n\r\n", sizeof(CHUNKS_200) - 1 },
+	/* It ends with its connection, wherever that is. */
+	{ UNFRAMED_HEAD "hello", sizeof(UNFRAMED_HEAD) - 1 },
+};
+
 static const char *const endless_block[SCRIPTS] = {
 	[ENDLESS_HEAD] = "X-Filler: 0123456789012345678901234567890123456\r\n",
 	[ENDLESS_INFORMATIONAL] = "HTTP/1.1 102 Processing\r\nX-A: 1\r\n\r\n",
@@ -70,6 +99,8 @@
 static struct con cons[CONNECTIONS_MAX];
 static int n_cons;
 static size_t bytes_sent; /* by the target */
+static const char *cut_text;
+static size_t cut_at;
 
 static void send_text(struct con *c, const char *text)
 {
@@ -113,6 +144,12 @@
 		return;
 	}
 	c->requests++;
+	if (c->script == CUT_RESPONSE) {
+		send(w->fd, cut_text, cut_at, MSG_NOSIGNAL);
+		ev_io_stop(loop, w);
+		close(w->fd);
+		return;
+	}
 	if (c->script == DUPLICATE_RESPONSE) {
 		if (c->requests > 1)
 			answer(c, c->requests - 1);
@@ -245,6 +282,30 @@
 }
 END_TEST
 
+/*
+ * Guards against a response that ends early and is passed on as complete: one
+ * cut inside its head was a 200 with an empty body (review case 4).
+ */
+START_TEST(response_cut_at_any_byte_is_not_complete)
+{
+	const struct cut_case *cut = &cut_cases[_i];
+	struct call o;
+
+	start(CUT_RESPONSE);
+	cut_text = cut->text;
+	for (cut_at = 0; cut_at <= strlen(cut->text); cut_at++) {
+		n_cons = 0;
+		start_call(&o, false);
+		wait_for_result(&o);
+		ck_assert_msg(o.result != WS_HTTP_DONE ||
+				      cut_at >= cut->complete_from,
+			      "complete after %zu bytes", cut_at);
+	}
+	ck_assert_int_eq(o.result, WS_HTTP_DONE);
+	stop();
+}
+END_TEST
+
 /* Guards against responses that together exceed the limit, but not alone. */
 START_TEST(total_response_bytes_are_limited)
 {
@@ -272,8 +333,13 @@
 		duplicate_response_is_avoided,
 		total_response_bytes_are_limited,
 	};
+	const TTest *const cut_tests[] = {
+		response_cut_at_any_byte_is_not_complete
+	};
 	int res = ed_suite_run_each("http", endless_tests, 1,
-				    SCRIPTS - ENDLESS_HEAD);
+				    CUT_RESPONSE - ENDLESS_HEAD);
 
+	res |= ed_suite_run_each("http", cut_tests, 1,
+				 sizeof(cut_cases) / sizeof(cut_cases[0]));
 	return ed_suite_run("http", tests, 2) || res;
 }
