Send a request again only on a connection that has not carried it

Cause: an answer is matched by the id of its request, which all sends of a request share. A rejected request for a key goes to the same server again, mostly on the same connection, where a late second copy of the rejection was taken for its answer while the server ran it.

Ruled out: a second send by libcurl (aborted in ws_http); an answer to another request (its id differs, test_wp_wire).

Evidence: test_edge and test_eio_targets, one case each, which failed before (the latter with connections == 1).

--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -122,6 +122,17 @@
 	return c->lanes[0].active || c->lanes[1].active;
 }
 
+/* True also when not all servers that it was sent to are on record. */
+static bool may_have_been_sent_to(const struct ed_call *c, uint32_t server)
+{
+	size_t i;
+
+	for (i = 0; i < c->n_excluded; i++)
+		if (c->excluded[i] == server)
+			return true;
+	return c->n_excluded == WS_ED_EXCLUDED_MAX;
+}
+
 static void send(struct ws_edge *e, struct ed_call *c,
 		 const struct ws_ed_choice *at, struct ws_ed_fx *fx)
 {
@@ -132,6 +143,7 @@
 	x->u.send.lane = lane;
 	x->u.send.server = (uint32_t)at->server;
 	x->u.send.deadline = c->end_at;
+	x->u.send.resent = may_have_been_sent_to(c, (uint32_t)at->server);
 	if (c->sends_received || has_active_lane(c)) {
 		ws_ed_budget_of(e, c->service)->tokens -= 1.0;
 		e->counters.repeats++;
--- a/lib/edgeio/ws_eio.c
+++ b/lib/edgeio/ws_eio.c
@@ -46,8 +46,7 @@
 {
 	switch (x->kind) {
 	case WS_EDFX_SEND:
-		ws_eio_front_send(io->front, x->u.send.request, x->u.send.lane,
-				  x->u.send.server, x->u.send.deadline);
+		ws_eio_front_send(io->front, x);
 		break;
 	case WS_EDFX_CANCEL:
 		ws_eio_targets_cancel(io->targets, x->u.send.request,
--- a/lib/edgeio/ws_eio_front.c
+++ b/lib/edgeio/ws_eio_front.c
@@ -357,19 +357,21 @@
 		submit(r, &fields);
 }
 
-void ws_eio_front_send(struct ws_eio_front *f, uint64_t id, uint8_t lane,
-		       uint32_t server, ws_us deadline)
+void ws_eio_front_send(struct ws_eio_front *f, const struct ws_ed_effect *x)
 {
-	struct pending_request *r = g_hash_table_lookup(f->pending, &id);
+	struct pending_request *r =
+		g_hash_table_lookup(f->pending, &x->u.send.request);
 	const struct ws_ed_pool *pool = ws_edge_pool(f->io->edge);
+	uint32_t server = x->u.send.server;
 	struct ws_eio_request req;
 
 	WS_INVARIANT(r);
 	r->attempts++;
 	memcpy(r->server, pool->servers[server].name, sizeof(r->server));
 	req = (struct ws_eio_request){
-		.id = id,
-		.lane = lane,
+		.id = x->u.send.request,
+		.lane = x->u.send.lane,
+		.resent = x->u.send.resent,
 		.request_id = r->request_id,
 		.method = r->req->method,
 		.uri = r->req->uri,
@@ -379,7 +381,7 @@
 		.body = r->req->body,
 		.body_len = r->req->body_len,
 	};
-	ws_eio_targets_send(f->io->targets, &req, server, deadline);
+	ws_eio_targets_send(f->io->targets, &req, server, x->u.send.deadline);
 }
 
 static const struct ws_server_ops caller_ops = {
--- a/lib/edgeio/ws_eio_front.h
+++ b/lib/edgeio/ws_eio_front.h
@@ -9,8 +9,7 @@
 void ws_eio_front_free(struct ws_eio_front *f);
 
 /* Sends a caller's request to a server. */
-void ws_eio_front_send(struct ws_eio_front *f, uint64_t id, uint8_t lane,
-		       uint32_t server, ws_us deadline);
+void ws_eio_front_send(struct ws_eio_front *f, const struct ws_ed_effect *x);
 
 /* Forwards the server's answer to the caller. */
 void ws_eio_front_forward(struct ws_eio_front *f, uint64_t id,
--- a/lib/edgeio/ws_eio_targets.c
+++ b/lib/edgeio/ws_eio_targets.c
@@ -200,6 +200,8 @@
 		.timeout = left > WS_MS ? left : WS_MS,
 		.max_answer = answers_memory_max(t->io) / ANSWER_SIZE_DIVISOR,
 		.max_idle_time = ws_ed_pool_idle_limit(to),
+		/* A kept one may carry the answer to the earlier send again. */
+		.new_connection = r->resent,
 		.allow_unframed = true,
 		.done = on_attempt_done,
 		.arg = a,
--- a/lib/io/ws_http.h
+++ b/lib/io/ws_http.h
@@ -13,6 +13,19 @@
  * here.
  */
 
+/*
+ * What a response proves. WS_HTTP_DONE says that head and body are complete,
+ * but not that they belong to the request: a faulty target may send a response
+ * once more, late, where the next one on a kept connection is due. A response
+ * is attributed to a request by an id that it echoes and that its connection
+ * has not carried before, or by being the first on a new connection. Therefore
+ * a request must be sent with new_connection
+ * - if one with the same id may have been sent to the same target before, or
+ * - if responses echo no id and the caller relies on what the response says.
+ * A response that can't be attributed proves nothing: the request may have run,
+ * and its connection must not be used again (ws_http_disconnect()).
+ */
+
 struct ws_http;
 struct ws_http_call;
 
--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -341,6 +341,38 @@
 }
 END_TEST
 
+/*
+ * Guards against a rejection that a server sends once more, late, and that is
+ * taken for its answer to the next send of the same request (review case 2):
+ * that send must go on a connection that has not carried the request.
+ */
+START_TEST(request_sent_to_a_server_again_is_marked)
+{
+	struct ws_ed_map_entry all = { .service = ws_ed_id("keyed"),
+				       .to = WS_ED_KEYS - 1,
+				       .server = ws_ed_id("c") };
+	struct ws_ed_map map = { .epoch = 1, .leader = 2 };
+	struct ws_ed_event ev = { .kind = WS_EDEV_MAP_READ_DONE };
+	uint64_t id;
+
+	setup();
+	list("c", "keyed");
+	ws_ed_map_add(&map, &all);
+	ev.u.map.map = &map;
+	ev.u.map.started = now;
+	ev.u.map.end = 1;
+	step(&ev);
+	id = arrive("/k/1", "k1");
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	ck_assert(!find(WS_EDFX_SEND)->u.send.resent);
+	end(id, 0, WS_ED_END_SHED);
+	tick(120 * WS_MS);
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	ck_assert(find(WS_EDFX_SEND)->u.send.resent);
+	ws_ed_map_free(&map);
+}
+END_TEST
+
 /*
  * Guards against a record that a blocking read misses, as nine of eleven reads
  * did: an instance that is behind its peers must read again.
@@ -589,6 +621,7 @@
 		request_of_disconnected_caller_is_cancelled,
 		draining_instance_refuses_in_its_second_half,
 		key_without_owner_is_refused_soon,
+		request_sent_to_a_server_again_is_marked,
 		instance_behind_peers_reads_again,
 		requests_beyond_the_bound_are_refused,
 		store_is_read_without_evidence_from_peers,
@@ -600,5 +633,5 @@
 		strikes_are_sent_to_peers,
 	};
 
-	return ed_suite_run("edge", tests, 20);
+	return ed_suite_run("edge", tests, 21);
 }
--- a/tests/test_eio_targets.c
+++ b/tests/test_eio_targets.c
@@ -5,8 +5,9 @@
 #include "ed_suite.h"
 #include "edgeio/ws_eio_targets.h"
 #include "io/ws_server.h"
+#include "platform/wp_wire.h"
 
-/* Key grants and releases sent to a server on loopback. */
+/* Requests, key grants and releases sent to a server on loopback. */
 
 #define ADDRESS "127.19.22.1:7000"
 
@@ -19,7 +20,14 @@
 
 static void on_call(void *arg, struct ws_server_request *req)
 {
-	const struct ws_server_answer a = { .status = 200 };
+	static const char headers[] = WP_HEADER_REQUEST_ID
+		": r1\0Wagtailshift-Server-Seal: s";
+	const struct ws_server_answer a = {
+		.status = 200,
+		.headers = headers,
+		.headers_len = strcmp(req->method, "POST") ? sizeof(headers) :
+							     0,
+	};
 
 	(void)arg;
 	arrived++;
@@ -82,23 +90,30 @@
 	(void)revents;
 }
 
+/* Runs the loop for some time. */
+static void run_loop(void)
+{
+	ev_timer wake;
+	int i;
+
+	ev_timer_init(&wake, on_wake, 0., 0.005);
+	ev_timer_start(loop, &wake);
+	for (i = 0; i < 100; i++)
+		ev_run(loop, EVRUN_ONCE);
+	ev_timer_stop(loop, &wake);
+}
+
 static void call(bool grant)
 {
 	struct ws_ed_key_call c = { .ref = 1,
 				    .to = 9,
 				    .lease_duration = WS_SECOND };
 	unsigned before = arrived;
-	ev_timer wake;
-	int i;
 
 	snprintf(c.name, sizeof(c.name), "s1");
 	snprintf(c.address, sizeof(c.address), ADDRESS);
 	ws_eio_targets_start_key_call(io.targets, &c, grant);
-	ev_timer_init(&wake, on_wake, 0., 0.005);
-	ev_timer_start(loop, &wake);
-	for (i = 0; i < 100; i++)
-		ev_run(loop, EVRUN_ONCE);
-	ev_timer_stop(loop, &wake);
+	run_loop();
 	ck_assert_uint_eq(arrived, before + 1);
 }
 
@@ -123,9 +138,55 @@
 }
 END_TEST
 
+static void send_request(bool resent)
+{
+	const struct ws_eio_request r = {
+		.id = 1,
+		.resent = resent,
+		.request_id = "r1",
+		.method = "DELETE",
+		.uri = "/k",
+		.host = "h",
+	};
+	unsigned before = arrived;
+	struct ws_ed_listing l = {
+		.name = "s1", .address = ADDRESS, .service = 1, .slots = 4
+	};
+	struct ws_ed_event ev = { .kind = WS_EDEV_LISTED };
+
+	ev.u.listing = &l;
+	ev.now = ws_eio_now();
+	ws_edge_step(io.edge, &ev, &io.fx);
+	io.fx.n = 0;
+	ws_eio_targets_send(io.targets, &r, 0, ws_eio_now() + WS_SECOND);
+	run_loop();
+	ck_assert_uint_eq(arrived, before + 1);
+}
+
+/*
+ * Guards against a late second copy of a rejection that is taken for the answer
+ * to the next send of the same request, while the server runs it (review case
+ * 2). Other requests share connections.
+ */
+START_TEST(resent_request_uses_another_connection)
+{
+	start();
+	send_request(false);
+	ck_assert_uint_eq(connections, 1);
+	send_request(false);
+	ck_assert_uint_eq(connections, 1);
+	send_request(true);
+	ck_assert_uint_eq(connections, 2);
+	stop();
+}
+END_TEST
+
 int main(void)
 {
-	const TTest *const tests[] = { release_uses_a_connection_of_its_own };
+	const TTest *const tests[] = {
+		release_uses_a_connection_of_its_own,
+		resent_request_uses_another_connection,
+	};
 
-	return ed_suite_run("eio_targets", tests, 1);
+	return ed_suite_run("eio_targets", tests, 2);
 }
