Take answers to key calls for proof on new connections only

As answers to key calls echo no id, a 421 could be the late copy of another one, so it counted as "may still be executed" and extended the lease each time. For the same reason the answer to a first grant of a token could be a copy, while the leader concluded from it that former leaders cannot renew the range.

Ruled out: that ids could tell the answers apart.

Change: releases, as before, and grants of a token that the server has not accepted yet go on new connections, where the first answer belongs to them. 421 there means that the server is gone: not executed. Renewals stay on kept connections; they prolong only what the leader assumes in any case.

--- a/lib/edge/ws_ed_lead.h
+++ b/lib/edge/ws_ed_lead.h
@@ -79,6 +79,7 @@
 	int64_t started_ms; /* start of the server process that got the keys */
 	uint8_t state;
 	uint64_t fence;
+	uint64_t granted_fence; /* newest that its server has accepted */
 	uint64_t ref; /* of the call in progress; 0: none */
 	bool call_is_grant; /* the call is a grant, else a release */
 	bool inherited; /* a previous leader may still renew it */
@@ -220,6 +221,7 @@
 	WS_EDC_DONE = 1,
 	WS_EDC_FENCED, /* the server has seen a higher fencing token */
 	WS_EDC_NOT_SENT, /* no byte of the request was sent */
+	WS_EDC_MISDIRECTED, /* another server has the address; not executed */
 	WS_EDC_FAILED, /* no answer, or an unexpected one */
 };
 
--- a/lib/edge/ws_ed_range.c
+++ b/lib/edge/ws_ed_range.c
@@ -98,6 +98,7 @@
 	c->from = r->from;
 	c->to = r->to;
 	c->fence = r->fence;
+	c->needs_proof = !r->call_is_grant || r->granted_fence != r->fence;
 	if (!r->call_is_grant)
 		return;
 	c->lease_duration = WS_ED_KEY_LEASE;
@@ -235,6 +236,7 @@
 {
 	switch (end) {
 	case WS_EDC_DONE:
+		r->granted_fence = r->fence;
 		r->lease_end = now + WS_ED_KEY_LEASE_BOUND;
 		r->failures = 0;
 		r->inherited = false;
@@ -244,6 +246,7 @@
 		r->fence = ws_ed_lead_next_fence(l);
 		break;
 	case WS_EDC_NOT_SENT:
+	case WS_EDC_MISDIRECTED:
 		r->lease_end = r->lease_end_before;
 		break;
 	case WS_EDC_FAILED:
--- a/lib/edgeio/ws_eio_targets.c
+++ b/lib/edgeio/ws_eio_targets.c
@@ -46,6 +46,7 @@
 	struct curl_slist *headers;
 	uint64_t ref;
 	bool grant;
+	bool needs_proof; /* on a connection of its own */
 	char url[2 * WS_ED_NAME_MAX];
 	char body[KEY_BODY_MAX];
 };
@@ -135,7 +136,7 @@
 	free(a);
 }
 
-static enum ws_ed_end attempt_end(const struct attempt *a,
+static enum ws_ed_end attempt_end(const char *request_id,
 				  const struct ws_http_result *res)
 {
 	switch (res->outcome) {
@@ -148,7 +149,7 @@
 	default:
 		break;
 	}
-	if (!wp_wire_answers_request(&res->answer, a->request_id))
+	if (!wp_wire_answers_request(&res->answer, request_id))
 		return WS_ED_END_CONNECTION_LOST;
 	if (wp_wire_not_run(&res->answer))
 		return WS_ED_END_SHED;
@@ -163,7 +164,7 @@
 
 	ev.u.ending.request = a->request;
 	ev.u.ending.lane = a->lane;
-	ev.u.ending.end = attempt_end(a, res);
+	ev.u.ending.end = attempt_end(a->request_id, res);
 	ev.u.ending.latency = ws_eio_now() - a->started;
 	if (res->outcome == WS_HTTP_DONE) {
 		ev.u.ending.status = res->answer.status;
@@ -236,7 +237,8 @@
 
 /* ===== Keys ===== */
 
-static enum ws_ed_call_result key_call_result(const struct ws_http_result *res)
+static enum ws_ed_call_result key_call_result(const struct key_call *c,
+					      const struct ws_http_result *res)
 {
 	if (res->outcome == WS_HTTP_NOT_SENT)
 		return WS_EDC_NOT_SENT;
@@ -245,7 +247,11 @@
 		return WS_EDC_FAILED;
 	if (res->answer.status == 200)
 		return WS_EDC_DONE;
-	return res->answer.status == 409 ? WS_EDC_FENCED : WS_EDC_FAILED;
+	if (res->answer.status == 409)
+		return WS_EDC_FENCED;
+	return c->needs_proof && wp_wire_misdirected(&res->answer) ?
+		       WS_EDC_MISDIRECTED :
+		       WS_EDC_FAILED;
 }
 
 static void free_key_call(struct key_call *c)
@@ -261,7 +267,7 @@
 	struct ws_ed_event ev = { .kind = WS_EDEV_KEY_CALLED };
 
 	ev.u.key_called.ref = c->ref;
-	ev.u.key_called.end = key_call_result(res);
+	ev.u.key_called.end = key_call_result(c, res);
 	ev.u.key_called.handover = "";
 	if (res->outcome == WS_HTTP_DONE &&
 	    ev.u.key_called.end == WS_EDC_FAILED)
@@ -285,11 +291,11 @@
 		.max_answer = KEY_ANSWER_MAX,
 		.max_idle_time = KEY_CALL_IDLE_MAX,
 		/*
-		 * A late duplicate of an earlier answer on a reused connection
-		 * must not be taken for the answer to a release: the keys would
-		 * move to another server while their holder works on them.
+		 * Answers to key calls echo no id. On a kept connection a late
+		 * duplicate might be taken for the answer to a release, and the
+		 * keys would move while their holder works on them.
 		 */
-		.new_connection = !grant,
+		.new_connection = call->needs_proof,
 		.allow_unframed = true,
 		.done = on_key_call_done,
 		.arg = c,
@@ -298,6 +304,7 @@
 	c->targets = t;
 	c->ref = call->ref;
 	c->grant = grant;
+	c->needs_proof = call->needs_proof;
 	snprintf(c->url, sizeof(c->url), "http://%s%s", call->address,
 		 grant ? wp_wire_grant_path() : wp_wire_release_path());
 	if (grant)
--- a/tests/test_ed_lead.c
+++ b/tests/test_ed_lead.c
@@ -106,6 +106,7 @@
 /* Servers carry out the calls from an index of fx on, but for the one in dark.
  */
 static const char *dark = "";
+static enum ws_ed_call_result dark_answer;
 
 static void answer_calls(size_t first)
 {
@@ -318,7 +319,8 @@
 /*
  * Guards against keys that are never served again: their server is gone but
  * still listed, and each grant that did not reach it postponed the end of its
- * lease (loss of a zone with the leader in it).
+ * lease (loss of a zone with the leader in it). Later another server has its
+ * address and answers 421.
  */
 START_TEST(inherited_keys_of_an_unreachable_server_are_given_to_another)
 {
@@ -334,6 +336,7 @@
 	become_leader(1);
 	dark = "s0";
 	ws_ed_pool_listed(&pool, now, &other, &service);
+	dark_answer = _i ? WS_EDC_MISDIRECTED : WS_EDC_NOT_SENT;
 	for (i = 0; i < 100 && !lead.appending; i++)
 		run(100 * WS_MS);
 	dark = "";
@@ -483,7 +486,6 @@
 		late_append_of_an_earlier_era_is_overwritten,
 		late_claim_of_an_earlier_era_deposes_nobody,
 		leader_claims_again_before_its_tokens_are_used_up,
-		inherited_keys_of_an_unreachable_server_are_given_to_another,
 		leader_that_is_cut_off_does_not_lead_again,
 		echoes_without_the_store_extend_a_lease_for_a_bounded_time,
 		echoes_of_other_instances_do_not_count,
@@ -491,5 +493,10 @@
 		restarted_voter_is_silent_after_a_restore,
 	};
 
-	return ed_suite_run("ed_lead", tests, 13);
+	const TTest *const lost_server_tests[] = {
+		inherited_keys_of_an_unreachable_server_are_given_to_another,
+	};
+	int res = ed_suite_run_each("ed_lead", lost_server_tests, 1, 2);
+
+	return ed_suite_run("ed_lead", tests, 12) || res;
 }
--- a/tests/test_eio_targets.c
+++ b/tests/test_eio_targets.c
@@ -103,10 +103,11 @@
 	ev_timer_stop(loop, &wake);
 }
 
-static void call(bool grant)
+static void call(bool grant, bool needs_proof)
 {
 	struct ws_ed_key_call c = { .ref = 1,
 				    .to = 9,
+				    .needs_proof = needs_proof,
 				    .lease_duration = WS_SECOND };
 	unsigned before = arrived;
 
@@ -123,17 +124,20 @@
  * while their holder worked on them (OWNER in scale-1 of leiedal-vijver with
  * "extra late" answers).
  */
-START_TEST(release_uses_a_connection_of_its_own)
+START_TEST(key_calls_that_need_proof_use_connections_of_their_own)
 {
 	start();
-	call(true);
+	call(true, false);
 	ck_assert_uint_eq(connections, 1);
-	call(true);
+	call(true, false);
 	ck_assert_uint_eq(connections, 1);
-	call(false);
+	call(false, true);
 	ck_assert_uint_eq(connections, 2);
-	call(false);
+	call(false, true);
 	ck_assert_uint_ge(connections, 3);
+	/* The first grant of a token, which former leaders must not survive. */
+	call(true, true);
+	ck_assert_uint_ge(connections, 4);
 	stop();
 }
 END_TEST
@@ -184,7 +188,7 @@
 int main(void)
 {
 	const TTest *const tests[] = {
-		release_uses_a_connection_of_its_own,
+		key_calls_that_need_proof_use_connections_of_their_own,
 		resent_request_uses_another_connection,
 	};
 
