Don't pass on a status that promises "not run" without a statement

Callers would see: 503, 429 or 408 of a server whose answer lacks the statement that it has not run the request. They take these statuses for a promise and send the request again (REFUSED, TWICE).

Cause: only rejections with the statement were taken for rejections, all other answers were passed on with their status.

Change: such an answer counts as a lost connection: 502, or sent again if the request may be repeated. Test: test_eio_targets, status_that_promises_ needs_the_statement (without the check, 503 with a seal ends as FAILED and is passed on).

--- a/lib/edgeio/ws_eio_targets.c
+++ b/lib/edgeio/ws_eio_targets.c
@@ -136,7 +136,7 @@
 	free(a);
 }
 
-static enum ws_ed_end attempt_end(const char *request_id,
+enum ws_ed_end ws_eio_targets_end(const char *request_id,
 				  const struct ws_http_result *res)
 {
 	switch (res->outcome) {
@@ -153,6 +153,9 @@
 		return WS_ED_END_CONNECTION_LOST;
 	if (wp_wire_not_run(&res->answer))
 		return WS_ED_END_SHED;
+	/* The caller would take the status for a statement that it lacks. */
+	if (wp_wire_promises_not_run(res->answer.status))
+		return WS_ED_END_CONNECTION_LOST;
 	return res->answer.status >= 500 ? WS_ED_END_FAILED : WS_ED_END_OK;
 }
 
@@ -164,7 +167,7 @@
 
 	ev.u.ending.request = a->request;
 	ev.u.ending.lane = a->lane;
-	ev.u.ending.end = attempt_end(a->request_id, res);
+	ev.u.ending.end = ws_eio_targets_end(a->request_id, res);
 	ev.u.ending.latency = ws_eio_now() - a->started;
 	if (res->outcome == WS_HTTP_DONE) {
 		ev.u.ending.status = res->answer.status;
--- a/lib/edgeio/ws_eio_targets.h
+++ b/lib/edgeio/ws_eio_targets.h
@@ -23,6 +23,10 @@
 struct ws_eio_targets *ws_eio_targets_new(struct ws_eio *io);
 void ws_eio_targets_free(struct ws_eio_targets *t);
 
+/* How a send ends by the server's response to the request with this id. */
+enum ws_ed_end ws_eio_targets_end(const char *request_id,
+				  const struct ws_http_result *res);
+
 /* Starts an attempt; the pointers in r must stay valid until it ends. */
 void ws_eio_targets_send(struct ws_eio_targets *t,
 			 const struct ws_eio_request *r, uint32_t server,
--- a/tests/test_eio_targets.c
+++ b/tests/test_eio_targets.c
@@ -185,12 +185,47 @@
 }
 END_TEST
 
+/*
+ * Guards against a 503 that is passed on although nothing shows that the
+ * request has not run: callers take that status for a promise.
+ */
+START_TEST(status_that_promises_needs_the_statement)
+{
+	static const char sealed[] = WP_HEADER_REQUEST_ID
+		": r1\0Wagtailshift-Server-Seal: s";
+	static const char stated[] = WP_HEADER_REQUEST_ID
+		": r1\0Wagtailshift-Not-Executed: full";
+	static const uint16_t promises[] = { 408, 429, 503 };
+	struct ws_http_result res = { .outcome = WS_HTTP_DONE };
+	size_t i;
+
+	for (i = 0; i < 3; i++) {
+		res.answer = (struct ws_body){ .status = promises[i],
+					       .headers = sealed,
+					       .headers_len = sizeof(sealed) };
+		ck_assert_int_eq(ws_eio_targets_end("r1", &res),
+				 WS_ED_END_CONNECTION_LOST);
+		res.answer.headers = stated;
+		res.answer.headers_len = sizeof(stated);
+		ck_assert_int_eq(ws_eio_targets_end("r1", &res),
+				 WS_ED_END_SHED);
+		ck_assert_int_eq(ws_eio_targets_end("r2", &res),
+				 WS_ED_END_CONNECTION_LOST);
+	}
+	res.answer.status = 500;
+	res.answer.headers = sealed;
+	res.answer.headers_len = sizeof(sealed);
+	ck_assert_int_eq(ws_eio_targets_end("r1", &res), WS_ED_END_FAILED);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		key_calls_that_need_proof_use_connections_of_their_own,
 		resent_request_uses_another_connection,
+		status_that_promises_needs_the_statement,
 	};
 
-	return ed_suite_run("eio_targets", tests, 2);
+	return ed_suite_run("eio_targets", tests, 3);
 }
