--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -26,6 +26,7 @@
 	"\"max_attempts\":2}]}]}";
 
 #define SELF 0x100
+#define INCARNATION 1
 
 static struct ws_edge *edge;
 static struct ws_ed_fx fx;
@@ -79,7 +80,7 @@
 	struct ws_ed_event member = { .kind = WS_EDEV_MEMBER };
 	struct ws_ed_settings set = {
 		.self = SELF,
-		.incarnation = 1,
+		.incarnation = INCARNATION,
 		.zone = 1,
 		.seed = 1,
 		.now = WS_SECOND,
@@ -427,6 +428,7 @@
 	/* The peer began its last read after it received this timestamp. */
 	b.timestamp = 6;
 	b.echo.peer = SELF;
+	b.echo.incarnation = INCARNATION;
 	b.echo.read_timestamps[WS_EDT_SERVERS] = now + 500 * WS_MS;
 	now += 900 * WS_MS;
 	for (id = 0x10; id < 0x12; id++) {
@@ -447,6 +449,32 @@
 }
 END_TEST
 
+/*
+ * Guards against evidence from an echo of a timestamp of this machine's former
+ * process, which may have been taken from a clock that has started anew.
+ */
+START_TEST(echo_of_a_former_process_is_no_evidence)
+{
+	static struct ws_ed_beat b;
+	struct ws_ed_event ev = { .kind = WS_EDEV_HEARTBEAT };
+	int known;
+
+	for (known = 0; known < 2; known++) {
+		setup();
+		now += 2500 * WS_MS;
+		b.from = 0x10;
+		b.timestamp = 5;
+		b.echo.peer = SELF;
+		b.echo.incarnation = known ? INCARNATION : INCARNATION + 1;
+		b.echo.read_timestamps[WS_EDT_CONFIG] = now - 100 * WS_MS;
+		ev.u.beat = &b;
+		step(&ev);
+		ck_assert((ws_edge_evidence_age(edge, now) < WS_SECOND) ==
+			  known);
+	}
+}
+END_TEST
+
 static void fail_store_call(void)
 {
 	struct ws_ed_event ev = { .kind = WS_EDEV_STORE_FAILED };
@@ -625,6 +653,7 @@
 		instance_behind_peers_reads_again,
 		requests_beyond_the_bound_are_refused,
 		store_is_read_without_evidence_from_peers,
+		echo_of_a_former_process_is_no_evidence,
 		failed_call_of_one_instance_is_no_outage,
 		servers_stay_usable_after_an_outage_of_the_store,
 		request_that_crashes_servers_is_refused,
@@ -633,5 +662,5 @@
 		strikes_are_sent_to_peers,
 	};
 
-	return ed_suite_run("edge", tests, 21);
+	return ed_suite_run("edge", tests, 22);
 }
