Refuse odd entries of servers, and read past keys with a NUL

Callers would see: requests sent to a server that an odd entry names, and keys given to it; with a NUL in an entry's key no instance follows the list of servers any more (reported by other operators).

Cause: the address was not checked beyond its length; numbers were converted without a bound; fields that all servers state were optional; the JSON page of the list was refused as a whole because of one escaped NUL.

Evidence: test_ed_conf failed before with "accepted with :99999", test_eio_ store with the server next to the odd entries unknown. Deep nesting and numbers beyond 64 bits were refused before, too; no process ended.

As before, an entry that is refused removes the server of its key and is logged.

--- a/tests/test_ed_conf.c
+++ b/tests/test_ed_conf.c
@@ -174,11 +174,12 @@
 	struct ws_ed_listing l;
 
 	ck_assert_int_eq(
-		decode_server("{\"address\":\"10.0.0.1:80\",\"born\":1774,"
-			      "\"info\":{\"service\":\"stock\",\"zone\":\"z\","
-			      "\"slots\":4},\"status\":{\"state\":\"draining\","
-			      "\"sequence\":8,\"warmup_left_s\":1.5}}",
-			      &l),
+		decode_server(
+			"{\"address\":\"10.0.0.1:80\",\"born\":1774,"
+			"\"info\":{\"service\":\"stock\",\"zone\":\"z\","
+			"\"version\":\"v1\",\"slots\":4},\"status\":{\"state\":\"draining\","
+			"\"sequence\":8,\"warmup_left_s\":1.5}}",
+			&l),
 		0);
 	ck_assert_str_eq(l.name, "i-1");
 	ck_assert_int_eq(l.started_ms, 1774);
@@ -213,6 +214,89 @@
 }
 END_TEST
 
+#define ENTRY_MAX 300000
+#define SOUND_ENTRY                                                            \
+	"{\"address\":\"10.0.0.1:80\",\"born\":5,\"info\":{\"service\":\"s\"," \
+	"\"zone\":\"z\",\"version\":\"v1\",\"slots\":4},\"status\":{"          \
+	"\"state\":\"ready\",\"sequence\":4,\"warmup_left_s\":0}}"
+
+/* The sound entry with one part replaced. */
+static int decode_with(const char *part, const char *other)
+{
+	static char text[ENTRY_MAX];
+	const char *at = strstr(SOUND_ENTRY, part);
+	struct ws_ed_listing l;
+
+	ck_assert_ptr_nonnull(at);
+	snprintf(text, sizeof(text), "%.*s%s%s", (int)(at - SOUND_ENTRY),
+		 SOUND_ENTRY, other, at + strlen(part));
+	return decode_server(text, &l);
+}
+
+/*
+ * Guards against an odd entry of another writer that names a server to use, or
+ * ends the process that reads it (reported by other operators).
+ */
+START_TEST(odd_server_entries_are_refused)
+{
+	static const char *const changes[][2] = {
+		{ ":80\"", ":99999\"" },
+		{ ":80\"", ":0\"" },
+		{ ":80\"", ":-1\"" },
+		{ ":80\"", ":80/x\"" },
+		{ ":80\"", ":\"" },
+		{ ":80\"", "\"" },
+		{ "10.0.0.1", "u@10.0.0.1" },
+		{ "10.0.0.1", "10.0.0.1\\r\\nA: b" },
+		{ "10.0.0.1", "10.0.0.256" },
+		{ "\"slots\":4", "\"slots\":1e15" },
+		{ "\"slots\":4", "\"slots\":-4" },
+		{ "\"slots\":4", "\"slots\":1e999" },
+		{ "\"slots\":4", "\"slots\":99999999999999999999" },
+		{ "\"slots\":4", "\"slots\":\"4\"" },
+		{ ",\"slots\":4", "" },
+		{ "\"version\":\"v1\",", "" },
+		{ "\"born\":5", "\"born\":1e18" },
+		{ "\"born\":5", "\"born\":9223372036854775807" },
+		{ "\"warmup_left_s\":0", "\"warmup_left_s\":1e14" },
+		{ ",\"warmup_left_s\":0", "" },
+		{ "\"sequence\":4", "\"sequence\":18446744073709551616" },
+		{ "\"sequence\":4,", "" },
+	};
+	static char nested[ENTRY_MAX / 2];
+	size_t i;
+
+	ck_assert_int_eq(decode_with("\"slots\":4", "\"slots\":4"), 0);
+	for (i = 0; i < sizeof(changes) / sizeof(changes[0]); i++)
+		ck_assert_msg(decode_with(changes[i][0], changes[i][1]) ==
+				      WS_ERR_SYNTAX,
+			      "accepted with %s", changes[i][1]);
+	memset(nested, '[', sizeof(nested) - 1);
+	ck_assert_int_eq(decode_with("5", nested), WS_ERR_SYNTAX);
+	memset(nested, '[', sizeof(nested) - 1);
+	for (i = 5; i + 5 < sizeof(nested); i += 5)
+		memcpy(nested + i, "{\"a\":", 5);
+	ck_assert_int_eq(decode_with("5", nested), WS_ERR_SYNTAX);
+}
+END_TEST
+
+/* Guards against line breaks in a name that is sent in a header field. */
+START_TEST(odd_server_names_are_refused)
+{
+	struct ws_ed_listing l;
+
+	ck_assert_int_eq(wp_decode_server("i-1", SOUND_ENTRY,
+					  strlen(SOUND_ENTRY), &l, NULL),
+			 0);
+	ck_assert_int_eq(wp_decode_server("i-1\r\nA: b", SOUND_ENTRY,
+					  strlen(SOUND_ENTRY), &l, NULL),
+			 WS_ERR_SYNTAX);
+	ck_assert_int_eq(wp_decode_server("", SOUND_ENTRY, strlen(SOUND_ENTRY),
+					  &l, NULL),
+			 WS_ERR_SYNTAX);
+}
+END_TEST
+
 static struct ws_body answer_of(uint16_t status, const char *headers,
 				size_t len)
 {
@@ -332,11 +416,13 @@
 		each_field_is_checked,
 		server_entry_is_decoded,
 		malformed_server_entries_are_refused,
+		odd_server_entries_are_refused,
+		odd_server_names_are_refused,
 		answer_of_another_request_is_detected,
 		limit_of_a_server_is_read,
 		numbers_are_checked,
 		grant_body_contains_the_handover_token,
 	};
 
-	return ed_suite_run("ed_conf", tests, 11);
+	return ed_suite_run("ed_conf", tests, 13);
 }
--- a/tests/test_eio_store.c
+++ b/tests/test_eio_store.c
@@ -35,6 +35,7 @@
 static uint64_t config_end;
 static int store_reads; /* reads of the configuration's topic */
 static int cancelled;
+static bool odd_entries;
 static bool server_listed; /* in the snapshot of the list of servers */
 static bool zone_out; /* in the snapshot of the operator's topic */
 static bool store_fails;
@@ -82,6 +83,24 @@
 	g_free(text);
 }
 
+/* Entries of another writer, which name no server to use. */
+static void add_odd_items(GString *s)
+{
+	GString *deep = g_string_new(NULL);
+	int i;
+
+	for (i = 0; i < 100000; i++)
+		g_string_append(deep, "{\"a\":");
+	add_item(s, "deep", deep->str);
+	add_item(s, "list", "[[[[");
+	add_item(s, "bytes", "\xff\xfe");
+	add_item(s, "large", "{\"born\":99999999999999999999}");
+	add_item(s, "i-1\\u0000", "{}");
+	add_item(s, "line\\r\\nbreak", "{}");
+	g_string_append(s, ",7,null,{\"key\":7},{\"key\":\"bare\"}");
+	g_string_free(deep, TRUE);
+}
+
 /* The newest record of each key. */
 static void answer_snapshot(struct ws_server_request *req, bool config,
 			    bool servers)
@@ -94,10 +113,13 @@
 		add_item(s, "config", text);
 	if (config && zone_out)
 		add_item(s, "evacuate/far", "{}");
+	if (odd_entries)
+		add_odd_items(s);
 	if (servers && server_listed)
 		add_item(s, "i-1",
 			 "{\"address\":\"127.0.0.1:9\",\"born\":5,\"info\":{"
-			 "\"service\":\"s\",\"zone\":\"z\",\"slots\":4},"
+			 "\"service\":\"s\",\"zone\":\"z\","
+			 "\"version\":\"v1\",\"slots\":4},"
 			 "\"status\":{\"state\":\"ready\",\"sequence\":4,"
 			 "\"warmup_left_s\":0}}");
 	g_string_append_printf(s, "],\"has_more\":false,\"end\":%u}",
@@ -325,6 +347,7 @@
 		heartbeat.topic_ends[WS_EDT_SERVERS] = reported_end(1);
 		/* The sender's reads are evidence for this instance as well. */
 		heartbeat.echo.peer = ws_ed_id("edge");
+		heartbeat.echo.incarnation = io->incarnation;
 		heartbeat.echo.read_timestamps[WS_EDT_CONFIG] =
 			ws_eio_now() - 100 * WS_MS;
 		heartbeat.echo.read_timestamps[WS_EDT_SERVERS] =
@@ -503,6 +526,23 @@
 }
 END_TEST
 
+/*
+ * Guards against odd entries that end the process that reads the list, or keep
+ * it from following the others (reported by other operators).
+ */
+START_TEST(odd_entries_leave_the_others_alone)
+{
+	start();
+	server_listed = true;
+	odd_entries = true;
+	run_for(2500 * WS_MS, 1);
+	ck_assert(knows_server());
+	ck_assert_uint_eq(ws_edge_pool(io->edge)->n, 1);
+	stop();
+	odd_entries = false;
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -511,7 +551,8 @@
 		outage_is_left_to_the_relay,
 		change_after_a_restore_is_read,
 		gaps_of_a_restored_copy_are_not_applied_at_once,
+		odd_entries_leave_the_others_alone,
 	};
 
-	return ed_suite_run("eio_store", tests, 5);
+	return ed_suite_run("eio_store", tests, 6);
 }
