Grant on kept connections again, and close those of refused grants

Change: grants share connections as before. What they prove is settled otherwise: a connection is closed after any answer to a key call but 200, so that a 421 or 409 cannot come again on it; a 200 in its place prolongs what the leader assumes in any case; and leases of former leaders count until 5.7 s after the confirmation, also for ranges that were granted since (former_leases), instead of ending with the first 200.

--- a/lib/edge/ws_ed_fx.h
+++ b/lib/edge/ws_ed_fx.h
@@ -61,9 +61,6 @@
 	uint32_t from;
 	uint32_t to; /* inclusive */
 	uint64_t fence;
-	/* The answer must prove what the server did, not only prolong a lease
-	 */
-	bool needs_proof;
 	ws_us lease_duration; /* GRANT: lease duration, from the arrival of the
 				 call */
 	/* GRANT: handover token of the previous holder, or "" */
--- a/lib/edge/ws_ed_lead.c
+++ b/lib/edge/ws_ed_lead.c
@@ -167,6 +167,7 @@
 		r->server = e->server;
 		r->state = WS_ED_RANGE_OWNED;
 		r->inherited = true;
+		r->former_leases = true;
 		r->changed_at = now;
 		r->fence = ws_ed_lead_next_fence(l);
 		if (s >= 0)
--- a/lib/edge/ws_ed_lead.h
+++ b/lib/edge/ws_ed_lead.h
@@ -79,10 +79,10 @@
 	int64_t started_ms; /* start of the server process that got the keys */
 	uint8_t state;
 	uint64_t fence;
-	uint64_t granted_fence; /* newest that its server has accepted */
 	uint64_t ref; /* of the call in progress; 0: none */
 	bool call_is_grant; /* the call is a grant, else a release */
-	bool inherited; /* a previous leader may still renew it */
+	bool inherited; /* not granted by this leader yet */
+	bool former_leases; /* leases from previous leaders may be left */
 	ws_us next_call;
 	ws_us lease_end; /* the server may own the keys until then */
 	ws_us lease_end_before; /* the same without the grant in progress */
--- a/lib/edge/ws_ed_range.c
+++ b/lib/edge/ws_ed_range.c
@@ -77,7 +77,7 @@
 {
 	ws_us end;
 
-	if (!r->inherited)
+	if (!r->former_leases)
 		return r->lease_end;
 	if (!l->confirmed_at)
 		return INT64_MAX;
@@ -98,7 +98,6 @@
 	c->from = r->from;
 	c->to = r->to;
 	c->fence = r->fence;
-	c->needs_proof = !r->call_is_grant || r->granted_fence != r->fence;
 	if (!r->call_is_grant)
 		return;
 	c->lease_duration = WS_ED_KEY_LEASE;
@@ -124,6 +123,7 @@
 	r->changed_at = now;
 	r->ref = 0;
 	r->inherited = false;
+	r->former_leases = false;
 	l->next_balance = 0;
 }
 
@@ -199,6 +199,7 @@
 		    b->ref || b->inherited || now - b->changed_at < MERGE_AGE)
 			continue;
 		a->to = b->to;
+		a->former_leases |= b->former_leases;
 		if (b->lease_end > a->lease_end)
 			a->lease_end = b->lease_end;
 		if (b->unconfirmed_until > a->unconfirmed_until)
@@ -236,7 +237,6 @@
 {
 	switch (end) {
 	case WS_EDC_DONE:
-		r->granted_fence = r->fence;
 		r->lease_end = now + WS_ED_KEY_LEASE_BOUND;
 		r->failures = 0;
 		r->inherited = false;
@@ -273,6 +273,7 @@
 	snprintf(r->handover, sizeof(r->handover), "%s", handover);
 	r->lease_end = r->unconfirmed_until;
 	r->inherited = false;
+	r->former_leases = false;
 	r->next_call = INT64_MAX;
 	if (now >= r->lease_end)
 		set_free(l, r, now);
--- a/lib/edgeio/ws_eio_targets.c
+++ b/lib/edgeio/ws_eio_targets.c
@@ -46,7 +46,6 @@
 	struct curl_slist *headers;
 	uint64_t ref;
 	bool grant;
-	bool needs_proof; /* on a connection of its own */
 	char url[2 * WS_ED_NAME_MAX];
 	char body[KEY_BODY_MAX];
 };
@@ -240,8 +239,11 @@
 
 /* ===== Keys ===== */
 
-static enum ws_ed_call_result key_call_result(const struct key_call *c,
-					      const struct ws_http_result *res)
+/*
+ * Answers to key calls echo no id. A connection is closed after any other
+ * answer than 200, so that on a kept one only a 200 can be a late duplicate.
+ */
+static enum ws_ed_call_result key_call_result(const struct ws_http_result *res)
 {
 	if (res->outcome == WS_HTTP_NOT_SENT)
 		return WS_EDC_NOT_SENT;
@@ -250,11 +252,9 @@
 		return WS_EDC_FAILED;
 	if (res->answer.status == 200)
 		return WS_EDC_DONE;
-	if (res->answer.status == 409)
-		return WS_EDC_FENCED;
-	return c->needs_proof && wp_wire_misdirected(&res->answer) ?
-		       WS_EDC_MISDIRECTED :
-		       WS_EDC_FAILED;
+	if (wp_wire_misdirected(&res->answer))
+		return WS_EDC_MISDIRECTED;
+	return res->answer.status == 409 ? WS_EDC_FENCED : WS_EDC_FAILED;
 }
 
 static void free_key_call(struct key_call *c)
@@ -270,10 +270,9 @@
 	struct ws_ed_event ev = { .kind = WS_EDEV_KEY_CALLED };
 
 	ev.u.key_called.ref = c->ref;
-	ev.u.key_called.end = key_call_result(c, res);
+	ev.u.key_called.end = key_call_result(res);
 	ev.u.key_called.handover = "";
-	if (res->outcome == WS_HTTP_DONE &&
-	    ev.u.key_called.end == WS_EDC_FAILED)
+	if (res->outcome == WS_HTTP_DONE && ev.u.key_called.end != WS_EDC_DONE)
 		ws_http_disconnect(c->http);
 	if (ev.u.key_called.end == WS_EDC_DONE && !c->grant)
 		ev.u.key_called.handover = wp_wire_handover_token(&res->answer);
@@ -294,11 +293,11 @@
 		.max_answer = KEY_ANSWER_MAX,
 		.max_idle_time = KEY_CALL_IDLE_MAX,
 		/*
-		 * Answers to key calls echo no id. On a kept connection a late
-		 * duplicate might be taken for the answer to a release, and the
-		 * keys would move while their holder works on them.
+		 * A late duplicate of the answer to a grant must not be taken
+		 * for the answer to a release: the keys would move to another
+		 * server while their holder works on them.
 		 */
-		.new_connection = call->needs_proof,
+		.new_connection = !grant,
 		.allow_unframed = true,
 		.done = on_key_call_done,
 		.arg = c,
@@ -307,7 +306,6 @@
 	c->targets = t;
 	c->ref = call->ref;
 	c->grant = grant;
-	c->needs_proof = call->needs_proof;
 	snprintf(c->url, sizeof(c->url), "http://%s%s", call->address,
 		 grant ? wp_wire_grant_path() : wp_wire_release_path());
 	if (grant)
