Name voters at once where none were named; start the soak as a platform does

By the logs the first leader was confirmed by time with no voters.

A leader whose map names no voters names them as soon as it is confirmed instead of 30 s after its claim: until then it depends on the store, and nothing can be lost by waiting no longer.

Test: test_ed_lead, voters_are_named_once_former_ones_cannot_matter.

--- a/lib/edge/ws_ed_lead.c
+++ b/lib/edge/ws_ed_lead.c
@@ -232,7 +232,7 @@
 	struct ws_ed_voters v = l->map.voters;
 
 	return l->confirmed_at && !l->reclaims && !l->map_unverified &&
-	       now >= l->next_voter_change &&
+	       (!v.n || now >= l->next_voter_change) &&
 	       ws_ed_voters_change(&v, l->peers, now);
 }
 
--- a/lib/edge/ws_ed_lead.h
+++ b/lib/edge/ws_ed_lead.h
@@ -24,12 +24,12 @@
  *   timestamps echoed by a majority of the voters that know no newer epoch, so
  *   that renewals go on during an outage of the store. A lease that has expired
  *   is not extended: the leader steps down and has to claim again;
- * - every record of the map names the voters. A claim copies them from the
- *   record before it, so that a leader and its successor count the same ones,
- *   however long they are cut off from each other. The leader changes one voter
- *   at a time, WS_ED_VOTER_CHANGE_INTERVAL apart, so that each majority meets
- *   one of the record before, and of the record that a restore of the store
- *   brings back;
+ * - every record of the map names the voters. The first claim of all chooses
+ *   them, every other one copies them from the record before it, so that a
+ * leader and its successor count the same ones, however long they are cut off
+ * from each other. The leader changes one voter at a time,
+ * WS_ED_VOTER_CHANGE_INTERVAL apart, so that each majority meets one of the
+ * record before, and of the record that a restore of the store brings back;
  * - a new leader renews the leases in the map at once, but moves keys to other
  *   servers only WS_ED_LEADER_LEASE after a majority of the voters knows its
  *   epoch, or, as voters may be lost for good, after WS_ED_STORELESS_MAX: no
@@ -133,7 +133,8 @@
 	uint64_t heard_epoch; /* highest in heartbeats, also of lost members */
 	uint64_t counter; /* of fencing tokens */
 	ws_us claimed_at; /* when the store acknowledged the claim */
-	ws_us confirmed_at; /* when a majority knew the epoch; 0: unconfirmed */
+	/* When no former leader could extend its lease any more; 0: unknown */
+	ws_us confirmed_at;
 	ws_us valid_until; /* last evidence plus WS_ED_LEADER_LEASE */
 	ws_us leaderless_since; /* no working leader since; 0: there is one */
 	ws_us era_since; /* when the era of the store was first seen */
--- a/tests/soak/soak_process.c
+++ b/tests/soak/soak_process.c
@@ -52,7 +52,7 @@
 	}
 	fprintf(f,
 		"{\"local_node\":{\"node\":\"edge-%d\",\"zone\":\"z%d\","
-		"\"ip\":\"%s.%d\",\"limits\":{\"memory_mb\":260,"
+		"\"bootstrap\":%s,\"ip\":\"%s.%d\",\"limits\":{\"memory_mb\":260,"
 		"\"max_fds\":4096,\"cpu_share\":1,\"cores\":1,"
 		"\"link_mbps\":1000}},\"network\":{\"listen\":{\"front\":"
 		"\"%s.%d:7100\",\"ready\":\"%s.%d:7101\"},"
@@ -60,8 +60,9 @@
 		"{\"address\":\"%s.%d:%d\"}},\"terms\":{\"bounds\":{"
 		"\"revoke_s\":5,\"grace_s\":6,\"budget_ratio\":0.2,"
 		"\"budget_slack\":60,\"quota_slack\":20}}}\n",
-		i, i % 3, soak.net, 10 + i, soak.net, 10 + i, soak.net, 10 + i,
-		soak.net, 100 + i, STORE_PORT);
+		i, i % 3, processes[i].starts > 1 ? "false" : "true", soak.net,
+		10 + i, soak.net, 10 + i, soak.net, 10 + i, soak.net, 100 + i,
+		STORE_PORT);
 	fclose(f);
 }
 
@@ -74,6 +75,7 @@
 	format_path(i, "json", settings, sizeof(settings));
 	format_path(i, "log", log, sizeof(log));
 	p->starts++;
+	write_settings(i);
 	p->state = RUNNING;
 	p->since = soak_now();
 	p->undisturbed_since = p->since;
--- a/tests/test_ed_lead.c
+++ b/tests/test_ed_lead.c
@@ -439,6 +439,32 @@
 }
 END_TEST
 
+/*
+ * Guards against a leader that depends on the store for good, because a former
+ * one named no voters, and against one that counts others too early.
+ */
+START_TEST(voters_are_named_once_former_ones_cannot_matter)
+{
+	struct ws_ed_map m;
+
+	setup();
+	m = map_of((UINT64_C(1) << 23) + 1, SELF);
+	m.voters.n = 0;
+	read_map(1, 5, &m);
+	ws_ed_map_free(&m);
+	run(WS_SECOND);
+	finish_append(WS_EDA_DONE);
+	ck_assert_uint_eq(lead.map.voters.n, 0);
+	run(WS_ED_STORELESS_MAX - WS_ED_LEADER_LEASE - 100 * WS_MS);
+	ck_assert(!lead.confirmed_at);
+	run(300 * WS_MS);
+	ck_assert(lead.confirmed_at);
+	ck_assert(lead.appending);
+	finish_append(WS_EDA_DONE);
+	ck_assert_uint_eq(lead.map.voters.n, 3);
+}
+END_TEST
+
 /*
  * Guards against a voter that has forgotten the newest epoch: it has restarted,
  * and the store was restored from a copy without it.
@@ -490,6 +516,7 @@
 		echoes_without_the_store_extend_a_lease_for_a_bounded_time,
 		echoes_of_other_instances_do_not_count,
 		voters_change_one_at_a_time,
+		voters_are_named_once_former_ones_cannot_matter,
 		restarted_voter_is_silent_after_a_restore,
 	};
 
@@ -498,5 +525,5 @@
 	};
 	int res = ed_suite_run_each("ed_lead", lost_server_tests, 1, 2);
 
-	return ed_suite_run("ed_lead", tests, 12) || res;
+	return ed_suite_run("ed_lead", tests, 13) || res;
 }
