--- a/lib/edge/ws_ed_lead.c
+++ b/lib/edge/ws_ed_lead.c
@@ -54,8 +54,8 @@
 
 uint64_t ws_ed_lead_epoch(const struct ws_ed_lead *l)
 {
-	uint64_t epoch = l->map.epoch > l->heard_epoch ? l->map.epoch :
-							 l->heard_epoch;
+	uint64_t epoch = l->map.epoch > l->peer_epoch ? l->map.epoch :
+							l->peer_epoch;
 
 	/* A claim that is not acknowledged may never take effect. */
 	if (l->role == WS_EDL_LEADER && l->epoch > epoch)
@@ -65,8 +65,8 @@
 
 void ws_ed_lead_on_epoch(struct ws_ed_lead *l, uint64_t epoch)
 {
-	if (epoch > l->heard_epoch)
-		l->heard_epoch = epoch;
+	if (epoch > l->peer_epoch)
+		l->peer_epoch = epoch;
 }
 
 bool ws_ed_lead_valid(const struct ws_ed_lead *l, ws_us now)
@@ -97,7 +97,7 @@
 
 	return l->map.epoch < floor &&
 	       (l->map.epoch || l->restarted ||
-		(l->heard_epoch && l->heard_epoch < floor));
+		(l->peer_epoch && l->peer_epoch < floor));
 }
 
 /* ===== Election ===== */
--- a/lib/edge/ws_ed_lead.h
+++ b/lib/edge/ws_ed_lead.h
@@ -130,7 +130,7 @@
 
 	enum ws_ed_role role;
 	uint64_t epoch; /* of this instance as leader or candidate */
-	uint64_t heard_epoch; /* highest in heartbeats, also of lost members */
+	uint64_t peer_epoch; /* highest stated by other instances */
 	uint64_t counter; /* of fencing tokens */
 	ws_us claimed_at; /* when the store acknowledged the claim */
 	/* When no former leader could extend its lease any more; 0: unknown */
