Restore the store from copies of any age in the earlier random test

The random test of leaders had got a bound on the age of a restored copy for all its parts; only the long runs need it, where voters change. The earlier part drops records of any age again.

--- a/tests/test_ed_lead_random.c
+++ b/tests/test_ed_lead_random.c
@@ -27,7 +27,7 @@
 #define LONG_RUN (170 * WS_SECOND)
 #define LONG_CALM (110 * WS_SECOND)
 #define LONG_CUT_MAX (60 * WS_SECOND)
-/* Copies from which the store is restored are not older. */
+/* Copies from which the store is restored are not older in long runs. */
 #define COPY_AGE_MAX (15 * WS_SECOND)
 #define FIRST_ID 100
 #define LOG_MAX 8192
@@ -469,7 +469,8 @@
 	size_t lost = ws_rand_below(&w->rand, 12);
 
 	while (lost-- && w->n_log &&
-	       w->now - w->log_times[w->n_log - 1] < COPY_AGE_MAX)
+	       (w->faults != FAULTS_LONG ||
+		w->now - w->log_times[w->n_log - 1] < COPY_AGE_MAX))
 		ws_ed_map_free(&w->log[--w->n_log]);
 	w->era++;
 	w->restores++;
