Don't state an epoch that is known from a restored store only

Cause: another instance had sent a claim before the restore, which was carried out after it at an offset that fit again. An instance that had just started knew no other map, took that one and stated its epoch, so that the valid leader stepped down.

Change: a map of an earlier era that was read after a restore and not known before is used for routing, but its epoch is not stated. If its leader was elected after all, its own heartbeats state the epoch, and a restarted voter is silent until the lease of the other has run out.

--- a/lib/edge/ws_ed_lead.c
+++ b/lib/edge/ws_ed_lead.c
@@ -54,8 +54,10 @@
 
 uint64_t ws_ed_lead_epoch(const struct ws_ed_lead *l)
 {
-	uint64_t epoch = l->map.epoch > l->peer_epoch ? l->map.epoch :
-							l->peer_epoch;
+	uint64_t epoch = l->peer_epoch;
+
+	if (l->map.epoch > epoch && !l->map_from_copy)
+		epoch = l->map.epoch;
 
 	/* A claim that is not acknowledged may never take effect. */
 	if (l->role == WS_EDL_LEADER && l->epoch > epoch)
@@ -421,6 +423,7 @@
 		return;
 	}
 	store_version(l, map, end);
+	l->map_from_copy = map->epoch < epoch_floor(end);
 	if (l->role == WS_EDL_FOLLOWER)
 		return;
 	if (map->epoch > l->epoch ||
--- a/lib/edge/ws_ed_lead.h
+++ b/lib/edge/ws_ed_lead.h
@@ -122,6 +122,12 @@
 	/* State of the store */
 	bool known; /* the map has been read */
 	struct ws_ed_map map;
+	/*
+	 * Read from a restored store and not known before: its epoch may be
+	 * that of a claim which was carried out after the restore only, and is
+	 * not stated to other instances.
+	 */
+	bool map_from_copy;
 	uint64_t map_end; /* position after the newest record of the topic */
 	struct ws_ed_map_delta deltas[WS_ED_DELTAS_KEPT]; /* ring buffer */
 	uint64_t n_deltas; /* added so far */
--- a/tests/test_ed_lead.c
+++ b/tests/test_ed_lead.c
@@ -487,6 +487,27 @@
 }
 END_TEST
 
+/*
+ * Guards against a leader that is deposed by an instance that has started after
+ * a restore and knows nothing but a claim that was carried out late (soak, seed
+ * 31014).
+ */
+START_TEST(epoch_known_only_from_a_copy_is_not_stated)
+{
+	struct ws_ed_map late;
+
+	setup();
+	late = map_of((UINT64_C(1) << 23) + 9, OTHER);
+	read_map(2, 4, &late);
+	ck_assert_uint_eq(lead.map.epoch, late.epoch);
+	ck_assert_uint_eq(ws_ed_lead_epoch(&lead), 0);
+	late.epoch = (UINT64_C(2) << 23) + 1;
+	read_map(2, 5, &late);
+	ck_assert_uint_eq(ws_ed_lead_epoch(&lead), late.epoch);
+	ws_ed_map_free(&late);
+}
+END_TEST
+
 /* Guards against tokens that reach into those of the next epoch. */
 START_TEST(leader_claims_again_before_its_tokens_are_used_up)
 {
@@ -518,6 +539,7 @@
 		voters_change_one_at_a_time,
 		voters_are_named_once_former_ones_cannot_matter,
 		restarted_voter_is_silent_after_a_restore,
+		epoch_known_only_from_a_copy_is_not_stated,
 	};
 
 	const TTest *const lost_server_tests[] = {
@@ -525,5 +547,5 @@
 	};
 	int res = ed_suite_run_each("ed_lead", lost_server_tests, 1, 2);
 
-	return ed_suite_run("ed_lead", tests, 13) || res;
+	return ed_suite_run("ed_lead", tests, 14) || res;
 }
