Let a leader recognize its own claim after a restore

Cause: after a restore a leader appends a claim with a new epoch. When it read that record before the answer to the append, it took the higher epoch for that of another leader, stepped down, claimed once more and waited for all former leases.

Change: a record with its own name and the epoch that it proposed is its claim.

--- a/lib/edge/ws_ed_lead.c
+++ b/lib/edge/ws_ed_lead.c
@@ -408,6 +408,16 @@
 	return true;
 }
 
+/* Continues as the leader with the epoch that was written. */
+static void begin_epoch(struct ws_ed_lead *l, struct ws_ed_fx *fx)
+{
+	l->reclaims = false;
+	l->epoch = l->proposal.epoch;
+	l->counter = 0;
+	ws_ed_fx_log(fx, WS_LOG_LEADER, l->self, (int64_t)l->epoch,
+		     "leads on after a restore of the store");
+}
+
 static void adopt(struct ws_ed_lead *l, ws_us now, const struct ws_ed_map *map,
 		  uint64_t end, struct ws_ed_fx *fx)
 {
@@ -426,6 +436,10 @@
 	l->map_from_copy = map->epoch < epoch_floor(end);
 	if (l->role == WS_EDL_FOLLOWER)
 		return;
+	/* Its claim after a restore is read before the answer to it arrives. */
+	if (l->reclaims && map->leader == l->self &&
+	    map->epoch == l->proposal.epoch)
+		begin_epoch(l, fx);
 	if (map->epoch > l->epoch ||
 	    (map->epoch == l->epoch && map->leader != l->self))
 		step_down(l, "another instance leads", fx);
@@ -475,16 +489,6 @@
 	return &l->proposal;
 }
 
-/* Continues as the leader with the epoch that was written. */
-static void begin_epoch(struct ws_ed_lead *l, struct ws_ed_fx *fx)
-{
-	l->reclaims = false;
-	l->epoch = l->proposal.epoch;
-	l->counter = 0;
-	ws_ed_fx_log(fx, WS_LOG_LEADER, l->self, (int64_t)l->epoch,
-		     "leads on after a restore of the store");
-}
-
 void ws_ed_lead_on_append(struct ws_ed_lead *l, ws_us now, uint64_t at,
 			  ws_us started, enum ws_ed_append_result end,
 			  struct ws_ed_fx *fx)
--- a/tests/test_ed_lead.c
+++ b/tests/test_ed_lead.c
@@ -487,6 +487,29 @@
 }
 END_TEST
 
+/*
+ * Guards against a leader that steps down because of its own claim, when that
+ * is read before the answer to it arrives (soak, seed 31028).
+ */
+START_TEST(leader_recognizes_its_claim_after_a_restore)
+{
+	struct ws_ed_map own;
+
+	become_leader(1);
+	run(WS_SECOND);
+	read_map(2, 3, NULL);
+	run(50 * WS_MS);
+	ck_assert(lead.appending);
+	own = map_of(lead.proposal.epoch, SELF);
+	read_map(2, 4, &own);
+	ws_ed_map_free(&own);
+	run(50 * WS_MS);
+	ck_assert(ws_ed_lead_valid(&lead, now));
+	ck_assert_uint_eq(lead.epoch, lead.proposal.epoch);
+	ck_assert_uint_eq(lead.map.epoch, lead.epoch);
+}
+END_TEST
+
 /*
  * Guards against a leader that is deposed by an instance that has started after
  * a restore and knows nothing but a claim that was carried out late (soak, seed
@@ -539,6 +562,7 @@
 		voters_change_one_at_a_time,
 		voters_are_named_once_former_ones_cannot_matter,
 		restarted_voter_is_silent_after_a_restore,
+		leader_recognizes_its_claim_after_a_restore,
 		epoch_known_only_from_a_copy_is_not_stated,
 	};
 
@@ -547,5 +571,5 @@
 	};
 	int res = ed_suite_run_each("ed_lead", lost_server_tests, 1, 2);
 
-	return ed_suite_run("ed_lead", tests, 14) || res;
+	return ed_suite_run("ed_lead", tests, 15) || res;
 }
