--- a/tests/test_ed_conf.c
+++ b/tests/test_ed_conf.c
@@ -273,9 +273,8 @@
 			      "accepted with %s", changes[i][1]);
 	memset(nested, '[', sizeof(nested) - 1);
 	ck_assert_int_eq(decode_with("5", nested), WS_ERR_SYNTAX);
-	memset(nested, '[', sizeof(nested) - 1);
-	for (i = 5; i + 5 < sizeof(nested); i += 5)
-		memcpy(nested + i, "{\"a\":", 5);
+	for (i = 0; i + 1 < sizeof(nested); i++)
+		nested[i] = "{\"a\":"[i % 5];
 	ck_assert_int_eq(decode_with("5", nested), WS_ERR_SYNTAX);
 }
 END_TEST
