--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -216,7 +216,7 @@
 
 	o->ended = true;
 	o->result = res->outcome;
-	if (res->outcome == WS_HTTP_DONE &&
+	if (res->outcome == WS_HTTP_DONE && res->answer.data_len &&
 	    res->answer.data_len < sizeof(o->body))
 		memcpy(o->body, res->answer.data, res->answer.data_len);
 }
