--- a/tests/test_ed_lead.c
+++ b/tests/test_ed_lead.c
@@ -119,7 +119,7 @@
 			ws_ed_lead_on_call_result(&lead, now, x->u.call.ref,
 						  strcmp(x->u.call.name, dark) ?
 							  WS_EDC_DONE :
-							  WS_EDC_NOT_SENT,
+							  dark_answer,
 						  "", &fx);
 	}
 }
@@ -225,9 +225,11 @@
 	for (end = now + 5 * WS_SECOND; now < end; now += 10 * WS_MS) {
 		size_t first = fx.n;
 
-		/* Grants may end with the lease. */
-		if (now == end - 5 * WS_SECOND + WS_ED_LEADER_LEASE)
+		/* No claim within the lease; grants may end with it. */
+		if (now == end - 5 * WS_SECOND + WS_ED_LEADER_LEASE) {
+			ck_assert_uint_eq(effects_of(WS_EDFX_APPEND), 0);
 			fx.n = first = 0;
+		}
 		lead.store_reached_at = now;
 		ws_ed_lead_on_read(&lead, now, now, NULL, ws_ed_position(2, 3),
 				   &fx);
