--- a/tests/test_ed_beat.c
+++ b/tests/test_ed_beat.c
@@ -416,8 +416,8 @@
 /*
  * Guards against a request that crashes server after server because not all
  * instances learn of the crashes: strikes were dropped when a server crashed
- * with many requests at it (BUDGET, incident inc1: five of ten instances went
- * on sending it for 8 s).
+ * with many requests at it (BUDGET, incident inc1: six of ten instances did
+ * not refuse it).
  */
 START_TEST(crashing_request_is_refused_everywhere)
 {
