Hold signals back until their handlers are set

The figure is a wait status: the process was ended by SIGHUP, which only says that the settings have changed.

Cause: handlers were set after settings had been read and sockets had been opened; until then a signal has its default action. Ruled out: an end by the program's own decision (wait status 256 or 512), and settings that were read while being written (exit status 2).

Change: both daemons block these signals in the first line and let them through once the handlers are set.

Related paths: the stand-ins block signals before they start already.

--- a/lib/edgeio/ws_eio_daemon.c
+++ b/lib/edgeio/ws_eio_daemon.c
@@ -12,6 +12,7 @@
 #include "edgeio/ws_eio_crash.h"
 #include "edgeio/ws_eio_log.h"
 #include "edgeio/ws_eio_metrics.h"
+#include "io/ws_signals.h"
 
 #define EXIT_BAD_SETTINGS 2
 
@@ -49,6 +50,8 @@
 
 /* ===== Signals ===== */
 
+static const int handled_signals[] = { SIGTERM, SIGINT, SIGHUP };
+
 struct signal_watchers {
 	ev_signal stop[2];
 	ev_signal reload;
@@ -90,6 +93,7 @@
 	ev_signal_start(loop, &s->stop[0]);
 	ev_signal_start(loop, &s->stop[1]);
 	ev_signal_start(loop, &s->reload);
+	ws_signals_release(handled_signals, G_N_ELEMENTS(handled_signals));
 }
 
 /* ===== Main ===== */
@@ -126,6 +130,7 @@
 	struct wp_error err = { "" };
 	int res;
 
+	ws_signals_hold(handled_signals, G_N_ELEMENTS(handled_signals));
 	if (read_options(argc, argv, &o))
 		return EXIT_BAD_SETTINGS;
 	if (wp_settings_load(o.settings, &set, &err)) {
--- a/lib/io/ws_daemon.c
+++ b/lib/io/ws_daemon.c
@@ -14,6 +14,7 @@
 #include "config/ws_secret.h"
 #include "io/ws_logline.h"
 #include "io/ws_shell.h"
+#include "io/ws_signals.h"
 
 #define EXIT_CONFIG 2
 
@@ -71,6 +72,8 @@
 	return WS_LEVEL_NOTICE;
 }
 
+static const int stop_signals[] = { SIGTERM, SIGINT };
+
 static void on_stop_signal(EV_P_ ev_signal *w, int revents)
 {
 	(void)loop;
@@ -87,6 +90,7 @@
 	watchers[1].data = sh;
 	ev_signal_start(loop, &watchers[0]);
 	ev_signal_start(loop, &watchers[1]);
+	ws_signals_release(stop_signals, G_N_ELEMENTS(stop_signals));
 }
 
 /*
@@ -129,6 +133,7 @@
 	struct ws_config conf;
 	struct ws_config_error why = { "" };
 
+	ws_signals_hold(stop_signals, G_N_ELEMENTS(stop_signals));
 	if (parse_options(argc, argv, &o))
 		return EXIT_CONFIG;
 	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_NOTHING))
