Close connections that may repeat a rejection, in the older daemon

Cause: a request that isn't idempotent keeps the caller's id in all its attempts, also when the caller comes back with it, so an earlier rejection bears the right id. The edge marks such sends and uses another connection; the daemon did not.

Change: a rejection under an id that other attempts may use closes its connection. Every later attempt is then on one that has not carried the id. Attempts with ids of their own keep their connections.

Ruled out on related paths: attempts that time out or break (their connections are closed already), complete answers other than rejections (a copy says again what has happened), probes (a copy comes from the same process, and what it says of the clock is an earlier reading, which errs to the safe side).

--- a/lib/io/ws_attempt.c
+++ b/lib/io/ws_attempt.c
@@ -67,7 +67,8 @@
 {
 	const uint64_t *id = e->u.attempt.call.request_id;
 
-	if (e->u.attempt.call.idempotent || (!id[0] && !id[1])) {
+	h->own_id = e->u.attempt.call.idempotent || (!id[0] && !id[1]);
+	if (h->own_id) {
 		snprintf(h->request_id, sizeof(h->request_id),
 			 "%016" PRIx64 "-%016" PRIx64, self,
 			 e->u.attempt.attempt);
@@ -196,7 +197,8 @@
 	out->error = out->payload ? 0 : WS_ERR_NO_MEMORY;
 }
 
-bool ws_attempt_read_result(struct ws_payloads *table, const char *request_id,
+bool ws_attempt_read_result(struct ws_payloads *table,
+			    const struct ws_attempt_head *head,
 			    const struct ws_http_result *res,
 			    struct ws_attempt_result *out)
 {
@@ -210,12 +212,12 @@
 	echo = ws_body_header(&res->answer, "X-Wagtailshift-Request-Id");
 	incarnation =
 		ws_body_header(&res->answer, "X-Wagtailshift-Incarnation");
-	if (!echo || strcmp(echo, request_id) != 0 || !incarnation) {
+	if (!echo || strcmp(echo, head->request_id) != 0 || !incarnation) {
 		out->outcome = WS_OUT_UNKNOWN;
 		out->error = WS_ERR_TARGET_FAILED;
 		return false;
 	}
 	out->incarnation = strtoull(incarnation, NULL, 16);
 	read_answer(table, res, out);
-	return true;
+	return head->own_id || out->outcome != WS_OUT_NOT_RUN;
 }
--- a/lib/io/ws_attempt.h
+++ b/lib/io/ws_attempt.h
@@ -19,6 +19,7 @@
 	char lines[WS_ATTEMPT_ADDED_HEADERS][WS_ATTEMPT_LINE_MAX];
 	unsigned n_lines;
 	char request_id[40];
+	bool own_id; /* no other attempt uses request_id */
 };
 
 void ws_attempt_head_build(struct ws_attempt_head *h, struct ws_shell *sh,
@@ -29,10 +30,12 @@
 /*
  * Derives the result of an attempt from the HTTP result. A complete response is
  * added to the table.
- * @return false when the connection must be closed, because the response
- *         doesn't belong to the request
+ * @return false when the connection must be closed: the response doesn't belong
+ *         to the request, or it is a rejection that could be taken for one of a
+ *         later attempt with the same id if the target sent it once more
  */
-bool ws_attempt_read_result(struct ws_payloads *table, const char *request_id,
+bool ws_attempt_read_result(struct ws_payloads *table,
+			    const struct ws_attempt_head *head,
 			    const struct ws_http_result *res,
 			    struct ws_attempt_result *out);
 
--- a/lib/io/ws_targets.c
+++ b/lib/io/ws_targets.c
@@ -116,7 +116,7 @@
 
 	ev.u.attempt.attempt = a->id;
 	ev.u.attempt.result.latency = ws_shell_now() - a->started;
-	if (!ws_attempt_read_result(sh->payloads, a->head.request_id, res,
+	if (!ws_attempt_read_result(sh->payloads, &a->head, res,
 				    &ev.u.attempt.result))
 		ws_http_disconnect(a->call);
 	release_attempt(a);
