Give each grant of the older daemon its own connection

Cause: the answer to a grant has no id, and grants used kept connections. A late copy of an earlier answer counts as the acknowledgement of the grant that takes a key away (ws_own_grant_done sets acked_seq), while that grant may still be on its way or be refused: the key could get a second owner.

Change: a grant is sent on a new connection, as ws_http.h asks where the caller relies on an answer without an id.

Ruled out: probes, whose copies come from the same process and tell an earlier state and clock, which errs to the safe side.

--- a/lib/io/ws_targets.c
+++ b/lib/io/ws_targets.c
@@ -284,6 +284,8 @@
 				     .data_len = c->text ? strlen(c->text) : 0,
 				     .timeout = CONTROL_TIMEOUT,
 				     .max_answer = CONTROL_ANSWER_MAX,
+				     /* The answer to a grant has no id. */
+				     .new_connection = c->grant,
 				     .done = on_control_done,
 				     .arg = c,
 			     });
--- a/tests/test_daemon.c
+++ b/tests/test_daemon.c
@@ -371,17 +371,38 @@
 }
 END_TEST
 
-static long payload_bytes(void)
+/* Returns the value of a metric; name is a whole line up to its value. */
+static long metric(const char *name)
 {
-	static const char name[] = "\nwagtailshift_payload_bytes ";
 	struct rig_answer a;
 	const char *p;
 
 	rig_http(rig.admin_port, "GET", "/metrics", NULL, NULL, 0, &a);
 	p = strstr(a.body, name);
 	ck_assert_ptr_nonnull(p);
-	return strtol(p + sizeof(name) - 1, NULL, 10);
+	return strtol(p + strlen(name), NULL, 10);
+}
+
+static long payload_bytes(void)
+{
+	return metric("\nwagtailshift_payload_bytes ");
+}
+
+/*
+ * Guards against a key with two owners: a target answers a grant, without an
+ * id, and a late copy of that answer is taken for the one to the grant that
+ * takes a key away.
+ */
+START_TEST(grant_uses_a_connection_of_its_own)
+{
+	static const char opened[] = "\nwagtailshift_target_connections_total ";
+	long before = metric(opened);
+
+	/* Each grant is renewed every 0.3 s. */
+	sleep(2);
+	ck_assert_int_ge(metric(opened) - before, 4);
 }
+END_TEST
 
 /* Guards against payloads that are never released and fill the memory. */
 START_TEST(payloads_are_released_after_the_responses)
@@ -476,6 +497,7 @@
 	tcase_add_test(tc, log_outage_and_recovery_are_logged);
 	tcase_add_test(tc, status_shows_own_state_among_the_instances);
 	tcase_add_test(tc, payloads_are_released_after_the_responses);
+	tcase_add_test(tc, grant_uses_a_connection_of_its_own);
 	/* Only the process that started the daemon can wait for its exit. */
 	tcase_add_checked_fixture(stop, setup_slow, teardown);
 	tcase_set_timeout(stop, 60);
