Send changes of the map only to instances that know its base

Cause, by its logs: the store came back without the map's records; an instance started then and read an empty topic; the leader kept its map and wrote it again. Both had stated the same position, so the leader sent the (empty) difference between its maps there and after its record, and the other took it for the whole map. A position doesn't name a map if records were lost or ignored. As a leader that instance would have taken all other ranges for free (OWNER; not seen).

Ruled out: heartbeats that do not arrive (it knew the configuration and the loss of a server), and no map at all (it served one key, of a range that had changed since).

Change: the series of changes ends at a restore and where the end of the topic advanced without a map; instances behind that get the whole map. An instance whose map is not that of the newest record doesn't apply changes; it is behind its peers then, and reads the topic.

Tests: test_ed_lead, changes_do_not_reach_back_over_a_restore, and test_edge, changes_of_a_map_that_is_not_known_are_not_applied; each failed with its half of the change undone.

--- a/lib/edge/ws_ed_beat.c
+++ b/lib/edge/ws_ed_beat.c
@@ -104,9 +104,12 @@
 
 	/*
 	 * This instance may have a newer map than the sender knows of.
-	 * The changes are ordered and may be applied again.
+	 * The changes are ordered and may be applied again. If it may have
+	 * another map than the sender assumes, it reads the topic; see
+	 * check_behind().
 	 */
-	if (e->lead.map_end < b->map_base || !e->lead.known)
+	if (e->lead.map_end < b->map_base || !e->lead.known ||
+	    e->lead.map_off_record)
 		return;
 	ws_ed_map_copy(m, &e->lead.map);
 	ws_ed_map_apply(m, &b->map);
--- a/lib/edge/ws_ed_lead.c
+++ b/lib/edge/ws_ed_lead.c
@@ -360,21 +360,41 @@
 
 /* ===== Versions of the map ===== */
 
+/*
+ * Keeps the changes from the known map to a newer one. An instance that states
+ * the position of the former must have had the same map there, so changes don't
+ * reach back over a restore or a position without a map: an instance that has
+ * started since has none.
+ */
+static void add_delta(struct ws_ed_lead *l, const struct ws_ed_map *map,
+		      uint64_t end)
+{
+	struct ws_ed_map_delta *s;
+
+	if (!map || l->map_off_record ||
+	    ws_ed_position_era(end) != ws_ed_position_era(l->map_end)) {
+		l->n_deltas = 0;
+		return;
+	}
+	s = &l->deltas[l->n_deltas++ % WS_ED_DELTAS_KEPT];
+	s->from = l->map_end;
+	s->to = end;
+	ws_ed_map_diff(&l->map, map, &s->changes);
+}
+
 /* Stores a newer map and its delta; NULL: only the end offset advanced. */
 static void store_version(struct ws_ed_lead *l, const struct ws_ed_map *map,
 			  uint64_t end)
 {
-	struct ws_ed_map_delta *s;
-
 	if (end > l->map_end) {
-		s = &l->deltas[l->n_deltas++ % WS_ED_DELTAS_KEPT];
-		s->from = l->map_end;
-		s->to = end;
-		ws_ed_map_diff(&l->map, map ? map : &l->map, &s->changes);
+		add_delta(l, map, end);
 		l->map_end = end;
+		l->map_off_record = true;
 	}
-	if (map)
-		ws_ed_map_copy(&l->map, map);
+	if (!map)
+		return;
+	ws_ed_map_copy(&l->map, map);
+	l->map_off_record = false;
 }
 
 bool ws_ed_lead_changes_since(const struct ws_ed_lead *l, uint64_t from,
--- a/lib/edge/ws_ed_lead.h
+++ b/lib/edge/ws_ed_lead.h
@@ -129,6 +129,11 @@
 	 */
 	bool map_from_copy;
 	uint64_t map_end; /* position after the newest record of the topic */
+	/*
+	 * The map is not that of the newest record, as there was none, or it
+	 * was ignored. So map_end doesn't say which map this is.
+	 */
+	bool map_off_record;
 	struct ws_ed_map_delta deltas[WS_ED_DELTAS_KEPT]; /* ring buffer */
 	uint64_t n_deltas; /* added so far */
 	ws_us read_evidence; /* start of the last completed read */
--- a/tests/test_ed_lead.c
+++ b/tests/test_ed_lead.c
@@ -548,6 +548,44 @@
 }
 END_TEST
 
+static void read_map_of(uint64_t era, uint64_t end, uint64_t epoch,
+			ws_id server)
+{
+	struct ws_ed_map m = map_of(epoch, OTHER);
+
+	m.entries[0].server = server;
+	read_map(era, end, &m);
+	ws_ed_map_free(&m);
+}
+
+/*
+ * Guards against changes that are sent to an instance which started during a
+ * restore: at the same position of the topic it has no map (soak seed 32001).
+ */
+START_TEST(changes_do_not_reach_back_over_a_restore)
+{
+	const uint64_t epoch = (UINT64_C(2) << 23) + 1;
+	struct ws_ed_map changes = { .n = 0 };
+	int reads_empty_topic;
+
+	for (reads_empty_topic = 0; reads_empty_topic < 2;
+	     reads_empty_topic++) {
+		setup();
+		read_map_of(1, 5, (UINT64_C(1) << 23) + 1, 7);
+		if (reads_empty_topic)
+			read_map(2, 0, NULL);
+		read_map_of(2, 1, epoch, 8);
+		ck_assert(!ws_ed_lead_changes_since(&lead, ws_ed_position(2, 0),
+						    &changes, 9));
+		read_map_of(2, 2, epoch, 9);
+		ck_assert(ws_ed_lead_changes_since(&lead, ws_ed_position(2, 1),
+						   &changes, 9));
+		ck_assert_uint_eq(changes.entries[0].server, 9);
+	}
+	ws_ed_map_free(&changes);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -566,6 +604,7 @@
 		restarted_voter_is_silent_after_a_restore,
 		leader_recognizes_its_claim_after_a_restore,
 		epoch_known_only_from_a_copy_is_not_stated,
+		changes_do_not_reach_back_over_a_restore,
 	};
 
 	const TTest *const lost_server_tests[] = {
@@ -573,5 +612,5 @@
 	};
 	int res = ed_suite_run_each("ed_lead", lost_server_tests, 1, 2);
 
-	return ed_suite_run("ed_lead", tests, 15) || res;
+	return ed_suite_run("ed_lead", tests, 16) || res;
 }
--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -3,6 +3,8 @@
 #include <string.h>
 
 #include "ed_suite.h"
+#include "edge/ws_ed_lead.h"
+#include "edge/ws_ed_position.h"
 #include "edge/ws_edge.h"
 #include "platform/wp_decode.h"
 
@@ -374,6 +376,46 @@
 }
 END_TEST
 
+/*
+ * Guards against a map of the changed ranges only, with which this instance
+ * refuses all other keys and, as a leader, would take them for free (soak seed
+ * 32001).
+ */
+START_TEST(changes_of_a_map_that_is_not_known_are_not_applied)
+{
+	static struct ws_ed_beat b;
+	struct ws_ed_event read = { .kind = WS_EDEV_MAP_READ_DONE };
+	struct ws_ed_event ev = { .kind = WS_EDEV_HEARTBEAT };
+	const struct ws_ed_map_entry changed = { .service = ws_ed_id("keyed"),
+						 .to = 9,
+						 .server = ws_ed_id("c") };
+	int ticks = 0;
+
+	setup();
+	read.u.map.started = now;
+	read.u.map.end = ws_ed_position(2, 0);
+	step(&read);
+	b.from = 2;
+	b.timestamp = 5;
+	b.topic_ends[WS_EDT_MAP] = ws_ed_position(2, 1);
+	b.map_part = WS_ED_MAP_PART_CHANGES;
+	b.map_base = ws_ed_position(2, 0);
+	b.map.epoch = (UINT64_C(2) << 23) + 1;
+	ws_ed_map_add(&b.map, &changed);
+	ev.u.beat = &b;
+	step(&ev);
+	ck_assert_uint_eq(ws_edge_lead(edge)->map.n, 0);
+	/* It reads the topic instead. */
+	for (tick(0);
+	     ticks < 100 &&
+	     !(find(WS_EDFX_READ) && find(WS_EDFX_READ)->u.topic == WS_EDT_MAP);
+	     ticks++)
+		tick(20 * WS_MS);
+	ck_assert_int_lt(ticks, 100);
+	ws_ed_map_free(&b.map);
+}
+END_TEST
+
 /*
  * Guards against a record that a blocking read misses, as nine of eleven reads
  * did: an instance that is behind its peers must read again.
@@ -650,6 +692,7 @@
 		draining_instance_refuses_in_its_second_half,
 		key_without_owner_is_refused_soon,
 		request_sent_to_a_server_again_is_marked,
+		changes_of_a_map_that_is_not_known_are_not_applied,
 		instance_behind_peers_reads_again,
 		requests_beyond_the_bound_are_refused,
 		store_is_read_without_evidence_from_peers,
@@ -662,5 +705,5 @@
 		strikes_are_sent_to_peers,
 	};
 
-	return ed_suite_run("edge", tests, 22);
+	return ed_suite_run("edge", tests, 23);
 }
