Judge recovery in the soak over each four seconds

The share of requests served was taken over all the time after the bound, up to 18 s, in which an outage of half a second is lost. Now each four consecutive seconds must reach it, as long as the window judged before the bound was corrected.

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -25,6 +25,8 @@
 #define SOAK_QUIET_TIME (4 * WS_SECOND)
 /* The outcome of a request is known after this time. */
 #define SOAK_PENDING_MAX (3 * WS_SECOND)
+/* Shares of requests served are judged over this many whole seconds. */
+#define SOAK_JUDGED_SECONDS 4
 
 struct soak_options {
 	uint64_t seed;
@@ -152,7 +154,7 @@
 
 /*
  * Percentage of requests served, with a shard key or without, of those sent in
- * whole seconds from since until SOAK_PENDING_MAX ago.
+ * the worst SOAK_JUDGED_SECONDS between since and SOAK_PENDING_MAX ago.
  */
 int soak_callers_served(bool keyed, ws_us since);
 
--- a/tests/soak/soak_caller.c
+++ b/tests/soak/soak_caller.c
@@ -174,20 +174,33 @@
 	}
 }
 
-int soak_callers_served(bool keyed, ws_us since)
+static int served_percent(bool keyed, int first)
 {
-	int last = second_index(soak_now() - SOAK_PENDING_MAX) - 1;
 	unsigned sent_count = 0;
 	unsigned served_count = 0;
 	int i;
 
-	for (i = second_index(since) + 1; i <= last; i++) {
+	for (i = first; i < first + SOAK_JUDGED_SECONDS; i++) {
 		sent_count += per_second[keyed][i].sent_count;
 		served_count += per_second[keyed][i].served_count;
 	}
 	return sent_count ? (int)(100 * served_count / sent_count) : 0;
 }
 
+int soak_callers_served(bool keyed, ws_us since)
+{
+	int end = second_index(soak_now() - SOAK_PENDING_MAX);
+	int first = second_index(since) + 1;
+	int worst = served_percent(keyed, first);
+
+	while (++first + SOAK_JUDGED_SECONDS <= end) {
+		int percent = served_percent(keyed, first);
+
+		worst = percent < worst ? percent : worst;
+	}
+	return worst;
+}
+
 int soak_callers_recovery(bool keyed, ws_us since)
 {
 	int first = second_index(since) + 1;
--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -20,7 +20,6 @@
  * for all if neither a majority of the processes nor records were lost.
  */
 #define RECOVER_TIME (15 * WS_SECOND)
-#define JUDGED_TIME (4 * WS_SECOND)
 #define SERVED_MIN_PERCENT 95
 #define ACTIVE_FAULTS_MAX 3
 
@@ -413,7 +412,8 @@
 	ws_timer_run(soak.timers, soak_now());
 	if (soak_elapsed() > (ws_us)soak.opt.seconds * WS_SECOND &&
 	    soak_now() - soak.calm_since >
-		    RECOVER_TIME + JUDGED_TIME + SOAK_PENDING_MAX)
+		    RECOVER_TIME + (SOAK_JUDGED_SECONDS + 1) * WS_SECOND +
+			    SOAK_PENDING_MAX)
 		ev_break(EV_A_ EVBREAK_ALL);
 }
 
