--- a/lib/edge/ws_ed_beat.c
+++ b/lib/edge/ws_ed_beat.c
@@ -209,8 +209,9 @@
 	for (i = 0; i < b->n_strikes; i++)
 		if (ws_ed_suspects_on_strike(&e->suspects, e->now,
 					     &b->strikes[i], e->peers.is_relay))
-			ws_ed_log_quarantine(fx, b->from, b->strikes[i].request,
-					     "reported by another instance");
+			ws_ed_log_request(fx, WS_LOG_QUARANTINE, b->from,
+					  b->strikes[i].request,
+					  "reported by another instance");
 }
 
 /* Processes the parts that only a full heartbeat contains. */
--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/ws_events.h"
 #include "edge/ws_ed_admit.h"
 #include "edge/ws_edge_int.h"
 
@@ -603,9 +604,11 @@
 {
 	const struct ws_ed_server *s = &e->pool.servers[server];
 
-	if (end == WS_ED_END_OK || end == WS_ED_END_FAILED)
-		ws_ed_suspects_clear(&e->suspects, e->now, c->fingerprint);
-	else if (end == WS_ED_END_CONNECTION_LOST)
+	if ((end == WS_ED_END_OK || end == WS_ED_END_FAILED) &&
+	    ws_ed_suspects_clear(&e->suspects, e->now, c->fingerprint))
+		ws_ed_log_request(fx, WS_LOG_REQUEST_CLEARED, s->id,
+				  c->fingerprint, "answered");
+	if (end == WS_ED_END_CONNECTION_LOST)
 		ws_ed_suspects_add(&e->suspects, e->now, c->fingerprint, s->id,
 				   s->started_ms);
 	else if (end == WS_ED_END_NOT_SENT)
--- a/lib/edge/ws_ed_suspect.c
+++ b/lib/edge/ws_ed_suspect.c
@@ -65,13 +65,13 @@
 	return after > before && after >= WS_QUAR_STRIKES;
 }
 
-size_t ws_ed_suspects_on_crash(struct ws_ed_suspects *s, ws_us now,
-			       ws_id server,
-			       uint64_t refused[WS_ED_SUSPECTS_MAX])
+void ws_ed_suspects_on_crash(struct ws_ed_suspects *s, ws_us now, ws_id server,
+			     struct ws_ed_crash *out)
 {
-	size_t n = 0;
 	size_t i = 0;
 
+	out->n_struck = 0;
+	out->n_refused = 0;
 	while (i < s->n) {
 		const struct ws_ed_suspect *item = &s->items[i];
 		struct ws_ed_strike k = {
@@ -85,10 +85,10 @@
 			continue;
 		}
 		remove_suspect(s, i);
+		out->n_struck++;
 		if (add_strike(s, now, &k, true))
-			refused[n++] = k.request;
+			out->refused[out->n_refused++] = k.request;
 	}
-	return n;
 }
 
 bool ws_ed_suspects_on_strike(struct ws_ed_suspects *s, ws_us now,
@@ -97,8 +97,10 @@
 	return add_strike(s, now, k, forwards);
 }
 
-void ws_ed_suspects_clear(struct ws_ed_suspects *s, ws_us now, uint64_t request)
+unsigned ws_ed_suspects_clear(struct ws_ed_suspects *s, ws_us now,
+			      uint64_t request)
 {
+	unsigned strikes = ws_quar_strikes(s->quar, now, request);
 	size_t i = 0;
 
 	while (i < s->n)
@@ -106,8 +108,9 @@
 			remove_suspect(s, i);
 		else
 			i++;
-	if (ws_quar_strikes(s->quar, now, request))
+	if (strikes)
 		ws_quar_clear(s->quar, request);
+	return strikes;
 }
 
 bool ws_ed_suspects_refuses(const struct ws_ed_suspects *s, ws_us now,
@@ -155,8 +158,12 @@
 	return n;
 }
 
-void ws_ed_suspects_tick(struct ws_ed_suspects *s, ws_us now)
+bool ws_ed_suspects_expire(struct ws_ed_suspects *s, ws_us now,
+			   struct ws_ed_suspect *dropped)
 {
-	while (s->n && now - s->items[0].broken_at > CRASH_DETECTION_TIME)
-		remove_suspect(s, 0);
+	if (!s->n || now - s->items[0].broken_at <= CRASH_DETECTION_TIME)
+		return false;
+	*dropped = s->items[0];
+	remove_suspect(s, 0);
+	return true;
 }
--- a/lib/edge/ws_ed_suspect.h
+++ b/lib/edge/ws_ed_suspect.h
@@ -63,15 +63,19 @@
 void ws_ed_suspects_add(struct ws_ed_suspects *s, ws_us now, uint64_t request,
 			ws_id server, int64_t started_ms);
 
+/* What a crash has led to. */
+struct ws_ed_crash {
+	size_t n_struck; /* suspects that got a strike */
+	size_t n_refused;
+	uint64_t refused[WS_ED_SUSPECTS_MAX]; /* refused from now on */
+};
+
 /*
  * Handles a server that no longer answers or has restarted: its suspects get a
  * strike.
- * @param refused receives the requests that are refused from now on
- * @return their number
  */
-size_t ws_ed_suspects_on_crash(struct ws_ed_suspects *s, ws_us now,
-			       ws_id server,
-			       uint64_t refused[WS_ED_SUSPECTS_MAX]);
+void ws_ed_suspects_on_crash(struct ws_ed_suspects *s, ws_us now, ws_id server,
+			     struct ws_ed_crash *out);
 
 /*
  * Handles a strike received from another instance.
@@ -81,9 +85,12 @@
 bool ws_ed_suspects_on_strike(struct ws_ed_suspects *s, ws_us now,
 			      const struct ws_ed_strike *strike, bool forwards);
 
-/* Clears a request that a server has answered. */
-void ws_ed_suspects_clear(struct ws_ed_suspects *s, ws_us now,
-			  uint64_t request);
+/*
+ * Clears a request that a server has answered.
+ * @return the number of its strikes
+ */
+unsigned ws_ed_suspects_clear(struct ws_ed_suspects *s, ws_us now,
+			      uint64_t request);
 
 bool ws_ed_suspects_refuses(const struct ws_ed_suspects *s, ws_us now,
 			    uint64_t request);
@@ -92,7 +99,12 @@
 uint32_t ws_ed_suspects_next_strikes(struct ws_ed_suspects *s, ws_us now,
 				     struct ws_ed_strike *strikes);
 
-/* Drops suspects whose servers have not crashed. */
-void ws_ed_suspects_tick(struct ws_ed_suspects *s, ws_us now);
+/*
+ * Drops the next suspect whose server is not known to have crashed after some
+ * time.
+ * @return false if there is none
+ */
+bool ws_ed_suspects_expire(struct ws_ed_suspects *s, ws_us now,
+			   struct ws_ed_suspect *dropped);
 
 #endif
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -125,26 +125,39 @@
 		     detail);
 }
 
-void ws_ed_log_quarantine(struct ws_ed_fx *fx, ws_id subject, uint64_t request,
-			  const char *detail)
+void ws_ed_log_request(struct ws_ed_fx *fx, uint16_t number, ws_id subject,
+		       uint64_t request, const char *detail)
 {
 	char text[96];
 
 	snprintf(text, sizeof(text), "%s, fingerprint %016" PRIx64, detail,
 		 request);
-	ws_ed_fx_log(fx, WS_LOG_QUARANTINE, subject, 1, text);
+	ws_ed_fx_log(fx, number, subject, 1, text);
 }
 
 void ws_ed_server_crashed(struct ws_edge *e, ws_id server, struct ws_ed_fx *fx)
 {
-	uint64_t refused[WS_ED_SUSPECTS_MAX];
-	size_t n =
-		ws_ed_suspects_on_crash(&e->suspects, e->now, server, refused);
+	struct ws_ed_crash crash;
 	size_t i;
 
-	for (i = 0; i < n; i++)
-		ws_ed_log_quarantine(fx, server, refused[i],
-				     "was at servers that crashed");
+	ws_ed_suspects_on_crash(&e->suspects, e->now, server, &crash);
+	if (crash.n_struck)
+		ws_ed_fx_log(fx, WS_LOG_TARGET_CRASHED, server,
+			     (int64_t)crash.n_struck,
+			     "requests that were at it get a strike");
+	for (i = 0; i < crash.n_refused; i++)
+		ws_ed_log_request(fx, WS_LOG_QUARANTINE, server,
+				  crash.refused[i],
+				  "was at servers that crashed");
+}
+
+static void expire_suspects(struct ws_edge *e, struct ws_ed_fx *fx)
+{
+	struct ws_ed_suspect dropped;
+
+	while (ws_ed_suspects_expire(&e->suspects, e->now, &dropped))
+		ws_ed_log_request(fx, WS_LOG_SUSPECT_DROPPED, dropped.server,
+				  dropped.request, "no crash is known");
 }
 
 static void apply_listing(struct ws_edge *e, const struct ws_ed_listing *l,
@@ -311,7 +324,7 @@
 	update_group(e);
 	ws_ed_pool_tick(&e->pool, e->now);
 	ws_ed_heat_tick(&e->heat, e->now);
-	ws_ed_suspects_tick(&e->suspects, e->now);
+	expire_suspects(e, fx);
 	e->quota.coverage = demand_coverage(e);
 	ws_ed_quota_tick(&e->quota, e->now, e->pool.instances,
 			 demand_report_period(e));
--- a/lib/edge/ws_edge_int.h
+++ b/lib/edge/ws_edge_int.h
@@ -145,9 +145,9 @@
 /* Records that a server has crashed or appears to have crashed. */
 void ws_ed_server_crashed(struct ws_edge *e, ws_id server, struct ws_ed_fx *fx);
 
-/* Logs that a request is refused from now on, and who has shown it. */
-void ws_ed_log_quarantine(struct ws_ed_fx *fx, ws_id subject, uint64_t request,
-			  const char *detail);
+/* Logs a decision about a request, which the line names by fingerprint. */
+void ws_ed_log_request(struct ws_ed_fx *fx, uint16_t number, ws_id subject,
+		       uint64_t request, const char *detail);
 
 /* Records that a topic's content as of a time is known. */
 void ws_ed_evidence_update(struct ws_edge *e, int topic, ws_us at);
