Check a server whose connections broke, so that a crash counts

Cause: a request gets a strike only if the same instance notices the crash in another way within 3 s. At many instances with little traffic each, attempts counted for nothing.

Change: 50 ms after a connection broke, the instance opens one to the same server, once per server, without a request. Only a refusal counts, as a process that listens would accept it; a reset or a timeout shows nothing. Nothing rests on traffic, the list or other instances any more.

--- a/lib/edge/ws_ed_fx.h
+++ b/lib/edge/ws_ed_fx.h
@@ -17,6 +17,7 @@
 	WS_EDFX_RELEASE, /* revoke a server's lease of a key range */
 	WS_EDFX_APPEND, /* append ws_ed_lead_proposal() to the store */
 	WS_EDFX_READ, /* read a topic that may have newer records */
+	WS_EDFX_CHECK, /* find out whether a server accepts connections */
 	WS_EDFX_HEARTBEAT, /* send a heartbeat now */
 	WS_EDFX_LOG, /* write a log line */
 };
@@ -88,6 +89,7 @@
 		} reply; /* FORWARD uses request and customer only */
 		struct ws_ed_key_call call;
 		enum ws_ed_topic topic; /* READ */
+		uint32_t check; /* CHECK: handle of the server */
 		struct {
 			uint64_t at; /* position the record must get */
 		} append;
--- a/lib/edge/ws_ed_pool.c
+++ b/lib/edge/ws_ed_pool.c
@@ -579,6 +579,11 @@
 		s->n_backoffs++;
 }
 
+void ws_ed_pool_refused(struct ws_ed_pool *p, ws_us now, uint32_t server)
+{
+	back_off(&p->servers[server], now);
+}
+
 void ws_ed_pool_ended(struct ws_ed_pool *p, ws_us now, uint32_t server,
 		      uint32_t work_stats, enum ws_ed_end end, ws_us latency,
 		      double load, const struct ws_ed_report *report)
--- a/lib/edge/ws_ed_pool.h
+++ b/lib/edge/ws_ed_pool.h
@@ -233,6 +233,9 @@
 /* Records that a request is sent to a server. */
 void ws_ed_pool_sent(struct ws_ed_pool *p, ws_us now, uint32_t server);
 
+/* Records that a server has refused a connection. */
+void ws_ed_pool_refused(struct ws_ed_pool *p, ws_us now, uint32_t server);
+
 /*
  * Records that a request at a server has ended.
  * @param latency time since it was sent
--- a/lib/edge/ws_ed_suspect.c
+++ b/lib/edge/ws_ed_suspect.c
@@ -2,8 +2,10 @@
 
 #include <string.h>
 
-/* A crash is detected within this time, as the next connection is refused. */
+/* A crash is detected within this time, by a check or by the list. */
 #define CRASH_DETECTION_TIME (3 * WS_SECOND)
+/* A process that ends may close its connections before its listening socket. */
+#define CHECK_DELAY (50 * WS_MS)
 
 void ws_ed_suspects_init(struct ws_ed_suspects *s)
 {
@@ -24,6 +26,35 @@
 		(s->n - i) * sizeof(s->items[0]));
 }
 
+static void schedule_check(struct ws_ed_suspects *s, ws_us now, ws_id server,
+			   int64_t started_ms)
+{
+	size_t i;
+
+	for (i = 0; i < s->n_checks; i++)
+		if (s->checks[i].server == server)
+			return;
+	if (s->n_checks == WS_ED_CHECKS_MAX)
+		return;
+	s->checks[s->n_checks++] = (struct ws_ed_check){
+		.server = server,
+		.started_ms = started_ms,
+		.due_at = now + CHECK_DELAY,
+	};
+}
+
+bool ws_ed_suspects_next_check(struct ws_ed_suspects *s, ws_us now,
+			       ws_id *server, int64_t *started_ms)
+{
+	if (!s->n_checks || now < s->checks[0].due_at)
+		return false;
+	*server = s->checks[0].server;
+	*started_ms = s->checks[0].started_ms;
+	s->n_checks--;
+	memmove(s->checks, s->checks + 1, s->n_checks * sizeof(s->checks[0]));
+	return true;
+}
+
 void ws_ed_suspects_add(struct ws_ed_suspects *s, ws_us now, uint64_t request,
 			ws_id server, int64_t started_ms)
 {
@@ -35,6 +66,7 @@
 		.started_ms = started_ms,
 		.broken_at = now,
 	};
+	schedule_check(s, now, server, started_ms);
 }
 
 static void queue_strike(struct ws_ed_suspects *s,
--- a/lib/edge/ws_ed_suspect.h
+++ b/lib/edge/ws_ed_suspect.h
@@ -7,11 +7,14 @@
  * Quarantine of requests that crash the servers that run them, and that the
  * caller retries at any instance.
  *
- * A request whose connection to its server broke is a suspect. If the server
- * turns out to have crashed, the request gets a strike, which the instances
- * send each other. Requests with strikes from WS_QUAR_STRIKES crashes are
- * refused by all instances. An answer from a server clears the request, since
- * many callers may send the same request while servers crash for other reasons.
+ * A request whose connection to its server broke is a suspect. The instance
+ * then checks whether the server still accepts connections: the list may show a
+ * crash seconds later, and another request may not go there for long. If the
+ * server turns out to have crashed, the request gets a strike, which the
+ * instances send each other. Requests with strikes from WS_QUAR_STRIKES crashes
+ * are refused by all instances. An answer from a server clears the request,
+ * since many callers may send the same request while servers crash for other
+ * reasons.
  *
  * When several servers crash, most strikes are against requests that just were
  * at them, and there may be too many to be sent soon. Therefore each heartbeat
@@ -21,6 +24,8 @@
 
 /* Maximum number of suspects; beyond, the oldest is dropped. */
 #define WS_ED_SUSPECTS_MAX 128
+/* Maximum number of servers that wait for a check; beyond, none is made. */
+#define WS_ED_CHECKS_MAX 64
 /* Strikes in one heartbeat; those beyond the first ones displace other parts.
  */
 #define WS_ED_STRIKES_MAX 12
@@ -39,6 +44,13 @@
 	ws_us broken_at; /* when its connection broke */
 };
 
+/* A server process whose connections broke. */
+struct ws_ed_check {
+	ws_id server;
+	int64_t started_ms;
+	ws_us due_at;
+};
+
 struct ws_ed_strike {
 	uint64_t request;
 	uint64_t crash; /* identifies the server process that crashed */
@@ -48,6 +60,8 @@
 	struct ws_quar *quar;
 	struct ws_ed_suspect items[WS_ED_SUSPECTS_MAX]; /* oldest first */
 	size_t n;
+	struct ws_ed_check checks[WS_ED_CHECKS_MAX]; /* earliest first */
+	size_t n_checks;
 	struct ws_ed_queued_strike {
 		struct ws_ed_strike strike;
 		unsigned rounds_left; /* heartbeats that it is still sent in */
@@ -63,6 +77,13 @@
 void ws_ed_suspects_add(struct ws_ed_suspects *s, ws_us now, uint64_t request,
 			ws_id server, int64_t started_ms);
 
+/*
+ * Gets the next server to check.
+ * @return false if none is due
+ */
+bool ws_ed_suspects_next_check(struct ws_ed_suspects *s, ws_us now,
+			       ws_id *server, int64_t *started_ms);
+
 /* What a crash has led to. */
 struct ws_ed_crash {
 	size_t n_struck; /* suspects that got a strike */
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -151,6 +151,33 @@
 				  "was at servers that crashed");
 }
 
+/* Checks servers whose connections broke. */
+static void check_servers(struct ws_edge *e, struct ws_ed_fx *fx)
+{
+	ws_id server;
+	int64_t started_ms;
+
+	while (ws_ed_suspects_next_check(&e->suspects, e->now, &server,
+					 &started_ms)) {
+		int32_t h = ws_ed_pool_find(&e->pool, server);
+
+		if (h >= 0 && e->pool.servers[h].started_ms == started_ms)
+			ws_ed_fx_add(fx, WS_EDFX_CHECK)->u.check = (uint32_t)h;
+	}
+}
+
+/* A server has refused a connection that was opened to check it. */
+static void on_refused(struct ws_edge *e, ws_id server, int64_t started_ms,
+		       struct ws_ed_fx *fx)
+{
+	int32_t h = ws_ed_pool_find(&e->pool, server);
+
+	if (h < 0 || e->pool.servers[h].started_ms != started_ms)
+		return;
+	ws_ed_pool_refused(&e->pool, e->now, (uint32_t)h);
+	ws_ed_server_crashed(e, server, fx);
+}
+
 static void expire_suspects(struct ws_edge *e, struct ws_ed_fx *fx)
 {
 	struct ws_ed_suspect dropped;
@@ -339,6 +366,7 @@
 		e->next_slow_tick = e->now + SLOW_TICK;
 		slow_tick(e, fx);
 	}
+	check_servers(e, fx);
 	ws_ed_call_tick(e, fx);
 }
 
@@ -412,6 +440,10 @@
 					  ev->u.key_called.handover, fx);
 		ws_ed_lead_tick(&e->lead, e->now, fx);
 		break;
+	case WS_EDEV_REFUSED:
+		on_refused(e, ev->u.refused.server, ev->u.refused.started_ms,
+			   fx);
+		break;
 	case WS_EDEV_DRAIN:
 		e->draining = true;
 		e->refuse_from = e->now + (ws_us)(DRAIN_ACCEPT_FRACTION *
--- a/lib/edge/ws_edge.h
+++ b/lib/edge/ws_edge.h
@@ -66,6 +66,7 @@
 	WS_EDEV_CALLER_GONE, /* the caller has disconnected */
 	WS_EDEV_REQUEST_ENDED, /* a request at a server has ended */
 	WS_EDEV_KEY_CALLED, /* a grant or release has ended */
+	WS_EDEV_REFUSED, /* a server has refused a checked connection */
 	WS_EDEV_DRAIN, /* the process is asked to terminate */
 };
 
@@ -249,6 +250,10 @@
 			enum ws_ed_call_result end;
 			const char *handover;
 		} key_called;
+		struct {
+			ws_id server;
+			int64_t started_ms; /* when the check began */
+		} refused;
 		ws_us drain_time; /* until the process ends */
 	} u;
 };
--- a/lib/edgeio/ws_eio.c
+++ b/lib/edgeio/ws_eio.c
@@ -7,6 +7,7 @@
 
 #include "common/ws_events.h"
 #include "edgeio/ws_eio_beats.h"
+#include "edgeio/ws_eio_checks.h"
 #include "edgeio/ws_eio_front.h"
 #include "edgeio/ws_eio_log.h"
 #include "edgeio/ws_eio_records.h"
@@ -72,6 +73,9 @@
 	case WS_EDFX_READ:
 		ws_eio_store_read(io->store, x->u.topic);
 		break;
+	case WS_EDFX_CHECK:
+		ws_eio_checks_start(io->checks, x->u.check);
+		break;
 	case WS_EDFX_HEARTBEAT:
 		ws_eio_beats_send(io->beats);
 		break;
@@ -192,6 +196,7 @@
 	io->http = ws_http_new(loop);
 	io->edge = new_edge(io);
 	io->targets = ws_eio_targets_new(io);
+	io->checks = ws_eio_checks_new(io);
 	ev_timer_init(&io->tick, on_tick, 0.,
 		      (double)TICK_PERIOD / (double)WS_SECOND);
 	io->tick.data = io;
@@ -223,6 +228,7 @@
 	ws_eio_store_free(io->store);
 	ws_eio_records_free(io->records);
 	ws_eio_beats_free(io->beats);
+	ws_eio_checks_free(io->checks);
 	ws_eio_targets_free(io->targets);
 	ws_edge_free(io->edge);
 	ws_http_free(io->http);
--- a/lib/edgeio/ws_eio.h
+++ b/lib/edgeio/ws_eio.h
@@ -17,6 +17,7 @@
 
 struct ws_eio_front;
 struct ws_eio_beats;
+struct ws_eio_checks;
 struct ws_eio_records;
 struct ws_eio_store;
 struct ws_eio_targets;
@@ -33,6 +34,7 @@
 	struct ws_eio_front *front;
 	struct ws_eio_beats *beats;
 	struct ws_eio_targets *targets;
+	struct ws_eio_checks *checks;
 	ev_timer tick;
 	uint64_t incarnation;
 	ws_us started_at;
--- a/tests/ed_fleet.c
+++ b/tests/ed_fleet.c
@@ -67,27 +67,46 @@
 				     -1;
 }
 
+static struct fleet_request *request_of(const struct fleet_pending *p)
+{
+	return &fleet.requests[p->request];
+}
+
 static bool states_limit(const struct fleet_server *s)
 {
 	return s->limit >= 0.0 && fleet.now >= FLEET_LIMITED_FROM &&
 	       fleet.now < s->limited_until;
 }
 
+static void note_crash_send(int i)
+{
+	ck_assert_uint_lt(fleet.n_crash_sends, FLEET_CRASH_SENDS_MAX);
+	fleet.crash_sends[fleet.n_crash_sends++] =
+		(struct fleet_crash_send){ .at = fleet.now, .instance = i };
+}
+
 static void send(int i, const struct ws_ed_effect *x)
 {
 	int to = server_of(i, x->u.send.server);
 	struct fleet_server *s = &fleet.servers[to];
+	struct fleet_request *r = &fleet.requests[x->u.send.request];
 	size_t k;
 
 	ck_assert_uint_lt(s->n_arrivals, FLEET_ARRIVALS_MAX);
 	s->arrivals[s->n_arrivals++] =
 		(struct fleet_arrival){ .at = fleet.now, .instance = i };
-	fleet.requests[x->u.send.request].sent = true;
+	r->sent = true;
+	r->sends++;
+	if (fleet.crashing && r->fingerprint == fleet.crashing &&
+	    !s->down_until)
+		note_crash_send(i);
 	for (k = 0; k < FLEET_PENDING_MAX && fleet.pending[k].at; k++)
 		;
 	ck_assert_uint_lt(k, FLEET_PENDING_MAX);
 	fleet.pending[k] = (struct fleet_pending){
-		.at = fleet.now + SERVICE_TIME + 2 * NETWORK_LATENCY,
+		.at = fleet.now + 2 * NETWORK_LATENCY +
+		      (s->down_until ? 0 : SERVICE_TIME),
+		.end = s->down_until ? WS_ED_END_NOT_SENT : WS_ED_END_OK,
 		.sent = fleet.now,
 		.instance = i,
 		.starts = fleet.nodes[i].starts,
@@ -97,6 +116,23 @@
 	};
 }
 
+static void check(int i, const struct ws_ed_effect *x)
+{
+	int to = server_of(i, x->u.check);
+	size_t k;
+
+	for (k = 0; k < FLEET_CHECKS_MAX && fleet.checks[k].at; k++)
+		;
+	ck_assert_uint_lt(k, FLEET_CHECKS_MAX);
+	fleet.checks[k] = (struct fleet_check){
+		.at = fleet.now + 2 * NETWORK_LATENCY,
+		.instance = i,
+		.starts = fleet.nodes[i].starts,
+		.server = to,
+		.started_ms = fleet.servers[to].started_ms,
+	};
+}
+
 static void cancel(int i, const struct ws_ed_effect *x)
 {
 	size_t k;
@@ -126,11 +162,18 @@
 		case WS_EDFX_CANCEL:
 			cancel(i, x);
 			break;
+		case WS_EDFX_CHECK:
+			check(i, x);
+			break;
 		case WS_EDFX_REPLY:
 			r = &fleet.requests[x->u.reply.request];
 			/* 1 us stands for "at once". */
 			r->refused_after = fleet.now - r->arrived + 1;
 			r->retry_after = x->u.reply.retry_after;
+			r->reason = x->u.reply.reason;
+			break;
+		case WS_EDFX_FORWARD:
+			fleet.requests[x->u.reply.request].answered = true;
 			break;
 		default:
 			break;
@@ -138,6 +181,25 @@
 	}
 }
 
+void fleet_crash_server(int server)
+{
+	struct fleet_server *s = &fleet.servers[server];
+	size_t k;
+
+	if (s->down_until)
+		return;
+	s->down_until = fleet.now + FLEET_DOWN_TIME;
+	s->unlisted_at = fleet.now + fleet.list_delay;
+	for (k = 0; k < FLEET_PENDING_MAX; k++) {
+		struct fleet_pending *p = &fleet.pending[k];
+
+		if (!p->at || p->server != server)
+			continue;
+		p->end = WS_ED_END_CONNECTION_LOST;
+		p->at = fleet.now;
+	}
+}
+
 static void deliver_answers(void)
 {
 	size_t k;
@@ -153,19 +215,27 @@
 		n = &fleet.nodes[p->instance];
 		if (n->frozen_until > fleet.now)
 			continue;
+		s = &fleet.servers[p->server];
+		if (p->end == WS_ED_END_OK && fleet.crashing &&
+		    request_of(p)->fingerprint == fleet.crashing) {
+			fleet.crashed_at[fleet.n_crashes++] = fleet.now;
+			fleet_crash_server(p->server);
+		}
 		p->at = 0;
 		if (!n->edge || n->starts != p->starts)
 			continue;
-		s = &fleet.servers[p->server];
 		ev.u.ending = (struct ws_ed_ending){
 			.request = p->request,
 			.lane = p->lane,
-			.end = WS_ED_END_OK,
+			.end = p->end,
 			.status = 200,
 			.latency = fleet.now - p->sent,
-			.report = { .known = true, .running = 1, .slots = 4 },
 		};
-		if (states_limit(s)) {
+		if (p->end == WS_ED_END_OK)
+			ev.u.ending.report = (struct ws_ed_report){
+				.known = true, .running = 1, .slots = 4
+			};
+		if (p->end == WS_ED_END_OK && states_limit(s)) {
 			ev.u.ending.report.limit = (struct ws_ed_limit_news){
 				.kind = WS_ED_LIMIT_NAMED, .per_s = s->limit
 			};
@@ -176,6 +246,29 @@
 	}
 }
 
+static void end_checks(void)
+{
+	size_t k;
+
+	for (k = 0; k < FLEET_CHECKS_MAX; k++) {
+		struct fleet_check *c = &fleet.checks[k];
+		struct ws_ed_event ev = { .kind = WS_EDEV_REFUSED };
+		const struct fleet_instance *n = &fleet.nodes[c->instance];
+		char name[16];
+
+		if (!c->at || fleet.now < c->at || n->frozen_until > fleet.now)
+			continue;
+		c->at = 0;
+		if (!n->edge || n->starts != c->starts ||
+		    !fleet.servers[c->server].down_until)
+			continue;
+		snprintf(name, sizeof(name), "s%d", c->server);
+		ev.u.refused.server = ws_ed_id(name);
+		ev.u.refused.started_ms = c->started_ms;
+		step(c->instance, &ev);
+	}
+}
+
 /* ===== Instances ===== */
 
 void fleet_add_members(int i)
@@ -198,23 +291,73 @@
 	}
 }
 
-static void list_servers(int i)
+static bool is_running(int i)
+{
+	return fleet.nodes[i].edge && fleet.now >= fleet.nodes[i].frozen_until;
+}
+
+static void list_server(int i, int j)
 {
 	struct ws_ed_event ev = { .kind = WS_EDEV_LISTED };
+	struct ws_ed_listing l = {
+		.service = ws_ed_id(service_name()),
+		.zone = zone_id(j),
+		.slots = 4,
+		.started_ms = fleet.servers[j].started_ms,
+	};
+
+	snprintf(l.name, sizeof(l.name), "s%d", j);
+	snprintf(l.address, sizeof(l.address), "10.0.0.%d:1", j);
+	ev.u.listing = &l;
+	step(i, &ev);
+}
+
+static void unlist_server(int i, int j)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_UNLISTED };
+	char name[16];
+
+	snprintf(name, sizeof(name), "s%d", j);
+	ev.u.unlisted = ws_ed_id(name);
+	step(i, &ev);
+}
+
+/* Servers that are down stay listed until the list drops them. */
+static void list_servers(int i)
+{
 	int j;
 
-	for (j = 0; j < FLEET_SERVERS; j++) {
-		struct ws_ed_listing l = {
-			.service = ws_ed_id(service_name()),
-			.zone = zone_id(j),
-			.slots = 4,
-			.started_ms = 1,
-		};
+	for (j = 0; j < fleet.n_servers; j++)
+		if (!fleet.servers[j].down_until ||
+		    fleet.servers[j].unlisted_at)
+			list_server(i, j);
+}
 
-		snprintf(l.name, sizeof(l.name), "s%d", j);
-		snprintf(l.address, sizeof(l.address), "10.0.0.%d:1", j);
-		ev.u.listing = &l;
-		step(i, &ev);
+/* Starts crashed servers again and updates the list. */
+static void update_servers(void)
+{
+	int i;
+	int j;
+
+	for (j = 0; j < fleet.n_servers; j++) {
+		struct fleet_server *s = &fleet.servers[j];
+
+		if (!s->down_until || fleet.store_down)
+			continue;
+		if (s->unlisted_at && fleet.now >= s->unlisted_at) {
+			s->unlisted_at = 0;
+			for (i = 0; i < fleet.n; i++)
+				if (is_running(i))
+					unlist_server(i, j);
+		}
+		if (fleet.now < s->down_until)
+			continue;
+		s->down_until = 0;
+		s->unlisted_at = 0;
+		s->started_ms++;
+		for (i = 0; i < fleet.n; i++)
+			if (is_running(i))
+				list_server(i, j);
 	}
 }
 
@@ -271,6 +414,7 @@
 	};
 
 	n->edge = ws_edge_new(&set);
+	n->incarnation = set.incarnation;
 	n->starts++;
 	n->next_beat = fleet.now + (i * 7) % 100 * WS_MS;
 	len = snprintf(config, sizeof(config), config_text,
@@ -289,19 +433,19 @@
 	fleet.nodes[i].up_at = fleet.now + time;
 }
 
-static bool is_running(int i)
+static bool is_cut(int i)
 {
-	return fleet.nodes[i].edge && fleet.now >= fleet.nodes[i].frozen_until;
+	return fleet.now < fleet.nodes[i].cut_until;
 }
 
-static void deliver_beat(const struct ws_ed_member *to)
+static void deliver_beat(int from, const struct ws_ed_member *to)
 {
 	struct ws_ed_event ev = { .kind = WS_EDEV_HEARTBEAT };
 	int i = atoi(to->address);
 	int len = ws_ed_beat_encode(&beat, buf, sizeof(buf));
 
 	ck_assert_int_gt(len, 0);
-	if (!is_running(i))
+	if (!is_running(i) || is_cut(i) || is_cut(from))
 		return;
 	ck_assert_int_eq(ws_ed_beat_decode(&decoded, buf, (size_t)len), 0);
 	ev.u.beat = &decoded;
@@ -322,7 +466,7 @@
 	snprintf(beat.address, sizeof(beat.address), "%d", i);
 	for (j = 0; j < p->n; j++)
 		if (ws_edge_beat_for(n->edge, &p->members[j], &beat))
-			deliver_beat(&p->members[j]);
+			deliver_beat(i, &p->members[j]);
 	for (group = 0; group < WS_ED_RECEIVER_GROUPS; group++)
 		while (ws_edge_beat_continue(
 			n->edge, (enum ws_ed_receiver_group)group, &beat))
@@ -330,12 +474,12 @@
 				if (ws_edge_is_receiver(
 					    n->edge, &p->members[j],
 					    (enum ws_ed_receiver_group)group))
-					deliver_beat(&p->members[j]);
+					deliver_beat(i, &p->members[j]);
 }
 
 /* ===== Callers ===== */
 
-size_t fleet_submit(int i)
+size_t fleet_submit_as(int i, uint64_t fingerprint)
 {
 	struct ws_ed_event ev = { .kind = WS_EDEV_ARRIVAL };
 	size_t id = ++fleet.n_requests;
@@ -345,17 +489,26 @@
 		.path = fleet.sharded ? "/k/1" : "/o/1",
 		.caller_key = fleet.caller_key,
 		.deadline = DEADLINE,
+		.fingerprint = fingerprint,
 		.key = (int32_t)ws_rand_below(&fleet.rand, WS_ED_KEYS),
 		.started = fleet.now,
 	};
 
 	ck_assert_uint_lt(id, FLEET_REQUESTS_MAX);
-	fleet.requests[id] = (struct fleet_request){ .arrived = fleet.now };
+	fleet.requests[id] = (struct fleet_request){
+		.arrived = fleet.now,
+		.fingerprint = fingerprint,
+	};
 	ev.u.arrival = &a;
 	step(i, &ev);
 	return id;
 }
 
+size_t fleet_submit(int i)
+{
+	return fleet_submit_as(i, ws_mix(fleet.n_requests + 1, 1));
+}
+
 static void submit_arrivals(double per_s)
 {
 	fleet.owed += per_s * (double)FLEET_STEP / (double)WS_SECOND;
@@ -368,6 +521,30 @@
 	}
 }
 
+/* ===== Strikes ===== */
+
+void fleet_report_strikes(int i, int j, uint64_t request)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_HEARTBEAT };
+	uint32_t k;
+
+	memset(&beat, 0, sizeof(beat));
+	beat.from = instance_id(j);
+	beat.zone = zone_id(j);
+	beat.incarnation = fleet.nodes[j].incarnation;
+	snprintf(beat.address, sizeof(beat.address), "%d", j);
+	/* Later than its last heartbeat, earlier than the next one. */
+	beat.timestamp = fleet.now + ++fleet.n_reports;
+	beat.scope = WS_ED_SCOPE_FULL;
+	for (k = 0; k < 2; k++)
+		beat.strikes[beat.n_strikes++] = (struct ws_ed_strike){
+			.request = request,
+			.crash = ws_mix(request, k),
+		};
+	ev.u.beat = &beat;
+	step(i, &ev);
+}
+
 /* ===== Run ===== */
 
 void fleet_run(ws_us time, double per_s)
@@ -378,7 +555,10 @@
 
 	while (fleet.now < end) {
 		fleet.now += FLEET_STEP;
+		fleet.n_reports = 0;
 		deliver_answers();
+		end_checks();
+		update_servers();
 		submit_arrivals(per_s);
 		for (i = 0; i < fleet.n; i++) {
 			struct fleet_instance *n = &fleet.nodes[i];
@@ -390,7 +570,8 @@
 			if (!is_running(i))
 				continue;
 			step(i, &tick);
-			if (fleet.now / FLEET_STEP % 100 == 0)
+			if (fleet.now / FLEET_STEP % 100 == 0 &&
+			    !fleet.store_down)
 				read_store(i);
 			send_beats(i);
 		}
@@ -400,19 +581,23 @@
 void fleet_start(int n, bool sharded)
 {
 	const char *caller_key = fleet.caller_key;
+	int n_servers = fleet.n_servers ? fleet.n_servers : FLEET_SERVERS;
 	int i;
 
 	for (i = 0; i < FLEET_INSTANCES_MAX; i++)
 		ws_edge_free(fleet.nodes[i].edge);
 	memset(&fleet, 0, sizeof(fleet));
 	fleet.caller_key = caller_key;
+	fleet.n_servers = n_servers;
 	ws_rand_seed(&fleet.rand, 11);
 	fleet.n = n;
 	fleet.zones = 1 + n / PER_ZONE_MAX;
 	fleet.sharded = sharded;
 	fleet.now = FLEET_START;
-	for (i = 0; i < FLEET_SERVERS; i++)
+	for (i = 0; i < n_servers; i++) {
 		fleet.servers[i].limit = -1.0;
+		fleet.servers[i].started_ms = 1;
+	}
 	for (i = 0; i < n; i++)
 		fleet.nodes[i].starts = 1;
 	for (i = 0; i < n; i++) {
