Give the edge a table of its own for requests with strikes

The table of the older daemon (ws_quar) has what the edge needs next in the wrong place: strikes beyond the second are not recorded, an expiry can't be taken over from another instance, and its entries can't be read. ws_ed_struck keeps three strikes, so that a request that crashed more servers than it takes to be refused can be told from one that was at two crashes. What the edge alone used goes from ws_quar.

--- a/lib/core/ws_quar.c
+++ b/lib/core/ws_quar.c
@@ -137,14 +137,6 @@
 	e->until = now + WS_QUAR_TIME;
 }
 
-void ws_quar_clear(struct ws_quar *q, uint64_t fingerprint)
-{
-	uint32_t s = find(q, fingerprint);
-
-	if (s != WS_SLOT_NONE)
-		ws_slots_release(&q->slots, s);
-}
-
 unsigned ws_quar_strikes(const struct ws_quar *q, ws_us now,
 			 uint64_t fingerprint)
 {
@@ -161,26 +153,6 @@
 	return ws_quar_strikes(q, now, fingerprint) >= WS_QUAR_STRIKES;
 }
 
-bool ws_quar_next(const struct ws_quar *q, ws_us now, uint32_t *cursor,
-		  uint64_t *fingerprint, uint64_t strike_ids[WS_QUAR_STRIKES])
-{
-	uint32_t i;
-
-	for (i = 0; i < q->slots.cap; i++) {
-		uint32_t s = (*cursor + i) % q->slots.cap;
-		const struct entry *e = &q->entries[s];
-
-		if (!q->slots.slot[s].used || e->until <= now ||
-		    e->strikes < WS_QUAR_STRIKES)
-			continue;
-		*cursor = s + 1;
-		*fingerprint = e->fingerprint;
-		memcpy(strike_ids, e->strike_id, sizeof(e->strike_id));
-		return true;
-	}
-	return false;
-}
-
 void ws_quar_tick(struct ws_quar *q, ws_us now)
 {
 	remove_expired(q, now);
--- a/lib/core/ws_quar.h
+++ b/lib/core/ws_quar.h
@@ -24,9 +24,6 @@
 void ws_quar_strike(struct ws_quar *q, ws_us now, uint64_t fingerprint,
 		    uint64_t strike_id);
 
-/* Removes the strikes against a fingerprint. */
-void ws_quar_clear(struct ws_quar *q, uint64_t fingerprint);
-
 /* Current number of strikes against a fingerprint. */
 unsigned ws_quar_strikes(const struct ws_quar *q, ws_us now,
 			 uint64_t fingerprint);
@@ -35,15 +32,6 @@
 bool ws_quar_is_quarantined(const struct ws_quar *q, ws_us now,
 			    uint64_t fingerprint);
 
-/*
- * Iterates over the requests in quarantine, without an end: starts again after
- * the last one.
- * @param cursor 0 at first, then as it was left
- * @return false if there are none
- */
-bool ws_quar_next(const struct ws_quar *q, ws_us now, uint32_t *cursor,
-		  uint64_t *fingerprint, uint64_t strike_ids[WS_QUAR_STRIKES]);
-
 /* Removes expired entries. */
 void ws_quar_tick(struct ws_quar *q, ws_us now);
 
--- a/lib/edge/ws_ed_suspect.c
+++ b/lib/edge/ws_ed_suspect.c
@@ -10,12 +10,12 @@
 void ws_ed_suspects_init(struct ws_ed_suspects *s)
 {
 	memset(s, 0, sizeof(*s));
-	s->quar = ws_quar_new(WS_ED_STRUCK_REQUESTS_MAX);
+	ws_ed_struck_init(&s->struck, WS_ED_STRUCK_REQUESTS_MAX);
 }
 
 void ws_ed_suspects_free(struct ws_ed_suspects *s)
 {
-	ws_quar_free(s->quar);
+	ws_ed_struck_free(&s->struck);
 	memset(s, 0, sizeof(*s));
 }
 
@@ -87,14 +87,13 @@
 static bool add_strike(struct ws_ed_suspects *s, ws_us now,
 		       const struct ws_ed_strike *k, bool sends)
 {
-	unsigned before = ws_quar_strikes(s->quar, now, k->request);
-	unsigned after;
+	bool was_refused = ws_ed_suspects_refuses(s, now, k->request);
 
-	ws_quar_strike(s->quar, now, k->request, k->crash);
-	after = ws_quar_strikes(s->quar, now, k->request);
-	if (after > before && sends)
+	if (!ws_ed_struck_add(&s->struck, now, k, WS_ED_REFUSED_TIME))
+		return false;
+	if (sends)
 		queue_strike(s, k);
-	return after > before && after >= WS_QUAR_STRIKES;
+	return !was_refused && ws_ed_suspects_refuses(s, now, k->request);
 }
 
 void ws_ed_suspects_on_crash(struct ws_ed_suspects *s, ws_us now, ws_id server,
@@ -132,7 +131,9 @@
 unsigned ws_ed_suspects_clear(struct ws_ed_suspects *s, ws_us now,
 			      uint64_t request)
 {
-	unsigned strikes = ws_quar_strikes(s->quar, now, request);
+	const struct ws_ed_struck *struck =
+		ws_ed_struck_find(&s->struck, now, request);
+	unsigned strikes = struck ? struck->n : 0;
 	size_t i = 0;
 
 	while (i < s->n)
@@ -141,32 +142,37 @@
 		else
 			i++;
 	if (strikes)
-		ws_quar_clear(s->quar, request);
+		ws_ed_struck_remove(&s->struck, request);
 	return strikes;
 }
 
 bool ws_ed_suspects_refuses(const struct ws_ed_suspects *s, ws_us now,
 			    uint64_t request)
 {
-	return ws_quar_is_quarantined(s->quar, now, request);
+	return ws_ed_struck_refused(
+		ws_ed_struck_find(&s->struck, now, request));
 }
 
 /* Adds the strikes against the next request that is refused. */
 static uint32_t add_refused(struct ws_ed_suspects *s, ws_us now,
 			    struct ws_ed_strike *strikes)
 {
-	uint64_t crashes[WS_QUAR_STRIKES];
-	uint64_t request;
+	uint32_t slot = ws_ed_struck_next(&s->struck, now, s->next_refused);
+	const struct ws_ed_struck *r;
 	uint32_t i;
 
-	if (!ws_quar_next(s->quar, now, &s->next_refused, &request, crashes))
+	if (slot == WS_SLOT_NONE)
+		slot = ws_ed_struck_next(&s->struck, now, 0);
+	if (slot == WS_SLOT_NONE)
 		return 0;
-	for (i = 0; i < WS_QUAR_STRIKES; i++)
+	s->next_refused = slot + 1;
+	r = &s->struck.items[slot];
+	for (i = 0; i < WS_ED_STRIKES_TO_REFUSE; i++)
 		strikes[i] = (struct ws_ed_strike){
-			.request = request,
-			.crash = crashes[i],
+			.request = r->request,
+			.crash = r->crashes[i],
 		};
-	return WS_QUAR_STRIKES;
+	return i;
 }
 
 uint32_t ws_ed_suspects_next_strikes(struct ws_ed_suspects *s, ws_us now,
--- a/lib/edge/ws_ed_suspect.h
+++ b/lib/edge/ws_ed_suspect.h
@@ -1,7 +1,7 @@
 #ifndef WS_ED_SUSPECT_H
 #define WS_ED_SUSPECT_H
 
-#include "core/ws_quar.h"
+#include "edge/ws_ed_struck.h"
 
 /*
  * Quarantine of requests that crash the servers that run them, and that the
@@ -51,13 +51,8 @@
 	ws_us due_at;
 };
 
-struct ws_ed_strike {
-	uint64_t request;
-	uint64_t crash; /* identifies the server process that crashed */
-};
-
 struct ws_ed_suspects {
-	struct ws_quar *quar;
+	struct ws_ed_struck_table struck;
 	struct ws_ed_suspect items[WS_ED_SUSPECTS_MAX]; /* oldest first */
 	size_t n;
 	struct ws_ed_check checks[WS_ED_CHECKS_MAX]; /* earliest first */
@@ -67,7 +62,7 @@
 		unsigned rounds_left; /* heartbeats that it is still sent in */
 	} queue[WS_ED_STRIKE_QUEUE_MAX]; /* oldest first */
 	size_t n_queue;
-	uint32_t next_refused; /* cursor for ws_quar_next() */
+	uint32_t next_refused; /* slot to continue with */
 };
 
 void ws_ed_suspects_init(struct ws_ed_suspects *s);
