Send refused requests to instances that lack them, as lists

Callers saw: after a restart of one instance, or a cut between instances, a request that all others refused crashed servers again at that instance, with all other requests at those servers (BUDGET).

Cause: a new process hears of one refused request in each heartbeat, in turn, so that hundreds take much longer than contact_s (3 s).

Ruled out: lost datagrams (there are none in the simulation).

Change: an instance that refuses requests sends a digest of their set once a second, to those that get its full heartbeats. Whoever has another set answers with its list, 33 requests a datagram, with what is left of their time, so that a list never prolongs a refusal. Both have the union then; events that were missed don't matter any more. The list is sent at most once in 0.9 s to a member, less often while sets stay different, and nothing is sent while nothing is refused. The messages have a format of their own, which earlier versions ignore; the format of heartbeats is as before.

--- a/lib/edge/ws_ed_beat.c
+++ b/lib/edge/ws_ed_beat.c
@@ -693,3 +693,63 @@
 	}
 	return fill_slice(e, m, first, b);
 }
+
+/* ===== Refused requests ===== */
+
+bool ws_edge_refused_digest(struct ws_edge *e, ws_us now,
+			    struct ws_ed_refused_list *l)
+{
+	if (now < e->next_digest)
+		return false;
+	e->next_digest = now + WS_ED_REFUSED_DIGEST_PERIOD;
+	l->from = e->set.self;
+	l->digest = ws_ed_refused_digest(&e->suspects.struck, now);
+	l->n = 0;
+	return l->digest;
+}
+
+bool ws_edge_gets_digest(const struct ws_edge *e, const struct ws_ed_member *m)
+{
+	return ws_ed_peers_scope(&e->peers, m) == WS_ED_SCOPE_FULL;
+}
+
+uint32_t ws_edge_refused_list(const struct ws_edge *e, ws_us now,
+			      uint32_t first, struct ws_ed_refused_list *l)
+{
+	l->from = e->set.self;
+	l->digest = ws_ed_refused_digest(&e->suspects.struck, now);
+	return ws_ed_refused_fill(&e->suspects.struck, now, first, l);
+}
+
+/* Sends a member the own list, as its digest differs. */
+static void send_refused(struct ws_edge *e, struct ws_ed_member *m,
+			 struct ws_ed_fx *fx)
+{
+	if (m->refused_sent_at &&
+	    e->now - m->refused_sent_at < m->refused_interval)
+		return;
+	m->refused_interval = m->refused_interval ? 2 * m->refused_interval :
+						    WS_ED_REFUSED_LIST_INTERVAL;
+	if (m->refused_interval > WS_ED_REFUSED_LIST_INTERVAL_MAX)
+		m->refused_interval = WS_ED_REFUSED_LIST_INTERVAL_MAX;
+	m->refused_sent_at = e->now;
+	ws_ed_fx_add(fx, WS_EDFX_REFUSED)->u.member = m->id;
+}
+
+void ws_ed_refused_receive(struct ws_edge *e,
+			   const struct ws_ed_refused_list *l,
+			   struct ws_ed_fx *fx)
+{
+	struct ws_ed_member *m = ws_ed_peers_find(&e->peers, l->from);
+	size_t n = ws_ed_refused_merge(&e->suspects.struck, e->now, l);
+
+	if (n)
+		ws_ed_fx_log(fx, WS_LOG_QUARANTINE, l->from, (int64_t)n,
+			     "in the list of another instance");
+	if (!m)
+		return;
+	if (ws_ed_refused_digest(&e->suspects.struck, e->now) == l->digest)
+		m->refused_interval = 0;
+	else if (!l->n)
+		send_refused(e, m, fx);
+}
--- a/lib/edge/ws_ed_codec.c
+++ b/lib/edge/ws_ed_codec.c
@@ -7,6 +7,7 @@
 
 /* First word of a message: identifies the format and its version. */
 #define BEAT_MAGIC 0x5753420cU
+#define REFUSED_MAGIC 0x57535201U
 #define MAP_MAGIC 0x57534d02U
 /* Maps that name no voters, written by earlier versions. */
 #define MAP_MAGIC_WITHOUT_VOTERS 0x57534d01U
@@ -297,6 +298,57 @@
 	return xdr_beat(&x, b) ? 0 : WS_ERR_SYNTAX;
 }
 
+/* ===== Refused requests ===== */
+
+static bool xdr_refused_item(XDR *x, struct ws_ed_refused_item *r)
+{
+	uint32_t i;
+
+	if (!xdr_id(x, &r->request) || !xdr_uint32_t(x, &r->expires_in) ||
+	    (ws_us)r->expires_in * WS_SECOND > WS_ED_REFUSED_TIME ||
+	    !xdr_uint32_t(x, &r->n) || r->n < WS_ED_STRIKES_TO_REFUSE ||
+	    r->n > WS_ED_STRIKES_KEPT)
+		return false;
+	for (i = 0; i < r->n; i++)
+		if (!xdr_id(x, &r->crashes[i]))
+			return false;
+	return true;
+}
+
+static bool xdr_refused_list(XDR *x, struct ws_ed_refused_list *l)
+{
+	uint32_t i;
+
+	if (!xdr_magic(x, REFUSED_MAGIC) || !xdr_id(x, &l->from) ||
+	    !xdr_id(x, &l->digest) || !xdr_uint32_t(x, &l->n) ||
+	    l->n > WS_ED_REFUSED_ITEMS)
+		return false;
+	for (i = 0; i < l->n; i++)
+		if (!xdr_refused_item(x, &l->items[i]))
+			return false;
+	return true;
+}
+
+int ws_ed_refused_encode(const struct ws_ed_refused_list *l, void *buf,
+			 size_t size)
+{
+	XDR x;
+
+	xdrmem_create(&x, buf, (u_int)size, XDR_ENCODE);
+	if (!xdr_refused_list(&x, (struct ws_ed_refused_list *)(uintptr_t)l))
+		return WS_ERR_LIMIT;
+	return (int)xdr_getpos(&x);
+}
+
+int ws_ed_refused_decode(struct ws_ed_refused_list *l, const void *buf,
+			 size_t len)
+{
+	XDR x;
+
+	xdrmem_create(&x, (char *)(uintptr_t)buf, (u_int)len, XDR_DECODE);
+	return xdr_refused_list(&x, l) ? 0 : WS_ERR_SYNTAX;
+}
+
 /* ===== Maps in the store ===== */
 
 int ws_ed_map_encode(const struct ws_ed_map *m, void *buf, size_t size)
--- a/lib/edge/ws_ed_fx.h
+++ b/lib/edge/ws_ed_fx.h
@@ -19,6 +19,7 @@
 	WS_EDFX_READ, /* read a topic that may have newer records */
 	WS_EDFX_CHECK, /* find out whether a server accepts connections */
 	WS_EDFX_HEARTBEAT, /* send a heartbeat now */
+	WS_EDFX_REFUSED, /* send a member the list of refused requests */
 	WS_EDFX_LOG, /* write a log line */
 };
 
@@ -90,6 +91,7 @@
 		struct ws_ed_key_call call;
 		enum ws_ed_topic topic; /* READ */
 		uint32_t check; /* CHECK: handle of the server */
+		ws_id member; /* REFUSED */
 		struct {
 			uint64_t at; /* position the record must get */
 		} append;
--- a/lib/edge/ws_ed_peers.h
+++ b/lib/edge/ws_ed_peers.h
@@ -81,6 +81,8 @@
 	uint64_t topic_ends[WS_ED_TOPICS]; /* known ends of topics, positions */
 	uint64_t epoch; /* highest leader epoch that it knows */
 	ws_us map_sent_at; /* when the whole key map was last sent to it */
+	ws_us refused_sent_at; /* when the refused requests were; 0: never */
+	ws_us refused_interval; /* least time until they are sent again */
 	/* Customers it serves, from its last full heartbeat */
 	uint32_t n_customers;
 	ws_id customers[WS_ED_MEMBER_CUSTOMERS_MAX];
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -167,8 +167,8 @@
 }
 
 /* A server has refused a connection that was opened to check it. */
-static void on_refused(struct ws_edge *e, ws_id server, int64_t started_ms,
-		       struct ws_ed_fx *fx)
+static void on_check_refused(struct ws_edge *e, ws_id server,
+			     int64_t started_ms, struct ws_ed_fx *fx)
 {
 	int32_t h = ws_ed_pool_find(&e->pool, server);
 
@@ -440,9 +440,12 @@
 					  ev->u.key_called.handover, fx);
 		ws_ed_lead_tick(&e->lead, e->now, fx);
 		break;
-	case WS_EDEV_REFUSED:
-		on_refused(e, ev->u.refused.server, ev->u.refused.started_ms,
-			   fx);
+	case WS_EDEV_CHECK_REFUSED:
+		on_check_refused(e, ev->u.check_refused.server,
+				 ev->u.check_refused.started_ms, fx);
+		break;
+	case WS_EDEV_REFUSED_LIST:
+		ws_ed_refused_receive(e, ev->u.refused_list, fx);
 		break;
 	case WS_EDEV_DRAIN:
 		e->draining = true;
--- a/lib/edge/ws_edge.h
+++ b/lib/edge/ws_edge.h
@@ -9,6 +9,7 @@
 #include "edge/ws_ed_peers.h"
 #include "edge/ws_ed_pool.h"
 #include "edge/ws_ed_quota.h"
+#include "edge/ws_ed_refused.h"
 #include "edge/ws_ed_suspect.h"
 
 /*
@@ -66,7 +67,8 @@
 	WS_EDEV_CALLER_GONE, /* the caller has disconnected */
 	WS_EDEV_REQUEST_ENDED, /* a request at a server has ended */
 	WS_EDEV_KEY_CALLED, /* a grant or release has ended */
-	WS_EDEV_REFUSED, /* a server has refused a checked connection */
+	WS_EDEV_CHECK_REFUSED, /* a server has refused a checked connection */
+	WS_EDEV_REFUSED_LIST, /* refused requests of another instance */
 	WS_EDEV_DRAIN, /* the process is asked to terminate */
 };
 
@@ -253,7 +255,8 @@
 		struct {
 			ws_id server;
 			int64_t started_ms; /* when the check began */
-		} refused;
+		} check_refused;
+		const struct ws_ed_refused_list *refused_list;
 		ws_us drain_time; /* until the process ends */
 	} u;
 };
@@ -308,6 +311,25 @@
 uint32_t ws_edge_beat_map(struct ws_edge *e, const struct ws_ed_member *m,
 			  uint32_t first, struct ws_ed_beat *beat);
 
+/*
+ * Fills in a message with the digest of the refused requests.
+ * @return false if none is due
+ */
+bool ws_edge_refused_digest(struct ws_edge *e, ws_us now,
+			    struct ws_ed_refused_list *l);
+
+/* Whether a member gets that message. */
+bool ws_edge_gets_digest(const struct ws_edge *e, const struct ws_ed_member *m);
+
+/*
+ * Fills in a message with refused requests, or with the digest alone if there
+ * are none.
+ * @param first 0, or the return value of the last call
+ * @return argument of the next call; 0: that was the last message
+ */
+uint32_t ws_edge_refused_list(const struct ws_edge *e, ws_us now,
+			      uint32_t first, struct ws_ed_refused_list *l);
+
 /* Ready for callers: configuration and list of servers are recent. */
 bool ws_edge_ready(const struct ws_edge *e, ws_us now);
 
--- a/lib/edge/ws_edge_int.h
+++ b/lib/edge/ws_edge_int.h
@@ -106,6 +106,7 @@
 	size_t next_member; /* member to start with */
 	size_t next_load; /* server to start with */
 	size_t next_limit; /* server to start with */
+	ws_us next_digest; /* of the refused requests */
 	/* The current round of heartbeats */
 	struct {
 		uint64_t number;
@@ -158,6 +159,11 @@
 void ws_ed_beat_receive(struct ws_edge *e, const struct ws_ed_beat *b,
 			struct ws_ed_fx *fx);
 
+/* Processes refused requests of another instance. */
+void ws_ed_refused_receive(struct ws_edge *e,
+			   const struct ws_ed_refused_list *l,
+			   struct ws_ed_fx *fx);
+
 /* ===== ws_ed_budget.c ===== */
 
 /* Finds or adds the state of a service. */
--- a/lib/edgeio/ws_eio.c
+++ b/lib/edgeio/ws_eio.c
@@ -79,6 +79,9 @@
 	case WS_EDFX_HEARTBEAT:
 		ws_eio_beats_send(io->beats);
 		break;
+	case WS_EDFX_REFUSED:
+		ws_eio_beats_send_refused(io->beats, x->u.member);
+		break;
 	case WS_EDFX_LOG:
 		ws_eio_log(x->u.log.number, x->u.log.subject, x->u.log.value,
 			   x->u.log.detail);
--- a/lib/edgeio/ws_eio_beats.c
+++ b/lib/edgeio/ws_eio_beats.c
@@ -21,6 +21,7 @@
 	ws_us next;
 	struct ws_ed_beat beat; /* scratch space for sending */
 	struct ws_ed_beat received; /* scratch space for receiving */
+	struct ws_ed_refused_list list; /* scratch space */
 	unsigned char buf[WS_ED_BEAT_BYTES];
 	unsigned char in[WS_ED_BEAT_BYTES];
 };
@@ -60,6 +61,39 @@
 	}
 }
 
+static void send_list(struct ws_eio_beats *b, const struct ws_ed_member *m)
+{
+	send_bytes(b, m,
+		   ws_ed_refused_encode(&b->list, b->buf, sizeof(b->buf)));
+}
+
+static void send_refused_digest(struct ws_eio_beats *b, ws_us now)
+{
+	const struct ws_ed_peers *peers = ws_edge_peers(b->io->edge);
+	size_t i;
+
+	if (!ws_edge_refused_digest(b->io->edge, now, &b->list))
+		return;
+	for (i = 0; i < peers->n; i++)
+		if (ws_edge_gets_digest(b->io->edge, &peers->members[i]))
+			send_list(b, &peers->members[i]);
+}
+
+void ws_eio_beats_send_refused(struct ws_eio_beats *b, ws_id member)
+{
+	const struct ws_ed_member *m =
+		ws_ed_peers_find(ws_edge_peers(b->io->edge), member);
+	ws_us now = ws_eio_now();
+	uint32_t next = 0;
+
+	if (!m)
+		return;
+	do {
+		next = ws_edge_refused_list(b->io->edge, now, next, &b->list);
+		send_list(b, m);
+	} while (next);
+}
+
 static void send_map(struct ws_eio_beats *b, const struct ws_ed_member *m)
 {
 	uint32_t next = 0;
@@ -92,6 +126,7 @@
 	}
 	for (i = 0; i < WS_ED_RECEIVER_GROUPS; i++)
 		send_continued(b, peers, (enum ws_ed_receiver_group)i);
+	send_refused_digest(b, now);
 }
 
 static void on_timer(void *arg, ws_us now)
@@ -102,10 +137,25 @@
 		ws_eio_beats_send(b);
 }
 
+/* Ignores what it can't decode, such as messages of a later version. */
+static void receive(struct ws_eio_beats *b, size_t len)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_HEARTBEAT };
+
+	if (!ws_ed_beat_decode(&b->received, b->in, len)) {
+		ev.u.beat = &b->received;
+	} else if (!ws_ed_refused_decode(&b->list, b->in, len)) {
+		ev.kind = WS_EDEV_REFUSED_LIST;
+		ev.u.refused_list = &b->list;
+	} else {
+		return;
+	}
+	ws_eio_handle_event(b->io, &ev);
+}
+
 static void on_datagram(EV_P_ ev_io *w, int revents)
 {
 	struct ws_eio_beats *b = w->data;
-	struct ws_ed_event ev = { .kind = WS_EDEV_HEARTBEAT };
 	int i;
 
 	(void)loop;
@@ -115,10 +165,7 @@
 
 		if (n < 0)
 			return;
-		if (ws_ed_beat_decode(&b->received, b->in, (size_t)n))
-			continue;
-		ev.u.beat = &b->received;
-		ws_eio_handle_event(b->io, &ev);
+		receive(b, (size_t)n);
 	}
 }
 
--- a/lib/edgeio/ws_eio_beats.h
+++ b/lib/edgeio/ws_eio_beats.h
@@ -11,4 +11,7 @@
 /* Sends a heartbeat to all members now. */
 void ws_eio_beats_send(struct ws_eio_beats *b);
 
+/* Sends a member the list of refused requests. */
+void ws_eio_beats_send_refused(struct ws_eio_beats *b, ws_id member);
+
 #endif
--- a/lib/edgeio/ws_eio_checks.c
+++ b/lib/edgeio/ws_eio_checks.c
@@ -43,10 +43,10 @@
 
 static void report_refused(const struct check *k)
 {
-	struct ws_ed_event ev = { .kind = WS_EDEV_REFUSED };
+	struct ws_ed_event ev = { .kind = WS_EDEV_CHECK_REFUSED };
 
-	ev.u.refused.server = k->server;
-	ev.u.refused.started_ms = k->started_ms;
+	ev.u.check_refused.server = k->server;
+	ev.u.check_refused.started_ms = k->started_ms;
 	ws_eio_handle_event(k->owner->io, &ev);
 }
 
--- a/tests/ed_fleet.c
+++ b/tests/ed_fleet.c
@@ -13,6 +13,7 @@
 #define SERVICE_TIME (80 * WS_MS)
 #define OBJECTIVE_TEXT "0.3"
 #define DEADLINE (1200 * WS_MS)
+#define LIST_SENDS_MAX 1024
 
 struct fleet fleet;
 
@@ -36,6 +37,13 @@
 static struct ws_ed_fx fx;
 static struct ws_ed_beat beat;
 static struct ws_ed_beat decoded;
+static struct ws_ed_refused_list list;
+/* Lists that are to be sent, by WS_EDFX_REFUSED. */
+static struct list_send {
+	int from;
+	ws_id to;
+} list_sends[LIST_SENDS_MAX];
+static size_t n_list_sends;
 static unsigned char buf[WS_ED_BEAT_BYTES];
 
 static ws_id instance_id(int i)
@@ -165,6 +173,13 @@
 		case WS_EDFX_CHECK:
 			check(i, x);
 			break;
+		case WS_EDFX_REFUSED:
+			ck_assert_uint_lt(n_list_sends, LIST_SENDS_MAX);
+			list_sends[n_list_sends++] = (struct list_send){
+				.from = i,
+				.to = x->u.member,
+			};
+			break;
 		case WS_EDFX_REPLY:
 			r = &fleet.requests[x->u.reply.request];
 			/* 1 us stands for "at once". */
@@ -252,7 +267,7 @@
 
 	for (k = 0; k < FLEET_CHECKS_MAX; k++) {
 		struct fleet_check *c = &fleet.checks[k];
-		struct ws_ed_event ev = { .kind = WS_EDEV_REFUSED };
+		struct ws_ed_event ev = { .kind = WS_EDEV_CHECK_REFUSED };
 		const struct fleet_instance *n = &fleet.nodes[c->instance];
 		char name[16];
 
@@ -263,8 +278,8 @@
 		    !fleet.servers[c->server].down_until)
 			continue;
 		snprintf(name, sizeof(name), "s%d", c->server);
-		ev.u.refused.server = ws_ed_id(name);
-		ev.u.refused.started_ms = c->started_ms;
+		ev.u.check_refused.server = ws_ed_id(name);
+		ev.u.check_refused.started_ms = c->started_ms;
 		step(c->instance, &ev);
 	}
 }
@@ -452,6 +467,52 @@
 	step(i, &ev);
 }
 
+static void deliver_list(int from, const struct ws_ed_member *to)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_REFUSED_LIST };
+	struct ws_ed_refused_list copy;
+	int i = atoi(to->address);
+	int len = ws_ed_refused_encode(&list, buf, sizeof(buf));
+
+	ck_assert_int_gt(len, 0);
+	if (!is_running(i) || is_cut(i) || is_cut(from))
+		return;
+	ck_assert_int_eq(ws_ed_refused_decode(&copy, buf, (size_t)len), 0);
+	ev.u.refused_list = &copy;
+	step(i, &ev);
+}
+
+/* Sends the lists that instances were to send in this step. */
+static void send_lists(void)
+{
+	while (n_list_sends) {
+		struct list_send s = list_sends[--n_list_sends];
+		struct ws_edge *e = fleet.nodes[s.from].edge;
+		const struct ws_ed_member *to =
+			e ? ws_ed_peers_find(ws_edge_peers(e), s.to) : NULL;
+		uint32_t next = 0;
+
+		if (!to)
+			continue;
+		do {
+			next = ws_edge_refused_list(e, fleet.now, next, &list);
+			deliver_list(s.from, to);
+		} while (next);
+	}
+}
+
+static void send_digest(int i)
+{
+	const struct ws_ed_peers *p = ws_edge_peers(fleet.nodes[i].edge);
+	size_t j;
+
+	if (!ws_edge_refused_digest(fleet.nodes[i].edge, fleet.now, &list))
+		return;
+	for (j = 0; j < p->n; j++)
+		if (ws_edge_gets_digest(fleet.nodes[i].edge, &p->members[j]))
+			deliver_list(i, &p->members[j]);
+}
+
 static void send_beats(int i)
 {
 	struct fleet_instance *n = &fleet.nodes[i];
@@ -475,6 +536,7 @@
 					    n->edge, &p->members[j],
 					    (enum ws_ed_receiver_group)group))
 					deliver_beat(i, &p->members[j]);
+	send_digest(i);
 }
 
 /* ===== Callers ===== */
@@ -575,6 +637,7 @@
 				read_store(i);
 			send_beats(i);
 		}
+		send_lists();
 	}
 }
 
--- a/tests/test_ed_codec.c
+++ b/tests/test_ed_codec.c
@@ -180,6 +180,80 @@
 }
 END_TEST
 
+static int encode_refused(uint32_t n)
+{
+	static struct ws_ed_refused_list list;
+	uint32_t i;
+
+	list.from = 7;
+	list.digest = 99;
+	list.n = n;
+	for (i = 0; i < n; i++)
+		list.items[i] = (struct ws_ed_refused_item){
+			.request = 100 + i,
+			.crashes = { i, i + 1, i + 2 },
+			.n = WS_ED_STRIKES_KEPT,
+			.expires_in = WS_ED_REFUSED_TIME / WS_SECOND,
+		};
+	return ws_ed_refused_encode(&list, buf, WS_ED_BEAT_BYTES);
+}
+
+/* The same for lists of refused requests. */
+START_TEST(full_list_of_refused_requests_fits_one_datagram)
+{
+	struct ws_ed_refused_list l;
+	int len = encode_refused(WS_ED_REFUSED_ITEMS);
+
+	ck_assert_int_gt(len, 0);
+	ck_assert_int_eq(ws_ed_refused_decode(&l, buf, (size_t)len), 0);
+	ck_assert_uint_eq(l.from, 7);
+	ck_assert_uint_eq(l.digest, 99);
+	ck_assert_uint_eq(l.n, WS_ED_REFUSED_ITEMS);
+	ck_assert_uint_eq(l.items[32].request, 132);
+	ck_assert_uint_eq(l.items[32].crashes[2], 34);
+	/* Heartbeats and lists are told apart. */
+	ck_assert_int_eq(ws_ed_beat_decode(&back, buf, (size_t)len),
+			 WS_ERR_SYNTAX);
+	len = encode_sample();
+	ck_assert_int_eq(ws_ed_refused_decode(&l, buf, (size_t)len),
+			 WS_ERR_SYNTAX);
+}
+END_TEST
+
+/* Guards against refusals without end or without cause by a damaged list. */
+START_TEST(damaged_list_of_refused_requests_is_refused_or_bounded)
+{
+	struct ws_ed_refused_list l;
+	int len = encode_refused(3);
+	struct ws_rand r;
+	uint32_t j;
+	int i;
+
+	for (i = 0; i < len; i++)
+		ck_assert_int_eq(ws_ed_refused_decode(&l, buf, (size_t)i),
+				 WS_ERR_SYNTAX);
+	ws_rand_seed(&r, 1);
+	for (i = 0; i < 20000; i++) {
+		unsigned char copy[sizeof(buf)];
+
+		memcpy(copy, buf, (size_t)len);
+		copy[ws_rand_below(&r, (uint64_t)len)] =
+			(unsigned char)ws_rand_next(&r);
+		if (ws_ed_refused_decode(&l, copy, (size_t)len))
+			continue;
+		ck_assert_uint_le(l.n, WS_ED_REFUSED_ITEMS);
+		for (j = 0; j < l.n; j++) {
+			ck_assert_uint_ge(l.items[j].n,
+					  WS_ED_STRIKES_TO_REFUSE);
+			ck_assert_uint_le(l.items[j].n, WS_ED_STRIKES_KEPT);
+			ck_assert_int_le((ws_us)l.items[j].expires_in *
+						 WS_SECOND,
+					 WS_ED_REFUSED_TIME);
+		}
+	}
+}
+END_TEST
+
 START_TEST(too_small_buffer_is_an_error)
 {
 	encode_sample();
@@ -344,6 +418,8 @@
 		full_beat_fits_one_datagram,
 		full_map_part_fits_one_datagram,
 		full_continuation_fits_one_datagram,
+		full_list_of_refused_requests_fits_one_datagram,
+		damaged_list_of_refused_requests_is_refused_or_bounded,
 		too_small_buffer_is_an_error,
 		adjacent_ranges_of_one_server_are_merged,
 		diff_turns_one_map_into_the_other,
@@ -351,5 +427,5 @@
 		voters_are_kept_and_may_be_missing,
 	};
 
-	return ed_suite_run("ed_codec", tests, 10);
+	return ed_suite_run("ed_codec", tests, 12);
 }
--- a/tests/test_ed_suspect_fleet.c
+++ b/tests/test_ed_suspect_fleet.c
@@ -17,9 +17,83 @@
 #define RETRIES_MAX 3
 #define CRASHES_ALLOWED 3
 #define CRASHING 4711
+#define FIRST_REFUSED 100000
 /* The list drops a crashed server after up to three of its heartbeats. */
 #define LIST_DELAY_MAX (5300 * WS_MS)
 
+/* ===== What a new process knows ===== */
+
+static void refuse_everywhere(int n)
+{
+	int i;
+	int k;
+
+	for (i = 0; i < fleet.n; i++)
+		for (k = 0; k < n; k++)
+			fleet_report_strikes(i, i ? 0 : 1,
+					     FIRST_REFUSED + (uint64_t)k);
+}
+
+static int count_sent(int i, int n)
+{
+	int sent = 0;
+	int k;
+
+	for (k = 0; k < n; k++) {
+		size_t id = fleet_submit_as(i, FIRST_REFUSED + (uint64_t)k);
+
+		sent += fleet.requests[id].reason != WS_EDR_QUARANTINED;
+	}
+	return sent;
+}
+
+static const int fleet_sizes[] = { 2, 5, 10, 85, 295 };
+#define FLEET_SIZES 5
+#define MANY_REFUSED 300
+
+/*
+ * Guards against a process that crashes servers again after its restart,
+ * because it learns of one refused request in each heartbeat only (BUDGET).
+ */
+START_TEST(restarted_instance_knows_refused_requests)
+{
+	int n = fleet_sizes[_i];
+	int sent;
+
+	fleet_start(n, false);
+	fleet_run(5 * WS_SECOND, 0.0);
+	refuse_everywhere(MANY_REFUSED);
+	fleet_run(WS_SECOND, 0.0);
+	fleet_stop(n - 1, WS_SECOND);
+	fleet_run(WS_SECOND + CONTACT, 0.0);
+	sent = count_sent(n - 1, MANY_REFUSED);
+	ck_assert_msg(!sent, "%d of %d sent, %d instances", sent, MANY_REFUSED,
+		      n);
+}
+END_TEST
+
+/* The same for an instance that was cut off while they became refused. */
+START_TEST(instance_knows_refused_requests_after_a_cut)
+{
+	int n = fleet_sizes[_i];
+	int sent;
+	int i;
+	int k;
+
+	fleet_start(n, false);
+	fleet_run(5 * WS_SECOND, 0.0);
+	fleet.nodes[n - 1].cut_until = fleet.now + 5 * WS_SECOND;
+	for (i = 0; i < n - 1; i++)
+		for (k = 0; k < MANY_REFUSED; k++)
+			fleet_report_strikes(i, n - 1,
+					     FIRST_REFUSED + (uint64_t)k);
+	fleet_run(5 * WS_SECOND + CONTACT, 0.0);
+	sent = count_sent(n - 1, MANY_REFUSED);
+	ck_assert_msg(!sent, "%d of %d sent, %d instances", sent, MANY_REFUSED,
+		      n);
+}
+END_TEST
+
 /* ===== A request that crashes servers, among troubles ===== */
 
 #define DAY_TIME (20 * WS_SECOND)
@@ -210,9 +284,15 @@
 
 int main(void)
 {
+	const TTest *const each[] = {
+		restarted_instance_knows_refused_requests,
+		instance_knows_refused_requests_after_a_cut,
+	};
 	const TTest *const tests[] = {
 		crashing_request_ends_few_servers,
 	};
+	int failed =
+		ed_suite_run_each("ed_suspect_fleet", each, 2, FLEET_SIZES);
 
-	return ed_suite_run("ed_suspect_days", tests, 1);
+	return ed_suite_run("ed_suspect_days", tests, 1) || failed;
 }
--- a/tests/test_eio_checks.c
+++ b/tests/test_eio_checks.c
@@ -110,11 +110,11 @@
 /* Guards against a result that arrives for a later process of the server. */
 START_TEST(refusal_of_a_former_process_is_ignored)
 {
-	struct ws_ed_event ev = { .kind = WS_EDEV_REFUSED };
+	struct ws_ed_event ev = { .kind = WS_EDEV_CHECK_REFUSED };
 
 	setup();
-	ev.u.refused.server = ws_ed_id("s");
-	ev.u.refused.started_ms = 1;
+	ev.u.check_refused.server = ws_ed_id("s");
+	ev.u.check_refused.started_ms = 1;
 	ws_eio_handle_event(&io, &ev);
 	ck_assert_uint_eq(backoffs(), 0);
 	teardown();
