Refuse a quarantined request also when it is queued or hedged

Callers saw: a request that had been refused at an instance still went to another server there: after a refused connection, from the queue, or as a second send while the first one took long.

Cause: the quarantine was asked on arrival and before a resend after a lost connection only.

Evidence: two tests in test_ed_suspect_fleet failed before: a request whose connection was refused was sent twice, and one that was late was sent to a second server, each after strikes against it had arrived.

Change: the queue asks each time it places a request, and a hedge before it is considered.

--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -310,6 +310,11 @@
 {
 	if (e->now < c->not_before)
 		return;
+	/* It may have been quarantined while it was queued. */
+	if (ws_ed_suspects_refuses(&e->suspects, e->now, c->fingerprint)) {
+		give_up(e, c, 0, WS_EDR_QUARANTINED, fx);
+		return;
+	}
 	if (e->now + SEND_TIME_MIN >= c->end_at) {
 		give_up(e, c, NO_SERVER_RETRY_AFTER, WS_EDR_TIMEOUT, fx);
 		return;
@@ -680,7 +685,8 @@
 	       c->lanes[0].active && !c->lanes[1].active &&
 	       c->attempts + 1 < c->max_attempts && c->sends < SENDS_MAX &&
 	       c->n_excluded < WS_ED_EXCLUDED_MAX &&
-	       e->now + SEND_TIME_MIN < c->end_at;
+	       e->now + SEND_TIME_MIN < c->end_at &&
+	       !ws_ed_suspects_refuses(&e->suspects, e->now, c->fingerprint);
 }
 
 static void consider_hedge(struct ws_edge *e, struct ed_call *c,
--- a/tests/test_ed_suspect_fleet.c
+++ b/tests/test_ed_suspect_fleet.c
@@ -94,6 +94,65 @@
 }
 END_TEST
 
+/* ===== Requests that become refused while they are here ===== */
+
+#define SUBMITTED 8
+
+/*
+ * Guards against a request that has been refused meanwhile and is sent from the
+ * queue, as this was checked on arrival and after a lost connection only.
+ */
+START_TEST(request_that_becomes_refused_is_not_sent_again)
+{
+	size_t ids[SUBMITTED];
+	int k;
+
+	fleet_start(2, false);
+	fleet_run(5 * WS_SECOND, 20.0);
+	/* Most connections are refused, so that requests go to the queue. */
+	for (k = 0; k < FLEET_SERVERS - 1; k++)
+		fleet_crash_server(k);
+	for (k = 0; k < SUBMITTED; k++) {
+		ids[k] = fleet_submit_as(0, FIRST_REFUSED + (uint64_t)k);
+		ck_assert(fleet.requests[ids[k]].sent);
+		fleet_report_strikes(0, 1, FIRST_REFUSED + (uint64_t)k);
+	}
+	fleet_run(WS_SECOND, 0.0);
+	for (k = 0; k < SUBMITTED; k++)
+		ck_assert_int_eq(fleet.requests[ids[k]].sends, 1);
+}
+END_TEST
+
+/* The server of a request takes longer than usual. */
+static void delay_answer(size_t id, ws_us time)
+{
+	size_t k;
+
+	for (k = 0; k < FLEET_PENDING_MAX; k++)
+		if (fleet.pending[k].at && fleet.pending[k].request == id)
+			fleet.pending[k].at += time;
+}
+
+/* The same for a second send while the first one takes long. */
+START_TEST(late_request_that_becomes_refused_is_not_hedged)
+{
+	size_t id[2];
+	int i;
+
+	fleet_start(2, false);
+	fleet_run(5 * WS_SECOND, 100.0);
+	for (i = 0; i < 2; i++) {
+		id[i] = fleet_submit_as(0, FIRST_REFUSED + (uint64_t)i);
+		ck_assert(fleet.requests[id[i]].sent);
+		delay_answer(id[i], 600 * WS_MS);
+	}
+	fleet_report_strikes(0, 1, FIRST_REFUSED);
+	fleet_run(400 * WS_MS, 20.0);
+	ck_assert_int_eq(fleet.requests[id[0]].sends, 1);
+	ck_assert_int_eq(fleet.requests[id[1]].sends, 2);
+}
+END_TEST
+
 /* ===== A request that crashes servers, among troubles ===== */
 
 #define DAY_TIME (20 * WS_SECOND)
@@ -289,10 +348,12 @@
 		instance_knows_refused_requests_after_a_cut,
 	};
 	const TTest *const tests[] = {
+		request_that_becomes_refused_is_not_sent_again,
+		late_request_that_becomes_refused_is_not_hedged,
 		crashing_request_ends_few_servers,
 	};
 	int failed =
 		ed_suite_run_each("ed_suspect_fleet", each, 2, FLEET_SIZES);
 
-	return ed_suite_run("ed_suspect_days", tests, 1) || failed;
+	return ed_suite_run("ed_suspect_days", tests, 3) || failed;
 }
