Clear strikes at all instances when a server answers the request

Callers saw: a request that many callers send was refused with 503 for 600 s at all instances after two servers had crashed for another reason, as in the loss of a zone, when attempts of it were at both.

Cause: an answer clears a request at the instance that got it only, and the next heartbeat of another one brings the strikes back. Once it is refused no further answers can come.

An answered request was refused again within a second at two instances.

Ruled out: that the attempts at the other servers are lost too; each instance that has one gets its answer after the strikes are known.

Change: a strike that was cleared stays cleared, whatever arrives in which order (test_ed_struck), and clearances go to the members that get full heartbeats, with the next heartbeat, four times, relays pass them on; whoever still reports such a strike is told again. As a clearance now counts everywhere it takes an answer that is no failure: a server that fails requests without running them, or at their deadline, proves nothing. A request that crashes its servers is never answered, so that nothing is cleared wrongly.

--- a/lib/edge/ws_ed_beat.c
+++ b/lib/edge/ws_ed_beat.c
@@ -699,12 +699,16 @@
 bool ws_edge_refused_digest(struct ws_edge *e, ws_us now,
 			    struct ws_ed_refused_list *l)
 {
-	if (now < e->next_digest)
-		return false;
-	e->next_digest = now + WS_ED_REFUSED_DIGEST_PERIOD;
 	l->from = e->set.self;
 	l->digest = ws_ed_refused_digest(&e->suspects.struck, now);
 	l->n = 0;
+	l->n_clearances = ws_ed_suspects_next_clearances(
+		&e->suspects, WS_ED_REFUSED_CLEARANCES, l->clearances);
+	if (l->n_clearances)
+		return true;
+	if (now < e->next_digest)
+		return false;
+	e->next_digest = now + WS_ED_REFUSED_DIGEST_PERIOD;
 	return l->digest;
 }
 
@@ -736,20 +740,40 @@
 	ws_ed_fx_add(fx, WS_EDFX_REFUSED)->u.member = m->id;
 }
 
+static void process_clearances(struct ws_edge *e,
+			       const struct ws_ed_refused_list *l,
+			       struct ws_ed_fx *fx)
+{
+	uint32_t i;
+
+	for (i = 0; i < l->n_clearances; i++)
+		if (ws_ed_suspects_on_clearance(&e->suspects, e->now,
+						&l->clearances[i],
+						e->peers.is_relay))
+			ws_ed_log_request(fx, WS_LOG_REQUEST_CLEARED, l->from,
+					  l->clearances[i].request,
+					  "reported by another instance");
+}
+
 void ws_ed_refused_receive(struct ws_edge *e,
 			   const struct ws_ed_refused_list *l,
 			   struct ws_ed_fx *fx)
 {
 	struct ws_ed_member *m = ws_ed_peers_find(&e->peers, l->from);
-	size_t n = ws_ed_refused_merge(&e->suspects.struck, e->now, l);
+	int64_t n = 0;
+	uint32_t i;
 
+	for (i = 0; i < l->n; i++)
+		n += ws_ed_suspects_on_refused(&e->suspects, e->now,
+					       &l->items[i]);
 	if (n)
-		ws_ed_fx_log(fx, WS_LOG_QUARANTINE, l->from, (int64_t)n,
+		ws_ed_fx_log(fx, WS_LOG_QUARANTINE, l->from, n,
 			     "in the list of another instance");
+	process_clearances(e, l, fx);
 	if (!m)
 		return;
 	if (ws_ed_refused_digest(&e->suspects.struck, e->now) == l->digest)
 		m->refused_interval = 0;
-	else if (!l->n)
+	else if (!l->n && !l->n_clearances)
 		send_refused(e, m, fx);
 }
--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -609,7 +609,8 @@
 {
 	const struct ws_ed_server *s = &e->pool.servers[server];
 
-	if ((end == WS_ED_END_OK || end == WS_ED_END_FAILED) &&
+	/* A server may fail a request without having begun to run it. */
+	if (end == WS_ED_END_OK &&
 	    ws_ed_suspects_clear(&e->suspects, e->now, c->fingerprint))
 		ws_ed_log_request(fx, WS_LOG_REQUEST_CLEARED, s->id,
 				  c->fingerprint, "answered");
--- a/lib/edge/ws_ed_codec.c
+++ b/lib/edge/ws_ed_codec.c
@@ -315,6 +315,20 @@
 	return true;
 }
 
+static bool xdr_clearances(XDR *x, struct ws_ed_refused_list *l)
+{
+	uint32_t i;
+
+	if (!xdr_uint32_t(x, &l->n_clearances) ||
+	    l->n_clearances > WS_ED_REFUSED_CLEARANCES)
+		return false;
+	for (i = 0; i < l->n_clearances; i++)
+		if (!xdr_id(x, &l->clearances[i].request) ||
+		    !xdr_id(x, &l->clearances[i].crash))
+			return false;
+	return true;
+}
+
 static bool xdr_refused_list(XDR *x, struct ws_ed_refused_list *l)
 {
 	uint32_t i;
@@ -326,7 +340,7 @@
 	for (i = 0; i < l->n; i++)
 		if (!xdr_refused_item(x, &l->items[i]))
 			return false;
-	return true;
+	return xdr_clearances(x, l);
 }
 
 int ws_ed_refused_encode(const struct ws_ed_refused_list *l, void *buf,
--- a/lib/edge/ws_ed_refused.c
+++ b/lib/edge/ws_ed_refused.c
@@ -36,6 +36,7 @@
 	uint32_t slot = next_lasting(t, now, first);
 
 	l->n = 0;
+	l->n_clearances = 0;
 	while (slot != WS_SLOT_NONE) {
 		const struct ws_ed_struck *s = &t->items[slot];
 		struct ws_ed_refused_item *item;
@@ -53,30 +54,3 @@
 	}
 	return 0;
 }
-
-size_t ws_ed_refused_merge(struct ws_ed_struck_table *t, ws_us now,
-			   const struct ws_ed_refused_list *l)
-{
-	size_t refused = 0;
-	uint32_t i;
-	uint32_t j;
-
-	for (i = 0; i < l->n; i++) {
-		const struct ws_ed_refused_item *item = &l->items[i];
-		bool before = ws_ed_struck_refused(
-			ws_ed_struck_find(t, now, item->request));
-
-		for (j = 0; j < item->n; j++) {
-			const struct ws_ed_strike k = {
-				.request = item->request,
-				.crash = item->crashes[j],
-			};
-
-			ws_ed_struck_add(t, now, &k,
-					 (ws_us)item->expires_in * WS_SECOND);
-		}
-		refused += !before && ws_ed_struck_refused(ws_ed_struck_find(
-					      t, now, item->request));
-	}
-	return refused;
-}
--- a/lib/edge/ws_ed_refused.h
+++ b/lib/edge/ws_ed_refused.h
@@ -11,6 +11,8 @@
  * receiver that has another set answers with its list, in as many messages as
  * it takes, or with its digest if it has none. Both sides then have the union.
  * Strikes in heartbeats spread single requests sooner.
+ *
+ * Clearances of strikes go to the same members as soon as they are known.
  */
 
 #define WS_ED_REFUSED_DIGEST_PERIOD (1 * WS_SECOND)
@@ -20,8 +22,9 @@
  */
 #define WS_ED_REFUSED_LIST_INTERVAL (900 * WS_MS)
 #define WS_ED_REFUSED_LIST_INTERVAL_MAX (30 * WS_SECOND)
-/* Requests in one message, which must fit into a datagram. */
+/* Requests or clearances in one message, which must fit into a datagram. */
 #define WS_ED_REFUSED_ITEMS 33
+#define WS_ED_REFUSED_CLEARANCES 80
 
 struct ws_ed_refused_item {
 	uint64_t request;
@@ -33,8 +36,11 @@
 struct ws_ed_refused_list {
 	ws_id from;
 	uint64_t digest; /* of the sender's whole set */
-	uint32_t n; /* 0: only the digest */
+	/* A message has items or clearances; without either, only a digest */
+	uint32_t n;
 	struct ws_ed_refused_item items[WS_ED_REFUSED_ITEMS];
+	uint32_t n_clearances;
+	struct ws_ed_strike clearances[WS_ED_REFUSED_CLEARANCES];
 };
 
 /* Digest of the refused requests; 0: there are none. */
@@ -48,11 +54,4 @@
 uint32_t ws_ed_refused_fill(const struct ws_ed_struck_table *t, ws_us now,
 			    uint32_t first, struct ws_ed_refused_list *l);
 
-/*
- * Adds the requests of a message.
- * @return the number of requests that are refused from now on
- */
-size_t ws_ed_refused_merge(struct ws_ed_struck_table *t, ws_us now,
-			   const struct ws_ed_refused_list *l);
-
 #endif
--- a/lib/edge/ws_ed_struck.c
+++ b/lib/edge/ws_ed_struck.c
@@ -91,41 +91,76 @@
 
 /* ===== Strikes ===== */
 
-static bool is_recorded(const struct ws_ed_struck *s, uint64_t crash)
+static bool contains(const uint64_t *crashes, uint32_t n, uint64_t crash)
 {
 	uint32_t i;
 
-	for (i = 0; i < s->n; i++)
-		if (s->crashes[i] == crash)
+	for (i = 0; i < n; i++)
+		if (crashes[i] == crash)
 			return true;
 	return false;
 }
 
-bool ws_ed_struck_add(struct ws_ed_struck_table *t, ws_us now,
-		      const struct ws_ed_strike *k, ws_us expires_in)
+static void remove_crash(uint64_t *crashes, uint32_t *n, uint32_t i)
+{
+	--*n;
+	memmove(&crashes[i], &crashes[i + 1], (*n - i) * sizeof(crashes[0]));
+}
+
+/* Finds or adds the entry of a request, without what has expired. */
+static struct ws_ed_struck *entry_of(struct ws_ed_struck_table *t, ws_us now,
+				     uint64_t request)
 {
-	uint32_t slot = slot_of(t, k->request);
+	uint32_t slot = slot_of(t, request);
 	struct ws_ed_struck *s;
 
-	WS_INVARIANT(expires_in <= WS_ED_REFUSED_TIME);
-	s = slot == WS_SLOT_NONE ? add_entry(t, now, k->request) :
-				   &t->items[slot];
+	if (slot == WS_SLOT_NONE)
+		return add_entry(t, now, request);
+	s = &t->items[slot];
 	if (s->until <= now)
-		s->n = 0;
-	if (s->n == WS_ED_STRIKES_KEPT || is_recorded(s, k->crash))
-		return false;
+		*s = (struct ws_ed_struck){ .request = request };
+	return s;
+}
+
+static void extend(struct ws_ed_struck *s, ws_us until)
+{
+	if (s->until < until)
+		s->until = until;
+}
+
+enum ws_ed_strike_result ws_ed_struck_add(struct ws_ed_struck_table *t,
+					  ws_us now,
+					  const struct ws_ed_strike *k,
+					  ws_us expires_in)
+{
+	struct ws_ed_struck *s = entry_of(t, now, k->request);
+
+	WS_INVARIANT(expires_in <= WS_ED_REFUSED_TIME);
+	if (contains(s->cleared, s->n_cleared, k->crash))
+		return WS_ED_STRIKE_CLEARED;
+	if (s->n == WS_ED_STRIKES_KEPT || contains(s->crashes, s->n, k->crash))
+		return WS_ED_STRIKE_KNOWN;
 	s->crashes[s->n++] = k->crash;
-	if (s->until < now + expires_in)
-		s->until = now + expires_in;
-	return true;
+	extend(s, now + expires_in);
+	return WS_ED_STRIKE_ADDED;
 }
 
-void ws_ed_struck_remove(struct ws_ed_struck_table *t, uint64_t request)
+bool ws_ed_struck_clear(struct ws_ed_struck_table *t, ws_us now,
+			const struct ws_ed_strike *k)
 {
-	uint32_t s = slot_of(t, request);
+	struct ws_ed_struck *s = entry_of(t, now, k->request);
+	uint32_t i;
 
-	if (s != WS_SLOT_NONE)
-		ws_slots_release(&t->slots, s);
+	if (contains(s->cleared, s->n_cleared, k->crash))
+		return false;
+	for (i = 0; i < s->n; i++)
+		if (s->crashes[i] == k->crash)
+			remove_crash(s->crashes, &s->n, i--);
+	if (s->n_cleared == WS_ED_CLEARED_KEPT)
+		remove_crash(s->cleared, &s->n_cleared, 0);
+	s->cleared[s->n_cleared++] = k->crash;
+	extend(s, now + WS_ED_REFUSED_TIME);
+	return true;
 }
 
 bool ws_ed_struck_refused(const struct ws_ed_struck *s)
--- a/lib/edge/ws_ed_suspect.c
+++ b/lib/edge/ws_ed_suspect.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "edge/ws_ed_refused.h"
+
 /* A crash is detected within this time, by a check or by the list. */
 #define CRASH_DETECTION_TIME (3 * WS_SECOND)
 /* A process that ends may close its connections before its listening socket. */
@@ -69,31 +71,59 @@
 	schedule_check(s, now, server, started_ms);
 }
 
-static void queue_strike(struct ws_ed_suspects *s,
-			 const struct ws_ed_strike *strike)
+static void enqueue(struct ws_ed_strike_queue *q, const struct ws_ed_strike *k)
 {
-	if (s->n_queue == WS_ED_STRIKE_QUEUE_MAX) {
-		s->n_queue--;
-		memmove(s->queue, s->queue + 1,
-			s->n_queue * sizeof(s->queue[0]));
+	if (q->n == WS_ED_STRIKE_QUEUE_MAX) {
+		q->n--;
+		memmove(q->items, q->items + 1, q->n * sizeof(q->items[0]));
 	}
-	s->queue[s->n_queue++] = (struct ws_ed_queued_strike){
-		.strike = *strike,
+	q->items[q->n++] = (struct ws_ed_queued_strike){
+		.strike = *k,
 		.rounds_left = WS_ED_STRIKE_ROUNDS,
 	};
 }
 
+/* Moves on by one heartbeat with room for max; @return the new n. */
+static uint32_t dequeue(struct ws_ed_strike_queue *q, uint32_t n, uint32_t max,
+			struct ws_ed_strike *strikes)
+{
+	size_t kept = 0;
+	size_t i;
+
+	for (i = 0; i < q->n; i++) {
+		struct ws_ed_queued_strike *k = &q->items[i];
+
+		if (n < max) {
+			strikes[n++] = k->strike;
+			k->rounds_left--;
+		}
+		if (k->rounds_left)
+			q->items[kept++] = *k;
+	}
+	q->n = kept;
+	return n;
+}
+
 /* @return true if the request is refused from now on */
 static bool add_strike(struct ws_ed_suspects *s, ws_us now,
-		       const struct ws_ed_strike *k, bool sends)
+		       const struct ws_ed_strike *k, ws_us expires_in,
+		       bool sends)
 {
 	bool was_refused = ws_ed_suspects_refuses(s, now, k->request);
 
-	if (!ws_ed_struck_add(&s->struck, now, k, WS_ED_REFUSED_TIME))
+	switch (ws_ed_struck_add(&s->struck, now, k, expires_in)) {
+	case WS_ED_STRIKE_ADDED:
+		if (sends)
+			enqueue(&s->strikes, k);
+		return !was_refused &&
+		       ws_ed_suspects_refuses(s, now, k->request);
+	case WS_ED_STRIKE_CLEARED:
+		/* Whoever has sent it lacks the clearance. */
+		enqueue(&s->clearances, k);
 		return false;
-	if (sends)
-		queue_strike(s, k);
-	return !was_refused && ws_ed_suspects_refuses(s, now, k->request);
+	default:
+		return false;
+	}
 }
 
 void ws_ed_suspects_on_crash(struct ws_ed_suspects *s, ws_us now, ws_id server,
@@ -117,7 +147,7 @@
 		}
 		remove_suspect(s, i);
 		out->n_struck++;
-		if (add_strike(s, now, &k, true))
+		if (add_strike(s, now, &k, WS_ED_REFUSED_TIME, true))
 			out->refused[out->n_refused++] = k.request;
 	}
 }
@@ -125,7 +155,42 @@
 bool ws_ed_suspects_on_strike(struct ws_ed_suspects *s, ws_us now,
 			      const struct ws_ed_strike *k, bool forwards)
 {
-	return add_strike(s, now, k, forwards);
+	return add_strike(s, now, k, WS_ED_REFUSED_TIME, forwards);
+}
+
+bool ws_ed_suspects_on_refused(struct ws_ed_suspects *s, ws_us now,
+			       const struct ws_ed_refused_item *item)
+{
+	bool refused = false;
+	uint32_t i;
+
+	for (i = 0; i < item->n; i++) {
+		const struct ws_ed_strike k = {
+			.request = item->request,
+			.crash = item->crashes[i],
+		};
+
+		refused |= add_strike(
+			s, now, &k, (ws_us)item->expires_in * WS_SECOND, false);
+	}
+	return refused;
+}
+
+static void clear_strikes(struct ws_ed_suspects *s, ws_us now,
+			  const struct ws_ed_struck *struck)
+{
+	const struct ws_ed_struck all = *struck;
+	uint32_t i;
+
+	for (i = 0; i < all.n; i++) {
+		const struct ws_ed_strike k = {
+			.request = all.request,
+			.crash = all.crashes[i],
+		};
+
+		if (ws_ed_struck_clear(&s->struck, now, &k))
+			enqueue(&s->clearances, &k);
+	}
 }
 
 unsigned ws_ed_suspects_clear(struct ws_ed_suspects *s, ws_us now,
@@ -142,10 +207,22 @@
 		else
 			i++;
 	if (strikes)
-		ws_ed_struck_remove(&s->struck, request);
+		clear_strikes(s, now, struck);
 	return strikes;
 }
 
+bool ws_ed_suspects_on_clearance(struct ws_ed_suspects *s, ws_us now,
+				 const struct ws_ed_strike *k, bool forwards)
+{
+	bool was_refused = ws_ed_suspects_refuses(s, now, k->request);
+
+	if (!ws_ed_struck_clear(&s->struck, now, k))
+		return false;
+	if (forwards)
+		enqueue(&s->clearances, k);
+	return was_refused && !ws_ed_suspects_refuses(s, now, k->request);
+}
+
 bool ws_ed_suspects_refuses(const struct ws_ed_suspects *s, ws_us now,
 			    uint64_t request)
 {
@@ -178,22 +255,14 @@
 uint32_t ws_ed_suspects_next_strikes(struct ws_ed_suspects *s, ws_us now,
 				     struct ws_ed_strike *strikes)
 {
-	uint32_t n = add_refused(s, now, strikes);
-	size_t kept = 0;
-	size_t i;
-
-	for (i = 0; i < s->n_queue; i++) {
-		struct ws_ed_queued_strike *q = &s->queue[i];
+	return dequeue(&s->strikes, add_refused(s, now, strikes),
+		       WS_ED_STRIKES_MAX, strikes);
+}
 
-		if (n < WS_ED_STRIKES_MAX) {
-			strikes[n++] = q->strike;
-			q->rounds_left--;
-		}
-		if (q->rounds_left)
-			s->queue[kept++] = *q;
-	}
-	s->n_queue = kept;
-	return n;
+uint32_t ws_ed_suspects_next_clearances(struct ws_ed_suspects *s, uint32_t max,
+					struct ws_ed_strike *strikes)
+{
+	return dequeue(&s->clearances, 0, max, strikes);
 }
 
 bool ws_ed_suspects_expire(struct ws_ed_suspects *s, ws_us now,
--- a/lib/edge/ws_ed_suspect.h
+++ b/lib/edge/ws_ed_suspect.h
@@ -3,6 +3,8 @@
 
 #include "edge/ws_ed_struck.h"
 
+struct ws_ed_refused_item; /* see ws_ed_refused.h */
+
 /*
  * Quarantine of requests that crash the servers that run them, and that the
  * caller retries at any instance.
@@ -30,9 +32,9 @@
  */
 #define WS_ED_STRIKES_MAX 12
 #define WS_ED_STRIKES_BESIDE_ALL 4
-/* New strikes that wait to be sent; beyond, the oldest is dropped. */
+/* Of each, wait to be sent; beyond, the oldest is dropped. */
 #define WS_ED_STRIKE_QUEUE_MAX 256
-/* Heartbeats that repeat a new strike. */
+/* Heartbeats that repeat a new strike or clearance. */
 #define WS_ED_STRIKE_ROUNDS 4
 /* Maximum number of requests whose strikes are recorded. */
 #define WS_ED_STRUCK_REQUESTS_MAX 1024
@@ -51,17 +53,22 @@
 	ws_us due_at;
 };
 
+struct ws_ed_strike_queue {
+	struct ws_ed_queued_strike {
+		struct ws_ed_strike strike;
+		unsigned rounds_left; /* heartbeats that it is still sent in */
+	} items[WS_ED_STRIKE_QUEUE_MAX]; /* oldest first */
+	size_t n;
+};
+
 struct ws_ed_suspects {
 	struct ws_ed_struck_table struck;
 	struct ws_ed_suspect items[WS_ED_SUSPECTS_MAX]; /* oldest first */
 	size_t n;
 	struct ws_ed_check checks[WS_ED_CHECKS_MAX]; /* earliest first */
 	size_t n_checks;
-	struct ws_ed_queued_strike {
-		struct ws_ed_strike strike;
-		unsigned rounds_left; /* heartbeats that it is still sent in */
-	} queue[WS_ED_STRIKE_QUEUE_MAX]; /* oldest first */
-	size_t n_queue;
+	struct ws_ed_strike_queue strikes;
+	struct ws_ed_strike_queue clearances;
 	uint32_t next_refused; /* slot to continue with */
 };
 
@@ -101,6 +108,13 @@
 bool ws_ed_suspects_on_strike(struct ws_ed_suspects *s, ws_us now,
 			      const struct ws_ed_strike *strike, bool forwards);
 
+/*
+ * Handles a request that another instance refuses.
+ * @return true if it is refused from now on
+ */
+bool ws_ed_suspects_on_refused(struct ws_ed_suspects *s, ws_us now,
+			       const struct ws_ed_refused_item *item);
+
 /*
  * Clears a request that a server has answered.
  * @return the number of its strikes
@@ -108,6 +122,14 @@
 unsigned ws_ed_suspects_clear(struct ws_ed_suspects *s, ws_us now,
 			      uint64_t request);
 
+/*
+ * Handles a clearance received from another instance.
+ * @return true if its request is no longer refused
+ */
+bool ws_ed_suspects_on_clearance(struct ws_ed_suspects *s, ws_us now,
+				 const struct ws_ed_strike *strike,
+				 bool forwards);
+
 bool ws_ed_suspects_refuses(const struct ws_ed_suspects *s, ws_us now,
 			    uint64_t request);
 
@@ -115,6 +137,10 @@
 uint32_t ws_ed_suspects_next_strikes(struct ws_ed_suspects *s, ws_us now,
 				     struct ws_ed_strike *strikes);
 
+/* The same for clearances, at most max. */
+uint32_t ws_ed_suspects_next_clearances(struct ws_ed_suspects *s, uint32_t max,
+					struct ws_ed_strike *strikes);
+
 /*
  * Drops the next suspect whose server is not known to have crashed after some
  * time.
--- a/tests/test_ed_codec.c
+++ b/tests/test_ed_codec.c
@@ -198,6 +198,19 @@
 	return ws_ed_refused_encode(&list, buf, WS_ED_BEAT_BYTES);
 }
 
+static int encode_clearances(void)
+{
+	static struct ws_ed_refused_list list;
+	uint32_t i;
+
+	for (i = 0; i < WS_ED_REFUSED_CLEARANCES; i++)
+		list.clearances[list.n_clearances++] = (struct ws_ed_strike){
+			.request = i,
+			.crash = 100 + i,
+		};
+	return ws_ed_refused_encode(&list, buf, WS_ED_BEAT_BYTES);
+}
+
 /* The same for lists of refused requests. */
 START_TEST(full_list_of_refused_requests_fits_one_datagram)
 {
@@ -214,6 +227,12 @@
 	/* Heartbeats and lists are told apart. */
 	ck_assert_int_eq(ws_ed_beat_decode(&back, buf, (size_t)len),
 			 WS_ERR_SYNTAX);
+	ck_assert_uint_eq(l.n_clearances, 0);
+	len = encode_clearances();
+	ck_assert_int_gt(len, 0);
+	ck_assert_int_eq(ws_ed_refused_decode(&l, buf, (size_t)len), 0);
+	ck_assert_uint_eq(l.n_clearances, WS_ED_REFUSED_CLEARANCES);
+	ck_assert_uint_eq(l.clearances[79].crash, 179);
 	len = encode_sample();
 	ck_assert_int_eq(ws_ed_refused_decode(&l, buf, (size_t)len),
 			 WS_ERR_SYNTAX);
@@ -242,6 +261,7 @@
 		if (ws_ed_refused_decode(&l, copy, (size_t)len))
 			continue;
 		ck_assert_uint_le(l.n, WS_ED_REFUSED_ITEMS);
+		ck_assert_uint_le(l.n_clearances, WS_ED_REFUSED_CLEARANCES);
 		for (j = 0; j < l.n; j++) {
 			ck_assert_uint_ge(l.items[j].n,
 					  WS_ED_STRIKES_TO_REFUSE);
--- a/tests/test_ed_suspect_fleet.c
+++ b/tests/test_ed_suspect_fleet.c
@@ -153,6 +153,89 @@
 }
 END_TEST
 
+/* ===== Answers ===== */
+
+/* The answer of a request at its server becomes another one. */
+static void set_end(size_t id, enum ws_ed_end end)
+{
+	size_t k;
+
+	for (k = 0; k < FLEET_PENDING_MAX; k++)
+		if (fleet.pending[k].at && fleet.pending[k].request == id)
+			fleet.pending[k].end = end;
+}
+
+/*
+ * Guards against a request that goes on crashing servers because one of them
+ * failed it without running it, or at its deadline.
+ */
+START_TEST(failure_does_not_clear_a_request)
+{
+	static const enum ws_ed_end ends[] = { WS_ED_END_FAILED, WS_ED_END_OK };
+	size_t id;
+
+	fleet_start(2, false);
+	fleet_run(5 * WS_SECOND, 20.0);
+	id = fleet_submit_as(0, FIRST_REFUSED);
+	set_end(id, ends[_i]);
+	fleet_report_strikes(0, 1, FIRST_REFUSED);
+	fleet_run(WS_SECOND, 0.0);
+	id = fleet_submit_as(0, FIRST_REFUSED);
+	ck_assert_int_eq(fleet.requests[id].sent, ends[_i] == WS_ED_END_OK);
+}
+END_TEST
+
+#define FREQUENT 4712
+#define FREQUENT_PERIOD (20 * WS_MS)
+/* Of a part of the servers at once, as in the loss of a zone */
+#define CRASHED 6
+#define SERVED_WITHIN (3 * WS_SECOND)
+
+/*
+ * Guards against a request of many callers that is refused for minutes since it
+ * was at several of the servers that crashed together, although others answer
+ * it: the answers counted at the instances that got them only, and the others
+ * reported the strikes again.
+ */
+START_TEST(frequent_request_is_served_after_unrelated_crashes)
+{
+	static const int instances[] = { 3, 10, 85 };
+	int owed = 0;
+	int served = 0;
+	ws_us since;
+	size_t first = 0;
+	size_t k;
+	int i;
+
+	fleet.n_servers = 24;
+	fleet_start(instances[_i], false);
+	fleet.list_delay = LIST_DELAY_MAX;
+	fleet_run(5 * WS_SECOND, 50.0);
+	since = fleet.now;
+	while (fleet.now < since + WS_SECOND + SERVED_WITHIN + 2 * WS_SECOND) {
+		if (fleet.now == since + WS_SECOND)
+			for (i = 0; i < CRASHED; i++)
+				fleet_crash_server(i);
+		if (fleet.now == since + WS_SECOND + SERVED_WITHIN)
+			first = fleet.n_requests + 1;
+		if ((fleet.now - since) % FREQUENT_PERIOD == 0)
+			fleet_submit_as((int)ws_rand_below(&fleet.rand,
+							   (uint64_t)fleet.n),
+					FREQUENT);
+		fleet_run(FLEET_STEP, 50.0);
+	}
+	fleet_run(WS_SECOND, 0.0);
+	for (k = first; k <= fleet.n_requests; k++) {
+		if (fleet.requests[k].fingerprint != FREQUENT)
+			continue;
+		owed++;
+		served += fleet.requests[k].answered;
+	}
+	ck_assert_msg(served * 100 >= owed * 95,
+		      "%d of %d served, %d instances", served, owed, fleet.n);
+}
+END_TEST
+
 /* ===== A request that crashes servers, among troubles ===== */
 
 #define DAY_TIME (20 * WS_SECOND)
@@ -347,6 +430,12 @@
 		restarted_instance_knows_refused_requests,
 		instance_knows_refused_requests_after_a_cut,
 	};
+	const TTest *const answers[] = {
+		failure_does_not_clear_a_request,
+	};
+	const TTest *const frequent[] = {
+		frequent_request_is_served_after_unrelated_crashes,
+	};
 	const TTest *const tests[] = {
 		request_that_becomes_refused_is_not_sent_again,
 		late_request_that_becomes_refused_is_not_hedged,
@@ -355,5 +444,7 @@
 	int failed =
 		ed_suite_run_each("ed_suspect_fleet", each, 2, FLEET_SIZES);
 
+	failed |= ed_suite_run_each("ed_suspect_answers", answers, 1, 2);
+	failed |= ed_suite_run_each("ed_suspect_frequent", frequent, 1, 3);
 	return ed_suite_run("ed_suspect_days", tests, 3) || failed;
 }
