Try a request once more that was at two crashes only

Callers saw: a request that few callers send, and that was at two servers that crashed for another reason, was refused with 503 for 600 s. One attempt is enough for that: the instance sends it to a second server after the first crash.

Cause: a refused request gets no answer that could clear it, and the refusal has no other end.

Evidence: test_ed_suspect_fleet, rare_request_is_served_again_soon: refused at 2, 10 and 85 instances before; 36 s after the second crash it is sent now, and all instances take it 3 s later.

Change: 30 s after it was refused, a request with two strikes is sent once, to one server, without a second send. The trial counts as a third strike at all instances until it is answered, so that a request that does crash servers ends one more at most, unless instances are cut off from each other. Only requests with two strikes are tried; one that crashes servers mostly has more. The instance where it arrives tries it if it has not arrived there since it was refused; if it has, the callers are many, and only the instance that a hash assigns it to does, as several would try at once otherwise.

--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -91,12 +91,59 @@
 		refuse_call(e, c, retry_after, reason, fx);
 }
 
+/* ===== Quarantine ===== */
+
+/* A request may be quarantined while it is queued or at a server. */
+static bool is_quarantined(const struct ws_edge *e, const struct ed_call *c)
+{
+	uint32_t allowed = c->on_trial && !c->trial ?
+				   WS_ED_STRIKES_TO_REFUSE :
+				   WS_ED_STRIKES_TO_REFUSE - 1;
+
+	return ws_ed_suspects_strikes(&e->suspects, e->now, c->fingerprint) >
+	       allowed;
+}
+
+static bool may_try(struct ws_edge *e, uint64_t request)
+{
+	return ws_ed_suspects_may_try(&e->suspects, e->now, request,
+				      ws_ed_peers_is_assigned(&e->peers, e->now,
+							      request));
+}
+
+static struct ws_ed_strike trial_of(const struct ed_call *c)
+{
+	return (struct ws_ed_strike){
+		.request = c->fingerprint,
+		.crash = c->trial,
+	};
+}
+
+static void start_trial(struct ws_edge *e, struct ed_call *c,
+			struct ws_ed_fx *fx)
+{
+	struct ws_ed_strike trial;
+
+	c->trial = ws_mix(ws_mix(e->set.incarnation, c->id), (uint64_t)e->now);
+	trial = trial_of(c);
+	ws_ed_suspects_try(&e->suspects, e->now, &trial);
+	ws_ed_log_request(fx, WS_LOG_QUARANTINE_TRIAL, 0, c->fingerprint,
+			  "sent once more");
+}
+
+static void undo_trial(struct ws_edge *e, struct ed_call *c)
+{
+	const struct ws_ed_strike trial = trial_of(c);
+
+	ws_ed_suspects_undo_trial(&e->suspects, e->now, &trial);
+	c->trial = 0;
+}
+
 /* ===== Placement ===== */
 
 static bool may_resend(struct ws_edge *e, const struct ed_call *c)
 {
-	/* It may have been quarantined while it was at a server. */
-	if (ws_ed_suspects_refuses(&e->suspects, e->now, c->fingerprint))
+	if (is_quarantined(e, c))
 		return false;
 	return c->sends < SENDS_MAX && c->attempts < c->max_attempts &&
 	       e->now + SEND_TIME_MIN < c->end_at &&
@@ -158,6 +205,8 @@
 		.expected_latency = at->expected_latency,
 	};
 	c->waiting_since = 0;
+	if (c->on_trial)
+		start_trial(e, c, fx);
 	if (c->state == CALL_WAITING)
 		e->n_waiting--;
 	c->state = CALL_SENT;
@@ -310,8 +359,7 @@
 {
 	if (e->now < c->not_before)
 		return;
-	/* It may have been quarantined while it was queued. */
-	if (ws_ed_suspects_refuses(&e->suspects, e->now, c->fingerprint)) {
+	if (is_quarantined(e, c)) {
 		give_up(e, c, 0, WS_EDR_QUARANTINED, fx);
 		return;
 	}
@@ -430,6 +478,7 @@
 	ws_us retry_after = 0;
 	struct ws_ed_route *r;
 	struct ed_call *c;
+	bool on_trial = false;
 	int status;
 
 	e->counters.arrivals++;
@@ -458,8 +507,11 @@
 		return;
 	}
 	if (ws_ed_suspects_refuses(&e->suspects, e->now, a->fingerprint)) {
-		refuse_arrival(e, a, 503, 0, WS_EDR_QUARANTINED, fx);
-		return;
+		on_trial = may_try(e, a->fingerprint);
+		if (!on_trial) {
+			refuse_arrival(e, a, 503, 0, WS_EDR_QUARANTINED, fx);
+			return;
+		}
 	}
 	svc = ws_ed_conf_service(e->conf, ws_ed_route_next_service(r));
 	if (!svc || e->n_calls >= e->set.max_calls) {
@@ -477,6 +529,7 @@
 		ws_ed_heat_count(&e->heat, svc->id, (uint32_t)a->key);
 	c = ws_ed_call_add(e, a->id);
 	fill_call(e, c, a, r, customer, svc);
+	c->on_trial = on_trial;
 	ws_ed_budget_learn_work(e, svc->id, &e->pool.work_stats[c->work_stats]);
 	place(e, c, fx);
 }
@@ -603,12 +656,14 @@
  * suspected, and the refused connection afterwards shows that the server has
  * crashed.
  */
-static void update_suspects(struct ws_edge *e, const struct ed_call *c,
+static void update_suspects(struct ws_edge *e, struct ed_call *c,
 			    uint32_t server, enum ws_ed_end end,
 			    struct ws_ed_fx *fx)
 {
 	const struct ws_ed_server *s = &e->pool.servers[server];
 
+	if (c->trial && (end == WS_ED_END_SHED || end == WS_ED_END_NOT_SENT))
+		undo_trial(e, c);
 	/* A server may fail a request without having begun to run it. */
 	if (end == WS_ED_END_OK &&
 	    ws_ed_suspects_clear(&e->suspects, e->now, c->fingerprint))
@@ -686,8 +741,7 @@
 	       c->lanes[0].active && !c->lanes[1].active &&
 	       c->attempts + 1 < c->max_attempts && c->sends < SENDS_MAX &&
 	       c->n_excluded < WS_ED_EXCLUDED_MAX &&
-	       e->now + SEND_TIME_MIN < c->end_at &&
-	       !ws_ed_suspects_refuses(&e->suspects, e->now, c->fingerprint);
+	       e->now + SEND_TIME_MIN < c->end_at && !is_quarantined(e, c);
 }
 
 static void consider_hedge(struct ws_edge *e, struct ed_call *c,
--- a/lib/edge/ws_ed_peers.c
+++ b/lib/edge/ws_ed_peers.c
@@ -177,6 +177,22 @@
 	return ws_ed_peers_rank(p, now) < WS_ED_STORE_READERS;
 }
 
+bool ws_ed_peers_is_assigned(const struct ws_ed_peers *p, ws_us now,
+			     uint64_t item)
+{
+	uint64_t own = ws_mix(item, p->self);
+	size_t i;
+
+	for (i = 0; i < p->n; i++) {
+		const struct ws_ed_member *m = &p->members[i];
+
+		if (ws_mix(item, m->id) < own && !m->leaving &&
+		    is_heard_or_reported(p, m, now))
+			return false;
+	}
+	return true;
+}
+
 static int compare_times_descending(const void *a, const void *b)
 {
 	ws_us x = *(const ws_us *)a;
--- a/lib/edge/ws_ed_peers.h
+++ b/lib/edge/ws_ed_peers.h
@@ -169,6 +169,13 @@
 /* Whether this instance reads the store for others. */
 bool ws_ed_peers_reads_store(const struct ws_ed_peers *p, ws_us now);
 
+/*
+ * Whether this instance is the one, of those that are alive, that an item is
+ * assigned to by a hash. Instances may disagree after one has started or ended.
+ */
+bool ws_ed_peers_is_assigned(const struct ws_ed_peers *p, ws_us now,
+			     uint64_t item);
+
 /*
  * Rank added to instances that are not relays: relays take over a role first,
  * as they detect the loss of a member before others do.
--- a/lib/edge/ws_ed_struck.c
+++ b/lib/edge/ws_ed_struck.c
@@ -128,6 +128,17 @@
 		s->until = until;
 }
 
+static void update_refused(struct ws_ed_struck *s, ws_us now)
+{
+	if (ws_ed_struck_refused(s)) {
+		if (!s->refused_since)
+			s->refused_since = now;
+		return;
+	}
+	s->refused_since = 0;
+	s->asked_for = false;
+}
+
 enum ws_ed_strike_result ws_ed_struck_add(struct ws_ed_struck_table *t,
 					  ws_us now,
 					  const struct ws_ed_strike *k,
@@ -142,6 +153,7 @@
 		return WS_ED_STRIKE_KNOWN;
 	s->crashes[s->n++] = k->crash;
 	extend(s, now + expires_in);
+	update_refused(s, now);
 	return WS_ED_STRIKE_ADDED;
 }
 
@@ -160,6 +172,7 @@
 		remove_crash(s->cleared, &s->n_cleared, 0);
 	s->cleared[s->n_cleared++] = k->crash;
 	extend(s, now + WS_ED_REFUSED_TIME);
+	update_refused(s, now);
 	return true;
 }
 
--- a/lib/edge/ws_ed_struck.h
+++ b/lib/edge/ws_ed_struck.h
@@ -31,6 +31,8 @@
 	uint64_t cleared[WS_ED_CLEARED_KEPT]; /* crashes, oldest first */
 	uint32_t n_cleared;
 	ws_us until; /* when its strikes and clearances expire */
+	ws_us refused_since; /* at this instance; 0: it is not refused */
+	bool asked_for; /* it has arrived here since */
 };
 
 enum ws_ed_strike_result {
--- a/lib/edge/ws_ed_suspect.c
+++ b/lib/edge/ws_ed_suspect.c
@@ -230,6 +230,47 @@
 		ws_ed_struck_find(&s->struck, now, request));
 }
 
+uint32_t ws_ed_suspects_strikes(const struct ws_ed_suspects *s, ws_us now,
+				uint64_t request)
+{
+	const struct ws_ed_struck *r =
+		ws_ed_struck_find(&s->struck, now, request);
+
+	return r ? r->n : 0;
+}
+
+/* ===== Trials ===== */
+
+bool ws_ed_suspects_may_try(struct ws_ed_suspects *s, ws_us now,
+			    uint64_t request, bool preferred)
+{
+	struct ws_ed_struck *r = ws_ed_struck_find(&s->struck, now, request);
+	bool is_first;
+
+	if (!ws_ed_struck_refused(r))
+		return false;
+	is_first = !r->asked_for;
+	r->asked_for = true;
+	return r->n == WS_ED_STRIKES_TO_REFUSE &&
+	       now - r->refused_since >= WS_ED_TRIAL_AFTER &&
+	       (is_first || preferred);
+}
+
+void ws_ed_suspects_try(struct ws_ed_suspects *s, ws_us now,
+			const struct ws_ed_strike *trial)
+{
+	add_strike(s, now, trial, WS_ED_REFUSED_TIME, true);
+}
+
+void ws_ed_suspects_undo_trial(struct ws_ed_suspects *s, ws_us now,
+			       const struct ws_ed_strike *trial)
+{
+	if (ws_ed_struck_clear(&s->struck, now, trial))
+		enqueue(&s->clearances, trial);
+}
+
+/* ===== Sending ===== */
+
 /* Adds the strikes against the next request that is refused. */
 static uint32_t add_refused(struct ws_ed_suspects *s, ws_us now,
 			    struct ws_ed_strike *strikes)
--- a/lib/edge/ws_ed_suspect.h
+++ b/lib/edge/ws_ed_suspect.h
@@ -36,6 +36,7 @@
 #define WS_ED_STRIKE_QUEUE_MAX 256
 /* Heartbeats that repeat a new strike or clearance. */
 #define WS_ED_STRIKE_ROUNDS 4
+#define WS_ED_TRIAL_AFTER (30 * WS_SECOND)
 /* Maximum number of requests whose strikes are recorded. */
 #define WS_ED_STRUCK_REQUESTS_MAX 1024
 
@@ -133,6 +134,26 @@
 bool ws_ed_suspects_refuses(const struct ws_ed_suspects *s, ws_us now,
 			    uint64_t request);
 
+/* Number of strikes against a request. */
+uint32_t ws_ed_suspects_strikes(const struct ws_ed_suspects *s, ws_us now,
+				uint64_t request);
+
+/*
+ * Handles the arrival of a refused request.
+ * @param preferred this is the instance to try requests that arrive often
+ * @return true if it may be tried now
+ */
+bool ws_ed_suspects_may_try(struct ws_ed_suspects *s, ws_us now,
+			    uint64_t request, bool preferred);
+
+/* A trial begins; it is identified like a crash. */
+void ws_ed_suspects_try(struct ws_ed_suspects *s, ws_us now,
+			const struct ws_ed_strike *trial);
+
+/* A trial has not reached a server; another one may be made. */
+void ws_ed_suspects_undo_trial(struct ws_ed_suspects *s, ws_us now,
+			       const struct ws_ed_strike *trial);
+
 /* Gets the strikes for the next heartbeat; @return their number. */
 uint32_t ws_ed_suspects_next_strikes(struct ws_ed_suspects *s, ws_us now,
 				     struct ws_ed_strike *strikes);
--- a/lib/edge/ws_edge_int.h
+++ b/lib/edge/ws_edge_int.h
@@ -50,6 +50,8 @@
 	ws_us not_before; /* earliest time of the next send */
 	bool may_have_run;
 	bool is_retry; /* the caller's earlier try was refused */
+	bool on_trial; /* refused, but may be sent once */
+	uint64_t trial; /* identifies the trial that has begun; 0: none has */
 	struct ed_lane lanes[LANES]; /* CALL_SENT */
 	size_t n_excluded;
 	uint32_t excluded[WS_ED_EXCLUDED_MAX];
