Answer all requests before a planned stop ends the process

Cause: the end of the process was no deadline of any request. The loop was left 0.8 s before the kill, whatever was open. A SIGHUP with a shorter grace period made it end sooner still.

Change: 0.8 s before the kill each request is answered, 504 if it is at a server and 503 if not; this end is part of the time limit of requests after the signal, so that servers get no more time than that. Then connections are closed for sending only, while input is read and dropped, as an answer on its way would be lost to a reset, and the process ends when the callers have closed, 0.3 s before the kill at the latest. The grace period is the one at the signal.

--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -389,16 +389,26 @@
 	return (r->objective ? r->objective : deadline) - passed;
 }
 
+static ws_us deadline_of(const struct ws_ed_arrival *a)
+{
+	return a->deadline ? a->deadline : DEADLINE_DEFAULT;
+}
+
+/* The deadline or the route's timeout, if earlier. */
+static ws_us time_limit(const struct ws_ed_arrival *a,
+			const struct ws_ed_route *r)
+{
+	ws_us deadline = deadline_of(a);
+
+	return r->timeout && r->timeout < deadline ? r->timeout : deadline;
+}
+
 static void fill_call(struct ws_edge *e, struct ed_call *c,
 		      const struct ws_ed_arrival *a, struct ws_ed_route *r,
 		      const struct ws_ed_customer *customer,
 		      const struct ws_ed_service *svc)
 {
-	ws_us deadline = a->deadline ? a->deadline : DEADLINE_DEFAULT;
-	ws_us end = deadline;
-
-	if (r->timeout && r->timeout < end)
-		end = r->timeout;
+	ws_us deadline = deadline_of(a);
 	c->route = ws_ed_id(r->name);
 	c->service = svc->id;
 	c->work_stats = ws_ed_pool_work_stats(&e->pool, c->route, svc->id);
@@ -408,7 +418,9 @@
 	c->max_attempts = r->max_attempts ? r->max_attempts : 1;
 	c->key = a->key >= 0 ? (uint32_t)a->key : 0;
 	c->fingerprint = a->fingerprint;
-	c->end_at = a->started + end;
+	c->end_at = a->started + time_limit(a, r);
+	if (e->draining && c->end_at > e->drained_at)
+		c->end_at = e->drained_at;
 	c->objective = objective_left(r, deadline);
 	c->is_retry = deadline < r->longest_deadline - RETRY_DEADLINE_GAP;
 	c->objective_at = a->started + c->objective;
@@ -799,11 +811,43 @@
 	       (x->objective_at < y->objective_at);
 }
 
+void ws_ed_call_drain(struct ws_edge *e)
+{
+	size_t i;
+
+	for (i = 0; i < e->cap_calls; i++)
+		if (e->calls[i].state && e->calls[i].end_at > e->drained_at)
+			e->calls[i].end_at = e->drained_at;
+}
+
+/*
+ * Answers the calls at servers when the process is about to end: their servers
+ * may have been given more time.
+ */
+static void end_sent_calls(struct ws_edge *e, struct ws_ed_fx *fx)
+{
+	size_t i = 0;
+
+	while (i < e->cap_calls) {
+		struct ed_call *c = &e->calls[i];
+
+		if (c->state != CALL_SENT) {
+			i++;
+			continue;
+		}
+		/* Another call may move to this place. */
+		cancel_lanes(e, c, fx);
+		fail_call(e, c, 504, WS_EDR_DRAINING, fx);
+	}
+}
+
 void ws_ed_call_tick(struct ws_edge *e, struct ws_ed_fx *fx)
 {
 	size_t n = 0;
 	size_t i;
 
+	if (e->draining && e->now >= e->drained_at)
+		end_sent_calls(e, fx);
 	send_hedges(e, fx);
 	if (!e->n_waiting)
 		return;
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -19,7 +19,7 @@
 /* With older evidence it is not ready: other instances serve callers better. */
 #define READY_EVIDENCE_MAX (3 * WS_SECOND)
 /*
- * Fraction of the time until the process ends in which new requests are
+ * Fraction of the time until all requests are answered in which new ones are
  * accepted; the remainder is for completing them.
  */
 #define DRAIN_ACCEPT_FRACTION 0.5
@@ -451,7 +451,9 @@
 		e->draining = true;
 		e->refuse_from = e->now + (ws_us)(DRAIN_ACCEPT_FRACTION *
 						  (double)ev->u.drain_time);
+		e->drained_at = e->now + ev->u.drain_time;
 		e->lead.leaving = true;
+		ws_ed_call_drain(e);
 		break;
 	default:
 		WS_INVARIANT(false);
--- a/lib/edge/ws_edge.h
+++ b/lib/edge/ws_edge.h
@@ -257,7 +257,7 @@
 			int64_t started_ms; /* when the check began */
 		} check_refused;
 		const struct ws_ed_refused_list *refused_list;
-		ws_us drain_time; /* until the process ends */
+		ws_us drain_time; /* until all requests must be answered */
 	} u;
 };
 
--- a/lib/edge/ws_edge_int.h
+++ b/lib/edge/ws_edge_int.h
@@ -125,6 +125,7 @@
 	bool members_known; /* from the store's list or from heartbeats */
 	bool draining;
 	ws_us refuse_from; /* if draining: when new requests are refused */
+	ws_us drained_at; /* if draining: when all are answered */
 	/* No sends for these keys until then: their server rejected them. */
 	ws_us key_pause[KEY_PAUSE_BUCKETS];
 	struct ws_ed_counters counters;
@@ -192,6 +193,9 @@
 /* Sends hedges, sends queued calls and ends those out of time. */
 void ws_ed_call_tick(struct ws_edge *e, struct ws_ed_fx *fx);
 
+/* Ends all calls no later than at drained_at. */
+void ws_ed_call_drain(struct ws_edge *e);
+
 /* ===== ws_ed_call_table.c ===== */
 
 /* Finds a call by its id; NULL if there is none. */
--- a/lib/edgeio/ws_eio.c
+++ b/lib/edgeio/ws_eio.c
@@ -28,10 +28,12 @@
 /* The platform routes callers here until two readiness checks have failed. */
 #define DRAIN_TIME_MIN (2500 * WS_MS)
 /*
- * The process exits this long before the platform kills it: closing some
- * hundred connections takes a while on a tenth of a core.
+ * All requests are answered this long before the platform kills the process.
+ * Then callers get some time to receive the answers and to close connections.
  */
-#define DRAIN_MARGIN (800 * WS_MS)
+#define ANSWERED_MARGIN (800 * WS_MS)
+/* Closing some hundred connections takes a while on a tenth of a core. */
+#define EXIT_MARGIN (300 * WS_MS)
 
 ws_us ws_eio_now(void)
 {
@@ -108,17 +110,30 @@
 
 /* ===== Time ===== */
 
-static void stop_if_drained(struct ws_eio *io, ws_us now)
+static bool is_drained(const struct ws_eio *io, ws_us spent)
+{
+	ws_us end = io->drain_grace - EXIT_MARGIN;
+	bool idle = !ws_edge_open(io->edge) &&
+		    !ws_eio_front_connections(io->front);
+
+	return spent > end ||
+	       (idle && (io->finishing || spent > DRAIN_TIME_MIN));
+}
+
+static void continue_draining(struct ws_eio *io, ws_us now)
 {
 	ws_us spent = now - io->drain_started_at;
-	bool idle;
 
 	if (!io->drain_started_at)
 		return;
-	idle = !ws_edge_open(io->edge) && !ws_eio_front_connections(io->front);
-	if ((idle && spent > DRAIN_TIME_MIN) ||
-	    spent > io->settings.grace_period - DRAIN_MARGIN)
-		ev_break(io->loop, EVBREAK_ALL);
+	if (!io->finishing && spent > io->drain_grace - ANSWERED_MARGIN) {
+		io->finishing = true;
+		ws_eio_front_finish(io->front);
+	}
+	if (!is_drained(io, spent))
+		return;
+	io->stopped = true;
+	ev_break(io->loop, EVBREAK_ALL);
 }
 
 static void on_tick(EV_P_ ev_timer *w, int revents)
@@ -131,7 +146,7 @@
 	(void)revents;
 	ws_timer_run(io->timers, now);
 	ws_eio_handle_event(io, &ev);
-	stop_if_drained(io, now);
+	continue_draining(io, now);
 }
 
 void ws_eio_drain(struct ws_eio *io)
@@ -141,13 +156,19 @@
 	if (io->drain_started_at)
 		return;
 	io->drain_started_at = ws_eio_now();
-	ev.u.drain_time = io->settings.grace_period - DRAIN_MARGIN;
+	io->drain_grace = io->settings.grace_period;
+	ev.u.drain_time = io->drain_grace - ANSWERED_MARGIN;
 	ws_eio_log(WS_LOG_DRAINING, io->incarnation, 0, NULL);
 	ws_eio_handle_event(io, &ev);
 	ws_eio_store_leave(io->store);
 	ws_eio_beats_send(io->beats);
 }
 
+bool ws_eio_stopped(const struct ws_eio *io)
+{
+	return io->stopped;
+}
+
 void ws_eio_reload(struct ws_eio *io, const struct wp_settings *set)
 {
 	io->settings.bounds = set->bounds;
--- a/lib/edgeio/ws_eio.h
+++ b/lib/edgeio/ws_eio.h
@@ -39,6 +39,9 @@
 	uint64_t incarnation;
 	ws_us started_at;
 	ws_us drain_started_at; /* 0: not draining */
+	ws_us drain_grace; /* the grace period when draining started */
+	bool finishing; /* all requests are answered; no more are taken */
+	bool stopped; /* the shutdown is complete */
 	bool in_step;
 };
 
@@ -65,6 +68,9 @@
 /* Starts a graceful shutdown; the loop ends when it is complete. */
 void ws_eio_drain(struct ws_eio *io);
 
+/* Whether the shutdown is complete. */
+bool ws_eio_stopped(const struct ws_eio *io);
+
 /* Applies the bounds and the grace period of reloaded settings. */
 void ws_eio_reload(struct ws_eio *io, const struct wp_settings *set);
 
--- a/lib/edgeio/ws_eio_front.c
+++ b/lib/edgeio/ws_eio_front.c
@@ -509,3 +509,8 @@
 {
 	return ws_server_connections(f->callers);
 }
+
+void ws_eio_front_finish(struct ws_eio_front *f)
+{
+	ws_server_finish(f->callers);
+}
--- a/lib/edgeio/ws_eio_front.h
+++ b/lib/edgeio/ws_eio_front.h
@@ -23,6 +23,9 @@
 /* Number of open connections of callers. */
 size_t ws_eio_front_connections(const struct ws_eio_front *f);
 
+/* Takes no more requests; see ws_server_finish(). */
+void ws_eio_front_finish(struct ws_eio_front *f);
+
 /* Applies the limits of the current configuration to callers' connections. */
 void ws_eio_front_apply_config(struct ws_eio_front *f);
 
--- a/lib/io/ws_server.c
+++ b/lib/io/ws_server.c
@@ -86,6 +86,7 @@
 	struct ws_server_request *free_requests;
 	size_t n_free;
 	size_t receiving_bytes; /* of bodies */
+	bool finished; /* takes no more requests */
 	int timer;
 	char buf[READ_BUFFER_SIZE];
 };
@@ -183,7 +184,7 @@
 		c->prev->next = c->next;
 	if (c->next)
 		c->next->prev = c->prev;
-	if (--s->n_cons <= s->conf.max_connections)
+	if (--s->n_cons <= s->conf.max_connections && !s->finished)
 		ev_io_start(s->loop, &s->listener);
 	discard_partial(c);
 	while ((r = c->first)) {
@@ -903,6 +904,26 @@
 	s->limits = *limits;
 }
 
+static void finish_connection(struct ws_server_con *c)
+{
+	if (c->closing || c->broken)
+		return;
+	if (c->partial)
+		answer_reject(c, 503);
+	c->closing = true;
+	start_lingering(c);
+}
+
+void ws_server_finish(struct ws_server *s)
+{
+	struct ws_server_con *c;
+
+	s->finished = true;
+	ev_io_stop(s->loop, &s->listener);
+	for (c = s->cons; c; c = c->next)
+		finish_connection(c);
+}
+
 unsigned ws_server_connections(const struct ws_server *s)
 {
 	return s->n_cons;
--- a/lib/io/ws_server.h
+++ b/lib/io/ws_server.h
@@ -95,4 +95,11 @@
 
 unsigned ws_server_connections(const struct ws_server *s);
 
+/*
+ * Takes no more requests. Requests that are not complete are answered with 503;
+ * each connection is closed after the responses to complete ones, by its caller
+ * or when the server is freed.
+ */
+void ws_server_finish(struct ws_server *s);
+
 #endif
