Refuse orders that may outlast the process in a planned stop

Callers saw: an order with a deadline beyond the end of the process was taken after SIGTERM; if its server took long, its outcome was unknown to the caller, who may not repeat it (LOST).

Change: after the signal a request that must not be repeated is taken only if its deadline or the route's timeout, whichever is earlier, ends before all requests are answered. Repeatable requests are taken as before: they are answered in any case, and callers can send them again.

--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -469,6 +469,21 @@
 	return *retry_after ? 429 : 0;
 }
 
+/*
+ * Whether an arrival is refused since the process is going to end. A request
+ * that must not be repeated is taken only if it certainly ends before: if it
+ * were cut off its outcome would be unknown, and another instance can run it.
+ */
+static bool is_too_late(const struct ws_edge *e, const struct ws_ed_arrival *a,
+			const struct ws_ed_route *r)
+{
+	if (!e->draining)
+		return false;
+	return e->now >= e->refuse_from ||
+	       (!r->idempotent &&
+		a->started + time_limit(a, r) > e->drained_at);
+}
+
 static void refuse_arrival(struct ws_edge *e, const struct ws_ed_arrival *a,
 			   int status, ws_us retry_after,
 			   enum ws_ed_reason reason, struct ws_ed_fx *fx)
@@ -499,11 +514,6 @@
 			       WS_EDR_NO_CONFIG, fx);
 		return;
 	}
-	if (e->draining && e->now >= e->refuse_from) {
-		refuse_arrival(e, a, 503, DRAINING_RETRY_AFTER, WS_EDR_DRAINING,
-			       fx);
-		return;
-	}
 	if (a->malformed) {
 		refuse_arrival(e, a, 400, 0, WS_EDR_BAD_REQUEST, fx);
 		return;
@@ -513,6 +523,11 @@
 		refuse_arrival(e, a, 404, 0, WS_EDR_NO_ROUTE, fx);
 		return;
 	}
+	if (is_too_late(e, a, r)) {
+		refuse_arrival(e, a, 503, DRAINING_RETRY_AFTER, WS_EDR_DRAINING,
+			       fx);
+		return;
+	}
 	status = check_caller(e, a, r, &customer, &retry_after, &reason);
 	if (status) {
 		refuse_arrival(e, a, status, retry_after, reason, fx);
--- a/tests/test_eio_drain.c
+++ b/tests/test_eio_drain.c
@@ -336,6 +336,28 @@
 }
 END_TEST
 
+/*
+ * Guards against an order that is taken after the signal though it may take
+ * longer than the process still runs: its outcome would be unknown, whereas
+ * another instance can run it.
+ */
+START_TEST(order_that_may_not_end_in_time_is_refused)
+{
+	start(50 * WS_MS);
+	connect_caller(0);
+	connect_caller(1);
+	run_for(50 * WS_MS);
+	term();
+	send_request(0, "POST", "/o/1", 10000);
+	send_request(1, "POST", "/o/2", 500);
+	run_to_end();
+	ck_assert_int_eq(status_of(0), 503);
+	ck_assert_int_eq(status_of(1), 200);
+	ck_assert_uint_eq(n_received, 1);
+	stop();
+}
+END_TEST
+
 /*
  * Guards against a caller that can't tell whether its request was read: a body
  * that is incomplete at the end is refused, not cut off.
@@ -441,6 +463,7 @@
 {
 	const TTest *const tests[] = {
 		requests_at_slow_servers_get_an_answer,
+		order_that_may_not_end_in_time_is_refused,
 		incomplete_body_is_refused_at_the_end,
 		late_body_is_refused_at_once,
 		kept_connections_are_not_reset,
@@ -448,5 +471,5 @@
 		reload_does_not_shorten_a_shutdown,
 	};
 
-	return ed_suite_run("eio_drain", tests, 6);
+	return ed_suite_run("eio_drain", tests, 7);
 }
