Let the soak find requests that a planned stop cuts off

One request in 60 takes 1 to 8 s at its server now, with a deadline of 9 s, and LOST is judged for instances that are asked to stop too: a connection that ends without an answer 0.5 s or more after the request was sent.

These requests are chosen by their number, so that the draws of a seed stay as they were, and don't count for the shares that are served, as faults end servers that run them.

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -25,6 +25,8 @@
 #define SOAK_QUIET_TIME (4 * WS_SECOND)
 /* The outcome of a request is known after this time. */
 #define SOAK_PENDING_MAX (3 * WS_SECOND)
+/* Requests with this prefix take seconds. */
+#define SOAK_LONG_PATH "/long/"
 /* Shares of requests served are judged over this many whole seconds. */
 #define SOAK_JUDGED_SECONDS 4
 
@@ -147,6 +149,12 @@
 /* Since when the process runs without a disturbing signal; 0: it does not. */
 ws_us soak_process_undisturbed_since(int i);
 
+/*
+ * Whether an instance is ending, or has ended, after SIGTERM, and nothing else
+ * has happened to it.
+ */
+bool soak_process_stops_cleanly(int i);
+
 /* ===== soak_caller.c ===== */
 
 void soak_callers_start(void);
--- a/tests/soak/soak_caller.c
+++ b/tests/soak/soak_caller.c
@@ -10,6 +10,11 @@
 
 #define PORT 7100
 #define DEADLINE (2 * WS_SECOND)
+/* Of a few requests that take seconds. */
+#define LONG_DEADLINE (9 * WS_SECOND)
+#define REQUESTS_PER_LONG_ONE 60
+/* After this time a process has read a request that was sent to it. */
+#define READ_MAX (500 * WS_MS)
 #define SECONDS_MAX 4000
 #define CUSTOMERS 4
 /* An instance still answers requests sent before or soon after SIGTERM. */
@@ -23,6 +28,7 @@
 	int instance;
 	bool at_most_once;
 	bool keyed;
+	bool takes_long;
 	ws_us sent;
 };
 
@@ -79,8 +85,12 @@
 	else
 		kind = status < 300 ? 0 : status < 500 ? 1 : 2;
 	by_outcome[kind]++;
-	per_second[c->keyed][second_index(c->sent)].sent_count++;
-	per_second[c->keyed][second_index(c->sent)].served_count += !kind;
+	/* Faults may end a server while it runs one that takes seconds. */
+	if (!c->takes_long) {
+		per_second[c->keyed][second_index(c->sent)].sent_count++;
+		per_second[c->keyed][second_index(c->sent)].served_count +=
+			!kind;
+	}
 	if (soak.opt.verbose && kind)
 		soak_log("caller %s at %d: end %d status %d", c->id,
 			 c->instance, res->outcome, status);
@@ -106,6 +116,15 @@
 	    soak_is_quiet(soak_now() - c->sent))
 		soak_violation("LOST", "%s ran, and its connection to %d ended",
 			       c->id, c->instance);
+	/* A process that is asked to stop answers what it has read. */
+	if (res->outcome == WS_HTTP_BROKEN &&
+	    soak_process_stops_cleanly(c->instance) &&
+	    soak_now() - c->sent > READ_MAX)
+		soak_violation("LOST",
+			       "%s got no answer from %d, which was asked to "
+			       "stop, in %.1f s",
+			       c->id, c->instance,
+			       (double)(soak_now() - c->sent) / 1e6);
 	g_hash_table_remove(open_calls, c);
 	curl_slist_free_all(c->headers);
 	free(c);
@@ -131,6 +150,12 @@
 		(int)ws_rand_below(&soak.rand, (uint64_t)soak.opt.instances);
 	c->at_most_once = kind < 3;
 	c->keyed = !c->at_most_once && kind < 6;
+	/* Not drawn, so that the draws of a seed stay what they were. */
+	c->takes_long =
+		!c->at_most_once && !c->keyed &&
+		ws_mix(soak.opt.seed, next_id) % REQUESTS_PER_LONG_ONE == 0;
+	if (c->takes_long)
+		req.timeout = LONG_DEADLINE + WS_SECOND;
 	c->sent = soak_now();
 	/* First letter, for soak_check.c: o, at most once; r, repeatable. */
 	snprintf(c->id, sizeof(c->id), "%c%llu-%llu",
@@ -140,10 +165,12 @@
 		 soak.net, 10 + c->instance, PORT,
 		 c->at_most_once ? "order" :
 		 c->keyed	 ? "cal" :
+		 c->takes_long	 ? "long" :
 				   "stock",
 		 (unsigned long long)next_id);
 	add_header(c, "Wagtailshift-Request-Id: %s", c->id);
-	add_header(c, "Wagtailshift-Deadline-Ms: %s", "2000");
+	add_header(c, "Wagtailshift-Deadline-Ms: %s",
+		   c->takes_long ? "9000" : "2000");
 	snprintf(text, sizeof(text), "key-c%u", customer);
 	add_header(c, "Api-Key: %s", text);
 	if (c->keyed) {
--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -134,7 +134,11 @@
 			"\"max_attempts\":2},{\"name\":\"cal\","
 			"\"path_prefix\":\"/cal/\",\"kind\":\"idempotent\","
 			"\"timeout_s\":2,\"target_latency_s\":0.5,"
-			"\"service\":\"cal\",\"max_attempts\":2}]}",
+			"\"service\":\"cal\",\"max_attempts\":2},{"
+			"\"name\":\"long\",\"path_prefix\":\"" SOAK_LONG_PATH
+			"\",\"kind\":\"idempotent\",\"timeout_s\":9,"
+			"\"target_latency_s\":9,\"service\":\"stock\","
+			"\"max_attempts\":2}]}",
 			i ? "," : "", soak.net, 10 + i);
 	g_string_append(s, "]}");
 	soak_store_write("keyed.op", "config", s->str);
--- a/tests/soak/soak_process.c
+++ b/tests/soak/soak_process.c
@@ -28,6 +28,7 @@
 	ws_us since; /* in this state */
 	ws_us resume_at; /* STOPPED: next start; PAUSED: SIGCONT */
 	ws_us undisturbed_since; /* last start or SIGCONT; 0: signal sent */
+	bool stops_cleanly; /* of all signals, only SIGTERM ends it */
 	struct soak_proxy *store_proxy;
 	int starts;
 };
@@ -85,6 +86,7 @@
 	p->state = RUNNING;
 	p->since = soak_now();
 	p->undisturbed_since = p->since;
+	p->stops_cleanly = false;
 	/* Signals may come at any time; the program lets them through. */
 	ws_signals_hold(signals, G_N_ELEMENTS(signals));
 	p->pid = fork();
@@ -144,6 +146,7 @@
 				"instance %d still runs %.1f s after SIGTERM",
 				i, (double)(now - p->since) / 1e6);
 			kill(p->pid, SIGKILL);
+			p->stops_cleanly = false;
 			p->state = STOPPED;
 			p->resume_at = now + WS_SECOND;
 		}
@@ -160,6 +163,7 @@
 	p->state = STOPPED;
 	p->resume_at = soak_now() + down_time;
 	p->undisturbed_since = 0;
+	p->stops_cleanly = false;
 }
 
 void soak_process_terminate(int i)
@@ -172,6 +176,7 @@
 	p->state = TERMINATING;
 	p->since = soak_now();
 	p->undisturbed_since = 0;
+	p->stops_cleanly = true;
 }
 
 void soak_process_pause(int i, ws_us time)
@@ -214,6 +219,11 @@
 					       0;
 }
 
+bool soak_process_stops_cleanly(int i)
+{
+	return processes[i].stops_cleanly;
+}
+
 void soak_processes_start(void)
 {
 	int i;
--- a/tests/soak/soak_server.c
+++ b/tests/soak/soak_server.c
@@ -220,6 +220,15 @@
 
 /* ===== Jobs ===== */
 
+static ws_us run_time(const struct server *s,
+		      const struct ws_server_request *req)
+{
+	if (!strncmp(req->uri, SOAK_LONG_PATH, strlen(SOAK_LONG_PATH)))
+		return soak_random_between(1 * WS_SECOND, 8 * WS_SECOND);
+	return soak_random_between(10 * WS_MS, 60 * WS_MS) *
+	       (s->slowdown ? s->slowdown : 1);
+}
+
 static void start_jobs(struct server *s)
 {
 	struct job *w;
@@ -233,9 +242,7 @@
 		soak_check_run(w->id, s->name,
 			       strcmp(w->req->method, "GET") != 0,
 			       customer ? customer : "", w->req->uri);
-		w->end = soak_now() +
-			 soak_random_between(10 * WS_MS, 60 * WS_MS) *
-				 (s->slowdown ? s->slowdown : 1);
+		w->end = soak_now() + run_time(s, w->req);
 		s->running++;
 	}
 }
