Part the quarantine from requests and heartbeats, and tidy it

ws_ed_call.c and ws_ed_beat.c had grown by it: what a call has to do with the quarantine is ws_ed_call_quar.c, the exchange of lists ws_ed_refused.c. The comment of ws_ed_suspect.h says what the module does now.

Two details with it, seen while reading. A strike or clearance that waits to be sent already isn't queued again: an instance of an earlier version, which doesn't know clearances, would have brought one with each heartbeat.

--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -2,7 +2,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "common/ws_events.h"
 #include "edge/ws_ed_admit.h"
 #include "edge/ws_edge_int.h"
 
@@ -91,59 +90,11 @@
 		refuse_call(e, c, retry_after, reason, fx);
 }
 
-/* ===== Quarantine ===== */
-
-/* A request may be quarantined while it is queued or at a server. */
-static bool is_quarantined(const struct ws_edge *e, const struct ed_call *c)
-{
-	uint32_t allowed = c->on_trial && !c->trial ?
-				   WS_ED_STRIKES_TO_REFUSE :
-				   WS_ED_STRIKES_TO_REFUSE - 1;
-
-	return ws_ed_suspects_strikes(&e->suspects, e->now, c->fingerprint) >
-	       allowed;
-}
-
-static bool may_try(struct ws_edge *e, uint64_t request)
-{
-	return ws_ed_suspects_may_try(&e->suspects, e->now, request,
-				      ws_ed_peers_is_assigned(&e->peers, e->now,
-							      request));
-}
-
-static struct ws_ed_strike trial_of(const struct ed_call *c)
-{
-	return (struct ws_ed_strike){
-		.request = c->fingerprint,
-		.crash = c->trial,
-	};
-}
-
-static void start_trial(struct ws_edge *e, struct ed_call *c,
-			struct ws_ed_fx *fx)
-{
-	struct ws_ed_strike trial;
-
-	c->trial = ws_mix(ws_mix(e->set.incarnation, c->id), (uint64_t)e->now);
-	trial = trial_of(c);
-	ws_ed_suspects_try(&e->suspects, e->now, &trial);
-	ws_ed_log_request(fx, WS_LOG_QUARANTINE_TRIAL, 0, c->fingerprint,
-			  "sent once more");
-}
-
-static void undo_trial(struct ws_edge *e, struct ed_call *c)
-{
-	const struct ws_ed_strike trial = trial_of(c);
-
-	ws_ed_suspects_undo_trial(&e->suspects, e->now, &trial);
-	c->trial = 0;
-}
-
 /* ===== Placement ===== */
 
 static bool may_resend(struct ws_edge *e, const struct ed_call *c)
 {
-	if (is_quarantined(e, c))
+	if (ws_ed_call_is_quarantined(e, c))
 		return false;
 	return c->sends < SENDS_MAX && c->attempts < c->max_attempts &&
 	       e->now + SEND_TIME_MIN < c->end_at &&
@@ -206,7 +157,7 @@
 	};
 	c->waiting_since = 0;
 	if (c->on_trial)
-		start_trial(e, c, fx);
+		ws_ed_call_start_trial(e, c, fx);
 	if (c->state == CALL_WAITING)
 		e->n_waiting--;
 	c->state = CALL_SENT;
@@ -359,7 +310,7 @@
 {
 	if (e->now < c->not_before)
 		return;
-	if (is_quarantined(e, c)) {
+	if (ws_ed_call_is_quarantined(e, c)) {
 		give_up(e, c, 0, WS_EDR_QUARANTINED, fx);
 		return;
 	}
@@ -534,7 +485,7 @@
 		return;
 	}
 	if (ws_ed_suspects_refuses(&e->suspects, e->now, a->fingerprint)) {
-		on_trial = may_try(e, a->fingerprint);
+		on_trial = ws_ed_call_may_try(e, a->fingerprint);
 		if (!on_trial) {
 			refuse_arrival(e, a, 503, 0, WS_EDR_QUARANTINED, fx);
 			return;
@@ -678,31 +629,6 @@
 	return true;
 }
 
-/*
- * Updates the suspects: a request at a server that loses its connection is
- * suspected, and the refused connection afterwards shows that the server has
- * crashed.
- */
-static void update_suspects(struct ws_edge *e, struct ed_call *c,
-			    uint32_t server, enum ws_ed_end end,
-			    struct ws_ed_fx *fx)
-{
-	const struct ws_ed_server *s = &e->pool.servers[server];
-
-	if (c->trial && (end == WS_ED_END_SHED || end == WS_ED_END_NOT_SENT))
-		undo_trial(e, c);
-	/* A server may fail a request without having begun to run it. */
-	if (end == WS_ED_END_OK &&
-	    ws_ed_suspects_clear(&e->suspects, e->now, c->fingerprint))
-		ws_ed_log_request(fx, WS_LOG_REQUEST_CLEARED, s->id,
-				  c->fingerprint, "answered");
-	if (end == WS_ED_END_CONNECTION_LOST)
-		ws_ed_suspects_add(&e->suspects, e->now, c->fingerprint, s->id,
-				   s->started_ms);
-	else if (end == WS_ED_END_NOT_SENT)
-		ws_ed_server_crashed(e, s->id, fx);
-}
-
 /* Applies what a server's own answer says of its limit of requests. */
 static void update_limit(struct ws_edge *e, const struct ed_lane *l,
 			 const struct ws_ed_ending *end, struct ws_ed_fx *fx)
@@ -733,7 +659,7 @@
 			 end->latency, l->load, &end->report);
 	update_limit(e, l, end, fx);
 	c->sends_received += end->end != WS_ED_END_NOT_SENT;
-	update_suspects(e, c, l->server, end->end, fx);
+	ws_ed_call_update_suspects(e, c, l->server, end->end, fx);
 	exclude(c, l->server);
 	if (awaits_other_lane(c, end->end))
 		return;
@@ -768,7 +694,8 @@
 	       c->lanes[0].active && !c->lanes[1].active &&
 	       c->attempts + 1 < c->max_attempts && c->sends < SENDS_MAX &&
 	       c->n_excluded < WS_ED_EXCLUDED_MAX &&
-	       e->now + SEND_TIME_MIN < c->end_at && !is_quarantined(e, c);
+	       e->now + SEND_TIME_MIN < c->end_at &&
+	       !ws_ed_call_is_quarantined(e, c);
 }
 
 static void consider_hedge(struct ws_edge *e, struct ed_call *c,
@@ -836,23 +763,26 @@
 }
 
 /*
- * Answers the calls at servers when the process is about to end: their servers
- * may have been given more time.
+ * Answers all calls as the process is about to end. Those at servers may have
+ * been sent with a later deadline.
  */
-static void end_sent_calls(struct ws_edge *e, struct ws_ed_fx *fx)
+static void end_calls(struct ws_edge *e, struct ws_ed_fx *fx)
 {
 	size_t i = 0;
 
 	while (i < e->cap_calls) {
 		struct ed_call *c = &e->calls[i];
 
-		if (c->state != CALL_SENT) {
+		/* After the end of a call another one may be in its place. */
+		if (c->state == CALL_SENT) {
+			cancel_lanes(e, c, fx);
+			fail_call(e, c, 504, WS_EDR_DRAINING, fx);
+		} else if (c->state == CALL_WAITING) {
+			give_up(e, c, DRAINING_RETRY_AFTER, WS_EDR_DRAINING,
+				fx);
+		} else {
 			i++;
-			continue;
 		}
-		/* Another call may move to this place. */
-		cancel_lanes(e, c, fx);
-		fail_call(e, c, 504, WS_EDR_DRAINING, fx);
 	}
 }
 
@@ -862,7 +792,7 @@
 	size_t i;
 
 	if (e->draining && e->now >= e->drained_at)
-		end_sent_calls(e, fx);
+		end_calls(e, fx);
 	send_hedges(e, fx);
 	if (!e->n_waiting)
 		return;
--- a/lib/edge/ws_ed_suspect.c
+++ b/lib/edge/ws_ed_suspect.c
@@ -71,8 +71,22 @@
 	schedule_check(s, now, server, started_ms);
 }
 
+static bool is_queued(const struct ws_ed_strike_queue *q,
+		      const struct ws_ed_strike *k)
+{
+	size_t i;
+
+	for (i = 0; i < q->n; i++)
+		if (q->items[i].strike.request == k->request &&
+		    q->items[i].strike.crash == k->crash)
+			return true;
+	return false;
+}
+
 static void enqueue(struct ws_ed_strike_queue *q, const struct ws_ed_strike *k)
 {
+	if (is_queued(q, k))
+		return;
 	if (q->n == WS_ED_STRIKE_QUEUE_MAX) {
 		q->n--;
 		memmove(q->items, q->items + 1, q->n * sizeof(q->items[0]));
--- a/lib/edge/ws_ed_suspect.h
+++ b/lib/edge/ws_ed_suspect.h
@@ -13,15 +13,23 @@
  * then checks whether the server still accepts connections: the list may show a
  * crash seconds later, and another request may not go there for long. If the
  * server turns out to have crashed, the request gets a strike, which the
- * instances send each other. Requests with strikes from WS_QUAR_STRIKES crashes
- * are refused by all instances. An answer from a server clears the request,
- * since many callers may send the same request while servers crash for other
- * reasons.
+ * instances send each other. Requests with strikes from enough crashes are
+ * refused by all instances.
+ *
+ * A server's answer, if it is no failure, clears the strikes that are known,
+ * and the instances send each other that too: many callers may send the same
+ * request while servers crash for other reasons.
+ *
+ * A refused request gets no answers, though it may only have been at servers
+ * that crashed for another reason. One with no more strikes than it takes is
+ * therefore sent once more after WS_ED_TRIAL_AFTER. The trial counts as a
+ * strike until it is answered, so that there is no second one. Any instance may
+ * make it: if few callers send the request, the one where it arrives does; if
+ * many do, so that several would send it at once, only the preferred one.
  *
  * When several servers crash, most strikes are against requests that just were
  * at them, and there may be too many to be sent soon. Therefore each heartbeat
- * also carries the strikes against one request that is refused, in turn, so
- * that all instances learn of it, also those that start or were cut off.
+ * also carries the strikes against one request that is refused, in turn.
  */
 
 /* Maximum number of suspects; beyond, the oldest is dropped. */
@@ -32,7 +40,7 @@
  */
 #define WS_ED_STRIKES_MAX 12
 #define WS_ED_STRIKES_BESIDE_ALL 4
-/* Of each, wait to be sent; beyond, the oldest is dropped. */
+/* Strikes, and clearances, that wait to be sent; the oldest are dropped. */
 #define WS_ED_STRIKE_QUEUE_MAX 256
 /* Heartbeats that repeat a new strike or clearance. */
 #define WS_ED_STRIKE_ROUNDS 4
--- a/lib/edge/ws_edge_int.h
+++ b/lib/edge/ws_edge_int.h
@@ -3,7 +3,7 @@
 
 #include "edge/ws_edge.h"
 
-/* Private to ws_edge.c, ws_ed_beat.c and ws_ed_call.c. */
+/* Private to ws_edge.c and to the files that the sections below name. */
 
 #define KEY_PAUSE_BUCKETS 256
 
@@ -162,11 +162,6 @@
 void ws_ed_beat_receive(struct ws_edge *e, const struct ws_ed_beat *b,
 			struct ws_ed_fx *fx);
 
-/* Processes refused requests of another instance. */
-void ws_ed_refused_receive(struct ws_edge *e,
-			   const struct ws_ed_refused_list *l,
-			   struct ws_ed_fx *fx);
-
 /* ===== ws_ed_budget.c ===== */
 
 /* Finds or adds the state of a service. */
@@ -193,9 +188,34 @@
 /* Sends hedges, sends queued calls and ends those out of time. */
 void ws_ed_call_tick(struct ws_edge *e, struct ws_ed_fx *fx);
 
-/* Ends all calls no later than at drained_at. */
+/* Limits the time of all calls to drained_at. */
 void ws_ed_call_drain(struct ws_edge *e);
 
+/* ===== ws_ed_refused.c ===== */
+
+/* Processes refused requests of another instance. */
+void ws_ed_refused_receive(struct ws_edge *e,
+			   const struct ws_ed_refused_list *l,
+			   struct ws_ed_fx *fx);
+
+/* ===== ws_ed_call_quar.c ===== */
+
+/* Whether a call must not be sent; it may become so at any time. */
+bool ws_ed_call_is_quarantined(const struct ws_edge *e,
+			       const struct ed_call *c);
+
+/* Whether a request that is refused may be tried now; to be asked once. */
+bool ws_ed_call_may_try(struct ws_edge *e, uint64_t request);
+
+/* Records that a call on trial is sent. */
+void ws_ed_call_start_trial(struct ws_edge *e, struct ed_call *c,
+			    struct ws_ed_fx *fx);
+
+/* Records what the end of a send says about a call and its server. */
+void ws_ed_call_update_suspects(struct ws_edge *e, struct ed_call *c,
+				uint32_t server, enum ws_ed_end end,
+				struct ws_ed_fx *fx);
+
 /* ===== ws_ed_call_table.c ===== */
 
 /* Finds a call by its id; NULL if there is none. */
