Log warm-ups of servers and who divides their rate

Whether an instance holds requests to a cold server back could not be read from its log: 803 says only that the server is listed. TARGET_COLD (401) now tells of each warm-up that begins, and of each change of its rate or of this instance's share: the time left, the rate of all instances together, among how many it is divided, and whether this one holds a share.

--- a/lib/edge/ws_ed_pool.h
+++ b/lib/edge/ws_ed_pool.h
@@ -68,6 +68,7 @@
 	ws_us usable_until; /* if no longer listed */
 	ws_us cold_until;
 	struct ws_ed_share cold_share; /* of its request rate while cold */
+	bool warm_up_changed; /* to be logged */
 	uint32_t in_flight; /* requests of this instance */
 	double other_requests; /* of other instances, as last reported */
 	double other_requests_mean;
@@ -120,6 +121,7 @@
 	size_t n_left; /* added so far */
 	size_t instances; /* number of those that share connections */
 	struct ws_ed_group group; /* those that share request rates */
+	bool warm_ups_changed; /* of any server */
 	struct ws_rand rand;
 };
 
--- a/lib/edge/ws_ed_throttle.c
+++ b/lib/edge/ws_ed_throttle.c
@@ -1,5 +1,10 @@
 #include "edge/ws_ed_throttle.h"
 
+#include <stdio.h>
+
+#include "common/ws_events.h"
+#include "edge/ws_ed_fx.h"
+
 /* Fraction of a cold server's request rate that all instances may use. */
 #define COLD_FRACTION 0.9
 /*
@@ -13,21 +18,35 @@
 /* A server with a lower limit gets this rate, to learn when it lifts it. */
 #define LIMIT_PER_S_MIN 0.25
 
+static void note_warm_up(struct ws_ed_pool *p, struct ws_ed_server *s)
+{
+	s->warm_up_changed = true;
+	p->warm_ups_changed = true;
+}
+
 static void share_cold(struct ws_ed_pool *p, ws_us now, struct ws_ed_server *s,
 		       double per_s)
 {
+	const struct ws_ed_share before = s->cold_share;
+
 	ws_ed_share_set(&s->cold_share, &p->group, s->id, per_s,
 			COLD_HOLDERS_MIN +
 				(size_t)(COLD_HOLDERS_PER_RATE * per_s),
 			now, &p->rand);
+	if (s->cold_share.per_s != before.per_s ||
+	    s->cold_share.holders != before.holders ||
+	    s->cold_share.is_holder != before.is_holder)
+		note_warm_up(p, s);
 }
 
 void ws_ed_throttle_make_cold(struct ws_ed_pool *p, ws_us now,
 			      struct ws_ed_server *s, ws_us until,
 			      const struct ws_ed_service *svc)
 {
-	if (s->cold_until <= now)
+	if (s->cold_until <= now) {
 		s->cold_share = (struct ws_ed_share){ .per_s = 0.0 };
+		note_warm_up(p, s);
+	}
 	s->cold_until = until;
 	if (svc && svc->warmup_per_s > 0.0)
 		share_cold(p, now, s, COLD_FRACTION * svc->warmup_per_s);
@@ -119,3 +138,39 @@
 		ws_ed_pool_limit_changed(p, now, (uint32_t)(s - p->servers));
 	}
 }
+
+static void log_warm_up(const struct ws_ed_server *s, ws_us now,
+			struct ws_ed_fx *fx)
+{
+	const struct ws_ed_share *sh = &s->cold_share;
+	char detail[112];
+
+	if (sh->per_s > 0.0)
+		snprintf(detail, sizeof(detail),
+			 "%.40s, %.1f/s among %zu instances, %s", s->name,
+			 sh->per_s, sh->holders,
+			 sh->is_holder ? "holds a share" : "holds none");
+	else
+		snprintf(detail, sizeof(detail), "%.40s, no rate is set",
+			 s->name);
+	ws_ed_fx_log(fx, WS_LOG_TARGET_COLD, s->id,
+		     (s->cold_until - now) / WS_MS, detail);
+}
+
+void ws_ed_throttle_log(struct ws_ed_pool *p, ws_us now, struct ws_ed_fx *fx)
+{
+	size_t i;
+
+	if (!p->warm_ups_changed)
+		return;
+	p->warm_ups_changed = false;
+	for (i = 0; i < p->n; i++) {
+		struct ws_ed_server *s = &p->servers[i];
+
+		if (!s->warm_up_changed)
+			continue;
+		s->warm_up_changed = false;
+		if (s->id && now < s->cold_until)
+			log_warm_up(s, now, fx);
+	}
+}
--- a/lib/edge/ws_ed_throttle.h
+++ b/lib/edge/ws_ed_throttle.h
@@ -3,6 +3,8 @@
 
 #include "edge/ws_ed_pool.h"
 
+struct ws_ed_fx;
+
 /*
  * Request rates of single servers: cold ones, and those that state a limit.
  * Used by the pool for each server; see ws_ed_share.h for how a rate is
@@ -28,4 +30,7 @@
 void ws_ed_throttle_refresh(struct ws_ed_pool *p, ws_us now,
 			    struct ws_ed_server *s);
 
+/* Appends WS_EDFX_LOG for warm-ups that have begun or whose share changed. */
+void ws_ed_throttle_log(struct ws_ed_pool *p, ws_us now, struct ws_ed_fx *fx);
+
 #endif
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "common/ws_events.h"
+#include "edge/ws_ed_throttle.h"
 #include "edge/ws_edge_int.h"
 
 #define SLOW_TICK (50 * WS_MS)
@@ -458,6 +459,7 @@
 	default:
 		WS_INVARIANT(false);
 	}
+	ws_ed_throttle_log(&e->pool, e->now, fx);
 }
 
 /* ===== Queries ===== */
