Derive warm-ups of servers from all that was read, in any order

Callers saw: cold servers got up to 23 requests in a second where 19 are allowed, and 43 where 36.5 are (FAILBACK), and crashed under them with all requests that were at them.

Cause: the rate of a cold server was set when its list entry was read, from the configuration known at that moment. An instance that reads the servers first had none, set no rate and never looked again. The same held for a zone that is taken back: its servers became cold only if they were listed and configured already. Class: a value derived from several reads, computed when one of them comes in.

Now facts are kept as read (end of the warm-up by the list entry, return of the zone, configuration), and ws_ed_throttle_update() derives the warm-up and the share from them after a change of any. While its service is not configured, a cold server gets nothing.

--- a/lib/edge/ws_ed_pool.c
+++ b/lib/edge/ws_ed_pool.c
@@ -135,6 +135,7 @@
 	s->failure_rate = 0.0;
 	s->backoff_until = 0;
 	s->n_backoffs = 0;
+	s->warm_at = 0;
 	s->cold_until = 0;
 	s->cold_share = (struct ws_ed_share){ .per_s = 0.0 };
 	s->idle_connections = 0;
@@ -167,8 +168,7 @@
 }
 
 int32_t ws_ed_pool_listed(struct ws_ed_pool *p, ws_us now,
-			  const struct ws_ed_listing *l,
-			  const struct ws_ed_service *svc)
+			  const struct ws_ed_listing *l)
 {
 	ws_id id = ws_ed_id(l->name);
 	int32_t found = ws_ed_pool_find(p, id);
@@ -196,10 +196,11 @@
 	s->started_ms = l->started_ms;
 	s->listed = true;
 	s->draining = l->draining;
-	s->max_connections = connection_share(p, svc);
+	s->max_connections =
+		connection_share(p, ws_ed_conf_service(p->conf, s->service));
 	if (l->cold_for > 0)
-		ws_ed_throttle_make_cold(p, now, s,
-					 now + l->cold_for + COLD_MARGIN, svc);
+		s->warm_at = now + l->cold_for + COLD_MARGIN;
+	ws_ed_throttle_update(p, now, s);
 	return (int32_t)h;
 }
 
@@ -224,13 +225,21 @@
 	s->listed = false;
 }
 
-void ws_ed_pool_configure(struct ws_ed_pool *p, const struct ws_ed_conf *conf)
+void ws_ed_pool_configure(struct ws_ed_pool *p, ws_us now,
+			  const struct ws_ed_conf *conf)
 {
 	size_t i;
 
-	for (i = 0; i < p->n; i++)
-		p->servers[i].max_connections = connection_share(
-			p, ws_ed_conf_service(conf, p->servers[i].service));
+	p->conf = conf;
+	for (i = 0; i < p->n; i++) {
+		struct ws_ed_server *s = &p->servers[i];
+
+		s->max_connections = connection_share(
+			p, ws_ed_conf_service(conf, s->service));
+#ifndef WS_MUTANT_RATE_OF_FIRST_CONFIG
+		ws_ed_throttle_update(p, now, s);
+#endif
+	}
 }
 
 /* ===== Zones ===== */
@@ -245,8 +254,7 @@
 	return NULL;
 }
 
-void ws_ed_pool_set_zone(struct ws_ed_pool *p, ws_us now, ws_id zone, bool out,
-			 const struct ws_ed_conf *conf)
+void ws_ed_pool_set_zone(struct ws_ed_pool *p, ws_us now, ws_id zone, bool out)
 {
 	struct ws_ed_zone_out *z = find_zone(p, zone);
 	size_t i;
@@ -257,19 +265,20 @@
 		z = &p->zones[p->n_zones++];
 		*z = (struct ws_ed_zone_out){ .zone = zone };
 	}
-	if (z->out && !out) {
-		/* Without requests, the servers may have become cold. */
-		for (i = 0; i < p->n; i++) {
-			struct ws_ed_server *s = &p->servers[i];
-			const struct ws_ed_service *svc =
-				ws_ed_conf_service(conf, s->service);
-
-			if (s->id && s->zone == zone && svc)
-				ws_ed_throttle_make_cold(
-					p, now, s, now + svc->warmup, svc);
-		}
-	}
+	/* Without requests, the servers may have become cold. */
+	if (z->out && !out)
+		z->back_at = now;
 	z->out = out;
+	for (i = 0; i < p->n; i++)
+		if (p->servers[i].id && p->servers[i].zone == zone)
+			ws_ed_throttle_update(p, now, &p->servers[i]);
+}
+
+ws_us ws_ed_pool_zone_back_at(const struct ws_ed_pool *p, ws_id zone)
+{
+	const struct ws_ed_zone_out *z = find_zone(p, zone);
+
+	return z ? z->back_at : 0;
 }
 
 bool ws_ed_pool_zone_out(const struct ws_ed_pool *p, ws_id zone)
--- a/lib/edge/ws_ed_pool.h
+++ b/lib/edge/ws_ed_pool.h
@@ -53,6 +53,13 @@
 	WS_ED_PENDING_RELAYS = 2, /* relays of other zones */
 };
 
+/* What the configuration says of the request rate of a cold server. */
+enum ws_ed_cold_rate {
+	WS_ED_RATE_UNKNOWN = 0, /* its service is not configured here */
+	WS_ED_RATE_LIMITED,
+	WS_ED_RATE_UNLIMITED,
+};
+
 struct ws_ed_server {
 	ws_id id; /* 0: free entry */
 	char name[WS_ED_NAME_MAX];
@@ -66,7 +73,9 @@
 	ws_us known_since; /* when this incarnation was first listed */
 	bool draining;
 	ws_us usable_until; /* if no longer listed */
-	ws_us cold_until;
+	ws_us warm_at; /* by its list entry; 0: it was warm */
+	ws_us cold_until; /* derived, see ws_ed_throttle_update() */
+	enum ws_ed_cold_rate cold_rate; /* derived */
 	struct ws_ed_share cold_share; /* of its request rate while cold */
 	bool warm_up_changed; /* to be logged */
 	uint32_t in_flight; /* requests of this instance */
@@ -95,6 +104,7 @@
 struct ws_ed_zone_out {
 	ws_id zone;
 	bool out;
+	ws_us back_at; /* when it was last taken back; 0: never */
 };
 
 /* The last entry of a server that has left. */
@@ -107,6 +117,7 @@
 #define WS_ED_LEFT_SERVERS 256
 
 struct ws_ed_pool {
+	const struct ws_ed_conf *conf; /* in force; borrowed; NULL: none */
 	struct ws_ed_server *servers;
 	size_t n;
 	size_t cap;
@@ -179,22 +190,24 @@
  * @return the server's handle, or -1
  */
 int32_t ws_ed_pool_listed(struct ws_ed_pool *p, ws_us now,
-			  const struct ws_ed_listing *l,
-			  const struct ws_ed_service *svc);
+			  const struct ws_ed_listing *l);
 
 /* Marks a server as no longer listed; it may be used for linger at most. */
 void ws_ed_pool_unlisted(struct ws_ed_pool *p, ws_us now, ws_id id,
 			 ws_us linger);
 
-/* Applies the connection limits of a configuration. */
-void ws_ed_pool_configure(struct ws_ed_pool *p, const struct ws_ed_conf *conf);
+/* Applies a configuration, which must stay valid until the next one. */
+void ws_ed_pool_configure(struct ws_ed_pool *p, ws_us now,
+			  const struct ws_ed_conf *conf);
 
 /* Takes a zone out of service or back. */
-void ws_ed_pool_set_zone(struct ws_ed_pool *p, ws_us now, ws_id zone, bool out,
-			 const struct ws_ed_conf *conf);
+void ws_ed_pool_set_zone(struct ws_ed_pool *p, ws_us now, ws_id zone, bool out);
 
 bool ws_ed_pool_zone_out(const struct ws_ed_pool *p, ws_id zone);
 
+/* When a zone was last taken back into service; 0: never. */
+ws_us ws_ed_pool_zone_back_at(const struct ws_ed_pool *p, ws_id zone);
+
 /* Handle of a server, or -1. */
 int32_t ws_ed_pool_find(const struct ws_ed_pool *p, ws_id id);
 
--- a/lib/edge/ws_ed_throttle.c
+++ b/lib/edge/ws_ed_throttle.c
@@ -39,22 +39,58 @@
 		note_warm_up(p, s);
 }
 
-void ws_ed_throttle_make_cold(struct ws_ed_pool *p, ws_us now,
-			      struct ws_ed_server *s, ws_us until,
-			      const struct ws_ed_service *svc)
+/* End of the warm-up that a return of the server's zone has caused. */
+static ws_us zone_warm_at(const struct ws_ed_pool *p,
+			  const struct ws_ed_server *s,
+			  const struct ws_ed_service *svc)
 {
-	if (s->cold_until <= now) {
+	ws_us back_at = ws_ed_pool_zone_back_at(p, s->zone);
+
+	return back_at ? back_at + svc->warmup : 0;
+}
+
+/* End of the warm-up; without the service it is not known to be shorter. */
+static ws_us warm_at(const struct ws_ed_pool *p, const struct ws_ed_server *s,
+		     const struct ws_ed_service *svc)
+{
+	ws_us other = svc ? zone_warm_at(p, s, svc) : s->cold_until;
+
+	return s->warm_at > other ? s->warm_at : other;
+}
+
+void ws_ed_throttle_update(struct ws_ed_pool *p, ws_us now,
+			   struct ws_ed_server *s)
+{
+	const struct ws_ed_service *svc =
+		ws_ed_conf_service(p->conf, s->service);
+	bool was_cold = now < s->cold_until;
+
+	s->cold_until = warm_at(p, s, svc);
+	if (now >= s->cold_until)
+		return;
+	if (!was_cold) {
 		s->cold_share = (struct ws_ed_share){ .per_s = 0.0 };
 		note_warm_up(p, s);
 	}
-	s->cold_until = until;
-	if (svc && svc->warmup_per_s > 0.0)
+	if (!svc) {
+		s->cold_rate = WS_ED_RATE_UNKNOWN;
+	} else if (svc->warmup_per_s > 0.0) {
+		s->cold_rate = WS_ED_RATE_LIMITED;
 		share_cold(p, now, s, COLD_FRACTION * svc->warmup_per_s);
+	} else {
+		s->cold_rate = WS_ED_RATE_UNLIMITED;
+		s->cold_share = (struct ws_ed_share){ .per_s = 0.0 };
+	}
 }
 
 static bool is_throttled_as_cold(const struct ws_ed_server *s, ws_us now)
 {
-	return now < s->cold_until && s->cold_share.per_s > 0.0;
+	return now < s->cold_until && s->cold_rate == WS_ED_RATE_LIMITED;
+}
+
+static bool has_unknown_rate(const struct ws_ed_server *s, ws_us now)
+{
+	return now < s->cold_until && s->cold_rate == WS_ED_RATE_UNKNOWN;
 }
 
 static void share_limit(struct ws_ed_pool *p, ws_us now, struct ws_ed_server *s)
@@ -89,6 +125,10 @@
 {
 	ws_us wait = 0;
 
+#ifndef WS_MUTANT_UNKNOWN_RATE_IGNORED
+	if (has_unknown_rate(s, now))
+		return WS_ED_NO_SHARE;
+#endif
 	if (is_throttled_as_cold(s, now))
 		wait = longer_wait(wait, ws_ed_share_wait(&s->cold_share,
 							  &p->group, now));
@@ -106,6 +146,8 @@
 
 	if (s->limit.named)
 		time = ws_ed_share_retry_after(&s->limit_share, &p->group, now);
+	if (has_unknown_rate(s, now))
+		return s->cold_until - now;
 	if (!is_throttled_as_cold(s, now))
 		return time;
 	cold = ws_ed_share_retry_after(&s->cold_share, &p->group, now);
@@ -128,7 +170,7 @@
 {
 	if (is_throttled_as_cold(s, now) &&
 	    s->cold_share.version != p->group.version)
-		share_cold(p, now, s, s->cold_share.per_s);
+		ws_ed_throttle_update(p, now, s);
 	if (!s->limit.named)
 		return;
 	if (s->limit_share.version != p->group.version)
@@ -151,8 +193,10 @@
 			 sh->per_s, sh->holders,
 			 sh->is_holder ? "holds a share" : "holds none");
 	else
-		snprintf(detail, sizeof(detail), "%.40s, no rate is set",
-			 s->name);
+		snprintf(detail, sizeof(detail), "%.40s, %s", s->name,
+			 s->cold_rate == WS_ED_RATE_UNLIMITED ?
+				 "without a limit" :
+				 "its rate is not known yet, gets nothing");
 	ws_ed_fx_log(fx, WS_LOG_TARGET_COLD, s->id,
 		     (s->cold_until - now) / WS_MS, detail);
 }
--- a/lib/edge/ws_ed_throttle.h
+++ b/lib/edge/ws_ed_throttle.h
@@ -11,10 +11,14 @@
  * divided.
  */
 
-/* Begins or extends the warm-up of a server. */
-void ws_ed_throttle_make_cold(struct ws_ed_pool *p, ws_us now,
-			      struct ws_ed_server *s, ws_us until,
-			      const struct ws_ed_service *svc);
+/*
+ * Derives a server's warm-up and its share of the rate from what has been read:
+ * its list entry, the return of its zone, the configuration and the group. To
+ * be called after a change of any of them, in any order. While the service is
+ * not configured, a cold server gets nothing.
+ */
+void ws_ed_throttle_update(struct ws_ed_pool *p, ws_us now,
+			   struct ws_ed_server *s);
 
 /*
  * Time until this instance may send to a server; 0: now, WS_ED_NO_SHARE:
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -113,10 +113,10 @@
 		ws_ed_conf_free(conf);
 		return;
 	}
+	ws_ed_pool_configure(&e->pool, e->now, conf);
 	ws_ed_conf_free(e->conf);
 	e->conf = conf;
 	e->lead.conf = conf;
-	ws_ed_pool_configure(&e->pool, conf);
 	ws_ed_quota_configure(&e->quota, e->now, conf);
 	ws_ed_quota_tick(&e->quota, e->now, ws_ed_peers_known(&e->peers),
 			 demand_report_period(e));
@@ -196,8 +196,7 @@
 
 	if (h >= 0 && e->pool.servers[h].started_ms < l->started_ms)
 		ws_ed_server_crashed(e, id, fx);
-	ws_ed_pool_listed(&e->pool, e->now, l,
-			  ws_ed_conf_service(e->conf, l->service));
+	ws_ed_pool_listed(&e->pool, e->now, l);
 }
 
 /* Records the end of an outage if there was no evidence for some time. */
@@ -393,7 +392,7 @@
 		break;
 	case WS_EDEV_ZONE:
 		ws_ed_pool_set_zone(&e->pool, e->now, ev->u.zone.zone,
-				    ev->u.zone.out, e->conf);
+				    ev->u.zone.out);
 		break;
 	case WS_EDEV_READ_STARTED:
 		save_read_start_timestamps(e, ev->u.reading);
--- a/tests/test_ed_lead.c
+++ b/tests/test_ed_lead.c
@@ -77,7 +77,7 @@
 		ws_ed_peers_add(&peers, now,
 				&(struct ws_ed_member_entry){ .id = ids[i],
 							      .address = "x" });
-	ws_ed_pool_listed(&pool, now, &l, &service);
+	ws_ed_pool_listed(&pool, now, &l);
 	hear_all();
 }
 
@@ -337,7 +337,7 @@
 
 	become_leader(1);
 	dark = "s0";
-	ws_ed_pool_listed(&pool, now, &other, &service);
+	ws_ed_pool_listed(&pool, now, &other);
 	dark_answer = _i ? WS_EDC_MISDIRECTED : WS_EDC_NOT_SENT;
 	for (i = 0; i < 100 && !lead.appending; i++)
 		run(100 * WS_MS);
--- a/tests/test_ed_lead_random.c
+++ b/tests/test_ed_lead_random.c
@@ -369,7 +369,7 @@
 	memcpy(l.name, sv->name, sizeof(l.name));
 	memcpy(l.address, sv->name, sizeof(l.address));
 	if (sv->listed)
-		ws_ed_pool_listed(&w->nodes[n].pool, now, &l, &w->service);
+		ws_ed_pool_listed(&w->nodes[n].pool, now, &l);
 	else
 		ws_ed_pool_unlisted(&w->nodes[n].pool, now, sv->id, 0);
 }
--- a/tests/test_ed_pool.c
+++ b/tests/test_ed_pool.c
@@ -20,6 +20,11 @@
 	.warmup_per_s = 9.3,
 };
 
+static const struct ws_ed_conf conf = {
+	.services = (struct ws_ed_service *)(uintptr_t)&service,
+	.n_services = 1,
+};
+
 static struct ws_ed_pool pool;
 static uint32_t work;
 
@@ -38,7 +43,7 @@
 
 	snprintf(l.name, sizeof(l.name), "%s", name);
 	snprintf(l.address, sizeof(l.address), "10.0.0.1:80");
-	return (uint32_t)ws_ed_pool_listed(&pool, now, &l, &service);
+	return (uint32_t)ws_ed_pool_listed(&pool, now, &l);
 }
 
 static void setup(size_t instances)
@@ -47,6 +52,7 @@
 	memset(&pool, 0, sizeof(pool));
 	ws_rand_seed(&pool.rand, 4);
 	pool.instances = instances;
+	ws_ed_pool_configure(&pool, 0, &conf);
 	work = ws_ed_pool_work_stats(&pool, 1, SERVICE);
 }
 
@@ -201,6 +207,24 @@
 }
 END_TEST
 
+/*
+ * Guards against a cold server without a limit: it was listed before the
+ * configuration was read (FAILBACK).
+ */
+START_TEST(cold_server_gets_nothing_before_its_service_is_known)
+{
+	setup_instance(INSTANCES, 0);
+	ws_ed_pool_configure(&pool, 0, NULL);
+	list("a", OWN_ZONE, 1, 1, false, 4 * WS_SECOND, 0);
+	ck_assert_int_eq(choose(WS_SECOND), -1);
+	ws_ed_pool_configure(&pool, WS_SECOND, &conf);
+	ck_assert(pool.servers[0].cold_share.per_s > 0.0);
+	ck_assert_int_ge(choose(3 * WS_SECOND), 0);
+	ws_ed_pool_sent(&pool, 3 * WS_SECOND, 0);
+	ck_assert_int_eq(choose(3 * WS_SECOND), -1);
+}
+END_TEST
+
 /* Guards against a late entry that overwrites a newer one. */
 START_TEST(older_entries_are_ignored)
 {
@@ -221,17 +245,13 @@
 /* Guards against requests to a zone that is out of service. */
 START_TEST(zone_out_gets_no_requests_and_returns_cold)
 {
-	struct ws_ed_conf conf = {
-		.services = (struct ws_ed_service *)(uintptr_t)&service,
-		.n_services = 1,
-	};
 	uint32_t s;
 
 	setup(INSTANCES);
 	s = list("a", OWN_ZONE, 1, 1, false, 0, 0);
-	ws_ed_pool_set_zone(&pool, WS_SECOND, OWN_ZONE, true, &conf);
+	ws_ed_pool_set_zone(&pool, WS_SECOND, OWN_ZONE, true);
 	ck_assert_int_eq(choose(WS_SECOND), -1);
-	ws_ed_pool_set_zone(&pool, 2 * WS_SECOND, OWN_ZONE, false, &conf);
+	ws_ed_pool_set_zone(&pool, 2 * WS_SECOND, OWN_ZONE, false);
 	ck_assert(ws_ed_pool_usable(&pool, 2 * WS_SECOND, s));
 	ck_assert_int_gt(pool.servers[s].cold_until, 2 * WS_SECOND);
 }
@@ -263,7 +283,7 @@
 	};
 
 	snprintf(l.name, sizeof(l.name), "%s", name);
-	ws_ed_pool_listed(&pool, 4 * WS_SECOND, &l, &service);
+	ws_ed_pool_listed(&pool, 4 * WS_SECOND, &l);
 }
 
 /*
@@ -388,6 +408,7 @@
 		failing_server_loses_its_share,
 		cold_server_is_throttled_over_all_instances,
 		cold_server_gets_no_burst_after_silence,
+		cold_server_gets_nothing_before_its_service_is_known,
 		older_entries_are_ignored,
 		zone_out_gets_no_requests_and_returns_cold,
 		unlisted_server_is_used_for_the_linger_time,
@@ -397,5 +418,5 @@
 		open_connection_is_preferred,
 	};
 
-	return ed_suite_run("ed_pool", tests, 12);
+	return ed_suite_run("ed_pool", tests, 13);
 }
