Count a warm-up from when its list entry was first read

Callers saw nothing of it yet: a server was held back for longer than it is cold, at each instance for another time.

An entry with the sequence number that is known already now leaves the end of the warm-up as it is.

test_ed_order failed before (seed 2: the warm-up ends 405 ms late).

--- a/lib/edge/ws_ed_pool.c
+++ b/lib/edge/ws_ed_pool.c
@@ -173,6 +173,7 @@
 	ws_id id = ws_ed_id(l->name);
 	int32_t found = ws_ed_pool_find(p, id);
 	struct ws_ed_server *s;
+	bool is_repeated = false;
 	uint32_t h;
 
 	if (found >= 0 && is_stale_listing(l, &p->servers[found]))
@@ -185,6 +186,8 @@
 	if (found < 0 || s->started_ms != l->started_ms) {
 		reset_estimates(s);
 		s->known_since = now;
+	} else {
+		is_repeated = s->sequence == l->sequence;
 	}
 	s->sequence = l->sequence;
 	s->id = id;
@@ -198,7 +201,8 @@
 	s->draining = l->draining;
 	s->max_connections =
 		connection_share(p, ws_ed_conf_service(p->conf, s->service));
-	if (l->cold_for > 0)
+	/* What is left of the warm-up counts from when it was first read. */
+	if (l->cold_for > 0 && !is_repeated)
 		s->warm_at = now + l->cold_for + COLD_MARGIN;
 	ws_ed_throttle_update(p, now, s);
 	return (int32_t)h;
--- a/tests/test_ed_order.c
+++ b/tests/test_ed_order.c
@@ -25,8 +25,8 @@
 /* An instance that starts uses no share of a server's rate before. */
 #define SHARES_FROM WS_ED_FULL_MESH_TIME
 #define WARM_UP "30"
+#define COLD_FOR (20 * WS_SECOND)
 #define LIMIT 2.0F
-/* Requests without an answer of their own, from each caller in each step */
 #define EVENTS_MAX 64
 
 #define ROUTES                                                             \
@@ -95,14 +95,14 @@
 	  .service = "open",
 	  .zone = ZONE_HOME,
 	  .sequence = 5,
-	  .cold_for = 20 * WS_SECOND,
+	  .cold_for = COLD_FOR,
 	  .replaced = true },
 	{ .kind = READ_ENTRY,
 	  .server = "cold",
 	  .service = "open",
 	  .zone = ZONE_HOME,
 	  .sequence = 6,
-	  .cold_for = 20 * WS_SECOND },
+	  .cold_for = COLD_FOR },
 	{ .kind = READ_ENTRY,
 	  .server = "returned",
 	  .service = "open",
@@ -113,7 +113,7 @@
 	  .service = "added",
 	  .zone = ZONE_HOME,
 	  .sequence = 5,
-	  .cold_for = 20 * WS_SECOND },
+	  .cold_for = COLD_FOR },
 	{ .kind = READ_BEAT, .peer = 0, .replaced = true },
 	{ .kind = READ_BEAT, .peer = 0 },
 	{ .kind = READ_BEAT, .peer = 1 },
@@ -130,6 +130,8 @@
 static uint64_t next_id;
 /* Since the start */
 static int sent_to_cold;
+/* When the newest entry of the server "cold" was first read; 0: not yet */
+static ws_us cold_entry_at;
 static bool zone_is_back; /* as read so far */
 static int admitted; /* requests of the customer with a small rate */
 
@@ -173,6 +175,8 @@
 	snprintf(l.address, sizeof(l.address), "10.0.0.1:80");
 	ev.u.listing = &l;
 	step(&ev);
+	if (!cold_entry_at && !strcmp(r->server, "cold") && !r->replaced)
+		cold_entry_at = now;
 }
 
 static void read_zone(const struct read *r)
@@ -353,6 +357,7 @@
 	now = started;
 	sent_to_cold = 0;
 	zone_is_back = false;
+	cold_entry_at = 0;
 	admitted = 0;
 	edge = ws_edge_new(&set);
 }
@@ -514,6 +519,16 @@
 		      want->cold_holders);
 }
 
+/* Reading an entry once more does not extend the warm-up that it states. */
+static void expect_warm_up_of_first_read(uint64_t seed)
+{
+	ws_us extra = server("cold")->warm_at - cold_entry_at - COLD_FOR;
+
+	ck_assert_msg(extra >= 0 && extra < 250 * WS_MS,
+		      "seed %d: the warm-up ends %d ms late", (int)seed,
+		      (int)(extra / WS_MS));
+}
+
 static const char *const names[] = { "warm", "cold", "returned", "added" };
 
 #define NAMES (sizeof(names) / sizeof(names[0]))
@@ -535,6 +550,7 @@
 		run_shuffled(seed);
 		for (i = 0; i < NAMES; i++)
 			expect_same(names[i], &want[i], seed);
+		expect_warm_up_of_first_read(seed);
 	}
 	ws_edge_free(edge);
 	edge = NULL;
