Divide a server's connections by the members known now

Callers saw nothing of it alone; servers reset connections over their cap.

Cause: an instance's share of a server's connections was computed when the server or a configuration was read, by the members known at that moment. One that reads the servers before the list of instances took the whole cap for itself until the next entry or configuration. The cap is now kept as configured and divided where it is used.

test_ed_order failed before: 100 connections at one of five instances where 20 are its share.

--- a/lib/edge/ws_ed_pool.c
+++ b/lib/edge/ws_ed_pool.c
@@ -112,17 +112,6 @@
 	return (uint32_t)i;
 }
 
-static uint32_t connection_share(const struct ws_ed_pool *p,
-				 const struct ws_ed_service *svc)
-{
-	uint32_t share;
-
-	if (!svc || !svc->max_connections)
-		return 0;
-	share = svc->max_connections / (uint32_t)p->instances;
-	return share ? share : 1;
-}
-
 static void reset_estimates(struct ws_ed_server *s)
 {
 	s->other_requests = 0.0;
@@ -143,6 +132,23 @@
 	s->limit_share = (struct ws_ed_share){ .per_s = 0.0 };
 }
 
+static void set_max_connections(const struct ws_ed_pool *p,
+				struct ws_ed_server *s)
+{
+	const struct ws_ed_service *svc =
+		ws_ed_conf_service(p->conf, s->service);
+
+	s->max_connections = svc ? svc->max_connections : 0;
+}
+
+uint32_t ws_ed_pool_connection_share(const struct ws_ed_pool *p,
+				     const struct ws_ed_server *s)
+{
+	uint32_t share = s->max_connections / (uint32_t)p->instances;
+
+	return s->max_connections && !share ? 1 : share;
+}
+
 static bool is_stale_listing(const struct ws_ed_listing *l,
 			     const struct ws_ed_server *s)
 {
@@ -199,8 +205,7 @@
 	s->started_ms = l->started_ms;
 	s->listed = true;
 	s->draining = l->draining;
-	s->max_connections =
-		connection_share(p, ws_ed_conf_service(p->conf, s->service));
+	set_max_connections(p, s);
 	/* What is left of the warm-up counts from when it was first read. */
 	if (l->cold_for > 0 && !is_repeated)
 		s->warm_at = now + l->cold_for + COLD_MARGIN;
@@ -238,8 +243,7 @@
 	for (i = 0; i < p->n; i++) {
 		struct ws_ed_server *s = &p->servers[i];
 
-		s->max_connections = connection_share(
-			p, ws_ed_conf_service(conf, s->service));
+		set_max_connections(p, s);
 #ifndef WS_MUTANT_RATE_OF_FIRST_CONFIG
 		ws_ed_throttle_update(p, now, s);
 #endif
@@ -436,6 +440,13 @@
 	return s->idle_connections && now < s->idle_until;
 }
 
+static bool has_full_share(const struct ws_ed_pool *p,
+			   const struct ws_ed_server *s)
+{
+	return s->max_connections &&
+	       s->in_flight >= ws_ed_pool_connection_share(p, s);
+}
+
 static double cost_of(struct ws_ed_pool *p, ws_us now,
 		      const struct ws_ed_choose_input *in,
 		      const struct ws_ed_server *s,
@@ -448,8 +459,7 @@
 		cost = cost * REMOTE_ZONE_FACTOR + REMOTE_ZONE_COST;
 	if (!has_idle(s, now) && now - s->known_since > NEW_SERVER_TIME)
 		cost *= CONNECT_FACTOR;
-	if (now < s->backoff_until ||
-	    (s->max_connections && s->in_flight >= s->max_connections))
+	if (now < s->backoff_until || has_full_share(p, s))
 		cost += 1e9;
 	return cost *
 	       (1.0 + JITTER * (double)ws_rand_below(&p->rand, 1000) / 1000.0);
--- a/lib/edge/ws_ed_pool.h
+++ b/lib/edge/ws_ed_pool.h
@@ -95,7 +95,7 @@
 	ws_us idle_timeout; /* after which it closes connections; 0: unknown */
 	uint32_t idle_connections; /* open connections that may be reused */
 	ws_us idle_until; /* when they will have been closed */
-	uint32_t max_connections; /* this instance's share; 0: no bound */
+	uint32_t max_connections; /* of all instances; 0: no bound known */
 	ws_us keys_refused_until; /* until then it gets no grant or release */
 	struct ws_ed_limit limit; /* of its requests from all instances */
 	struct ws_ed_share limit_share;
@@ -208,6 +208,10 @@
 /* When a zone was last taken back into service; 0: never. */
 ws_us ws_ed_pool_zone_back_at(const struct ws_ed_pool *p, ws_id zone);
 
+/* Connections to a server that this instance may use; 0: no bound. */
+uint32_t ws_ed_pool_connection_share(const struct ws_ed_pool *p,
+				     const struct ws_ed_server *s);
+
 /* Handle of a server, or -1. */
 int32_t ws_ed_pool_find(const struct ws_ed_pool *p, ws_id id);
 
--- a/tests/test_ed_order.c
+++ b/tests/test_ed_order.c
@@ -480,6 +480,7 @@
 	double cold_per_s;
 	size_t cold_holders;
 	bool holds_cold;
+	uint32_t connections;
 };
 
 static struct decision decide(const char *name)
@@ -490,6 +491,8 @@
 			ws_edge_pool(edge), now,
 			(uint32_t)(s - ws_edge_pool(edge)->servers)),
 		.cold = now < s->cold_until,
+		.connections =
+			ws_ed_pool_connection_share(ws_edge_pool(edge), s),
 	};
 
 	if (d.cold) {
@@ -510,13 +513,15 @@
 			      got.cold_rate == want->cold_rate &&
 			      got.cold_per_s == want->cold_per_s &&
 			      got.cold_holders == want->cold_holders &&
-			      got.holds_cold == want->holds_cold,
+			      got.holds_cold == want->holds_cold &&
+			      got.connections == want->connections,
 		      "seed %d, server %s: usable %d cold %d rate %d %.1f/s "
-		      "among %zu; in order: %d %d %d %.1f/s among %zu",
+		      "among %zu, %u connections; in order: %d %d %d %.1f/s "
+		      "among %zu, %u",
 		      (int)seed, name, got.usable, got.cold, got.cold_rate,
-		      got.cold_per_s, got.cold_holders, want->usable,
-		      want->cold, want->cold_rate, want->cold_per_s,
-		      want->cold_holders);
+		      got.cold_per_s, got.cold_holders, got.connections,
+		      want->usable, want->cold, want->cold_rate,
+		      want->cold_per_s, want->cold_holders, want->connections);
 }
 
 /* Reading an entry once more does not extend the warm-up that it states. */
@@ -544,6 +549,7 @@
 	run_in_order();
 	for (i = 0; i < NAMES; i++)
 		want[i] = decide(names[i]);
+	ck_assert_uint_eq(want[0].connections, 100 / (PEERS + 1));
 	ck_assert(!want[0].cold && want[1].cold && want[2].cold &&
 		  want[3].cold);
 	for (seed = seeds.first; seed <= seeds.last; seed++) {
