Keep limits that peers report before the server is listed

Cause: a limit in a heartbeat was dropped if its server was not listed yet, or with an earlier start. Such a limit is now kept (64 at most, the newest) and applied when the server is listed with that start.

--- a/lib/edge/ws_ed_beat.c
+++ b/lib/edge/ws_ed_beat.c
@@ -83,16 +83,14 @@
 
 	for (i = 0; i < b->n_limits; i++) {
 		const struct ws_ed_beat_limit *l = &b->limits[i];
-		int32_t h = ws_ed_pool_find_short(&e->pool, l->server);
-		struct ws_ed_server *s = h >= 0 ? &e->pool.servers[h] : NULL;
-		ws_us as_of = e->now - (ws_us)l->age_ms * WS_MS;
+		int32_t h = ws_ed_pool_peer_limit(
+			&e->pool, e->now, l->server, l->started,
+			e->now - (ws_us)l->age_ms * WS_MS, (double)l->per_s);
 
-		if (!s || (uint32_t)s->started_ms != l->started ||
-		    !ws_ed_limit_on_peer(&s->limit, e->now, as_of,
-					 (double)l->per_s))
+		if (h < 0)
 			continue;
-		ws_ed_pool_limit_changed(&e->pool, e->now, (uint32_t)h);
-		ws_ed_limit_log(&s->limit, s->id,
+		ws_ed_limit_log(&e->pool.servers[h].limit,
+				e->pool.servers[h].id,
 				"reported by another instance", fx);
 	}
 }
--- a/lib/edge/ws_ed_pool.c
+++ b/lib/edge/ws_ed_pool.c
@@ -210,6 +210,7 @@
 	if (l->cold_for > 0 && !is_repeated)
 		s->warm_at = now + l->cold_for + COLD_MARGIN;
 	ws_ed_throttle_update(p, now, s);
+	ws_ed_throttle_apply_early(p, now, h);
 	return (int32_t)h;
 }
 
--- a/lib/edge/ws_ed_pool.h
+++ b/lib/edge/ws_ed_pool.h
@@ -116,6 +116,16 @@
 
 #define WS_ED_LEFT_SERVERS 256
 
+/* The limit of a server's process that is not listed yet. */
+struct ws_ed_early_limit {
+	uint32_t server; /* ws_ed_short_id(); 0: free */
+	uint32_t started; /* as in struct ws_ed_beat_limit */
+	ws_us as_of;
+	double per_s;
+};
+
+#define WS_ED_EARLY_LIMITS 64
+
 struct ws_ed_pool {
 	const struct ws_ed_conf *conf; /* in force; borrowed; NULL: none */
 	struct ws_ed_server *servers;
@@ -130,6 +140,9 @@
 	/* Ring buffer, so that an old copy of the list brings none back */
 	struct ws_ed_left_server left[WS_ED_LEFT_SERVERS];
 	size_t n_left; /* added so far */
+	/* Ring buffer of what peers reported before the list was read */
+	struct ws_ed_early_limit early_limits[WS_ED_EARLY_LIMITS];
+	size_t n_early_limits; /* added so far */
 	size_t instances; /* number of those that share connections */
 	struct ws_ed_group group; /* those that share request rates */
 	bool warm_ups_changed; /* of any server */
@@ -246,6 +259,16 @@
  */
 ws_us ws_ed_pool_retry_after(struct ws_ed_pool *p, ws_us now, uint32_t server);
 
+/*
+ * Applies another instance's report of a server's limit. One that is not listed
+ * yet, or not with this start, gets it when it is.
+ * @param started low bits of the time when the server's process started
+ * @param per_s < 0: it states no limit any more
+ * @return the server's handle if its limit has changed, else -1
+ */
+int32_t ws_ed_pool_peer_limit(struct ws_ed_pool *p, ws_us now, uint32_t server,
+			      uint32_t started, ws_us as_of, double per_s);
+
 /* Applies a change of a server's limit. */
 void ws_ed_pool_limit_changed(struct ws_ed_pool *p, ws_us now, uint32_t server);
 
--- a/lib/edge/ws_ed_throttle.c
+++ b/lib/edge/ws_ed_throttle.c
@@ -112,6 +112,62 @@
 		s->limit_share = (struct ws_ed_share){ .per_s = 0.0 };
 }
 
+static void keep_early_limit(struct ws_ed_pool *p,
+			     const struct ws_ed_early_limit *l)
+{
+	size_t i;
+
+	for (i = 0; i < WS_ED_EARLY_LIMITS; i++) {
+		struct ws_ed_early_limit *known = &p->early_limits[i];
+
+		if (known->server != l->server || known->started != l->started)
+			continue;
+		if (l->as_of > known->as_of)
+			*known = *l;
+		return;
+	}
+	p->early_limits[p->n_early_limits++ % WS_ED_EARLY_LIMITS] = *l;
+}
+
+int32_t ws_ed_pool_peer_limit(struct ws_ed_pool *p, ws_us now, uint32_t server,
+			      uint32_t started, ws_us as_of, double per_s)
+{
+	const struct ws_ed_early_limit limit = {
+		.server = server,
+		.started = started,
+		.as_of = as_of,
+		.per_s = per_s,
+	};
+	int32_t h = ws_ed_pool_find_short(p, server);
+
+	if (h < 0 || (uint32_t)p->servers[h].started_ms != started) {
+		keep_early_limit(p, &limit);
+		return -1;
+	}
+	if (!ws_ed_limit_on_peer(&p->servers[h].limit, now, as_of, per_s))
+		return -1;
+	ws_ed_pool_limit_changed(p, now, (uint32_t)h);
+	return h;
+}
+
+void ws_ed_throttle_apply_early(struct ws_ed_pool *p, ws_us now,
+				uint32_t server)
+{
+	struct ws_ed_server *s = &p->servers[server];
+	size_t i;
+
+	for (i = 0; i < WS_ED_EARLY_LIMITS; i++) {
+		struct ws_ed_early_limit l = p->early_limits[i];
+
+		if (!l.server || l.server != ws_ed_short_id(s->id) ||
+		    l.started != (uint32_t)s->started_ms)
+			continue;
+		p->early_limits[i] = (struct ws_ed_early_limit){ .server = 0 };
+		if (ws_ed_limit_on_peer(&s->limit, now, l.as_of, l.per_s))
+			ws_ed_pool_limit_changed(p, now, server);
+	}
+}
+
 /* Time until one share permits a request, at least as long as another one. */
 static ws_us longer_wait(ws_us wait, ws_us other)
 {
--- a/lib/edge/ws_ed_throttle.h
+++ b/lib/edge/ws_ed_throttle.h
@@ -20,6 +20,10 @@
 void ws_ed_throttle_update(struct ws_ed_pool *p, ws_us now,
 			   struct ws_ed_server *s);
 
+/* Applies what peers reported of a server's limit before it was listed. */
+void ws_ed_throttle_apply_early(struct ws_ed_pool *p, ws_us now,
+				uint32_t server);
+
 /*
  * Time until this instance may send to a server; 0: now, WS_ED_NO_SHARE:
  * only others may.
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -195,10 +195,14 @@
 {
 	ws_id id = ws_ed_id(l->name);
 	int32_t h = ws_ed_pool_find(&e->pool, id);
+	bool is_new = h < 0 || e->pool.servers[h].started_ms < l->started_ms;
 
-	if (h >= 0 && e->pool.servers[h].started_ms < l->started_ms)
+	if (h >= 0 && is_new)
 		ws_ed_server_crashed(e, id, fx);
-	ws_ed_pool_listed(&e->pool, e->now, l);
+	h = ws_ed_pool_listed(&e->pool, e->now, l);
+	if (h >= 0 && is_new && e->pool.servers[h].limit.named)
+		ws_ed_limit_log(&e->pool.servers[h].limit, id,
+				"reported before it was listed", fx);
 }
 
 /* Records the end of an outage if there was no evidence for some time. */
--- a/tests/test_ed_order.c
+++ b/tests/test_ed_order.c
@@ -249,7 +249,7 @@
 	step(&ev);
 }
 
-static void hear_beat(int peer)
+static void hear_beat(int peer, bool states_limit)
 {
 	static struct ws_ed_beat b;
 	struct ws_ed_event ev = { .kind = WS_EDEV_HEARTBEAT, .u.beat = &b };
@@ -261,7 +261,7 @@
 	b.timestamp = now;
 	b.scope = WS_ED_SCOPE_FULL;
 	snprintf(b.address, sizeof(b.address), "10.0.0.9:7");
-	b.n_limits = 1;
+	b.n_limits = states_limit;
 	b.limits[0] = (struct ws_ed_beat_limit){
 		.server = ws_ed_short_id(ws_ed_id("warm")),
 		.started = 1,
@@ -292,7 +292,7 @@
 		read_members(r);
 		break;
 	default:
-		hear_beat(r->peer);
+		hear_beat(r->peer, true);
 		break;
 	}
 }
@@ -310,6 +310,8 @@
 			.lane = pending[n_pending].lane,
 			.end = WS_ED_END_OK,
 			.latency = STEP,
+			/* Neither states nor lifts a limit */
+			.report.limit.kind = WS_ED_LIMIT_UNKNOWN,
 		};
 		step(&ev);
 	}
@@ -467,7 +469,7 @@
 
 	for (i = 0; i < 40; i++) {
 		pass_time(100 * WS_MS);
-		hear_beat(i % PEERS);
+		hear_beat(i % PEERS, false);
 	}
 }
 
@@ -521,6 +523,8 @@
 	size_t cold_holders;
 	bool holds_cold;
 	uint32_t connections;
+	bool limited;
+	bool holds_limit;
 };
 
 static struct decision decide(const char *name)
@@ -535,6 +539,8 @@
 			ws_ed_pool_connection_share(ws_edge_pool(edge), s),
 	};
 
+	d.limited = s->limit.named && s->limit.per_s == (double)LIMIT;
+	d.holds_limit = d.limited && s->limit_share.is_holder;
 	if (d.cold) {
 		d.cold_rate = s->cold_rate;
 		d.cold_per_s = s->cold_share.per_s;
@@ -549,19 +555,22 @@
 {
 	struct decision got = decide(name);
 
-	ck_assert_msg(got.usable == want->usable && got.cold == want->cold &&
-			      got.cold_rate == want->cold_rate &&
-			      got.cold_per_s == want->cold_per_s &&
-			      got.cold_holders == want->cold_holders &&
-			      got.holds_cold == want->holds_cold &&
-			      got.connections == want->connections,
-		      "seed %d, server %s: usable %d cold %d rate %d %.1f/s "
-		      "among %zu, %u connections; in order: %d %d %d %.1f/s "
-		      "among %zu, %u",
-		      (int)seed, name, got.usable, got.cold, got.cold_rate,
-		      got.cold_per_s, got.cold_holders, got.connections,
-		      want->usable, want->cold, want->cold_rate,
-		      want->cold_per_s, want->cold_holders, want->connections);
+	ck_assert_msg(
+		got.usable == want->usable && got.cold == want->cold &&
+			got.cold_rate == want->cold_rate &&
+			got.cold_per_s == want->cold_per_s &&
+			got.cold_holders == want->cold_holders &&
+			got.holds_cold == want->holds_cold &&
+			got.connections == want->connections &&
+			got.limited == want->limited &&
+			got.holds_limit == want->holds_limit,
+		"seed %d, server %s: usable %d cold %d rate %d %.1f/s "
+		"among %zu, %u connections, limited %d; in order: %d %d %d "
+		"%.1f/s among %zu, %u, %d",
+		(int)seed, name, got.usable, got.cold, got.cold_rate,
+		got.cold_per_s, got.cold_holders, got.connections, got.limited,
+		want->usable, want->cold, want->cold_rate, want->cold_per_s,
+		want->cold_holders, want->connections, want->limited);
 }
 
 /* Reading an entry once more does not extend the warm-up that it states. */
@@ -589,6 +598,7 @@
 	run_in_order();
 	for (i = 0; i < NAMES; i++)
 		want[i] = decide(names[i]);
+	ck_assert(want[0].limited);
 	ck_assert_uint_eq(want[0].connections, 100 / (PEERS + 1));
 	ck_assert(!want[0].cold && want[1].cold && want[2].cold &&
 		  want[3].cold);
