Spend no tokens of a customer before any other instance is known

Cause: the share of a customer's rate was computed for one instance if the configuration was read before the list of instances; the first tokens were those of the whole burst. Until the list or a heartbeat has named an instance, requests of a customer with a rate are refused with 503 and a time to come back, those of other customers are served.

--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -415,6 +415,12 @@
 		*reason = WS_EDR_BAD_CALLER_KEY;
 		return 401;
 	}
+	/* The instances that divide the rate are not known. */
+	if ((*customer)->rate > 0.0 && !e->members_known) {
+		*reason = WS_EDR_STORE_UNREACHABLE;
+		*retry_after = STORE_RETRY_AFTER;
+		return 503;
+	}
 	*retry_after = ws_ed_quota_take(&e->quota, e->now, (*customer)->id);
 	*reason = WS_EDR_RATE_EXCEEDED;
 	return *retry_after ? 429 : 0;
--- a/tests/test_ed_order.c
+++ b/tests/test_ed_order.c
@@ -42,19 +42,27 @@
 	"\"tenants\":[{\"name\":\"free\",\"api_keys\":[\"free\"]},"       \
 	"{\"name\":\"small\",\"api_keys\":[\"small\"],\"rate_per_s\":10," \
 	"\"burst\":10}],"
+/* With one that only the newer configuration has */
+#define MORE_CUSTOMERS                                                    \
+	"\"tenants\":[{\"name\":\"free\",\"api_keys\":[\"free\"]},"       \
+	"{\"name\":\"small\",\"api_keys\":[\"small\"],\"rate_per_s\":10," \
+	"\"burst\":10},"                                                  \
+	"{\"name\":\"late\",\"api_keys\":[\"late\"],\"rate_per_s\":50,"   \
+	"\"burst\":50}],"
 
 static const char older_config[] =
 	"{\"version\":\"00000001\",\"services\":["
 	"{\"name\":\"open\",\"max_connections\":100,\"warmup_s\":" WARM_UP
 	",\"warmup_per_s\":40}]," CUSTOMERS ROUTES;
 
-/* Adds a service and lowers the rate of the other one's cold servers. */
+/* Adds a service and a customer, and lowers the rate of the other one's cold
+ * servers. */
 static const char newer_config[] =
 	"{\"version\":\"00000007\",\"services\":["
 	"{\"name\":\"open\",\"max_connections\":100,\"warmup_s\":" WARM_UP
 	",\"warmup_per_s\":4},"
 	"{\"name\":\"added\",\"max_connections\":50,\"warmup_s\":" WARM_UP
-	",\"warmup_per_s\":6}]," CUSTOMERS ROUTES;
+	",\"warmup_per_s\":6}]," MORE_CUSTOMERS ROUTES;
 
 /* ===== What there is to read ===== */
 
@@ -135,6 +143,7 @@
 static int sent_to_cold;
 /* When the newest entry of the server "cold" was first read; 0: not yet */
 static ws_us cold_entry_at;
+static bool any_member; /* the list or a heartbeat named one */
 static bool members_read; /* the whole list */
 static bool zone_is_back; /* as read so far */
 static int admitted; /* requests of the customer with a small rate */
@@ -232,6 +241,7 @@
 		.address = "10.0.0.9:7",
 	};
 	step(&ev);
+	any_member = true;
 }
 
 static void read_members(const struct read *r)
@@ -274,6 +284,7 @@
 		.per_s = 2.0F,
 	};
 	step(&ev);
+	any_member = true;
 }
 
 static void deliver(const struct read *r, bool from_snapshot)
@@ -341,7 +352,8 @@
 		refused |= x->kind == WS_EDFX_REPLY &&
 			   x->u.reply.request == a.id &&
 			   (x->u.reply.status == 429 ||
-			    x->u.reply.reason == WS_EDR_NO_CONFIG);
+			    x->u.reply.reason == WS_EDR_NO_CONFIG ||
+			    x->u.reply.reason == WS_EDR_STORE_UNREACHABLE);
 	}
 	return !refused;
 }
@@ -385,6 +397,7 @@
 		.seed = seed,
 		.now = started,
 		.max_calls = 100,
+		.restarted = true,
 		.bounds = { .key_evidence_max = 4600 * WS_MS,
 			    .retry_ratio = 0.2,
 			    .retry_slack = 60.0,
@@ -397,6 +410,7 @@
 	sent_to_cold = 0;
 	zone_is_back = false;
 	members_read = false;
+	any_member = false;
 	cold_entry_at = 0;
 	admitted = 0;
 	edge = ws_edge_new(&set);
@@ -412,6 +426,15 @@
 			      (int)seed, sent_to_cold);
 }
 
+static void expect_no_tokens(uint64_t seed)
+{
+	if (!any_member)
+		ck_assert_msg(!admitted,
+			      "seed %d: %d requests of a customer with a rate "
+			      "before any instance was known",
+			      (int)seed, admitted);
+}
+
 static void shuffle(size_t *order, size_t n, struct ws_rand *rand)
 {
 	size_t i;
@@ -495,6 +518,7 @@
 	n = choose_order(order, &rand);
 	for (i = 0; i < n; i++) {
 		expect_narrow(seed);
+		expect_no_tokens(seed);
 		deliver(&reads[order[i]], rand_percent(&rand, 30));
 		/* One read in a few is late, some by more than the start. */
 		if (rand_percent(&rand, 30))
