Give no second burst to customers of a later configuration after a restart

Cause: the first configuration that a process read decided which buckets start with little; a customer that only the next one names, as after a restore of the store from a copy, got its whole burst. A bucket of a process that has started again now begins with a part of the burst as of the start of the process, and regains the rest from then on, whenever its customer was read.

--- a/lib/edge/ws_ed_quota.c
+++ b/lib/edge/ws_ed_quota.c
@@ -123,18 +123,6 @@
 		b->rate = c->rate;
 		b->burst = c->burst;
 	}
-	q->restarted = false;
-}
-
-/*
- * Initial tokens of a bucket. If all instances restart at once, their buckets
- * must not give out the burst a second time.
- */
-static double initial_tokens(const struct ws_ed_bucket *b)
-{
-	double cap = capacity_of(b);
-
-	return b->restarted && cap > 1.0 ? RESTART_BURST_FRACTION * cap : cap;
 }
 
 double ws_ed_quota_own_demand(const struct ws_ed_bucket *b, ws_us now)
@@ -160,6 +148,24 @@
 		b->tokens = cap;
 }
 
+/*
+ * Sets the first tokens of a bucket. If all instances restart at once, their
+ * buckets must not give out the burst a second time; what was spent before has
+ * been regained since the start, whenever the customer's configuration is read.
+ */
+static void fill_first(const struct ws_ed_quota *q, struct ws_ed_bucket *b,
+		       ws_us now)
+{
+	double cap = capacity_of(b);
+
+	b->tokens = cap;
+	if (!b->restarted || cap <= 1.0)
+		return;
+	b->tokens = RESTART_BURST_FRACTION * cap;
+	b->refilled_at = q->started;
+	refill(b, q->usable_fraction, now);
+}
+
 /* Without recent reports the global demand may exceed the rate unnoticed. */
 static bool has_recent_reports(const struct ws_ed_quota *q, ws_us now)
 {
@@ -458,6 +464,6 @@
 		b->global_demand = sum - own + ws_ed_quota_own_demand(b, now);
 		b->share = (1.0 - EVEN_FRACTION) * part + even;
 		if (first)
-			b->tokens = initial_tokens(b);
+			fill_first(q, b, now);
 	}
 }
--- a/lib/edge/ws_ed_quota.h
+++ b/lib/edge/ws_ed_quota.h
@@ -76,8 +76,8 @@
 	double slack; /* requests that all instances may exceed a rate by */
 	/* Fraction of the instances whose demand is known; 0: all */
 	double coverage;
-	/* The system ran before this process; until the first configuration */
-	bool restarted;
+	bool restarted; /* the system ran before this process */
+	ws_us started; /* when this process started */
 };
 
 void ws_ed_quota_free(struct ws_ed_quota *q);
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -61,6 +61,7 @@
 	e->pool.group.settled_at = e->peers.full_mesh_until;
 	e->quota.slack = set->bounds.rate_slack;
 	e->quota.restarted = set->restarted;
+	e->quota.started = set->now;
 	ws_ed_suspects_init(&e->suspects);
 	ws_rand_seed(&e->rand, set->seed);
 	ws_rand_seed(&e->pool.rand, set->seed ^ set->self);
--- a/tests/test_ed_order.c
+++ b/tests/test_ed_order.c
@@ -597,6 +597,28 @@
 		want->cold_holders, want->connections, want->limited);
 }
 
+static const struct ws_ed_bucket *bucket(const char *name)
+{
+	const struct ws_ed_quota *q = ws_edge_quota(edge);
+	size_t i;
+
+	for (i = 0; i < q->n; i++)
+		if (q->buckets[i].customer == ws_ed_id(name))
+			return &q->buckets[i];
+	ck_abort_msg("no such customer");
+	return NULL;
+}
+
+/*
+ * An instance that starts again does not know what was spent before, whichever
+ * configuration named the customer first.
+ */
+static void expect_spent_bursts(uint64_t seed)
+{
+	ck_assert_msg(bucket("small")->restarted && bucket("late")->restarted,
+		      "seed %d: a whole burst after a restart", (int)seed);
+}
+
 /* Reading an entry once more does not extend the warm-up that it states. */
 static void expect_warm_up_of_first_read(uint64_t seed)
 {
@@ -631,6 +653,7 @@
 		for (i = 0; i < NAMES; i++)
 			expect_same(names[i], &want[i], seed);
 		expect_warm_up_of_first_read(seed);
+		expect_spent_bursts(seed);
 	}
 	ws_edge_free(edge);
 	edge = NULL;
--- a/tests/test_ed_quota.c
+++ b/tests/test_ed_quota.c
@@ -301,6 +301,7 @@
 		ws_ed_quota_free(q);
 		q->slack = SLACK;
 		q->restarted = true;
+		q->started = f->now;
 		ws_ed_quota_configure(q, f->now, &f->conf);
 		ws_ed_quota_tick(q, f->now, INSTANCES, f->period);
 	}
