Keep leases of keys whose service the configuration does not name

Cause: a leader that had read an older configuration than its map, as after a restore of the store from a copy, forgot the ranges of a service that this configuration lacks, and with them when their leases end. With the next one it took the keys for free. Ranges that a server may hold are now kept until they are released or their lease has ended; a service that is configured and no longer sharded is released first.

leases_outlast_a_configuration_without_their_service failed before: the second server was granted the keys within the first one's lease.

--- a/lib/edge/ws_ed_balance.c
+++ b/lib/edge/ws_ed_balance.c
@@ -184,18 +184,35 @@
 		add_free_range(l, now, service, next, WS_ED_KEYS - 1);
 }
 
-static void drop_unsharded(struct ws_ed_lead *l)
+/* Whether a server may hold the keys of a range. */
+static bool may_be_held(const struct ws_ed_range *r)
+{
+	return r->state == WS_ED_RANGE_OWNED ||
+	       r->state == WS_ED_RANGE_RELEASING;
+}
+
+/*
+ * Drops ranges of services that are not sharded. Keys that a server may hold
+ * are released first. A service that is not configured may be one of a newer
+ * configuration, so its leases go on as long as its servers are listed.
+ */
+static void drop_unsharded(struct ws_ed_lead *l, ws_us now)
 {
 	size_t i = 0;
 
 	while (i < l->n_ranges) {
+		struct ws_ed_range *r = &l->ranges[i];
 		const struct ws_ed_service *s =
-			ws_ed_conf_service(l->conf, l->ranges[i].service);
+			ws_ed_conf_service(l->conf, r->service);
 
-		if (s && s->sharded)
-			i++;
-		else
-			l->ranges[i] = l->ranges[--l->n_ranges];
+		if (!(s && s->sharded) && !may_be_held(r)) {
+			*r = l->ranges[--l->n_ranges];
+			continue;
+		}
+		if (s && !s->sharded && r->state == WS_ED_RANGE_OWNED &&
+		    !r->inherited && ws_ed_lead_may_move(l, now))
+			ws_ed_range_start_release(r, now);
+		i++;
 	}
 }
 
@@ -391,7 +408,7 @@
 	if (!l->map.n && now < l->started + FIRST_PLACEMENT_DELAY)
 		return;
 	l->next_balance = now + BALANCE_PERIOD;
-	drop_unsharded(l);
+	drop_unsharded(l, now);
 	pl.candidates = ws_alloc(l->pool->n + 1, sizeof(*pl.candidates));
 	for (i = 0; i < l->conf->n_services; i++) {
 		const struct ws_ed_service *s = &l->conf->services[i];
--- a/tests/test_ed_lead.c
+++ b/tests/test_ed_lead.c
@@ -318,6 +318,62 @@
 }
 END_TEST
 
+/* Whether a server was sent a grant since the last run began. */
+static bool was_granted(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < fx.n; i++)
+		if (fx.items[i].kind == WS_EDFX_GRANT &&
+		    !strcmp(fx.items[i].u.call.name, name))
+			return true;
+	return false;
+}
+
+/*
+ * Guards against two owners of a key: a leader that has read a configuration
+ * without the service forgot the lease, and gave the keys to another server
+ * when it read the next one.
+ */
+START_TEST(leases_outlast_a_configuration_without_their_service)
+{
+	struct ws_ed_conf without = { .n_services = 0 };
+	const struct ws_ed_listing other = {
+		.name = "s1",
+		.address = "s1",
+		.service = SERVICE,
+		.slots = 4,
+		.started_ms = 1,
+	};
+	ws_us granted_at;
+
+	become_leader(1);
+	run(4 * WS_SECOND);
+	ck_assert(was_granted("s0"));
+	granted_at = now;
+	ws_ed_pool_listed(&pool, now, &other);
+	lead.conf = &without;
+	run(400 * WS_MS);
+	/* It still serves, but its entry has expired. */
+	dark = "s0";
+	dark_answer = WS_EDC_NOT_SENT;
+	ws_ed_pool_unlisted(&pool, now, ws_ed_id("s0"), 0);
+	lead.conf = &conf;
+	while (now < granted_at + WS_ED_KEY_LEASE - WS_SECOND) {
+		run(100 * WS_MS);
+		if (lead.appending)
+			finish_append(WS_EDA_DONE);
+		ck_assert(!was_granted("s1"));
+	}
+	run(5 * WS_SECOND);
+	if (lead.appending)
+		finish_append(WS_EDA_DONE);
+	run(WS_SECOND);
+	ck_assert(was_granted("s1"));
+	dark = "";
+}
+END_TEST
+
 /*
  * Guards against keys that are never served again: their server is gone but
  * still listed, and each grant that did not reach it postponed the end of its
@@ -605,6 +661,7 @@
 		leader_recognizes_its_claim_after_a_restore,
 		epoch_known_only_from_a_copy_is_not_stated,
 		changes_do_not_reach_back_over_a_restore,
+		leases_outlast_a_configuration_without_their_service,
 	};
 
 	const TTest *const lost_server_tests[] = {
@@ -612,5 +669,5 @@
 	};
 	int res = ed_suite_run_each("ed_lead", lost_server_tests, 1, 2);
 
-	return ed_suite_run("ed_lead", tests, 16) || res;
+	return ed_suite_run("ed_lead", tests, 17) || res;
 }
