Hold heads, bodies and kept buffers of answers in one account

Cause: only the length of bodies was counted, up to a quarter of the memory. Heads were in no account, nor the copy of each header that libcurl keeps with its handle, nor the capacity of buffers, nor those of up to 1,024 free handles; nothing was given back to the system.

Now ws_memory is one account for all that libcurl and this client hold for a call, buffers kept for reuse included; it is half of memory_mb. A head has at most 2,000 lines, a body in more than 16,384 pieces is ended if they are smaller than 64 bytes on average, 128 handles are kept, and pages are returned after a peak.

--- a/lib/edgeio/ws_eio.c
+++ b/lib/edgeio/ws_eio.c
@@ -17,6 +17,9 @@
 #define TICK_PERIOD (20 * WS_MS)
 /* Concurrent requests per MiB of memory. */
 #define REQUESTS_PER_MIB 8
+/* Heads, bodies and buffers of messages may take this fraction (1/N) of it. */
+#define MESSAGES_MEMORY_DIVISOR 2
+#define TRIM_PERIOD (1 * WS_SECOND)
 #define MIB ((size_t)1024 * 1024)
 /*
  * Strength is counted in steps of a tenth of a core or 20 Mbit/s, up to a
@@ -205,6 +208,12 @@
 	return ws_edge_new(&s);
 }
 
+static void trim_memory(void *arg, ws_us now)
+{
+	(void)now;
+	ws_memory_trim(arg);
+}
+
 struct ws_eio *ws_eio_new(struct ev_loop *loop, const struct wp_settings *set,
 			  struct wp_error *err)
 {
@@ -217,7 +226,11 @@
 		if (getrandom(&io->incarnation, sizeof(io->incarnation), 0) < 0)
 			io->incarnation = (uint64_t)io->started_at;
 	io->timers = ws_timer_new();
+	io->memory.max = set->memory_max / MESSAGES_MEMORY_DIVISOR;
+	ws_timer_every(io->timers, io->started_at, TRIM_PERIOD, trim_memory,
+		       &io->memory);
 	io->http = ws_http_new(loop);
+	ws_http_set_memory(io->http, &io->memory);
 	io->edge = new_edge(io);
 	io->targets = ws_eio_targets_new(io);
 	io->checks = ws_eio_checks_new(io);
--- a/lib/edgeio/ws_eio.h
+++ b/lib/edgeio/ws_eio.h
@@ -26,6 +26,7 @@
 	struct ev_loop *loop;
 	struct wp_settings settings;
 	struct ws_timers *timers;
+	struct ws_memory memory; /* of all messages */
 	struct ws_http *http;
 	struct ws_edge *edge;
 	struct ws_ed_fx fx;
--- a/lib/edgeio/ws_eio_targets.c
+++ b/lib/edgeio/ws_eio_targets.c
@@ -12,12 +12,10 @@
 #include "platform/wp_wire.h"
 
 /*
- * An answer is buffered completely before it is forwarded. All answers together
- * may take 1/ANSWERS_MEMORY_DIVISOR of the memory, and a single one
- * 1/ANSWER_SIZE_DIVISOR of that.
+ * An answer is buffered completely before it is forwarded. A single one may
+ * take this fraction (1/N) of the memory; see ws_eio.memory for all together.
  */
-#define ANSWERS_MEMORY_DIVISOR 4
-#define ANSWER_SIZE_DIVISOR 4
+#define ANSWER_MEMORY_DIVISOR 16
 /* A grant without an answer within this time is retried. */
 #define GRANT_TIMEOUT (700 * WS_MS)
 /* Longer, as a release waits for requests that run on the keys. */
@@ -182,11 +180,6 @@
 	free_attempt(a);
 }
 
-static size_t answers_memory_max(const struct ws_eio *io)
-{
-	return io->settings.memory_max / ANSWERS_MEMORY_DIVISOR;
-}
-
 void ws_eio_targets_send(struct ws_eio_targets *t,
 			 const struct ws_eio_request *r, uint32_t server,
 			 ws_us deadline)
@@ -201,7 +194,8 @@
 		.data = r->body,
 		.data_len = r->body_len,
 		.timeout = left > WS_MS ? left : WS_MS,
-		.max_answer = answers_memory_max(t->io) / ANSWER_SIZE_DIVISOR,
+		.max_answer =
+			t->io->settings.memory_max / ANSWER_MEMORY_DIVISOR,
 		.max_idle_time = ws_ed_pool_idle_limit(to),
 		/* A kept one may carry the answer to the earlier send again. */
 		.new_connection = r->resent,
@@ -328,7 +322,6 @@
 	struct ws_eio_targets *t = ws_alloc(1, sizeof(*t));
 
 	t->io = io;
-	ws_http_set_receive_limit(io->http, answers_memory_max(io));
 	t->attempts = g_hash_table_new(g_int64_hash, g_int64_equal);
 	t->key_calls = g_hash_table_new(NULL, NULL);
 	return t;
--- a/lib/io/ws_http.c
+++ b/lib/io/ws_http.c
@@ -19,21 +19,45 @@
 /* TCP keep-alive probes detect peers that went silent. */
 #define KEEPALIVE_S 1L
 #define KEEPALIVE_PROBES 3
-#define FREE_CALLS_MAX 1024
+#define FREE_CALLS_MAX 128
 /* Bytes of status lines and headers of a response, 1xx responses included. */
 #define HEAD_MAX ((size_t)128 * 1024)
+#define HEAD_LINES_MAX 2000
 /* Larger buffers are freed with their call instead of being kept for reuse. */
-#define KEPT_BUFFER_MAX ((size_t)64 * 1024)
+#define KEPT_BUFFER_MAX ((size_t)16 * 1024)
+/* libcurl keeps the head with its handle; the handle is freed after a larger.
+ */
+#define KEPT_HEAD_MAX ((size_t)8 * 1024)
+/*
+ * A body in more pieces than this is ended if they are smaller on average:
+ * handling them takes so long that other calls wait.
+ */
+#define PIECES_MAX 16384
+#define PIECE_BYTES_MIN 64
+/* What libcurl allocates for an open call, and for each header besides. */
+#define CALL_BYTES ((size_t)24 * 1024)
+#define HEADER_BYTES ((size_t)96)
+/* libcurl reads at most this from a socket at once. */
+#define READ_BYTES ((size_t)16 * 1024)
+/* Of a header line without an end; libcurl ends calls with longer ones. */
+#define LINE_MAX_BYTES ((size_t)100 * 1024)
 
 struct ws_http_call {
 	struct ws_http *http;
-	struct ws_http_call *next_free;
+	struct ws_http_call *next; /* of the free or the active calls */
+	struct ws_http_call *prev; /* of the active calls */
 	CURL *easy;
 	ws_http_done_fn done;
 	void *arg;
 	unsigned n_sends; /* times that libcurl was about to send */
 	bool active;
+	bool given_up; /* to make room in the account; ends soon */
+	bool essential;
+	size_t held; /* bytes in the account */
+	size_t line_held; /* of these for a header line without an end */
+	bool received; /* something was delivered in this read */
 	size_t head_len; /* bytes of status lines and headers so far */
+	unsigned n_head_lines;
 	bool informational; /* the newest status line is a 1xx */
 	bool head_ended; /* the head of the final response is complete */
 	bool is_head; /* the method is HEAD */
@@ -42,12 +66,14 @@
 	char *data;
 	size_t data_len;
 	size_t data_cap;
+	size_t n_pieces; /* that the body was delivered in */
 	size_t max_answer;
 };
 
 struct socket_watcher {
 	ev_io io;
 	struct ws_http *http;
+	struct ws_http_call *call; /* that uses the socket; NULL: unknown */
 	struct socket_watcher *next;
 };
 
@@ -57,12 +83,122 @@
 	ev_timer timer;
 	struct ws_http_call *free_calls;
 	size_t n_free;
+	struct ws_http_call *active_calls;
+	bool has_given_up; /* some of them have to be ended */
 	struct socket_watcher *free_watchers;
 	uint64_t connections;
-	size_t receiving_bytes; /* of response bodies */
-	size_t max_receiving_bytes; /* 0: no limit */
+	struct ws_memory *memory; /* the account; own_memory if none is set */
+	struct ws_memory own_memory;
 };
 
+/* ===== The account of memory ===== */
+
+/* The call that holds most, or NULL. */
+static struct ws_http_call *largest_call(const struct ws_http *h)
+{
+	struct ws_http_call *best = NULL;
+	struct ws_http_call *c;
+
+	for (c = h->active_calls; c; c = c->next)
+		if (!c->given_up && !c->essential &&
+		    (!best || c->held > best->held))
+			best = c;
+	return best;
+}
+
+/*
+ * Gives up a call and frees its buffers. It is ended by end_given_up(), as this
+ * is called while libcurl works on another call.
+ */
+static void give_up(struct ws_http_call *c)
+{
+	struct ws_http *h = c->http;
+
+	c->given_up = true;
+	ws_memory_give(h->memory, c->held);
+	c->held = 0;
+	c->line_held = 0;
+	free(c->data);
+	c->data = NULL;
+	c->data_len = 0;
+	c->data_cap = 0;
+	ws_headers_free(&c->headers);
+	h->has_given_up = true;
+}
+
+/*
+ * Adds bytes of a call to the account. If there is no room, the calls that hold
+ * most are given up, so that a target which sends without end does not keep
+ * others from being answered.
+ * @return false if the call itself has to end
+ */
+static bool hold(struct ws_http_call *c, size_t n)
+{
+	struct ws_http *h = c->http;
+
+	if (c->given_up)
+		return false;
+	while (!ws_memory_take(h->memory, n)) {
+		struct ws_http_call *largest = largest_call(h);
+
+		if (c->essential && !largest) {
+			ws_memory_force(h->memory, n);
+			break;
+		}
+		if (!largest || largest == c ||
+		    (!c->essential && largest->held < c->held + n))
+			return false;
+		give_up(largest);
+	}
+	c->held += n;
+	return true;
+}
+
+static void release_held(struct ws_http_call *c, size_t n)
+{
+	if (c->given_up)
+		return;
+	ws_memory_give(c->http->memory, n);
+	c->held -= n;
+}
+
+/* Makes room in a buffer; its whole capacity is held. */
+static bool grow(struct ws_http_call *c, char **buf, size_t *cap, size_t need)
+{
+	size_t before = *cap;
+	size_t after = before ? before : 64;
+
+	if (need <= before)
+		return true;
+	while (after < need)
+		after *= 2;
+	if (!hold(c, after - before))
+		return false;
+	ws_grow(buf, cap, after, 1);
+	WS_INVARIANT(*cap == after);
+	return true;
+}
+
+/*
+ * libcurl delivers a header line when it is complete. What it reads without
+ * delivering anything is held until the line ends.
+ */
+static void on_read_done(struct ws_http_call *c)
+{
+	size_t n = LINE_MAX_BYTES - c->line_held;
+
+	if (c->received || c->head_ended)
+		return;
+	if (n > READ_BYTES)
+		n = READ_BYTES;
+	if (!hold(c, n)) {
+		if (!c->given_up)
+			give_up(c);
+		return;
+	}
+	c->line_held += n;
+}
+
 /* ===== Answers ===== */
 
 static size_t receive_data(char *data, size_t size, size_t n, void *arg)
@@ -70,14 +206,15 @@
 	struct ws_http_call *c = arg;
 	size_t len = size * n;
 
+	c->received = true;
 	/* Aborts the response, as a target may send data without end. */
-	if (len > c->max_answer - c->data_len)
+	if (c->given_up || len > c->max_answer - c->data_len)
+		return 0;
+	if (++c->n_pieces > PIECES_MAX &&
+	    c->data_len / c->n_pieces < PIECE_BYTES_MIN)
 		return 0;
-	if (c->http->max_receiving_bytes &&
-	    c->http->receiving_bytes + len > c->http->max_receiving_bytes)
+	if (!grow(c, &c->data, &c->data_cap, c->data_len + len))
 		return 0;
-	c->http->receiving_bytes += len;
-	ws_grow(&c->data, &c->data_cap, c->data_len + len, 1);
 	memcpy(c->data + c->data_len, data, len);
 	c->data_len += len;
 	return len;
@@ -99,8 +236,16 @@
 	char *colon;
 	size_t skip;
 
+	c->received = true;
+	release_held(c, c->line_held);
+	c->line_held = 0;
 	c->head_len += len;
-	if (c->head_len > HEAD_MAX)
+	if (c->head_len > HEAD_MAX || ++c->n_head_lines > HEAD_LINES_MAX)
+		return 0;
+	/* This copy in the headers, and that of libcurl. */
+	if (!hold(c, len + HEADER_BYTES) ||
+	    !grow(c, &c->headers.text, &c->headers.cap,
+		  c->headers.len + len + 3))
 		return 0;
 	/* Trailers may not replace or add to the fields of the head. */
 	if (c->head_ended)
@@ -192,12 +337,14 @@
 	struct ws_http_call *c = h->free_calls;
 
 	if (c) {
-		h->free_calls = c->next_free;
+		h->free_calls = c->next;
 		h->n_free--;
 		return c;
 	}
 	c = ws_alloc(1, sizeof(*c));
 	c->http = h;
+	ws_memory_force(h->memory, CALL_BYTES);
+	c->held = CALL_BYTES;
 	c->easy = curl_easy_init();
 	WS_INVARIANT(c->easy);
 	set_common(c);
@@ -206,29 +353,57 @@
 
 static void destroy_call(struct ws_http_call *c)
 {
+	if (!c->given_up)
+		ws_memory_give(c->http->memory, c->held);
 	curl_easy_cleanup(c->easy);
 	ws_headers_free(&c->headers);
 	free(c->data);
 	free(c);
 }
 
-static void release_call(struct ws_http_call *c)
+static void link_active(struct ws_http_call *c)
 {
 	struct ws_http *h = c->http;
 
+	c->active = true;
+	c->prev = NULL;
+	c->next = h->active_calls;
+	if (c->next)
+		c->next->prev = c;
+	h->active_calls = c;
+}
+
+static void unlink_active(struct ws_http_call *c)
+{
 	c->active = false;
-	h->receiving_bytes -= c->data_len;
-	c->data_len = 0;
-	if (c->data_cap > KEPT_BUFFER_MAX) {
-		free(c->data);
-		c->data = NULL;
-		c->data_cap = 0;
-	}
-	if (h->n_free >= FREE_CALLS_MAX) {
+	if (c->prev)
+		c->prev->next = c->next;
+	else
+		c->http->active_calls = c->next;
+	if (c->next)
+		c->next->prev = c->prev;
+}
+
+static bool is_worth_keeping(const struct ws_http_call *c)
+{
+	return c->http->n_free < FREE_CALLS_MAX && !c->given_up &&
+	       c->data_cap <= KEPT_BUFFER_MAX &&
+	       c->headers.cap <= KEPT_BUFFER_MAX &&
+	       c->head_len <= KEPT_HEAD_MAX;
+}
+
+static void release_call(struct ws_http_call *c)
+{
+	struct ws_http *h = c->http;
+
+	unlink_active(c);
+	if (!is_worth_keeping(c)) {
 		destroy_call(c);
 		return;
 	}
-	c->next_free = h->free_calls;
+	/* Its buffers and its handle stay in the account. */
+	release_held(c, c->held - c->data_cap - c->headers.cap - CALL_BYTES);
+	c->next = h->free_calls;
 	h->free_calls = c;
 	h->n_free++;
 }
@@ -268,6 +443,10 @@
 	c->arg = req->arg;
 	c->n_sends = 0;
 	c->head_len = 0;
+	c->n_head_lines = 0;
+	c->n_pieces = 0;
+	c->line_held = 0;
+	c->essential = req->essential;
 	c->informational = false;
 	c->head_ended = false;
 	c->is_head = !strcmp(req->method, "HEAD");
@@ -285,7 +464,7 @@
 	curl_easy_setopt(c->easy, CURLOPT_FRESH_CONNECT,
 			 req->new_connection ? 1L : 0L);
 	set_method(c->easy, req);
-	c->active = true;
+	link_active(c);
 	curl_multi_add_handle(h->multi, c->easy);
 	return c;
 }
@@ -376,11 +555,31 @@
 	}
 }
 
+/* Ends the calls that were given up, as if their connections had broken. */
+static void end_given_up(struct ws_http *h)
+{
+	struct ws_http_call *c = h->has_given_up ? h->active_calls : NULL;
+
+	h->has_given_up = false;
+	while (c) {
+		struct ws_http_call *next = c->next;
+
+		if (c->given_up) {
+			finish_call(c, CURLE_WRITE_ERROR);
+			/* It may have started or cancelled others. */
+			next = h->active_calls;
+		}
+		c = next;
+	}
+}
+
 /* ===== Event loop ===== */
 
 static void on_socket(EV_P_ ev_io *w, int revents)
 {
-	struct ws_http *h = ((struct socket_watcher *)w)->http;
+	struct socket_watcher *sw = (struct socket_watcher *)w;
+	struct ws_http *h = sw->http;
+	struct ws_http_call *c = revents & EV_READ ? sw->call : NULL;
 	int bits = 0;
 	int running;
 
@@ -389,7 +588,13 @@
 		bits |= CURL_CSELECT_IN;
 	if (revents & EV_WRITE)
 		bits |= CURL_CSELECT_OUT;
+	if (c)
+		c->received = false;
 	curl_multi_socket_action(h->multi, w->fd, bits, &running);
+	/* The call has not ended if libcurl still watches its socket. */
+	if (c && sw->call == c)
+		on_read_done(c);
+	end_given_up(h);
 	finish_calls(h);
 }
 
@@ -401,6 +606,7 @@
 	(void)loop;
 	(void)revents;
 	curl_multi_socket_action(h->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+	end_given_up(h);
 	finish_calls(h);
 }
 
@@ -419,6 +625,7 @@
 static void release_watcher(struct ws_http *h, struct socket_watcher *w)
 {
 	ev_io_stop(h->loop, &w->io);
+	w->call = NULL;
 	w->next = h->free_watchers;
 	h->free_watchers = w;
 }
@@ -428,9 +635,9 @@
 {
 	struct ws_http *h = arg;
 	struct socket_watcher *w = socket_arg;
+	struct ws_http_call *c = NULL;
 	int events = 0;
 
-	(void)easy;
 	if (what == CURL_POLL_REMOVE) {
 		if (w)
 			release_watcher(h, w);
@@ -449,6 +656,8 @@
 		ev_io_stop(h->loop, &w->io);
 		ev_io_set(&w->io, fd, events);
 	}
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &c);
+	w->call = c;
 	ev_io_start(h->loop, &w->io);
 	return 0;
 }
@@ -477,6 +686,7 @@
 	WS_INVARIANT(h->multi);
 	ev_timer_init(&h->timer, on_timer, 0., 0.);
 	h->timer.data = h;
+	h->memory = &h->own_memory;
 	curl_multi_setopt(h->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
 	curl_multi_setopt(h->multi, CURLMOPT_SOCKETDATA, h);
 	curl_multi_setopt(h->multi, CURLMOPT_TIMERFUNCTION, set_timer);
@@ -494,7 +704,7 @@
 	if (!h)
 		return;
 	while ((c = h->free_calls)) {
-		h->free_calls = c->next_free;
+		h->free_calls = c->next;
 		destroy_call(c);
 	}
 	curl_multi_cleanup(h->multi);
@@ -506,9 +716,10 @@
 	free(h);
 }
 
-void ws_http_set_receive_limit(struct ws_http *h, size_t max_bytes)
+void ws_http_set_memory(struct ws_http *h, struct ws_memory *memory)
 {
-	h->max_receiving_bytes = max_bytes;
+	WS_INVARIANT(!h->active_calls && !h->free_calls);
+	h->memory = memory;
 }
 
 uint64_t ws_http_connections_opened(const struct ws_http *h)
--- a/lib/io/ws_http.h
+++ b/lib/io/ws_http.h
@@ -4,6 +4,7 @@
 #include <ev.h>
 
 #include "common/ws_common.h"
+#include "io/ws_memory.h"
 #include "io/ws_payload.h"
 
 /*
@@ -55,6 +56,7 @@
 	size_t max_answer; /* bytes of the response body */
 	ws_us max_idle_time; /* of a reused connection; 0: default */
 	bool new_connection; /* don't reuse a connection */
+	bool essential; /* it is never given up to make room for others */
 	bool allow_unframed; /* the response may end with its connection */
 	ws_http_done_fn done;
 	void *arg;
@@ -64,10 +66,12 @@
 void ws_http_free(struct ws_http *h);
 
 /*
- * Limits the total bytes of the response bodies that are being received; a
- * response that exceeds it is aborted. 0: no limit.
+ * Sets the account of memory for heads, bodies and kept buffers; it must
+ * outlive the client. To be called before the first call. Without room in it,
+ * the calls that hold most end as WS_HTTP_BROKEN, those marked essential
+ * excepted.
  */
-void ws_http_set_receive_limit(struct ws_http *h, size_t max_bytes);
+void ws_http_set_memory(struct ws_http *h, struct ws_memory *memory);
 
 /* Starts a request; done is called later, never from within this function. */
 struct ws_http_call *ws_http_start(struct ws_http *h,
--- /dev/null
+++ b/lib/io/ws_memory.c
@@ -0,0 +1,37 @@
+#include "io/ws_memory.h"
+
+#include <malloc.h>
+
+/* Smaller peaks leave little behind. */
+#define TRIM_PEAK_MIN ((size_t)8 * 1024 * 1024)
+
+void ws_memory_force(struct ws_memory *m, size_t n)
+{
+	m->used += n;
+	if (m->used > m->peak)
+		m->peak = m->used;
+}
+
+bool ws_memory_take(struct ws_memory *m, size_t n)
+{
+	if (m->max && (n > m->max || m->used > m->max - n)) {
+		m->n_refused++;
+		return false;
+	}
+	ws_memory_force(m, n);
+	return true;
+}
+
+void ws_memory_give(struct ws_memory *m, size_t n)
+{
+	WS_INVARIANT(n <= m->used);
+	m->used -= n;
+}
+
+void ws_memory_trim(struct ws_memory *m)
+{
+	if (m->peak < TRIM_PEAK_MIN || m->used > m->peak / 2)
+		return;
+	m->peak = m->used;
+	malloc_trim(0);
+}
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -93,6 +93,7 @@
 };
 
 static struct ev_loop *loop;
+static struct ws_memory memory;
 static struct ws_http *http;
 static enum script script;
 static ev_io acceptor;
@@ -200,7 +201,8 @@
 	ev_io_init(&acceptor, on_accept, fd, EV_READ);
 	ev_io_start(loop, &acceptor);
 	http = ws_http_new(loop);
-	ws_http_set_receive_limit(http, RECEIVE_LIMIT);
+	memory = (struct ws_memory){ .max = RECEIVE_LIMIT };
+	ws_http_set_memory(http, &memory);
 }
 
 static void stop(void)
