--- a/lib/edgeio/ws_eio_metrics.c
+++ b/lib/edgeio/ws_eio_metrics.c
@@ -95,14 +95,17 @@
 		"wagtailshift_key_moves_total %" PRIu64 "\n"
 		"wagtailshift_store_calls_total %" PRIu64 "\n"
 		"wagtailshift_connections_total %" PRIu64 "\n"
-		"wagtailshift_log_lines_dropped_total %" PRIu64 "\n",
+		"wagtailshift_log_lines_dropped_total %" PRIu64 "\n"
+		"wagtailshift_message_bytes %zu\n"
+		"wagtailshift_message_bytes_refused_total %" PRIu64 "\n",
 		ws_edge_open(io->edge), ws_edge_waiting(io->edge),
 		conf ? conf->version : 0,
 		(double)ws_edge_evidence_age(io->edge, now) / 1e6,
 		ws_ed_peers_alive(ws_edge_peers(io->edge), now),
 		ws_ed_lead_valid(lead, now), lead->n_ranges, lead->moves,
 		ws_eio_store_calls(io->store),
-		ws_http_connections_opened(io->http), ws_eio_log_dropped());
+		ws_http_connections_opened(io->http), ws_eio_log_dropped(),
+		io->memory.used, io->memory.n_refused);
 }
 
 static void on_request(void *arg, struct ws_server_request *req)
