List calls that were given up apart from the active ones

The linter's analyzer could not see that the loop over active calls never meets a call that it has freed. Calls that are to be ended now have a list of their own, from which each is taken before it ends; no change in what happens. test_http passes, test_eio_memory's cases of callers as before.

--- a/lib/io/ws_http.c
+++ b/lib/io/ws_http.c
@@ -44,8 +44,9 @@
 
 struct ws_http_call {
 	struct ws_http *http;
-	struct ws_http_call *next; /* of the free or the active calls */
-	struct ws_http_call *prev; /* of the active calls */
+	struct ws_http_call *next; /* in its list */
+	struct ws_http_call *prev; /* the same, not for free calls */
+	bool listed; /* it is in a list other than that of free calls */
 	CURL *easy;
 	ws_http_done_fn done;
 	void *arg;
@@ -84,13 +85,45 @@
 	struct ws_http_call *free_calls;
 	size_t n_free;
 	struct ws_http_call *active_calls;
-	bool has_given_up; /* some of them have to be ended */
+	struct ws_http_call *given_up_calls; /* active, but to be ended */
 	struct socket_watcher *free_watchers;
 	uint64_t connections;
 	struct ws_memory *memory; /* the account; own_memory if none is set */
 	struct ws_memory own_memory;
 };
 
+/* ===== Lists of calls ===== */
+
+static struct ws_http_call **list_of(const struct ws_http_call *c)
+{
+	return c->given_up ? &c->http->given_up_calls : &c->http->active_calls;
+}
+
+static void link_call(struct ws_http_call *c)
+{
+	struct ws_http_call **first = list_of(c);
+
+	c->listed = true;
+	c->prev = NULL;
+	c->next = *first;
+	if (c->next)
+		c->next->prev = c;
+	*first = c;
+}
+
+static void unlink_call(struct ws_http_call *c)
+{
+	if (!c->listed)
+		return;
+	c->listed = false;
+	if (c->prev)
+		c->prev->next = c->next;
+	else
+		*list_of(c) = c->next;
+	if (c->next)
+		c->next->prev = c->prev;
+}
+
 /* ===== The account of memory ===== */
 
 /* The call that holds most, or NULL. */
@@ -100,8 +133,7 @@
 	struct ws_http_call *c;
 
 	for (c = h->active_calls; c; c = c->next)
-		if (!c->given_up && !c->essential &&
-		    (!best || c->held > best->held))
+		if (!c->essential && (!best || c->held > best->held))
 			best = c;
 	return best;
 }
@@ -112,10 +144,10 @@
  */
 static void give_up(struct ws_http_call *c)
 {
-	struct ws_http *h = c->http;
-
+	unlink_call(c);
 	c->given_up = true;
-	ws_memory_give(h->memory, c->held);
+	link_call(c);
+	ws_memory_give(c->http->memory, c->held);
 	c->held = 0;
 	c->line_held = 0;
 	free(c->data);
@@ -123,7 +155,6 @@
 	c->data_len = 0;
 	c->data_cap = 0;
 	ws_headers_free(&c->headers);
-	h->has_given_up = true;
 }
 
 /*
@@ -361,29 +392,6 @@
 	free(c);
 }
 
-static void link_active(struct ws_http_call *c)
-{
-	struct ws_http *h = c->http;
-
-	c->active = true;
-	c->prev = NULL;
-	c->next = h->active_calls;
-	if (c->next)
-		c->next->prev = c;
-	h->active_calls = c;
-}
-
-static void unlink_active(struct ws_http_call *c)
-{
-	c->active = false;
-	if (c->prev)
-		c->prev->next = c->next;
-	else
-		c->http->active_calls = c->next;
-	if (c->next)
-		c->next->prev = c->prev;
-}
-
 static bool is_worth_keeping(const struct ws_http_call *c)
 {
 	return c->http->n_free < FREE_CALLS_MAX && !c->given_up &&
@@ -396,7 +404,8 @@
 {
 	struct ws_http *h = c->http;
 
-	unlink_active(c);
+	c->active = false;
+	unlink_call(c);
 	if (!is_worth_keeping(c)) {
 		destroy_call(c);
 		return;
@@ -464,7 +473,8 @@
 	curl_easy_setopt(c->easy, CURLOPT_FRESH_CONNECT,
 			 req->new_connection ? 1L : 0L);
 	set_method(c->easy, req);
-	link_active(c);
+	c->active = true;
+	link_call(c);
 	curl_multi_add_handle(h->multi, c->easy);
 	return c;
 }
@@ -558,18 +568,14 @@
 /* Ends the calls that were given up, as if their connections had broken. */
 static void end_given_up(struct ws_http *h)
 {
-	struct ws_http_call *c = h->has_given_up ? h->active_calls : NULL;
-
-	h->has_given_up = false;
-	while (c) {
-		struct ws_http_call *next = c->next;
+	struct ws_http_call *c;
 
-		if (c->given_up) {
-			finish_call(c, CURLE_WRITE_ERROR);
-			/* It may have started or cancelled others. */
-			next = h->active_calls;
-		}
-		c = next;
+	while ((c = h->given_up_calls)) {
+		h->given_up_calls = c->next;
+		if (c->next)
+			c->next->prev = NULL;
+		c->listed = false;
+		finish_call(c, CURLE_WRITE_ERROR);
 	}
 }
 
