--- a/lib/edgeio/ws_eio.c
+++ b/lib/edgeio/ws_eio.c
@@ -19,7 +19,7 @@
 #define REQUESTS_PER_MIB 8
 /*
  * Fraction of the memory that heads, bodies and buffers of messages may take;
- * the allocator needs up to 1.8 times as much for them.
+ * fragments of the heap and all else need the remainder.
  */
 #define MESSAGES_MEMORY_FRACTION 0.4
 #define TRIM_PERIOD (1 * WS_SECOND)
