Part the account of a call's memory from the HTTP client

ws_http.c had got a second job: which bytes a call holds and which calls end when the account is full. That is ws_http_memory.c now; both share the private header ws_http_int.h. No change in what happens; test_http, test_eio_targets and the linter pass.

--- a/lib/io/ws_http.c
+++ b/lib/io/ws_http.c
@@ -8,7 +8,7 @@
 #include <strings.h>
 #include <sys/socket.h>
 
-#include "io/ws_headers.h"
+#include "io/ws_http_int.h"
 
 #define CONNECT_TIMEOUT_MS 1000L
 /* Older idle connections are not reused: the target may be closing them. */
@@ -25,8 +25,7 @@
 #define HEAD_LINES_MAX 2000
 /* Larger buffers are freed with their call instead of being kept for reuse. */
 #define KEPT_BUFFER_MAX ((size_t)16 * 1024)
-/* libcurl keeps the head with its handle; the handle is freed after a larger.
- */
+/* libcurl keeps a head with its handle, which is freed after a larger one. */
 #define KEPT_HEAD_MAX ((size_t)8 * 1024)
 /*
  * A body in more pieces than this is ended if they are smaller on average:
@@ -37,39 +36,6 @@
 /* What libcurl allocates for an open call, and for each header besides. */
 #define CALL_BYTES ((size_t)24 * 1024)
 #define HEADER_BYTES ((size_t)96)
-/* libcurl reads at most this from a socket at once. */
-#define READ_BYTES ((size_t)16 * 1024)
-/* Of a header line without an end; libcurl ends calls with longer ones. */
-#define LINE_MAX_BYTES ((size_t)100 * 1024)
-
-struct ws_http_call {
-	struct ws_http *http;
-	struct ws_http_call *next; /* in its list */
-	struct ws_http_call *prev; /* the same, not for free calls */
-	bool listed; /* it is in a list other than that of free calls */
-	CURL *easy;
-	ws_http_done_fn done;
-	void *arg;
-	unsigned n_sends; /* times that libcurl was about to send */
-	bool active;
-	bool given_up; /* to make room in the account; ends soon */
-	bool essential;
-	size_t held; /* bytes in the account */
-	size_t line_held; /* of these for a header line without an end */
-	bool received; /* something was delivered in this read */
-	size_t head_len; /* bytes of status lines and headers so far */
-	unsigned n_head_lines;
-	bool informational; /* the newest status line is a 1xx */
-	bool head_ended; /* the head of the final response is complete */
-	bool is_head; /* the method is HEAD */
-	bool allow_unframed;
-	struct ws_headers headers;
-	char *data;
-	size_t data_len;
-	size_t data_cap;
-	size_t n_pieces; /* that the body was delivered in */
-	size_t max_answer;
-};
 
 struct socket_watcher {
 	ev_io io;
@@ -78,158 +44,6 @@
 	struct socket_watcher *next;
 };
 
-struct ws_http {
-	struct ev_loop *loop;
-	CURLM *multi;
-	ev_timer timer;
-	struct ws_http_call *free_calls;
-	size_t n_free;
-	struct ws_http_call *active_calls;
-	struct ws_http_call *given_up_calls; /* active, but to be ended */
-	struct socket_watcher *free_watchers;
-	uint64_t connections;
-	struct ws_memory *memory; /* the account; own_memory if none is set */
-	struct ws_memory own_memory;
-};
-
-/* ===== Lists of calls ===== */
-
-static struct ws_http_call **list_of(const struct ws_http_call *c)
-{
-	return c->given_up ? &c->http->given_up_calls : &c->http->active_calls;
-}
-
-static void link_call(struct ws_http_call *c)
-{
-	struct ws_http_call **first = list_of(c);
-
-	c->listed = true;
-	c->prev = NULL;
-	c->next = *first;
-	if (c->next)
-		c->next->prev = c;
-	*first = c;
-}
-
-static void unlink_call(struct ws_http_call *c)
-{
-	if (!c->listed)
-		return;
-	c->listed = false;
-	if (c->prev)
-		c->prev->next = c->next;
-	else
-		*list_of(c) = c->next;
-	if (c->next)
-		c->next->prev = c->prev;
-}
-
-/* ===== The account of memory ===== */
-
-/* The call that holds most, or NULL. */
-static struct ws_http_call *largest_call(const struct ws_http *h)
-{
-	struct ws_http_call *best = NULL;
-	struct ws_http_call *c;
-
-	for (c = h->active_calls; c; c = c->next)
-		if (!c->essential && (!best || c->held > best->held))
-			best = c;
-	return best;
-}
-
-/*
- * Gives up a call and frees its buffers. It is ended by end_given_up(), as this
- * is called while libcurl works on another call.
- */
-static void give_up(struct ws_http_call *c)
-{
-	unlink_call(c);
-	c->given_up = true;
-	link_call(c);
-	ws_memory_give(c->http->memory, c->held);
-	c->held = 0;
-	c->line_held = 0;
-	free(c->data);
-	c->data = NULL;
-	c->data_len = 0;
-	c->data_cap = 0;
-	ws_headers_free(&c->headers);
-}
-
-/*
- * Adds bytes of a call to the account. If there is no room, the calls that hold
- * most are given up, so that a target which sends without end does not keep
- * others from being answered.
- * @return false if the call itself has to end
- */
-static bool hold(struct ws_http_call *c, size_t n)
-{
-	struct ws_http *h = c->http;
-
-	if (c->given_up)
-		return false;
-	while (!ws_memory_take(h->memory, n)) {
-		struct ws_http_call *largest = largest_call(h);
-
-		if (c->essential && !largest) {
-			ws_memory_force(h->memory, n);
-			break;
-		}
-		if (!largest || largest == c ||
-		    (!c->essential && largest->held < c->held + n))
-			return false;
-		give_up(largest);
-	}
-	c->held += n;
-	return true;
-}
-
-static void release_held(struct ws_http_call *c, size_t n)
-{
-	if (c->given_up)
-		return;
-	ws_memory_give(c->http->memory, n);
-	c->held -= n;
-}
-
-/* Makes room in a buffer; its whole capacity is held. */
-static bool grow(struct ws_http_call *c, char **buf, size_t *cap, size_t need)
-{
-	size_t before = *cap;
-	size_t after = before ? before : 64;
-
-	if (need <= before)
-		return true;
-	while (after < need)
-		after *= 2;
-	if (!hold(c, after - before))
-		return false;
-	ws_grow(buf, cap, after, 1);
-	WS_INVARIANT(*cap == after);
-	return true;
-}
-
-/*
- * libcurl delivers a header line when it is complete. What it reads without
- * delivering anything is held until the line ends.
- */
-static void on_read_done(struct ws_http_call *c)
-{
-	size_t n = LINE_MAX_BYTES - c->line_held;
-
-	if (c->received || c->head_ended)
-		return;
-	if (n > READ_BYTES)
-		n = READ_BYTES;
-	if (!hold(c, n)) {
-		if (!c->given_up)
-			give_up(c);
-		return;
-	}
-	c->line_held += n;
-}
-
 /* ===== Answers ===== */
 
 static size_t receive_data(char *data, size_t size, size_t n, void *arg)
@@ -244,7 +58,7 @@
 	if (++c->n_pieces > PIECES_MAX &&
 	    c->data_len / c->n_pieces < PIECE_BYTES_MIN)
 		return 0;
-	if (!grow(c, &c->data, &c->data_cap, c->data_len + len))
+	if (!ws_http_grow(c, &c->data, &c->data_cap, c->data_len + len))
 		return 0;
 	memcpy(c->data + c->data_len, data, len);
 	c->data_len += len;
@@ -268,15 +82,15 @@
 	size_t skip;
 
 	c->received = true;
-	release_held(c, c->line_held);
+	ws_http_release(c, c->line_held);
 	c->line_held = 0;
 	c->head_len += len;
 	if (c->head_len > HEAD_MAX || ++c->n_head_lines > HEAD_LINES_MAX)
 		return 0;
 	/* This copy in the headers, and that of libcurl. */
-	if (!hold(c, len + HEADER_BYTES) ||
-	    !grow(c, &c->headers.text, &c->headers.cap,
-		  c->headers.len + len + 3))
+	if (!ws_http_hold(c, len + HEADER_BYTES) ||
+	    !ws_http_grow(c, &c->headers.text, &c->headers.cap,
+			  c->headers.len + len + 3))
 		return 0;
 	/* Trailers may not replace or add to the fields of the head. */
 	if (c->head_ended)
@@ -405,13 +219,13 @@
 	struct ws_http *h = c->http;
 
 	c->active = false;
-	unlink_call(c);
+	ws_http_unlink(c);
 	if (!is_worth_keeping(c)) {
 		destroy_call(c);
 		return;
 	}
 	/* Its buffers and its handle stay in the account. */
-	release_held(c, c->held - c->data_cap - c->headers.cap - CALL_BYTES);
+	ws_http_release(c, c->held - c->data_cap - c->headers.cap - CALL_BYTES);
 	c->next = h->free_calls;
 	h->free_calls = c;
 	h->n_free++;
@@ -474,7 +288,7 @@
 			 req->new_connection ? 1L : 0L);
 	set_method(c->easy, req);
 	c->active = true;
-	link_call(c);
+	ws_http_link(c);
 	curl_multi_add_handle(h->multi, c->easy);
 	return c;
 }
@@ -599,7 +413,7 @@
 	curl_multi_socket_action(h->multi, w->fd, bits, &running);
 	/* The call has not ended if libcurl still watches its socket. */
 	if (c && sw->call == c)
-		on_read_done(c);
+		ws_http_note_read(c);
 	end_given_up(h);
 	finish_calls(h);
 }
