Part the reading of requests from the connections of the server

ws_server.c had 973 lines and two jobs: connections with what is sent on them, and requests from their first byte to their last with the memory that they hold. The latter are ws_server_request.c now, with the private header ws_server_int.h. No change in what happens; test_server, test_eio_drain, test_eio_store and the linter pass.

--- a/lib/io/ws_server.c
+++ b/lib/io/ws_server.c
@@ -2,7 +2,6 @@
 #include "io/ws_server.h"
 
 #include <errno.h>
-#include <http_parser.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
@@ -13,18 +12,15 @@
 #include <unistd.h>
 
 #include "config/ws_config.h"
-#include "io/ws_payload.h"
+#include "io/ws_server_int.h"
 
 #define BACKLOG 1024
 /* Connections accepted, and reads of one connection, per event. */
 #define ACCEPTS_PER_EVENT 64
 #define READS_PER_EVENT 4
-#define READ_BUFFER_SIZE ((size_t)32 * 1024)
-/* Most open requests of a connection. */
-#define PIPELINE_MAX 16
 /*
- * Bytes that are read ahead when PIPELINE_MAX is reached: only reading detects
- * that the caller disconnects.
+ * Bytes that are read ahead when WS_SERVER_PIPELINE_MAX is reached: only
+ * reading detects that the caller disconnects.
  */
 #define UNREAD_MAX ((size_t)64 * 1024)
 #define TIMEOUT_CHECK_PERIOD (250 * WS_MS)
@@ -41,162 +37,9 @@
 #define DEFAULT_MAX_BODY ((size_t)64 * 1024 * 1024)
 #define DEFAULT_HEADER_TIMEOUT (10 * WS_SECOND)
 #define DEFAULT_IDLE_TIMEOUT (75 * WS_SECOND)
-/* A request with larger buffers is freed instead of being kept for reuse. */
-#define KEPT_BUFFER_MAX ((size_t)8 * 1024)
-#define FREE_REQUESTS_MAX 256
 /* Estimated size of the status line and the added headers. */
 #define HEAD_RESERVE 128
 
-struct ws_server_con {
-	ev_io io;
-	struct ws_server *server;
-	struct ws_server_con *prev;
-	struct ws_server_con *next;
-	http_parser parser;
-	struct ws_server_request *first; /* open requests, oldest first */
-	struct ws_server_request *last;
-	unsigned n_open;
-	struct ws_server_request *partial; /* request being received */
-	bool headers_done; /* of the partial request */
-	bool in_value; /* the parser is in a header value */
-	size_t value_start; /* offset of that value in the headers */
-	bool parsing; /* inside http_parser_execute() */
-	bool closing; /* further input is discarded */
-	bool lingering; /* all is sent; waiting for the caller to close */
-	bool broken; /* sending failed */
-	unsigned reject; /* error status for a request that is rejected */
-	char *out; /* response bytes that the socket didn't accept yet */
-	size_t out_len;
-	size_t out_cap;
-	size_t out_pos;
-	char *unread; /* bytes not yet parsed */
-	size_t unread_len;
-	size_t unread_cap;
-	ws_us last_activity; /* time of the last read or write */
-};
-
-struct ws_server {
-	struct ws_server_conf conf;
-	struct ws_server_limits limits;
-	struct ev_loop *loop;
-	ev_io listener;
-	ev_timer resume; /* parses unread bytes */
-	struct ws_server_con *cons; /* newest first */
-	unsigned n_cons;
-	struct ws_server_request *free_requests;
-	size_t n_free;
-	size_t receiving_bytes; /* of bodies of requests that are open */
-	struct ws_memory *memory; /* the account; own_memory if none is set */
-	struct ws_memory own_memory;
-	bool finished; /* takes no more requests */
-	int timer;
-	char buf[READ_BUFFER_SIZE];
-};
-
-static void parse(struct ws_server_con *c, const char *data, size_t len);
-
-/* ===== The account of memory ===== */
-
-/* @return false if there is no room for what the request's buffers have grown
- */
-static bool hold(struct ws_server *s, struct ws_server_request *r)
-{
-	size_t n = r->uri_cap + r->headers.cap + r->body_cap;
-
-	if (n > r->held && !ws_memory_take(s->memory, n - r->held))
-		return false;
-	if (n < r->held)
-		ws_memory_give(s->memory, r->held - n);
-	r->held = n;
-	return true;
-}
-
-/* Grows a buffer of bytes that are kept in any case. */
-static void grow_held(struct ws_server *s, char **buf, size_t *cap, size_t need)
-{
-	size_t before = *cap;
-
-	ws_grow(buf, cap, need, 1);
-	ws_memory_force(s->memory, *cap - before);
-}
-
-static void free_held(struct ws_server *s, char **buf, size_t *cap)
-{
-	free(*buf);
-	*buf = NULL;
-	ws_memory_give(s->memory, *cap);
-	*cap = 0;
-}
-
-/* ===== Requests ===== */
-
-static struct ws_server_request *alloc_request(struct ws_server_con *c)
-{
-	struct ws_server *s = c->server;
-	struct ws_server_request *r = s->free_requests;
-
-	if (r) {
-		s->free_requests = r->next;
-		s->n_free--;
-	} else {
-		r = ws_alloc(1, sizeof(*r));
-	}
-	r->con = c;
-	r->next = NULL;
-	r->started_at = s->conf.now();
-	r->uri_len = 0;
-	r->body_len = 0;
-	r->body_dropped = false;
-	r->close = false;
-	r->answered = false;
-	r->user_data = NULL;
-	ws_headers_reset(&r->headers);
-	return r;
-}
-
-static void free_body(struct ws_server_request *r)
-{
-	free(r->body);
-	r->body = NULL;
-	r->body_len = 0;
-	r->body_cap = 0;
-}
-
-static void destroy_request(struct ws_server *s, struct ws_server_request *r)
-{
-	ws_memory_give(s->memory, r->held);
-	free(r->uri);
-	ws_headers_free(&r->headers);
-	free(r->body);
-	free(r);
-}
-
-static void drop_body(struct ws_server *s, struct ws_server_request *r)
-{
-	s->receiving_bytes -= r->body_len;
-	free_body(r);
-	/* Cannot fail, as the request's buffers have shrunk. */
-	hold(s, r);
-}
-
-static void release_request(struct ws_server *s, struct ws_server_request *r)
-{
-	if (r->queued_answer) {
-		ws_memory_give(s->memory, r->queued_answer->len);
-		g_string_free(r->queued_answer, TRUE);
-	}
-	r->queued_answer = NULL;
-	drop_body(s, r);
-	if (s->n_free >= FREE_REQUESTS_MAX ||
-	    r->headers.cap > KEPT_BUFFER_MAX || r->uri_cap > KEPT_BUFFER_MAX) {
-		destroy_request(s, r);
-		return;
-	}
-	r->next = s->free_requests;
-	s->free_requests = r;
-	s->n_free++;
-}
-
 /* ===== Connections ===== */
 
 static bool is_idle(const struct ws_server_con *c)
@@ -211,7 +54,7 @@
 	if (!r)
 		return;
 	c->partial = NULL;
-	release_request(c->server, r);
+	ws_server_release_request(c->server, r);
 }
 
 /* Closes a connection and ends its open requests. */
@@ -236,10 +79,10 @@
 		c->first = r->next;
 		if (!r->answered)
 			s->conf.ops->on_disconnect(s->conf.arg, r);
-		release_request(s, r);
+		ws_server_release_request(s, r);
 	}
-	free_held(s, &c->out, &c->out_cap);
-	free_held(s, &c->unread, &c->unread_cap);
+	ws_server_free_held(s, &c->out, &c->out_cap);
+	ws_server_free_held(s, &c->unread, &c->unread_cap);
 	free(c);
 }
 
@@ -258,14 +101,13 @@
 {
 	if (!len)
 		return;
-	grow_held(c->server, &c->out, &c->out_cap, c->out_len + len);
+	ws_server_grow_held(c->server, &c->out, &c->out_cap, c->out_len + len);
 	memcpy(c->out + c->out_len, data, len);
 	c->out_len += len;
 }
 
-/* Sends two buffers; what the socket doesn't accept is kept for later. */
-static void write_out(struct ws_server_con *c, const void *head,
-		      size_t head_len, const void *body, size_t body_len)
+void ws_server_write(struct ws_server_con *c, const void *head, size_t head_len,
+		     const void *body, size_t body_len)
 {
 	struct iovec parts[2] = {
 		{ .iov_base = (void *)(uintptr_t)head, .iov_len = head_len },
@@ -329,7 +171,7 @@
 	c->out_pos += (size_t)n;
 	if (c->out_pos < c->out_len)
 		return;
-	free_held(c->server, &c->out, &c->out_cap);
+	ws_server_free_held(c->server, &c->out, &c->out_cap);
 	c->out_len = 0;
 	c->out_pos = 0;
 	set_events(c, EV_READ);
@@ -378,7 +220,7 @@
 	if (!c->first)
 		c->last = NULL;
 	c->n_open--;
-	release_request(c->server, r);
+	ws_server_release_request(c->server, r);
 }
 
 /* Sends the responses that waited for earlier ones. */
@@ -387,8 +229,8 @@
 	while (c->first && c->first->answered) {
 		struct ws_server_request *r = c->first;
 
-		write_out(c, r->queued_answer->str, r->queued_answer->len, NULL,
-			  0);
+		ws_server_write(c, r->queued_answer->str, r->queued_answer->len,
+				NULL, 0);
 		remove_first(c);
 	}
 	start_lingering(c);
@@ -415,14 +257,14 @@
 	size_t len = c->unread_len;
 	size_t cap = c->unread_cap;
 
-	if (!len || c->n_open >= PIPELINE_MAX || c->closing)
+	if (!len || c->n_open >= WS_SERVER_PIPELINE_MAX || c->closing)
 		return;
 	c->unread = NULL;
 	c->unread_len = 0;
 	c->unread_cap = 0;
 	http_parser_pause(&c->parser, 0);
-	parse(c, data, len);
-	free_held(c->server, &data, &cap);
+	ws_server_parse(c, data, len);
+	ws_server_free_held(c->server, &data, &cap);
 }
 
 void ws_server_answer(struct ws_server_request *r,
@@ -442,7 +284,7 @@
 	if (end)
 		c->closing = true;
 	if (c->first == r) {
-		write_out(c, head->str, head->len, a->data, body_len);
+		ws_server_write(c, head->str, head->len, a->data, body_len);
 		g_string_free(head, TRUE);
 		remove_first(c);
 		flush_answers(c);
@@ -454,257 +296,6 @@
 	r->queued_answer = head;
 }
 
-/* ===== Parsing ===== */
-
-static struct ws_server_con *connection_of(const http_parser *p)
-{
-	return p->data;
-}
-
-/* Makes the parser stop; the request is answered with the status. */
-static int reject(struct ws_server_con *c, unsigned status)
-{
-	if (!c->reject)
-		c->reject = status;
-	return -1;
-}
-
-static int on_begin(http_parser *p)
-{
-	struct ws_server_con *c = connection_of(p);
-
-	c->partial = alloc_request(c);
-	c->headers_done = false;
-	c->in_value = false;
-	return 0;
-}
-
-static size_t head_bytes(const struct ws_server_request *r)
-{
-	return r->uri_len + r->headers.len;
-}
-
-static int check_head(struct ws_server_con *c, size_t more)
-{
-	if (head_bytes(c->partial) + more > c->server->limits.max_header)
-		return reject(c, 431);
-	return 0;
-}
-
-static int on_url(http_parser *p, const char *at, size_t len)
-{
-	struct ws_server_con *c = connection_of(p);
-	struct ws_server_request *r = c->partial;
-
-	if (check_head(c, len))
-		return -1;
-	ws_grow(&r->uri, &r->uri_cap, r->uri_len + len + 1, 1);
-	memcpy(r->uri + r->uri_len, at, len);
-	r->uri_len += len;
-	r->uri[r->uri_len] = '\0';
-	return hold(c->server, r) ? 0 : reject(c, 503);
-}
-
-static void append_text(struct ws_headers *h, const char *at, size_t len)
-{
-	ws_grow(&h->text, &h->cap, h->len + len + 3, 1);
-	memcpy(h->text + h->len, at, len);
-	h->len += len;
-}
-
-/* Trailing white space isn't part of a header value. */
-static void end_header(struct ws_server_con *c)
-{
-	struct ws_headers *h = &c->partial->headers;
-
-	if (!c->in_value)
-		return;
-	while (h->len > c->value_start &&
-	       (h->text[h->len - 1] == ' ' || h->text[h->len - 1] == '\t'))
-		h->len--;
-	append_text(h, "", 1);
-	c->in_value = false;
-}
-
-static int on_header_field(http_parser *p, const char *at, size_t len)
-{
-	struct ws_server_con *c = connection_of(p);
-
-	end_header(c);
-	if (check_head(c, len))
-		return -1;
-	append_text(&c->partial->headers, at, len);
-	return hold(c->server, c->partial) ? 0 : reject(c, 503);
-}
-
-static int on_header_value(http_parser *p, const char *at, size_t len)
-{
-	struct ws_server_con *c = connection_of(p);
-	struct ws_headers *h = &c->partial->headers;
-
-	if (check_head(c, len) || memchr(at, '\0', len))
-		return reject(c, 400);
-	if (!c->in_value) {
-		append_text(h, ": ", 2);
-		c->value_start = h->len;
-	}
-	c->in_value = true;
-	append_text(h, at, len);
-	return hold(c->server, c->partial) ? 0 : reject(c, 503);
-}
-
-/* Sends 100 Continue to a caller that waits for it before it sends the body. */
-static void continue_body(struct ws_server_con *c)
-{
-	static const char text[] = "HTTP/1.1 100 Continue\r\n\r\n";
-	const struct ws_body b = {
-		.headers = c->partial->headers.text,
-		.headers_len = c->partial->headers.len,
-	};
-
-	if (ws_body_header(&b, "Expect") && !c->first)
-		write_out(c, text, sizeof(text) - 1, NULL, 0);
-}
-
-static int on_headers_complete(http_parser *p)
-{
-	struct ws_server_con *c = connection_of(p);
-	struct ws_server_request *r = c->partial;
-
-	end_header(c);
-	c->headers_done = true;
-	snprintf(r->method, sizeof(r->method), "%s",
-		 http_method_str((enum http_method)p->method));
-	r->close = !http_should_keep_alive(p);
-	/* Upgrades are not supported, and CONNECT has no path to route. */
-	if (p->method == HTTP_CONNECT)
-		return reject(c, 400);
-	p->upgrade = 0;
-	if ((p->flags & F_CONTENTLENGTH) &&
-	    p->content_length > c->server->limits.max_body)
-		return reject(c, 413);
-	if ((p->flags & F_CHUNKED) || (p->flags & F_CONTENTLENGTH))
-		continue_body(c);
-	return 0;
-}
-
-static int on_body(http_parser *p, const char *at, size_t len)
-{
-	struct ws_server_con *c = connection_of(p);
-	struct ws_server_request *r = c->partial;
-	struct ws_server *s = c->server;
-
-	if (r->body_dropped)
-		return 0;
-	if (r->body_len + len > s->limits.max_body)
-		return reject(c, 413);
-	if (s->receiving_bytes + len <= s->conf.max_receiving) {
-		ws_grow(&r->body, &r->body_cap, r->body_len + len, 1);
-		memcpy(r->body + r->body_len, at, len);
-		r->body_len += len;
-		s->receiving_bytes += len;
-		if (hold(s, r))
-			return 0;
-	}
-	r->body_dropped = true;
-	drop_body(s, r);
-	return 0;
-}
-
-static void enqueue(struct ws_server_con *c, struct ws_server_request *r)
-{
-	if (c->last)
-		c->last->next = r;
-	else
-		c->first = r;
-	c->last = r;
-	c->n_open++;
-}
-
-static int on_complete(http_parser *p)
-{
-	struct ws_server_con *c = connection_of(p);
-	struct ws_server *s = c->server;
-	struct ws_server_request *r = c->partial;
-
-	c->partial = NULL;
-	enqueue(c, r);
-	if (r->close)
-		c->closing = true;
-	s->conf.ops->on_request(s->conf.arg, r);
-	if (c->closing || c->n_open >= PIPELINE_MAX)
-		http_parser_pause(p, 1);
-	return 0;
-}
-
-static const http_parser_settings callbacks = {
-	.on_message_begin = on_begin,
-	.on_url = on_url,
-	.on_header_field = on_header_field,
-	.on_header_value = on_header_value,
-	.on_headers_complete = on_headers_complete,
-	.on_body = on_body,
-	.on_message_complete = on_complete,
-};
-
-/* Answers a malformed request, after the responses to earlier ones. */
-static void answer_reject(struct ws_server_con *c, unsigned status)
-{
-	static const char type[] = "Content-Type: text/plain";
-	struct ws_server_request *r = c->partial;
-	struct ws_server_answer a = {
-		.status = status,
-		.headers = type,
-		.headers_len = sizeof(type),
-		.data = "the request can not be read\n",
-		.data_len = 28,
-		.close = true,
-	};
-
-	if (!r)
-		r = alloc_request(c);
-	c->partial = NULL;
-	r->method[0] = '\0';
-	enqueue(c, r);
-	ws_server_answer(r, &a);
-}
-
-static void buffer_unread(struct ws_server_con *c, const char *data, size_t len)
-{
-	grow_held(c->server, &c->unread, &c->unread_cap, c->unread_len + len);
-	memcpy(c->unread + c->unread_len, data, len);
-	c->unread_len += len;
-}
-
-static void parse(struct ws_server_con *c, const char *data, size_t len)
-{
-	size_t n;
-
-	c->parsing = true;
-	n = http_parser_execute(&c->parser, &callbacks, data, len);
-	c->parsing = false;
-	switch (HTTP_PARSER_ERRNO(&c->parser)) {
-	case HPE_OK:
-		return;
-	case HPE_PAUSED:
-		if (!c->closing && n < len)
-			buffer_unread(c, data + n, len - n);
-		else if (!c->closing)
-			http_parser_pause(&c->parser, 0);
-		return;
-	default:
-		break;
-	}
-	if (c->closing)
-		return;
-	if (!c->reject)
-		c->reject = HTTP_PARSER_ERRNO(&c->parser) ==
-					    HPE_HEADER_OVERFLOW ?
-				    431 :
-				    400;
-	answer_reject(c, c->reject);
-}
-
 /* ===== Events ===== */
 
 /* @return false if the caller closed the connection or it failed */
@@ -723,10 +314,11 @@
 			return false;
 		if (!c->closing) {
 			c->last_activity = s->conf.now();
-			if (c->n_open >= PIPELINE_MAX || c->unread_len)
-				buffer_unread(c, s->buf, (size_t)n);
+			if (c->n_open >= WS_SERVER_PIPELINE_MAX ||
+			    c->unread_len)
+				ws_server_buffer_unread(c, s->buf, (size_t)n);
 			else
-				parse(c, s->buf, (size_t)n);
+				ws_server_parse(c, s->buf, (size_t)n);
 		}
 		if (c->unread_len > UNREAD_MAX)
 			set_events(c, c->io.events & ~EV_READ);
@@ -841,7 +433,7 @@
 	if (c->partial && !c->first &&
 	    (c->headers_done ? idle : now - c->partial->started_at) >
 		    l->header_timeout)
-		answer_reject(c, 408);
+		ws_server_reject(c, 408);
 	return false;
 }
 
@@ -931,7 +523,7 @@
 	close(s->listener.fd);
 	while ((r = s->free_requests)) {
 		s->free_requests = r->next;
-		destroy_request(s, r);
+		ws_server_destroy_request(s, r);
 	}
 	free(s);
 }
@@ -952,7 +544,7 @@
 	if (c->closing || c->broken)
 		return;
 	if (c->partial)
-		answer_reject(c, 503);
+		ws_server_reject(c, 503);
 	c->closing = true;
 	start_lingering(c);
 }
