--- a/lib/io/ws_server.c
+++ b/lib/io/ws_server.c
@@ -99,7 +99,7 @@
 
 static void buffer_output(struct ws_server_con *c, const void *data, size_t len)
 {
-	if (!len)
+	if (!data || !len)
 		return;
 	ws_server_grow_held(c->server, &c->out, &c->out_cap, c->out_len + len);
 	memcpy(c->out + c->out_len, data, len);
