Test endless bytes of callers and of the store, count all servers' heads

For the store's cases the memory afterwards is taken once the store has ended, as its reads go on.

Readiness checks, metrics and requests for records are in the account too.

--- a/lib/edgeio/ws_eio_front.c
+++ b/lib/edgeio/ws_eio_front.c
@@ -475,6 +475,7 @@
 		.arg = f,
 		.address = io->settings.readiness_address,
 		.max_connections = READINESS_CONNECTIONS,
+		.memory = &io->memory,
 		.timers = io->timers,
 		.now = ws_eio_now,
 	};
--- a/lib/edgeio/ws_eio_metrics.c
+++ b/lib/edgeio/ws_eio_metrics.c
@@ -148,6 +148,7 @@
 		.arg = m,
 		.address = address,
 		.max_connections = CONNECTIONS_MAX,
+		.memory = &io->memory,
 		.timers = io->timers,
 		.now = ws_eio_now,
 	};
--- a/lib/edgeio/ws_eio_records.c
+++ b/lib/edgeio/ws_eio_records.c
@@ -125,6 +125,7 @@
 		.arg = r,
 		.address = io->settings.records_address,
 		.max_connections = CONNECTIONS_MAX,
+		.memory = &io->memory,
 		.timers = io->timers,
 		.now = ws_eio_now,
 	};
--- a/tests/test_eio_memory.c
+++ b/tests/test_eio_memory.c
@@ -29,6 +29,7 @@
 #define CALLERS_PORT 7100
 #define FAULTY_PORT 7200
 #define SOUND_PORT 7201
+#define STORE_PORT 7000
 #define MIB ((size_t)1024 * 1024)
 #define MEMORY_MAX (128 * MIB)
 /* Of a process that has nothing to do, above what it had at its start */
@@ -118,6 +119,7 @@
 static const bool checks_memory = true;
 #endif
 
+static bool faulty_store;
 static pid_t instance;
 static pid_t server;
 
@@ -272,7 +274,9 @@
 	return !f->max || c->sent < f->max ? POLLOUT : 0;
 }
 
-static void serve_forever(const struct fault_bytes *f, int faulty, int sound)
+/* @param store listener of a store that fails in the same way; -1: none */
+static void serve_forever(const struct fault_bytes *f, int faulty, int sound,
+			  int store)
 {
 	static struct pollfd polled[CONNECTIONS_MAX + 2];
 	int i;
@@ -299,6 +303,8 @@
 				close_con(&cons[i]);
 		}
 		accept_cons(faulty, true);
+		if (store >= 0)
+			accept_cons(store, true);
 		accept_cons(sound, false);
 	}
 }
@@ -307,15 +313,18 @@
 {
 	int faulty = listen_at(FAULTY_PORT);
 	int sound = listen_at(SOUND_PORT);
+	int store = faulty_store ? listen_at(STORE_PORT) : -1;
 
 	server = fork();
 	ck_assert_int_ge(server, 0);
 	if (!server) {
 		prctl(PR_SET_PDEATHSIG, SIGKILL);
-		serve_forever(&faults[kind], faulty, sound);
+		serve_forever(&faults[kind], faulty, sound, store);
 	}
 	close(faulty);
 	close(sound);
+	if (store >= 0)
+		close(store);
 }
 
 /* ===== The instance ===== */
@@ -434,9 +443,31 @@
 	size_t len;
 	ws_us sent_at;
 	size_t body_left;
+	size_t tail; /* bytes of the last repetition that were sent */
 };
 
 /* What callers of the faulty server do */
+static const struct caller_bytes {
+	const char *first;
+	const char *repeated; /* without end, until the instance closes */
+} * endless; /* sent in place of requests; NULL: requests are sent */
+static const struct caller_bytes caller_faults[] = {
+	{ "GET /f/1 HTTP/1.1\r\nHost: h\r\nX: ", "xxxxxxxxxxxxxxxx" },
+	{ "GET /f/1 HTTP/1.1\r\nHost: h\r\n", "a:\r\n" },
+	{ "GET /", "xxxxxxxxxxxxxxxx" },
+	{ "POST /f/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+	  "\r\n4;",
+	  "extension" },
+	{ "POST /f/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+	  "\r\n0\r\n",
+	  "X-Trailer: value\r\n" },
+	{ "POST /f/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+	  "\r\n",
+	  "4\r\nabcd\r\n" },
+};
+
+#define CALLER_FAULTS (sizeof(caller_faults) / sizeof(caller_faults[0]))
+
 static size_t body_bytes; /* of their requests */
 static bool reads_answers;
 static struct caller callers[CALLERS + SOUND_CALLERS];
@@ -458,6 +489,28 @@
 		c->body_left -= (size_t)sent;
 }
 
+static void send_endless(struct caller *c)
+{
+	char bytes[CHUNK_BYTES];
+	size_t len = strlen(endless->repeated);
+	size_t i;
+	ssize_t sent;
+
+	for (i = 0; i < sizeof(bytes); i++)
+		bytes[i] = endless->repeated[(c->tail + i) % len];
+	sent = send(c->fd, bytes, sizeof(bytes), MSG_NOSIGNAL);
+	if (sent > 0)
+		c->tail = (c->tail + (size_t)sent) % len;
+}
+
+static void begin_endless(struct caller *c)
+{
+	size_t len = strlen(endless->first);
+
+	if (send(c->fd, endless->first, len, MSG_NOSIGNAL) == (ssize_t)len)
+		c->sent_at = ws_eio_now();
+}
+
 static void send_request(struct caller *c)
 {
 	size_t body = c->sound ? 0 : body_bytes;
@@ -510,6 +563,8 @@
 {
 	if (!c->sent_at || c->body_left)
 		return POLLOUT;
+	if (!c->sound && endless)
+		return POLLIN | POLLOUT;
 	return c->sound || reads_answers ? POLLIN : 0;
 }
 
@@ -535,6 +590,9 @@
 				receive(&callers[i]);
 			else if (!(polled[i].revents & POLLOUT))
 				continue;
+			else if (endless && !callers[i].sound)
+				callers[i].sent_at ? send_endless(&callers[i]) :
+						     begin_endless(&callers[i]);
 			else if (callers[i].sent_at)
 				send_body(&callers[i]);
 			else
@@ -560,6 +618,9 @@
 	before = memory_of(instance, "VmRSS:");
 	load(LOAD_TIME);
 	peak = memory_of(instance, "VmHWM:");
+	/* Its reads go on without requests. */
+	if (faulty_store)
+		kill(server, SIGKILL);
 	usleep(2 * DEADLINE_MS * 1000);
 	expect_alive();
 	after = memory_of(instance, "VmRSS:");
@@ -609,8 +670,31 @@
 }
 END_TEST
 
+/* The same as from servers, sent by a store to each read of it. */
+START_TEST(endless_bytes_of_the_store_stay_below_the_memory_limit)
+{
+	faulty_store = true;
+	reads_answers = true;
+	expect_bounded_memory((enum fault)_i);
+}
+END_TEST
+
+START_TEST(endless_bytes_of_callers_stay_below_the_memory_limit)
+{
+	endless = &caller_faults[_i];
+	reads_answers = true;
+	expect_bounded_memory(FAULT_SILENCE);
+}
+END_TEST
+
 int main(void)
 {
+	const TTest *const store_tests[] = {
+		endless_bytes_of_the_store_stay_below_the_memory_limit,
+	};
+	const TTest *const endless_caller_tests[] = {
+		endless_bytes_of_callers_stay_below_the_memory_limit,
+	};
 	const TTest *const server_tests[] = {
 		endless_bytes_of_servers_stay_below_the_memory_limit,
 	};
@@ -620,6 +704,11 @@
 	};
 	int res = ed_suite_run("eio memory, callers", caller_tests, 2);
 
+	res |= ed_suite_run_each("eio memory, endless callers",
+				 endless_caller_tests, 1, CALLER_FAULTS);
+	res |= ed_suite_run_each("eio memory, store", store_tests, 1,
+				 FAULT_COUNT);
+
 	return ed_suite_run_each("eio memory, servers", server_tests, 1,
 				 FAULT_COUNT) ||
 	       res;
