--- a/lib/common/ws_events.h
+++ b/lib/common/ws_events.h
@@ -45,6 +45,7 @@
 	X(403, TARGET_SHED, NOTICE, "target refused to run a request")      \
 	X(404, TARGET_LIMIT, NOTICE, "target limits its requests")          \
 	X(405, TARGET_UNLIMITED, NOTICE, "target has lifted its limit")     \
+	X(406, TARGET_LEAVING, NOTICE, "target states that it leaves")      \
 	X(501, PEER_UP, NOTICE, "peer connection established")              \
 	X(502, PEER_DOWN, WARNING, "peer connection closed")                \
 	X(503, PEER_REJECTED, WARNING, "peer failed authentication")        \
--- a/lib/edge/ws_ed_balance.c
+++ b/lib/edge/ws_ed_balance.c
@@ -136,6 +136,18 @@
 			pl->total * pl->candidates[i].capacity / pl->capacity;
 }
 
+bool ws_ed_balance_has_candidate(const struct ws_ed_lead *l, ws_us now,
+				 ws_id service)
+{
+	size_t i;
+
+	for (i = 0; i < l->pool->n; i++)
+		if (l->pool->servers[i].service == service &&
+		    may_take_keys(l->pool, now, (uint32_t)i))
+			return true;
+	return false;
+}
+
 /* ===== Coverage ===== */
 
 static int compare_ranges(const void *a, const void *b)
--- a/lib/edge/ws_ed_beat.c
+++ b/lib/edge/ws_ed_beat.c
@@ -76,22 +76,30 @@
 	}
 }
 
-static void process_limits(struct ws_edge *e, const struct ws_ed_beat *b,
-			   struct ws_ed_fx *fx)
+static void process_statements(struct ws_edge *e, const struct ws_ed_beat *b,
+			       struct ws_ed_fx *fx)
 {
 	uint32_t i;
 
-	for (i = 0; i < b->n_limits; i++) {
-		const struct ws_ed_beat_limit *l = &b->limits[i];
-		int32_t h = ws_ed_pool_peer_limit(
-			&e->pool, e->now, l->server, l->started,
-			e->now - (ws_us)l->age_ms * WS_MS, (double)l->per_s);
-
-		if (h < 0)
-			continue;
-		ws_ed_limit_log(&e->pool.servers[h].limit,
-				e->pool.servers[h].id,
-				"reported by another instance", fx);
+	for (i = 0; i < b->n_statements; i++) {
+		const struct ws_ed_beat_statement *s = &b->statements[i];
+		ws_us as_of = e->now - (ws_us)s->age_ms * WS_MS;
+		const struct ws_ed_statement t = {
+			.server = s->server,
+			.started = s->started,
+			.kind = (enum ws_ed_statement_kind)s->kind,
+			.as_of = as_of > 0 ? as_of : 1,
+			.per_s = (double)s->per_s,
+		};
+		unsigned changed;
+		int32_t h =
+			ws_ed_pool_peer_stated(&e->pool, e->now, &t, &changed);
+
+		if (h >= 0)
+			ws_ed_pool_log_stated(&e->pool, e->now, (uint32_t)h,
+					      changed,
+					      "reported by another instance",
+					      fx);
 	}
 }
 
@@ -220,7 +228,7 @@
 	process_demands(e, b);
 	process_members(e, b);
 	process_loads(e, b);
-	process_limits(e, b, fx);
+	process_statements(e, b, fx);
 }
 
 static void reset_member(struct ws_ed_member *m, const struct ws_ed_beat *b,
@@ -317,18 +325,21 @@
 	for (i = 0; i < e->pool.n && b->n_loads < max; i++) {
 		struct ws_ed_server *s =
 			&e->pool.servers[(e->next_load + i) % e->pool.n];
-		ws_us age = now - s->reported_at;
+		ws_us age = now - s->stated.load_at;
 
-		if (!(s->report_pending & receivers))
+		if (!(s->stated.load_pending & receivers))
 			continue;
-		s->report_pending &= (uint8_t)~receivers;
+		s->stated.load_pending &= (uint8_t)~receivers;
 		if (age > LOAD_REPORT_AGE_MAX)
 			continue;
 		b->loads[b->n_loads++] = (struct ws_ed_beat_load){
 			.server = ws_ed_short_id(s->id),
-			.running = clamp_to_byte((double)s->report.running),
-			.waiting = clamp_to_byte((double)s->report.waiting),
-			.pace = clamp_to_byte(s->report.pace / WS_ED_PACE_STEP),
+			.running =
+				clamp_to_byte((double)s->stated.load.running),
+			.waiting =
+				clamp_to_byte((double)s->stated.load.waiting),
+			.pace = clamp_to_byte(s->stated.load.pace /
+					      WS_ED_PACE_STEP),
 			.age = clamp_to_byte((double)age /
 					     (double)WS_ED_AGE_STEP),
 		};
@@ -336,45 +347,71 @@
 	e->next_load += i;
 }
 
-static void add_limit(const struct ws_ed_server *s, ws_us now,
-		      struct ws_ed_beat *b)
+static void add_statement(const struct ws_ed_server *s, ws_us now,
+			  enum ws_ed_statement_kind kind, struct ws_ed_beat *b)
 {
-	b->limits[b->n_limits++] = (struct ws_ed_beat_limit){
+	const struct ws_ed_limit *l = &s->stated.limit;
+	bool is_limit = kind == WS_ED_STATEMENT_LIMIT;
+	ws_us age = now - (is_limit ? l->as_of : s->stated.leaving_since);
+
+	age /= WS_MS;
+	b->statements[b->n_statements++] = (struct ws_ed_beat_statement){
 		.server = ws_ed_short_id(s->id),
 		.started = (uint32_t)s->started_ms,
-		.per_s = s->limit.named ? (float)s->limit.per_s : -1.0F,
-		.age_ms = (uint32_t)((now - s->limit.as_of) / WS_MS),
+		.per_s = is_limit && l->named ? (float)l->per_s : -1.0F,
+		.kind = (uint8_t)kind,
+		.age_ms = age < WS_ED_STATEMENT_AGE_MAX ?
+				  (uint32_t)age :
+				  WS_ED_STATEMENT_AGE_MAX,
 	};
 }
 
-/* Adds limits of servers: first those that have changed, then all in turn. */
-static void add_limits(struct ws_edge *e, ws_us now, uint32_t displaced,
-		       struct ws_ed_beat *b)
+static bool takes_round(unsigned *rounds_left)
 {
-	uint32_t room = WS_ED_LIMITS_OF_RELAY - displaced;
-	uint32_t max = e->peers.is_relay || room < WS_ED_LIMITS_MAX ?
+	if (!*rounds_left)
+		return false;
+	--*rounds_left;
+	return true;
+}
+
+/* Adds what servers have stated: first what is new, then all in turn. */
+static void add_statements(struct ws_edge *e, ws_us now, uint32_t displaced,
+			   struct ws_ed_beat *b)
+{
+	uint32_t room = WS_ED_STATEMENTS_OF_RELAY - displaced;
+	uint32_t max = e->peers.is_relay || room < WS_ED_STATEMENTS_MAX ?
 			       room :
-			       WS_ED_LIMITS_MAX;
+			       WS_ED_STATEMENTS_MAX;
 	size_t n = e->pool.n;
 	size_t i;
 
-	b->n_limits = 0;
-	for (i = 0; i < n && b->n_limits < max; i++) {
+	b->n_statements = 0;
+#ifdef WS_MUTANT_STATEMENTS_NOT_SENT
+	return;
+#endif
+	for (i = 0; i < n && b->n_statements < max; i++) {
 		struct ws_ed_server *s = &e->pool.servers[i];
 
-		if (!s->id || !s->limit.rounds_left)
-			continue;
-		s->limit.rounds_left--;
-		add_limit(s, now, b);
+		if (s->id && takes_round(&s->stated.leaving_rounds))
+			add_statement(s, now, WS_ED_STATEMENT_LEAVING, b);
 	}
-	for (i = 0; i < n && b->n_limits < max; i++) {
-		struct ws_ed_server *s =
-			&e->pool.servers[(e->next_limit + i) % n];
+	for (i = 0; i < n && b->n_statements < max; i++) {
+		struct ws_ed_server *s = &e->pool.servers[i];
+
+		if (s->id && takes_round(&s->stated.limit.rounds_left))
+			add_statement(s, now, WS_ED_STATEMENT_LIMIT, b);
+	}
+	for (i = 0; i < n && b->n_statements + WS_ED_STATEMENT_KINDS <= max;
+	     i++) {
+		const struct ws_ed_server *s =
+			&e->pool.servers[(e->next_statement + i) % n];
 
-		if (s->id && ws_ed_limit_is_sent(&s->limit, now))
-			add_limit(s, now, b);
+		if (s->id && s->stated.leaving_since)
+			add_statement(s, now, WS_ED_STATEMENT_LEAVING, b);
+		if (s->id && ws_ed_limit_is_sent(&s->stated.limit, now))
+			add_statement(s, now, WS_ED_STATEMENT_LIMIT, b);
 	}
-	e->next_limit += i;
+	e->next_statement += i;
 }
 
 /* Chooses customers with a demand to send, a part of them in each round. */
@@ -410,7 +447,7 @@
 	e->heat.n_unsent = 0;
 }
 
-/* Strikes that take the place of a limit, which is as long, or of loads. */
+/* Strikes that take the place of a statement, which is as long, or of loads. */
 static uint32_t strikes_that_displace(const struct ws_ed_beat *b)
 {
 	return b->n_strikes > WS_ED_STRIKES_BESIDE_ALL ?
@@ -440,7 +477,7 @@
 	b->n_strikes =
 		ws_ed_suspects_next_strikes(&e->suspects, now, b->strikes);
 	displaced = strikes_that_displace(b);
-	add_limits(e, now, displaced, b);
+	add_statements(e, now, displaced, b);
 	/*
 	 * A relay sends loads in ws_edge_beat_continue() instead, since these
 	 * are the same for many receivers.
@@ -449,14 +486,15 @@
 		b->n_loads = 0;
 	else
 		add_loads(e, now, WS_ED_PENDING_ZONE | WS_ED_PENDING_RELAYS,
-			  WS_ED_LOADS_MAX - WS_ED_LOADS_PER_LIMIT *
-						    (b->n_limits + displaced),
+			  WS_ED_LOADS_MAX -
+				  WS_ED_LOADS_PER_STATEMENT *
+					  (b->n_statements + displaced),
 			  b);
 	choose_demands(e, now, b);
 	add_counts(e, b);
 	e->round.n_strikes = b->n_strikes;
 	e->round.n_loads = b->n_loads;
-	e->round.n_limits = b->n_limits;
+	e->round.n_statements = b->n_statements;
 	e->round.n_demands = b->n_demands;
 	memcpy(e->round.demands, b->demands,
 	       b->n_demands * sizeof(b->demands[0]));
@@ -554,7 +592,7 @@
 	b->map_part = WS_ED_MAP_PART_NONE;
 	b->n_counts = e->round.n_counts;
 	b->n_loads = is_full && same_zone ? e->round.n_loads : 0;
-	b->n_limits = is_full ? e->round.n_limits : 0;
+	b->n_statements = is_full ? e->round.n_statements : 0;
 	b->n_demands = is_full ? e->round.n_demands : 0;
 	if (b->n_demands)
 		memcpy(b->demands, e->round.demands,
@@ -616,7 +654,7 @@
 	b->n_strikes = 0;
 	b->n_members = 0;
 	b->n_loads = 0;
-	b->n_limits = 0;
+	b->n_statements = 0;
 	b->n_demands = 0;
 	if (to == WS_ED_TO_RELAYS && has_many_customers(e))
 		add_zone_demands(e, b);
@@ -676,7 +714,7 @@
 	b->n_demands = 0;
 	b->n_counts = 0;
 	b->n_loads = 0;
-	b->n_limits = 0;
+	b->n_statements = 0;
 	b->n_strikes = 0;
 	b->n_members = 0;
 	if (!first && has_changes(e, m, &b->map)) {
--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -23,6 +23,8 @@
 #define NOT_SENT_PAUSE (60 * WS_MS)
 /* Time for which a peer's report that the map is current counts. */
 #define MAP_CONFIRMED_TIME (1 * WS_SECOND)
+/* Evidence of the store older than this shows that keys can't be moved. */
+#define STORE_EVIDENCE_MAX (1500 * WS_MS)
 /* Most sends of one request, including those that did not run. */
 #define SENDS_MAX 6
 /* Least time left until the end of a request for another send. */
@@ -151,6 +153,7 @@
 	c->lanes[lane] = (struct ed_lane){
 		.active = true,
 		.server = (uint32_t)at->server,
+		.started_ms = e->pool.servers[at->server].started_ms,
 		.load = at->load,
 		.sent_at = e->now,
 		.expected_latency = at->expected_latency,
@@ -162,7 +165,8 @@
 		e->n_waiting--;
 	c->state = CALL_SENT;
 	e->counters.sent++;
-	e->counters.sent_limited += e->pool.servers[at->server].limit.named;
+	e->counters.sent_limited +=
+		e->pool.servers[at->server].stated.limit.named;
 	ws_ed_pool_sent(&e->pool, e->now, (uint32_t)at->server);
 }
 
@@ -254,6 +258,23 @@
 	return &e->key_pause[key / (WS_ED_KEYS / KEY_PAUSE_BUCKETS)];
 }
 
+/* The owner of a key serves it while it leaves, until it has another owner. */
+static bool may_serve_keys(const struct ws_edge *e, uint32_t server)
+{
+	return ws_ed_pool_usable(&e->pool, e->now, server) ||
+	       ws_ed_pool_usable_last(&e->pool, e->now, server);
+}
+
+/*
+ * Whether the keys of a server that can't serve them may soon have another
+ * owner. Without the store, those of a server that left get none.
+ */
+static bool may_keys_move(const struct ws_edge *e, uint32_t server)
+{
+	return !e->pool.servers[server].stated.leaving_since ||
+	       e->now - e->evidence[WS_EDT_SERVERS] < STORE_EVIDENCE_MAX;
+}
+
 static void place_sharded(struct ws_edge *e, struct ed_call *c,
 			  struct ws_ed_fx *fx)
 {
@@ -266,8 +287,9 @@
 		no_server(e, c, true, WS_EDR_NO_OWNER, fx);
 		return;
 	}
-	if (h < 0 || !ws_ed_pool_usable(&e->pool, e->now, (uint32_t)h)) {
-		no_server(e, c, true, WS_EDR_NO_OWNER, fx);
+	if (h < 0 || !may_serve_keys(e, (uint32_t)h)) {
+		no_server(e, c, h < 0 || may_keys_move(e, (uint32_t)h),
+			  WS_EDR_NO_OWNER, fx);
 		return;
 	}
 	ws_ed_pool_expect(&e->pool, e->now, (uint32_t)h, c->work_stats, &at);
@@ -518,6 +540,23 @@
 	place(e, c, fx);
 }
 
+/* @return enum ws_ed_stated_change */
+static unsigned lane_ended(struct ws_edge *e, const struct ed_call *c,
+			   const struct ed_lane *l, enum ws_ed_end end,
+			   ws_us latency, const struct ws_ed_report *report)
+{
+	const struct ws_ed_sending sending = {
+		.server = l->server,
+		.started_ms = l->started_ms,
+		.work_stats = c->work_stats,
+		.sent_at = l->sent_at,
+		.load = l->load,
+	};
+
+	return ws_ed_pool_ended(&e->pool, e->now, &sending, end, latency,
+				report);
+}
+
 /* Cancels all sends of a call. */
 static void cancel_lanes(struct ws_edge *e, struct ed_call *c,
 			 struct ws_ed_fx *fx)
@@ -534,9 +573,8 @@
 		x = ws_ed_fx_add(fx, WS_EDFX_CANCEL);
 		x->u.send.request = c->id;
 		x->u.send.lane = i;
-		ws_ed_pool_ended(&e->pool, e->now, l->server, c->work_stats,
-				 WS_ED_END_CANCELLED, e->now - l->sent_at,
-				 l->load, NULL);
+		lane_ended(e, c, l, WS_ED_END_CANCELLED, e->now - l->sent_at,
+			   NULL);
 	}
 }
 
@@ -635,35 +673,20 @@
 	return true;
 }
 
-/* Applies what a server's own answer says of its limit of requests. */
-static void update_limit(struct ws_edge *e, const struct ed_lane *l,
-			 const struct ws_ed_ending *end, struct ws_ed_fx *fx)
-{
-	struct ws_ed_server *s = &e->pool.servers[l->server];
-
-	if (end->end != WS_ED_END_OK && end->end != WS_ED_END_FAILED &&
-	    end->end != WS_ED_END_SHED)
-		return;
-	if (!ws_ed_limit_on_answer(&s->limit, e->now, l->sent_at,
-				   &end->report.limit))
-		return;
-	ws_ed_pool_limit_changed(&e->pool, e->now, l->server);
-	ws_ed_limit_log(&s->limit, s->id, "stated in its answer", fx);
-}
-
 void ws_ed_call_ended(struct ws_edge *e, const struct ws_ed_ending *end,
 		      struct ws_ed_fx *fx)
 {
 	struct ed_call *c = ws_ed_call_find(e, end->request);
 	struct ed_lane *l;
+	unsigned stated;
 
 	if (!c || c->state != CALL_SENT || !c->lanes[end->lane].active)
 		return;
 	l = &c->lanes[end->lane];
 	l->active = false;
-	ws_ed_pool_ended(&e->pool, e->now, l->server, c->work_stats, end->end,
-			 end->latency, l->load, &end->report);
-	update_limit(e, l, end, fx);
+	stated = lane_ended(e, c, l, end->end, end->latency, &end->report);
+	ws_ed_pool_log_stated(&e->pool, e->now, l->server, stated,
+			      "stated in its answer", fx);
 	c->sends_received += end->end != WS_ED_END_NOT_SENT;
 	ws_ed_call_update_suspects(e, c, l->server, end->end, fx);
 	exclude(c, l->server);
--- a/lib/edge/ws_ed_codec.c
+++ b/lib/edge/ws_ed_codec.c
@@ -6,12 +6,13 @@
 #include <string.h>
 
 /* First word of a message: identifies the format and its version. */
-#define BEAT_MAGIC 0x5753420cU
+#define BEAT_MAGIC 0x5753420dU
 #define REFUSED_MAGIC 0x57535201U
 #define MAP_MAGIC 0x57534d02U
 /* Maps that name no voters, written by earlier versions. */
 #define MAP_MAGIC_WITHOUT_VOTERS 0x57534d01U
 #define MAP_ENTRIES_MAX 65536
+#define STATEMENT_AGE_BITS 24
 /* Of the word that holds the epoch, which is shorter. */
 #define UNVERIFIED_BIT (UINT64_C(1) << 63)
 
@@ -212,21 +213,30 @@
 	return true;
 }
 
-static bool xdr_limits(XDR *x, struct ws_ed_beat *b)
+static bool xdr_statement(XDR *x, struct ws_ed_beat_statement *t)
 {
-	uint32_t i;
+	uint32_t word = (uint32_t)t->kind << STATEMENT_AGE_BITS |
+			(t->age_ms & WS_ED_STATEMENT_AGE_MAX);
 
-	if (!xdr_uint32_t(x, &b->n_limits) ||
-	    b->n_limits > WS_ED_LIMITS_OF_RELAY)
+	if (!xdr_uint32_t(x, &t->server) || !xdr_uint32_t(x, &t->started) ||
+	    !xdr_float(x, &t->per_s) || isnan(t->per_s) ||
+	    !xdr_uint32_t(x, &word))
 		return false;
-	for (i = 0; i < b->n_limits; i++) {
-		struct ws_ed_beat_limit *l = &b->limits[i];
+	t->kind = (uint8_t)(word >> STATEMENT_AGE_BITS);
+	t->age_ms = word & WS_ED_STATEMENT_AGE_MAX;
+	return t->kind < WS_ED_STATEMENT_KINDS;
+}
 
-		if (!xdr_uint32_t(x, &l->server) ||
-		    !xdr_uint32_t(x, &l->started) || !xdr_float(x, &l->per_s) ||
-		    isnan(l->per_s) || !xdr_uint32_t(x, &l->age_ms))
+static bool xdr_statements(XDR *x, struct ws_ed_beat *b)
+{
+	uint32_t i;
+
+	if (!xdr_uint32_t(x, &b->n_statements) ||
+	    b->n_statements > WS_ED_STATEMENTS_OF_RELAY)
+		return false;
+	for (i = 0; i < b->n_statements; i++)
+		if (!xdr_statement(x, &b->statements[i]))
 			return false;
-	}
 	return true;
 }
 
@@ -276,7 +286,7 @@
 	       xdr_flag(x, &b->continuation) && xdr_echo(x, &b->echo) &&
 	       xdr_uint32_t(x, &b->scope) && b->scope <= WS_ED_SCOPE_FULL &&
 	       xdr_demands(x, b) && xdr_counts(x, b) && xdr_loads(x, b) &&
-	       xdr_limits(x, b) && xdr_strikes(x, b) && xdr_members(x, b) &&
+	       xdr_statements(x, b) && xdr_strikes(x, b) && xdr_members(x, b) &&
 	       xdr_map_part(x, b);
 }
 
--- a/lib/edge/ws_ed_fx.h
+++ b/lib/edge/ws_ed_fx.h
@@ -58,6 +58,8 @@
 /* A grant or release call to a server. */
 struct ws_ed_key_call {
 	uint64_t ref;
+	ws_id server;
+	int64_t started_ms; /* start of the server */
 	char name[WS_ED_NAME_MAX];
 	char address[WS_ED_NAME_MAX];
 	uint32_t from;
--- a/lib/edge/ws_ed_lead_int.h
+++ b/lib/edge/ws_ed_lead_int.h
@@ -39,6 +39,10 @@
 /* Sends due calls and advances the state of all ranges. */
 void ws_ed_ranges_tick(struct ws_ed_lead *l, ws_us now, struct ws_ed_fx *fx);
 
+/* Whether a service has a server that may get keys. */
+bool ws_ed_balance_has_candidate(const struct ws_ed_lead *l, ws_us now,
+				 ws_id service);
+
 /* Assigns free ranges to servers and rebalances the load. */
 void ws_ed_balance_tick(struct ws_ed_lead *l, ws_us now, struct ws_ed_fx *fx);
 
--- a/lib/edge/ws_ed_pool.c
+++ b/lib/edge/ws_ed_pool.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "edge/ws_ed_pool_int.h"
 #include "edge/ws_ed_throttle.h"
 
 /* Time constant with which a load report decays to the mean. */
@@ -17,8 +18,6 @@
  */
 #define HERD_INSTANCES 24.0
 #define OPEN_SAMPLING_FACTOR 4.0
-/* Time constant of the mean of other instances' requests. */
-#define MEAN_TAU (500.0 * (double)WS_MS)
 /*
  * Servers attach reports to responses, so that a busy server which gets no more
  * requests would look busy, and be avoided, for ever. Without a report for this
@@ -26,15 +25,8 @@
  */
 #define SILENT_AFTER (500 * WS_MS)
 #define SILENT_TAU (700.0 * (double)WS_MS)
-/*
- * A report that this instance sent returns through a relay with a slightly
- * later time, and is ignored within this margin.
- */
-#define PEER_REPORT_MARGIN (20 * WS_MS)
 /* The slowness of a machine changes several times a second. */
 #define PACE_TAU (250.0 * (double)WS_MS)
-/* Most reports that the long-term mean of the pace covers. */
-#define PACE_SAMPLES_MAX 100
 /* Cost factor and constant cost of a server in another zone. */
 #define REMOTE_ZONE_FACTOR 1.6
 #define REMOTE_ZONE_COST (5.0 * (double)WS_MS)
@@ -66,6 +58,8 @@
 #define BACKOFFS_MAX 4
 /* Added to the warm-up time, as list entries arrive with some delay. */
 #define COLD_MARGIN (200 * WS_MS)
+/* The last requests have to reach a leaving server within its time. */
+#define LEAVING_MARGIN (300 * WS_MS)
 /* Factor of the service time of a cold server. */
 #define COLD_SLOWNESS 2.0
 /* Relative slowdown of a server with all slots busy and no queue. */
@@ -80,11 +74,6 @@
 	memset(p, 0, sizeof(*p));
 }
 
-static double decay(ws_us age, double tau)
-{
-	return exp(-(double)age / tau);
-}
-
 /* ===== List ===== */
 
 int32_t ws_ed_pool_find(const struct ws_ed_pool *p, ws_id id)
@@ -128,7 +117,9 @@
 	s->cold_until = 0;
 	s->cold_share = (struct ws_ed_share){ .per_s = 0.0 };
 	s->idle_connections = 0;
-	s->limit = (struct ws_ed_limit){ .named = false };
+#ifndef WS_MUTANT_STATEMENTS_OF_FORMER_START
+	s->stated = (struct ws_ed_stated){ .leaving_since = 0 };
+#endif
 	s->limit_share = (struct ws_ed_share){ .per_s = 0.0 };
 }
 
@@ -210,7 +201,7 @@
 	if (l->cold_for > 0 && !is_repeated)
 		s->warm_at = now + l->cold_for + COLD_MARGIN;
 	ws_ed_throttle_update(p, now, s);
-	ws_ed_throttle_apply_early(p, now, h);
+	ws_ed_pool_apply_kept(p, now, s);
 	return (int32_t)h;
 }
 
@@ -317,30 +308,46 @@
 	return (uint32_t)p->n_work_stats++;
 }
 
-bool ws_ed_pool_usable(const struct ws_ed_pool *p, ws_us now, uint32_t server)
+/* As far as the list says. */
+static bool is_in_service(const struct ws_ed_pool *p, ws_us now,
+			  const struct ws_ed_server *s)
 {
-	const struct ws_ed_server *s = &p->servers[server];
-
 	if (!s->id || s->draining || ws_ed_pool_zone_out(p, s->zone))
 		return false;
 	return s->listed || now < s->usable_until;
 }
 
+bool ws_ed_pool_usable(const struct ws_ed_pool *p, ws_us now, uint32_t server)
+{
+	const struct ws_ed_server *s = &p->servers[server];
+
+	return is_in_service(p, now, s) && !s->stated.leaving_since;
+}
+
+bool ws_ed_pool_usable_last(const struct ws_ed_pool *p, ws_us now,
+			    uint32_t server)
+{
+	const struct ws_ed_server *s = &p->servers[server];
+
+	return is_in_service(p, now, s) && s->stated.leaving_since &&
+	       now < s->stated.leaving_since + p->drain_time - LEAVING_MARGIN;
+}
+
 static double load_of(const struct ws_ed_server *s, ws_us now, double tau)
 {
-	double d = decay(now - s->reported_at, tau);
+	double d = ws_ed_pool_decay(now - s->stated.load_at, tau);
 	double others =
 		s->other_requests * d + s->other_requests_mean * (1.0 - d);
 
-	if (now - s->reported_at > SILENT_AFTER)
-		others *=
-			decay(now - s->reported_at - SILENT_AFTER, SILENT_TAU);
+	if (now - s->stated.load_at > SILENT_AFTER)
+		others *= ws_ed_pool_decay(
+			now - s->stated.load_at - SILENT_AFTER, SILENT_TAU);
 	return (double)s->in_flight + others;
 }
 
 static double pace_of(const struct ws_ed_server *s, ws_us now)
 {
-	double d = decay(now - s->reported_at, PACE_TAU);
+	double d = ws_ed_pool_decay(now - s->stated.load_at, PACE_TAU);
 	double pace = 1.0 + (s->pace - 1.0) * d;
 
 	return now < s->cold_until ? pace * COLD_SLOWNESS : pace;
@@ -431,8 +438,8 @@
 {
 	ws_us max = IDLE_TIMEOUT_DEFAULT;
 
-	if (s->idle_timeout)
-		max = (ws_us)(IDLE_FRACTION * (double)s->idle_timeout);
+	if (s->stated.idle_timeout)
+		max = (ws_us)(IDLE_FRACTION * (double)s->stated.idle_timeout);
 	return max > WS_SECOND ? max : WS_SECOND;
 }
 
@@ -488,9 +495,24 @@
 	out->throttled_for = c->throttled_for;
 }
 
-/* @param all consider all servers, not a random subset */
+/* Servers that a choice considers. */
+enum candidates {
+	CANDIDATES_SAMPLE, /* a random subset of the usable ones */
+	CANDIDATES_ALL,
+	CANDIDATES_LAST, /* those that leave */
+};
+
+static bool is_candidate(struct ws_ed_pool *p, ws_us now, enum candidates among,
+			 uint32_t h)
+{
+	if (among == CANDIDATES_LAST)
+		return ws_ed_pool_usable_last(p, now, h);
+	return ws_ed_pool_usable(p, now, h) &&
+	       (among == CANDIDATES_ALL || is_sampled(p, now, &p->servers[h]));
+}
+
 static void choose(struct ws_ed_pool *p, ws_us now,
-		   const struct ws_ed_choose_input *in, bool all,
+		   const struct ws_ed_choose_input *in, enum candidates among,
 		   struct ws_ed_choice *out)
 {
 	double tau = choice_tau(p);
@@ -503,10 +525,8 @@
 		struct ws_ed_choice c;
 		double cost;
 
-		if (s->service != in->service ||
-		    !ws_ed_pool_usable(p, now, (uint32_t)i) ||
-		    is_excluded(in, (uint32_t)i) ||
-		    (!all && !is_sampled(p, now, s)))
+		if (s->service != in->service || is_excluded(in, (uint32_t)i) ||
+		    !is_candidate(p, now, among, (uint32_t)i))
 			continue;
 		estimate(p, now, (uint32_t)i, in->work_stats, tau, &c);
 		if (c.throttled >= 0) {
@@ -527,10 +547,17 @@
 		       const struct ws_ed_choose_input *in,
 		       struct ws_ed_choice *out)
 {
-	choose(p, now, in, false, out);
+	struct ws_ed_choice last;
+
+	choose(p, now, in, CANDIDATES_SAMPLE, out);
 	/* No usable server was in the subset. */
 	if (out->server < 0)
-		choose(p, now, in, true, out);
+		choose(p, now, in, CANDIDATES_ALL, out);
+	if (out->server >= 0)
+		return;
+	choose(p, now, in, CANDIDATES_LAST, &last);
+	if (last.server >= 0)
+		*out = last;
 }
 
 /* ===== Observations ===== */
@@ -547,25 +574,6 @@
 	ws_ed_throttle_sent(s, now);
 }
 
-static void apply_report(struct ws_ed_server *s, ws_us now,
-			 const struct ws_ed_report *r)
-{
-	double others =
-		(double)(r->running + r->waiting) - (double)s->in_flight;
-
-	s->other_requests = others > 0.0 ? others : 0.0;
-	s->other_requests_mean +=
-		(1.0 - decay(now - s->reported_at, MEAN_TAU)) *
-		(s->other_requests - s->other_requests_mean);
-	s->reported_at = now;
-	s->pace = r->pace > 0.0 ? r->pace : 1.0;
-	if (s->n_pace_samples < PACE_SAMPLES_MAX)
-		s->n_pace_samples++;
-	s->pace_mean += (s->pace - s->pace_mean) / (double)s->n_pace_samples;
-	s->inverse_pace_mean += (1.0 / s->pace - s->inverse_pace_mean) /
-				(double)s->n_pace_samples;
-}
-
 static double clamp(double x, double low, double high)
 {
 	if (x < low)
@@ -608,22 +616,17 @@
 	back_off(&p->servers[server], now);
 }
 
-void ws_ed_pool_ended(struct ws_ed_pool *p, ws_us now, uint32_t server,
-		      uint32_t work_stats, enum ws_ed_end end, ws_us latency,
-		      double load, const struct ws_ed_report *report)
+unsigned ws_ed_pool_ended(struct ws_ed_pool *p, ws_us now,
+			  const struct ws_ed_sending *x, enum ws_ed_end end,
+			  ws_us latency, const struct ws_ed_report *report)
 {
-	struct ws_ed_server *s = &p->servers[server];
+	struct ws_ed_server *s = &p->servers[x->server];
 	double failed = 0.0;
+	unsigned changed;
 
 	WS_INVARIANT(s->in_flight > 0);
 	s->in_flight--;
-	if (report && report->known) {
-		apply_report(s, now, report);
-		s->report = *report;
-		s->report_pending = WS_ED_PENDING_ZONE | WS_ED_PENDING_RELAYS;
-	}
-	if (report && report->idle_timeout)
-		s->idle_timeout = report->idle_timeout;
+	changed = ws_ed_pool_apply_answer(p, now, s, x, report);
 	if (end == WS_ED_END_OK || end == WS_ED_END_FAILED ||
 	    end == WS_ED_END_SHED) {
 		s->idle_connections++;
@@ -631,11 +634,12 @@
 	}
 	switch (end) {
 	case WS_ED_END_OK:
-		update_service_times(p, s, work_stats, latency, load, now);
+		update_service_times(p, s, x->work_stats, latency, x->load,
+				     now);
 		s->n_backoffs = 0;
 		break;
 	case WS_ED_END_CANCELLED:
-		return;
+		return changed;
 	case WS_ED_END_NOT_SENT:
 		failed = 1.0;
 		back_off(s, now);
@@ -645,6 +649,7 @@
 		break;
 	}
 	s->failure_rate += FAIL_GAIN * (failed - s->failure_rate);
+	return changed;
 }
 
 uint32_t ws_ed_short_id(ws_id server)
@@ -662,19 +667,6 @@
 	return -1;
 }
 
-void ws_ed_pool_peer_report(struct ws_ed_pool *p, ws_us at, uint32_t server,
-			    const struct ws_ed_report *report, uint8_t pending)
-{
-	int32_t h = ws_ed_pool_find_short(p, server);
-	struct ws_ed_server *s = h >= 0 ? &p->servers[h] : NULL;
-
-	if (!s || at <= s->reported_at + PEER_REPORT_MARGIN)
-		return;
-	apply_report(s, at, report);
-	s->report = *report;
-	s->report_pending = pending;
-}
-
 void ws_ed_pool_tick(struct ws_ed_pool *p, ws_us now)
 {
 	size_t i;
@@ -686,7 +678,13 @@
 		s->failure_rate *= 0.995;
 		ws_ed_throttle_refresh(p, now, s);
 		if (s->id && !s->listed && now >= s->usable_until &&
-		    !s->in_flight)
+		    !s->in_flight) {
+#ifndef WS_MUTANT_STATEMENTS_FORGOTTEN
+			ws_ed_stated_keep_all(&p->kept, ws_ed_short_id(s->id),
+					      (uint32_t)s->started_ms,
+					      &s->stated);
+#endif
 			s->id = 0;
+		}
 	}
 }
--- a/lib/edge/ws_ed_pool.h
+++ b/lib/edge/ws_ed_pool.h
@@ -2,8 +2,8 @@
 #define WS_ED_POOL_H
 
 #include "edge/ws_ed_conf.h"
-#include "edge/ws_ed_limit.h"
 #include "edge/ws_ed_share.h"
+#include "edge/ws_ed_stated.h"
 
 /*
  * The servers (targets) and the load balancing over them. It handles:
@@ -25,6 +25,8 @@
 #define WS_ED_NAME_MAX 64
 #define WS_ED_EXCLUDED_MAX 4
 
+struct ws_ed_fx;
+
 /* Statistics of a route's requests at a service. */
 struct ws_ed_work_stats {
 	ws_id route;
@@ -33,26 +35,6 @@
 	uint32_t n_samples;
 };
 
-/* Load report that a server attaches to a response. */
-struct ws_ed_report {
-	bool known;
-	uint32_t running;
-	uint32_t waiting;
-	uint32_t slots;
-	double pace; /* slowness of its machine; 0: not reported */
-	ws_us idle_timeout; /* of its connections; 0: not reported */
-	struct ws_ed_limit_news limit;
-};
-
-/*
- * Receivers that a report still has to be passed on to. A relay sends it to
- * both groups, other instances only to their relay.
- */
-enum ws_ed_report_pending {
-	WS_ED_PENDING_ZONE = 1, /* instances of this zone, or its relay */
-	WS_ED_PENDING_RELAYS = 2, /* relays of other zones */
-};
-
 /* What the configuration says of the request rate of a cold server. */
 enum ws_ed_cold_rate {
 	WS_ED_RATE_UNKNOWN = 0, /* its service is not configured here */
@@ -81,9 +63,6 @@
 	uint32_t in_flight; /* requests of this instance */
 	double other_requests; /* of other instances, as last reported */
 	double other_requests_mean;
-	ws_us reported_at;
-	struct ws_ed_report report; /* the last one received */
-	uint8_t report_pending; /* enum ws_ed_report_pending */
 	double pace; /* current slowness of its machine; 1: usual */
 	double pace_mean; /* long-term slowness of its machine */
 	double inverse_pace_mean; /* mean of 1 / pace: relative throughput */
@@ -92,13 +71,12 @@
 	double failure_rate; /* smoothed fraction of failed requests */
 	ws_us backoff_until;
 	uint32_t n_backoffs;
-	ws_us idle_timeout; /* after which it closes connections; 0: unknown */
 	uint32_t idle_connections; /* open connections that may be reused */
 	ws_us idle_until; /* when they will have been closed */
 	uint32_t max_connections; /* of all instances; 0: no bound known */
 	ws_us keys_refused_until; /* until then it gets no grant or release */
-	struct ws_ed_limit limit; /* of its requests from all instances */
-	struct ws_ed_share limit_share;
+	struct ws_ed_stated stated; /* by this start of it */
+	struct ws_ed_share limit_share; /* of the limit that it states */
 };
 
 struct ws_ed_zone_out {
@@ -116,16 +94,6 @@
 
 #define WS_ED_LEFT_SERVERS 256
 
-/* The limit of a server's process that is not listed yet. */
-struct ws_ed_early_limit {
-	uint32_t server; /* ws_ed_short_id(); 0: free */
-	uint32_t started; /* as in struct ws_ed_beat_limit */
-	ws_us as_of;
-	double per_s;
-};
-
-#define WS_ED_EARLY_LIMITS 64
-
 struct ws_ed_pool {
 	const struct ws_ed_conf *conf; /* in force; borrowed; NULL: none */
 	struct ws_ed_server *servers;
@@ -140,10 +108,11 @@
 	/* Ring buffer, so that an old copy of the list brings none back */
 	struct ws_ed_left_server left[WS_ED_LEFT_SERVERS];
 	size_t n_left; /* added so far */
-	/* Ring buffer of what peers reported before the list was read */
-	struct ws_ed_early_limit early_limits[WS_ED_EARLY_LIMITS];
-	size_t n_early_limits; /* added so far */
+	/* On starts of servers that are not listed yet, or not any more */
+	struct ws_ed_kept_statements kept;
 	size_t instances; /* number of those that share connections */
+	/* How long a server that states that it leaves may get requests */
+	ws_us drain_time;
 	struct ws_ed_group group; /* those that share request rates */
 	bool warm_ups_changed; /* of any server */
 	struct ws_rand rand;
@@ -232,9 +201,20 @@
 uint32_t ws_ed_pool_work_stats(struct ws_ed_pool *p, ws_id route,
 			       ws_id service);
 
-/* Whether a server is listed, not draining and its zone in service. */
+/*
+ * Whether a server is listed, its zone in service, and neither its list entry
+ * nor its answers say that it leaves.
+ */
 bool ws_ed_pool_usable(const struct ws_ed_pool *p, ws_us now, uint32_t server);
 
+/*
+ * Whether a server that is not usable may still get requests, as only its
+ * answers say that it leaves, and did so shortly ago. For requests that no
+ * other server can take.
+ */
+bool ws_ed_pool_usable_last(const struct ws_ed_pool *p, ws_us now,
+			    uint32_t server);
+
 /* Estimates latency and load at one server. */
 void ws_ed_pool_expect(const struct ws_ed_pool *p, ws_us now, uint32_t server,
 		       uint32_t work_stats, struct ws_ed_choice *out);
@@ -260,14 +240,23 @@
 ws_us ws_ed_pool_retry_after(struct ws_ed_pool *p, ws_us now, uint32_t server);
 
 /*
- * Applies another instance's report of a server's limit. One that is not listed
- * yet, or not with this start, gets it when it is.
- * @param started low bits of the time when the server's process started
- * @param per_s < 0: it states no limit any more
- * @return the server's handle if its limit has changed, else -1
+ * Applies what another instance knows of a server. A start of it that is not
+ * listed yet gets it when it is.
+ * @param changed gets enum ws_ed_stated_change
+ * @return the server's handle if something has changed, else -1
  */
-int32_t ws_ed_pool_peer_limit(struct ws_ed_pool *p, ws_us now, uint32_t server,
-			      uint32_t started, ws_us as_of, double per_s);
+int32_t ws_ed_pool_peer_stated(struct ws_ed_pool *p, ws_us now,
+			       const struct ws_ed_statement *t,
+			       unsigned *changed);
+
+/* Records that an answer to a key call states that its server leaves. */
+unsigned ws_ed_pool_key_answer_leaving(struct ws_ed_pool *p, ws_us now,
+				       ws_id server, int64_t started_ms);
+
+/* Appends WS_EDFX_LOG for what a server has stated. */
+void ws_ed_pool_log_stated(const struct ws_ed_pool *p, ws_us now,
+			   uint32_t server, unsigned changed,
+			   const char *source, struct ws_ed_fx *fx);
 
 /* Applies a change of a server's limit. */
 void ws_ed_pool_limit_changed(struct ws_ed_pool *p, ws_us now, uint32_t server);
@@ -278,14 +267,24 @@
 /* Records that a server has refused a connection. */
 void ws_ed_pool_refused(struct ws_ed_pool *p, ws_us now, uint32_t server);
 
+/* A request that was sent to a server. */
+struct ws_ed_sending {
+	uint32_t server;
+	int64_t started_ms; /* start of the server then */
+	uint32_t work_stats;
+	ws_us sent_at;
+	double load; /* as estimated then */
+};
+
 /*
  * Records that a request at a server has ended.
  * @param latency time since it was sent
- * @param load as estimated when it was sent
+ * @param report what the answer states; NULL: there is none
+ * @return enum ws_ed_stated_change
  */
-void ws_ed_pool_ended(struct ws_ed_pool *p, ws_us now, uint32_t server,
-		      uint32_t work_stats, enum ws_ed_end end, ws_us latency,
-		      double load, const struct ws_ed_report *report);
+unsigned ws_ed_pool_ended(struct ws_ed_pool *p, ws_us now,
+			  const struct ws_ed_sending *x, enum ws_ed_end end,
+			  ws_us latency, const struct ws_ed_report *report);
 
 /*
  * Applies a server's report that another instance has received.
--- a/lib/edge/ws_ed_range.c
+++ b/lib/edge/ws_ed_range.c
@@ -93,6 +93,8 @@
 	r->ref = ++l->next_ref;
 	r->call_is_grant = kind == WS_EDFX_GRANT;
 	c->ref = r->ref;
+	c->server = r->server;
+	c->started_ms = r->started_ms;
 	memcpy(c->name, r->name, sizeof(c->name));
 	memcpy(c->address, r->address, sizeof(c->address));
 	c->from = r->from;
@@ -140,11 +142,28 @@
 	set_free(l, r, now);
 }
 
+/*
+ * Whether a server that owns keys has to release them. One that only states
+ * that it leaves keeps them while they can't get another owner, as its requests
+ * are still served for a while.
+ */
+static bool must_release(const struct ws_ed_lead *l, ws_us now, int32_t server)
+{
+	if (server < 0)
+		return true;
+	if (ws_ed_pool_usable(l->pool, now, (uint32_t)server))
+		return false;
+	if (!ws_ed_pool_usable_last(l->pool, now, (uint32_t)server))
+		return true;
+	return ws_ed_lead_store_reachable(l, now) &&
+	       ws_ed_balance_has_candidate(l, now,
+					   l->pool->servers[server].service);
+}
+
 static void tick_owned(struct ws_ed_lead *l, struct ws_ed_range *r, ws_us now,
 		       struct ws_ed_fx *fx)
 {
 	int32_t s = ws_ed_pool_find(l->pool, r->server);
-	bool usable = s >= 0 && ws_ed_pool_usable(l->pool, now, (uint32_t)s);
 
 	if (s >= 0 && l->pool->servers[s].started_ms != r->started_ms) {
 		/* The server has restarted and owns no keys. */
@@ -161,7 +180,8 @@
 	 * An inherited range is granted first: the newer token keeps a previous
 	 * leader from renewing it.
 	 */
-	if (!usable && !r->inherited && ws_ed_lead_may_move(l, now)) {
+	if (!r->inherited && ws_ed_lead_may_move(l, now) &&
+	    must_release(l, now, s)) {
 		ws_ed_range_start_release(r, now);
 		return;
 	}
--- a/lib/edge/ws_ed_throttle.c
+++ b/lib/edge/ws_ed_throttle.c
@@ -95,8 +95,9 @@
 
 static void share_limit(struct ws_ed_pool *p, ws_us now, struct ws_ed_server *s)
 {
-	double per_s = s->limit.per_s > LIMIT_PER_S_MIN ? s->limit.per_s :
-							  LIMIT_PER_S_MIN;
+	double per_s = s->stated.limit.per_s > LIMIT_PER_S_MIN ?
+			       s->stated.limit.per_s :
+			       LIMIT_PER_S_MIN;
 
 	ws_ed_share_set(&s->limit_share, &p->group, s->id, per_s,
 			LIMIT_HOLDERS_MIN + (size_t)per_s, now, &p->rand);
@@ -106,68 +107,12 @@
 {
 	struct ws_ed_server *s = &p->servers[server];
 
-	if (s->limit.named)
+	if (s->stated.limit.named)
 		share_limit(p, now, s);
 	else
 		s->limit_share = (struct ws_ed_share){ .per_s = 0.0 };
 }
 
-static void keep_early_limit(struct ws_ed_pool *p,
-			     const struct ws_ed_early_limit *l)
-{
-	size_t i;
-
-	for (i = 0; i < WS_ED_EARLY_LIMITS; i++) {
-		struct ws_ed_early_limit *known = &p->early_limits[i];
-
-		if (known->server != l->server || known->started != l->started)
-			continue;
-		if (l->as_of > known->as_of)
-			*known = *l;
-		return;
-	}
-	p->early_limits[p->n_early_limits++ % WS_ED_EARLY_LIMITS] = *l;
-}
-
-int32_t ws_ed_pool_peer_limit(struct ws_ed_pool *p, ws_us now, uint32_t server,
-			      uint32_t started, ws_us as_of, double per_s)
-{
-	const struct ws_ed_early_limit limit = {
-		.server = server,
-		.started = started,
-		.as_of = as_of,
-		.per_s = per_s,
-	};
-	int32_t h = ws_ed_pool_find_short(p, server);
-
-	if (h < 0 || (uint32_t)p->servers[h].started_ms != started) {
-		keep_early_limit(p, &limit);
-		return -1;
-	}
-	if (!ws_ed_limit_on_peer(&p->servers[h].limit, now, as_of, per_s))
-		return -1;
-	ws_ed_pool_limit_changed(p, now, (uint32_t)h);
-	return h;
-}
-
-void ws_ed_throttle_apply_early(struct ws_ed_pool *p, ws_us now,
-				uint32_t server)
-{
-	struct ws_ed_server *s = &p->servers[server];
-	size_t i;
-
-	for (i = 0; i < WS_ED_EARLY_LIMITS; i++) {
-		struct ws_ed_early_limit l = p->early_limits[i];
-
-		if (!l.server || l.server != ws_ed_short_id(s->id) ||
-		    l.started != (uint32_t)s->started_ms)
-			continue;
-		p->early_limits[i] = (struct ws_ed_early_limit){ .server = 0 };
-		if (ws_ed_limit_on_peer(&s->limit, now, l.as_of, l.per_s))
-			ws_ed_pool_limit_changed(p, now, server);
-	}
-}
-
 /* Time until one share permits a request, at least as long as another one. */
 static ws_us longer_wait(ws_us wait, ws_us other)
 {
@@ -188,7 +133,7 @@
 	if (is_throttled_as_cold(s, now))
 		wait = longer_wait(wait, ws_ed_share_wait(&s->cold_share,
 							  &p->group, now));
-	if (s->limit.named)
+	if (s->stated.limit.named)
 		wait = longer_wait(wait, ws_ed_share_wait(&s->limit_share,
 							  &p->group, now));
 	return wait;
@@ -200,7 +145,7 @@
 	ws_us time = 0;
 	ws_us cold;
 
-	if (s->limit.named)
+	if (s->stated.limit.named)
 		time = ws_ed_share_retry_after(&s->limit_share, &p->group, now);
 	if (has_unknown_rate(s, now))
 		return s->cold_until - now;
@@ -217,7 +162,7 @@
 {
 	if (is_throttled_as_cold(s, now))
 		ws_ed_share_sent(&s->cold_share, now);
-	if (s->limit.named)
+	if (s->stated.limit.named)
 		ws_ed_share_sent(&s->limit_share, now);
 }
 
@@ -227,12 +172,13 @@
 	if (is_throttled_as_cold(s, now) &&
 	    s->cold_share.version != p->group.version)
 		ws_ed_throttle_update(p, now, s);
-	if (!s->limit.named)
+	if (!s->stated.limit.named)
 		return;
 	if (s->limit_share.version != p->group.version)
 		share_limit(p, now, s);
-	if (!s->limit_share.is_holder && ws_ed_limit_is_old(&s->limit, now)) {
-		s->limit = (struct ws_ed_limit){ .named = false };
+	if (!s->limit_share.is_holder &&
+	    ws_ed_limit_is_old(&s->stated.limit, now)) {
+		s->stated.limit = (struct ws_ed_limit){ .named = false };
 		ws_ed_pool_limit_changed(p, now, (uint32_t)(s - p->servers));
 	}
 }
--- a/lib/edge/ws_ed_throttle.h
+++ b/lib/edge/ws_ed_throttle.h
@@ -7,8 +7,8 @@
 
 /*
  * Request rates of single servers: cold ones, and those that state a limit.
- * Used by the pool for each server; see ws_ed_share.h for how a rate is
- * divided.
+ * Used by the pool for each server;
+ * see ws_ed_share.h for how a rate is divided.
  */
 
 /*
@@ -20,10 +20,6 @@
 void ws_ed_throttle_update(struct ws_ed_pool *p, ws_us now,
 			   struct ws_ed_server *s);
 
-/* Applies what peers reported of a server's limit before it was listed. */
-void ws_ed_throttle_apply_early(struct ws_ed_pool *p, ws_us now,
-				uint32_t server);
-
 /*
  * Time until this instance may send to a server; 0: now, WS_ED_NO_SHARE:
  * only others may.
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -57,6 +57,7 @@
 	e->peers.capacity = set->capacity;
 	e->peers.full_mesh_until = set->now + WS_ED_FULL_MESH_TIME;
 	e->pool.instances = 1;
+	e->pool.drain_time = set->bounds.drain_time;
 	e->pool.group.self = set->self;
 	e->pool.group.settled_at = e->peers.full_mesh_until;
 	e->quota.slack = set->bounds.rate_slack;
@@ -191,6 +192,39 @@
 				  dropped.request, "no crash is known");
 }
 
+/* Logs what was known of a server before it was listed. */
+static void log_kept(const struct ws_edge *e, uint32_t server,
+		     struct ws_ed_fx *fx)
+{
+	const struct ws_ed_stated *s = &e->pool.servers[server].stated;
+
+	ws_ed_pool_log_stated(&e->pool, e->now, server,
+			      (s->leaving_since ? WS_ED_STATED_LEAVING : 0U) |
+				      (s->limit.named ? WS_ED_STATED_LIMIT :
+							0U),
+			      "known before it was listed", fx);
+}
+
+static void on_key_called(struct ws_edge *e, const struct ws_ed_event *ev,
+			  struct ws_ed_fx *fx)
+{
+	ws_id server = ev->u.key_called.server;
+	unsigned stated = 0;
+
+	if (ev->u.key_called.leaving)
+		stated = ws_ed_pool_key_answer_leaving(
+			&e->pool, e->now, server, ev->u.key_called.started_ms);
+	if (stated)
+		ws_ed_pool_log_stated(
+			&e->pool, e->now,
+			(uint32_t)ws_ed_pool_find(&e->pool, server), stated,
+			"stated in an answer to a key call", fx);
+	ws_ed_lead_on_call_result(&e->lead, e->now, ev->u.key_called.ref,
+				  ev->u.key_called.end,
+				  ev->u.key_called.handover, fx);
+	ws_ed_lead_tick(&e->lead, e->now, fx);
+}
+
 static void apply_listing(struct ws_edge *e, const struct ws_ed_listing *l,
 			  struct ws_ed_fx *fx)
 {
@@ -201,9 +235,8 @@
 	if (h >= 0 && is_new)
 		ws_ed_server_crashed(e, id, fx);
 	h = ws_ed_pool_listed(&e->pool, e->now, l);
-	if (h >= 0 && is_new && e->pool.servers[h].limit.named)
-		ws_ed_limit_log(&e->pool.servers[h].limit, id,
-				"reported before it was listed", fx);
+	if (h >= 0 && is_new)
+		log_kept(e, (uint32_t)h, fx);
 }
 
 /* Records the end of an outage if there was no evidence for some time. */
@@ -475,11 +508,7 @@
 		ws_ed_call_ended(e, &ev->u.ending, fx);
 		break;
 	case WS_EDEV_KEY_CALLED:
-		ws_ed_lead_on_call_result(&e->lead, e->now,
-					  ev->u.key_called.ref,
-					  ev->u.key_called.end,
-					  ev->u.key_called.handover, fx);
-		ws_ed_lead_tick(&e->lead, e->now, fx);
+		on_key_called(e, ev, fx);
 		break;
 	case WS_EDEV_CHECK_REFUSED:
 		on_check_refused(e, ev->u.check_refused.server,
@@ -571,6 +600,7 @@
 void ws_edge_set_bounds(struct ws_edge *e, const struct ws_ed_bounds *bounds)
 {
 	e->set.bounds = *bounds;
+	e->pool.drain_time = bounds->drain_time;
 	e->quota.slack = bounds->rate_slack;
 }
 
--- a/lib/edge/ws_edge.h
+++ b/lib/edge/ws_edge.h
@@ -31,6 +31,8 @@
 	double retry_ratio; /* extra sends per request, all instances */
 	double retry_slack; /* further extra sends, all instances */
 	double rate_slack; /* requests above a rate, all instances */
+	/* How long a server that states that it leaves may get requests */
+	ws_us drain_time;
 };
 
 struct ws_ed_settings {
@@ -147,16 +149,19 @@
 };
 
 /* A relay has more room, as it sends loads in continuations. */
-#define WS_ED_LIMITS_MAX 8
-#define WS_ED_LIMITS_OF_RELAY 15
-/* Load reports that take as much room as a limit. */
-#define WS_ED_LOADS_PER_LIMIT 2
-
-/* What an instance knows of the limit of a server. */
-struct ws_ed_beat_limit {
+#define WS_ED_STATEMENTS_MAX 8
+#define WS_ED_STATEMENTS_OF_RELAY 15
+/* Load reports that take as much room as a statement. */
+#define WS_ED_LOADS_PER_STATEMENT 2
+/* Ages of statements are sent in 24 bits; older ones are as old as this. */
+#define WS_ED_STATEMENT_AGE_MAX 0xffffffU
+
+/* What an instance knows of a server; see struct ws_ed_statement. */
+struct ws_ed_beat_statement {
 	uint32_t server; /* ws_ed_short_id() */
 	uint32_t started; /* tells processes of the server apart */
-	float per_s; /* < 0: it states none any more */
+	float per_s; /* LIMIT; < 0: it states none any more */
+	uint8_t kind; /* enum ws_ed_statement_kind */
 	uint32_t age_ms; /* of the answer that this is known from */
 };
 
@@ -198,8 +203,8 @@
 	struct ws_ed_count counts[WS_ED_COUNTS_MAX];
 	uint32_t n_loads;
 	struct ws_ed_beat_load loads[WS_ED_LOADS_CONTINUED];
-	uint32_t n_limits;
-	struct ws_ed_beat_limit limits[WS_ED_LIMITS_OF_RELAY];
+	uint32_t n_statements;
+	struct ws_ed_beat_statement statements[WS_ED_STATEMENTS_OF_RELAY];
 	uint32_t n_strikes;
 	struct ws_ed_strike strikes[WS_ED_STRIKES_MAX];
 	uint32_t n_members;
@@ -252,6 +257,10 @@
 			uint64_t ref;
 			enum ws_ed_call_result end;
 			const char *handover;
+			/* The answer states that the server leaves */
+			bool leaving;
+			ws_id server;
+			int64_t started_ms; /* when the call began */
 		} key_called;
 		struct {
 			ws_id server;
--- a/lib/edge/ws_edge_int.h
+++ b/lib/edge/ws_edge_int.h
@@ -22,6 +22,7 @@
 struct ed_lane {
 	bool active;
 	uint32_t server;
+	int64_t started_ms; /* start of the server then */
 	double load; /* requests at the server per slot, this one included */
 	ws_us sent_at;
 	ws_us expected_latency; /* as estimated at sent_at */
@@ -107,7 +108,7 @@
 	size_t next_demand; /* customer to start with in the next heartbeat */
 	size_t next_member; /* member to start with */
 	size_t next_load; /* server to start with */
-	size_t next_limit; /* server to start with */
+	size_t next_statement; /* server to start with */
 	ws_us next_digest; /* of the refused requests */
 	/* The current round of heartbeats */
 	struct {
@@ -117,7 +118,7 @@
 		uint32_t n_demands;
 		uint32_t n_counts;
 		uint32_t n_loads;
-		uint32_t n_limits;
+		uint32_t n_statements;
 		uint32_t n_strikes;
 		struct ws_ed_beat_demand demands[WS_ED_DEMANDS_MAX];
 		size_t next_more; /* next customer for a continuation */
--- a/lib/edgeio/ws_eio_targets.c
+++ b/lib/edgeio/ws_eio_targets.c
@@ -44,6 +44,8 @@
 	struct curl_slist *headers;
 	uint64_t ref;
 	bool grant;
+	ws_id server;
+	int64_t started_ms;
 	char url[2 * WS_ED_NAME_MAX];
 	char body[KEY_BODY_MAX];
 };
@@ -169,7 +171,8 @@
 	if (res->outcome == WS_HTTP_DONE) {
 		ev.u.ending.status = res->answer.status;
 		ev.u.ending.not_owner = wp_wire_misdirected(&res->answer);
-		wp_wire_parse_report(&res->answer, &ev.u.ending.report);
+		wp_wire_parse_report(&res->answer, a->request_id,
+				     &ev.u.ending.report);
 		if (ev.u.ending.end == WS_ED_END_CONNECTION_LOST)
 			ws_http_disconnect(a->http);
 	}
@@ -266,6 +269,12 @@
 	ev.u.key_called.ref = c->ref;
 	ev.u.key_called.end = key_call_result(res);
 	ev.u.key_called.handover = "";
+	ev.u.key_called.server = c->server;
+	ev.u.key_called.started_ms = c->started_ms;
+	/* True also of a late duplicate: a server that leaves does not stay. */
+	ev.u.key_called.leaving = res->outcome == WS_HTTP_DONE &&
+				  wp_wire_is_key_answer(&res->answer) &&
+				  wp_wire_states_leaving(&res->answer);
 	if (res->outcome == WS_HTTP_DONE && ev.u.key_called.end != WS_EDC_DONE)
 		ws_http_disconnect(c->http);
 	if (ev.u.key_called.end == WS_EDC_DONE && !c->grant)
@@ -300,6 +309,8 @@
 	c->targets = t;
 	c->ref = call->ref;
 	c->grant = grant;
+	c->server = call->server;
+	c->started_ms = call->started_ms;
 	snprintf(c->url, sizeof(c->url), "http://%s%s", call->address,
 		 grant ? wp_wire_grant_path() : wp_wire_release_path());
 	if (grant)
--- a/tests/ed_fleet.c
+++ b/tests/ed_fleet.c
@@ -215,6 +215,29 @@
 	}
 }
 
+static void note_first(ws_us *told_at)
+{
+	if (!*told_at)
+		*told_at = fleet.now;
+}
+
+static void add_statements(struct fleet_server *s,
+			   const struct fleet_pending *p,
+			   struct ws_ed_ending *end)
+{
+	if (s->leaving_at && fleet.now >= s->leaving_at &&
+	    end->report.from_server) {
+		end->report.leaving = true;
+		note_first(&s->told_leaving_at[p->instance]);
+	}
+	if (end->end == WS_ED_END_OK && fleet.now < s->closed_until) {
+		end->end = WS_ED_END_SHED;
+		end->status = 503;
+		end->report.retry_after = s->closed_until - fleet.now;
+		note_first(&s->told_closed_at[p->instance]);
+	}
+}
+
 static void deliver_answers(void)
 {
 	size_t k;
@@ -247,9 +270,11 @@
 			.latency = fleet.now - p->sent,
 		};
 		if (p->end == WS_ED_END_OK)
-			ev.u.ending.report = (struct ws_ed_report){
-				.known = true, .running = 1, .slots = 4
-			};
+			ev.u.ending.report =
+				(struct ws_ed_report){ .from_server = true,
+						       .known = true,
+						       .running = 1,
+						       .slots = 4 };
 		if (p->end == WS_ED_END_OK && states_limit(s)) {
 			ev.u.ending.report.limit = (struct ws_ed_limit_news){
 				.kind = WS_ED_LIMIT_NAMED, .per_s = s->limit
@@ -257,6 +282,7 @@
 			if (!s->told_at[p->instance])
 				s->told_at[p->instance] = fleet.now;
 		}
+		add_statements(s, p, &ev.u.ending);
 		step(p->instance, &ev);
 	}
 }
@@ -339,6 +365,22 @@
 	step(i, &ev);
 }
 
+void fleet_unlist_server(int server)
+{
+	int i;
+
+	for (i = 0; i < fleet.n; i++)
+		unlist_server(i, server);
+}
+
+void fleet_list_server(int server)
+{
+	int i;
+
+	for (i = 0; i < fleet.n; i++)
+		list_server(i, server);
+}
+
 /* Servers that are down stay listed until the list drops them. */
 static void list_servers(int i)
 {
@@ -427,7 +469,8 @@
 		.bounds = { .key_evidence_max = 4600 * WS_MS,
 			    .retry_ratio = 0.2,
 			    .retry_slack = 60.0,
-			    .rate_slack = 20.0 },
+			    .rate_slack = 20.0,
+			    .drain_time = FLEET_DRAIN_TIME },
 	};
 
 	n->edge = ws_edge_new(&set);
--- a/tests/ed_fleet.h
+++ b/tests/ed_fleet.h
@@ -6,7 +6,8 @@
 /*
  * Simulation of up to hundreds of instances, which are real reducers and
  * exchange encoded heartbeats, with servers that answer all requests after a
- * fixed time and may state a limit. Instances restart, stop, stand still and
+ * fixed time and may state a limit, that they leave, or that they want no
+ * requests for a while. Instances restart, stop, stand still and
  * are cut off from each other. Servers crash under a request that the test
  * names, or when the test says so, and start again.
  */
@@ -25,6 +26,8 @@
 #define FLEET_REQUESTS_MAX 65536
 #define FLEET_CRASH_SENDS_MAX 1024
 #define FLEET_CHECKS_MAX 512
+/* How long a server that leaves may get requests */
+#define FLEET_DRAIN_TIME (2 * WS_SECOND)
 /* Latency objective of all routes */
 #define FLEET_OBJECTIVE (300 * WS_MS)
 /* Limits of the customer, if there is one */
@@ -56,6 +59,11 @@
 	ws_us unlisted_at; /* when the list drops it; 0: not due */
 	ws_us told_at[FLEET_INSTANCES_MAX]; /* first answer with a limit; 0:
 					       none */
+	ws_us leaving_at; /* it states that it leaves; 0: it does not */
+	ws_us told_leaving_at[FLEET_INSTANCES_MAX];
+	/* It rejects requests with a time until then; 0: it does not */
+	ws_us closed_until;
+	ws_us told_closed_at[FLEET_INSTANCES_MAX];
 };
 
 /* A send whose answer is under way. */
@@ -144,6 +152,10 @@
 /* The same for a request with a fingerprint of its own. */
 size_t fleet_submit_as(int i, uint64_t fingerprint);
 
+/* The list drops a server, or has it again under the same start. */
+void fleet_unlist_server(int server);
+void fleet_list_server(int server);
+
 /* A server crashes, as it does under the request that crashes servers. */
 void fleet_crash_server(int server);
 
--- a/tests/test_ed_beat.c
+++ b/tests/test_ed_beat.c
@@ -705,7 +705,11 @@
 				   .zone = zone_id(0),
 				   .slots = 4 };
 	const struct ws_ed_report report = {
-		.known = true, .running = 4, .waiting = 7, .slots = 4
+		.from_server = true,
+		.known = true,
+		.running = 4,
+		.waiting = 7,
+		.slots = 4,
 	};
 	int i;
 
@@ -728,9 +732,10 @@
 	/* Hops: to the relay, to the other relays, to their zones. */
 	run(4 * WS_ED_HEARTBEAT_PERIOD);
 	for (i = 0; i < N; i++)
-		ck_assert_uint_eq(
-			ws_edge_pool(nodes[i].edge)->servers[0].report.waiting,
-			7);
+		ck_assert_uint_eq(ws_edge_pool(nodes[i].edge)
+					  ->servers[0]
+					  .stated.load.waiting,
+				  7);
 }
 END_TEST
 
--- a/tests/test_ed_codec.c
+++ b/tests/test_ed_codec.c
@@ -40,8 +40,8 @@
 	beat.loads[0] = (struct ws_ed_beat_load){
 		.server = 8, .running = 3, .waiting = 200, .pace = 21, .age = 40
 	};
-	beat.n_limits = 1;
-	beat.limits[0] = (struct ws_ed_beat_limit){
+	beat.n_statements = 1;
+	beat.statements[0] = (struct ws_ed_beat_statement){
 		.server = 8, .started = 31, .per_s = 2.5F, .age_ms = 900
 	};
 	beat.map_part = WS_ED_MAP_PART_SLICE;
@@ -66,11 +66,11 @@
 	ck_assert_uint_eq(back.loads[0].waiting, 200);
 	ck_assert_uint_eq(back.loads[0].pace, 21);
 	ck_assert_uint_eq(back.loads[0].age, 40);
-	ck_assert_uint_eq(back.n_limits, 1);
-	ck_assert_uint_eq(back.limits[0].server, 8);
-	ck_assert_uint_eq(back.limits[0].started, 31);
-	ck_assert_float_eq(back.limits[0].per_s, 2.5F);
-	ck_assert_uint_eq(back.limits[0].age_ms, 900);
+	ck_assert_uint_eq(back.n_statements, 1);
+	ck_assert_uint_eq(back.statements[0].server, 8);
+	ck_assert_uint_eq(back.statements[0].started, 31);
+	ck_assert_float_eq(back.statements[0].per_s, 2.5F);
+	ck_assert_uint_eq(back.statements[0].age_ms, 900);
 	ck_assert_str_eq(back.address, "10.0.0.1:7340");
 	ck_assert_uint_eq(back.demands_of, WS_EDD_OTHERS);
 	ck_assert_uint_eq(back.members[0].zone, 22);
@@ -104,7 +104,7 @@
 		ck_assert_uint_le(back.n_demands, WS_ED_DEMANDS_CONTINUED);
 		ck_assert_uint_le(back.n_loads, WS_ED_LOADS_CONTINUED);
 		ck_assert_uint_le(back.n_members, WS_ED_MEMBERS_MAX);
-		ck_assert_uint_le(back.n_limits, WS_ED_LIMITS_OF_RELAY);
+		ck_assert_uint_le(back.n_statements, WS_ED_STATEMENTS_OF_RELAY);
 		ck_assert_uint_lt(strlen(back.address), WS_ED_ADDRESS_MAX);
 	}
 }
@@ -126,26 +126,27 @@
 	beat.n_demands = WS_ED_DEMANDS_MAX;
 	beat.n_counts = WS_ED_COUNTS_MAX;
 	beat.n_loads = WS_ED_LOADS_MAX;
-	beat.n_limits = 0;
+	beat.n_statements = 0;
 	beat.n_members = WS_ED_MEMBERS_MAX;
 	beat.n_strikes = WS_ED_STRIKES_BESIDE_ALL;
 	fill_address(beat.address);
 	for (i = 0; i < WS_ED_MEMBERS_MAX; i++)
 		fill_address(beat.members[i].address);
 	ck_assert_int_gt(ws_ed_beat_encode(&beat, buf, WS_ED_BEAT_BYTES), 0);
-	beat.n_limits = WS_ED_LIMITS_MAX;
-	beat.n_loads = WS_ED_LOADS_MAX - WS_ED_LOADS_PER_LIMIT * beat.n_limits;
+	beat.n_statements = WS_ED_STATEMENTS_MAX;
+	beat.n_loads =
+		WS_ED_LOADS_MAX - WS_ED_LOADS_PER_STATEMENT * beat.n_statements;
 	ck_assert_int_gt(ws_ed_beat_encode(&beat, buf, WS_ED_BEAT_BYTES), 0);
-	beat.n_limits = WS_ED_LIMITS_OF_RELAY;
+	beat.n_statements = WS_ED_STATEMENTS_OF_RELAY;
 	beat.n_loads = 0;
 	ck_assert_int_gt(ws_ed_beat_encode(&beat, buf, WS_ED_BEAT_BYTES), 0);
 	/* Further strikes take the place of limits, or of loads. */
 	beat.n_strikes = WS_ED_STRIKES_MAX;
-	beat.n_limits = WS_ED_LIMITS_OF_RELAY -
-			(WS_ED_STRIKES_MAX - WS_ED_STRIKES_BESIDE_ALL);
+	beat.n_statements = WS_ED_STATEMENTS_OF_RELAY -
+			    (WS_ED_STRIKES_MAX - WS_ED_STRIKES_BESIDE_ALL);
 	ck_assert_int_gt(ws_ed_beat_encode(&beat, buf, WS_ED_BEAT_BYTES), 0);
-	beat.n_loads = WS_ED_LOADS_PER_LIMIT * beat.n_limits;
-	beat.n_limits = 0;
+	beat.n_loads = WS_ED_LOADS_PER_STATEMENT * beat.n_statements;
+	beat.n_statements = 0;
 	ck_assert_int_gt(ws_ed_beat_encode(&beat, buf, WS_ED_BEAT_BYTES), 0);
 }
 END_TEST
--- a/tests/test_ed_conf.c
+++ b/tests/test_ed_conf.c
@@ -320,7 +320,7 @@
 	ck_assert(wp_wire_answers_request(&b, "r1"));
 	ck_assert(!wp_wire_answers_request(&b, "r2"));
 	ck_assert(!wp_wire_not_run(&b));
-	wp_wire_parse_report(&b, &r);
+	wp_wire_parse_report(&b, "r1", &r);
 	ck_assert(r.known);
 	ck_assert_uint_eq(r.running, 3);
 	ck_assert_uint_eq(r.waiting, 1);
@@ -338,17 +338,66 @@
 }
 END_TEST
 
-static struct ws_ed_limit_news limit_of(const char *header)
+/* What an answer with this header states, which has the id "r1". */
+static struct ws_ed_report report_of(unsigned status, const char *id,
+				     const char *header)
 {
-	char text[64] = { 0 };
+	char text[160] = { 0 };
 	struct ws_ed_report r;
 	struct ws_body b;
-	int n = snprintf(text, sizeof(text), "%s", header);
+	int n = snprintf(text, sizeof(text),
+			 "Wagtailshift-Request-Id: r1%c"
+			 "Wagtailshift-Server-Seal: s%c%s",
+			 0, 0, header);
+
+	b = answer_of(status, text, (size_t)n + 1);
+	wp_wire_parse_report(&b, id, &r);
+	return r;
+}
+
+static struct ws_ed_limit_news limit_of(const char *header)
+{
+	return report_of(200, "r1", header).limit;
+}
+
+/* Guards against DRAIN: that a server leaves is not read from its answers. */
+START_TEST(leaving_server_is_read_from_its_answers)
+{
+	ck_assert(report_of(200, "r1", "Server-Leaving: 1").leaving);
+	ck_assert(report_of(500, "r1", "server-leaving: 1").leaving);
+	ck_assert(report_of(503, "r1", "Server-Leaving: 1").leaving);
+	ck_assert(!report_of(200, "r1", "Server-Leaving: 0").leaving);
+	ck_assert(!report_of(200, "r1", "Server-Leaving: ").leaving);
+	ck_assert(!report_of(200, "r1", "Accept: 1").leaving);
+}
+END_TEST
 
-	b = answer_of(200, text, (size_t)n + 1);
-	wp_wire_parse_report(&b, &r);
-	return r.limit;
+/*
+ * Guards against statements of another server that now has the address, and
+ * of late copies of answers to other requests.
+ */
+START_TEST(only_the_servers_own_answer_states_anything)
+{
+	const struct ws_ed_report wrong[] = {
+		report_of(421, "r1", "Server-Leaving: 1"),
+		report_of(421, "r1", "Server-Limit: 2"),
+		report_of(421, "r1", "Wagtailshift-Server-Load: 3,1,8"),
+		report_of(200, "r2", "Server-Leaving: 1"),
+		report_of(200, "r2", "Wagtailshift-Server-Load: 3,1,8"),
+		report_of(503, "r2", "Retry-After: 3"),
+		report_of(200, "r2", "Keep-Alive: timeout=10"),
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(wrong) / sizeof(wrong[0]); i++) {
+		ck_assert(!wrong[i].from_server);
+		ck_assert(!wrong[i].leaving && !wrong[i].known);
+		ck_assert_int_eq(wrong[i].retry_after, 0);
+		ck_assert_int_eq(wrong[i].idle_timeout, 0);
+		ck_assert_int_eq(wrong[i].limit.kind, WS_ED_LIMIT_NONE);
+	}
 }
+END_TEST
 
 /* Guards against a limit that is not read, or read from malformed text. */
 START_TEST(limit_of_a_server_is_read)
@@ -419,6 +468,8 @@
 		odd_server_names_are_refused,
 		answer_of_another_request_is_detected,
 		limit_of_a_server_is_read,
+		leaving_server_is_read_from_its_answers,
+		only_the_servers_own_answer_states_anything,
 		numbers_are_checked,
 		grant_body_contains_the_handover_token,
 	};
--- a/tests/test_ed_limit.c
+++ b/tests/test_ed_limit.c
@@ -277,7 +277,7 @@
 		const struct ws_ed_pool *p = ws_edge_pool(fleet.nodes[i].edge);
 		int32_t h = ws_ed_pool_find(p, s0);
 
-		ck_assert_msg(p->servers[h].limit.named,
+		ck_assert_msg(p->servers[h].stated.limit.named,
 			      "instance %d does not know the limit", i);
 	}
 }
@@ -297,8 +297,9 @@
 	for (i = 0; i < fleet.n; i++) {
 		const struct ws_ed_pool *p = ws_edge_pool(fleet.nodes[i].edge);
 
-		ck_assert_msg(!p->servers[ws_ed_pool_find(p, s0)].limit.named,
-			      "instance %d keeps the limit", i);
+		ck_assert_msg(
+			!p->servers[ws_ed_pool_find(p, s0)].stated.limit.named,
+			"instance %d keeps the limit", i);
 	}
 }
 END_TEST
--- a/tests/test_ed_order.c
+++ b/tests/test_ed_order.c
@@ -271,8 +271,8 @@
 	b.timestamp = now;
 	b.scope = WS_ED_SCOPE_FULL;
 	snprintf(b.address, sizeof(b.address), "10.0.0.9:7");
-	b.n_limits = states_limit;
-	b.limits[0] = (struct ws_ed_beat_limit){
+	b.n_statements = states_limit;
+	b.statements[0] = (struct ws_ed_beat_statement){
 		.server = ws_ed_short_id(ws_ed_id("warm")),
 		.started = 1,
 		.per_s = LIMIT,
@@ -563,7 +563,8 @@
 			ws_ed_pool_connection_share(ws_edge_pool(edge), s),
 	};
 
-	d.limited = s->limit.named && s->limit.per_s == (double)LIMIT;
+	d.limited = s->stated.limit.named &&
+		    s->stated.limit.per_s == (double)LIMIT;
 	d.holds_limit = d.limited && s->limit_share.is_holder;
 	if (d.cold) {
 		d.cold_rate = s->cold_rate;
--- a/tests/test_ed_pool.c
+++ b/tests/test_ed_pool.c
@@ -86,12 +86,23 @@
 static void answer(uint32_t server, ws_us now, enum ws_ed_end end, double pace,
 		   uint32_t running)
 {
+	const struct ws_ed_sending x = {
+		.server = server,
+		.started_ms = pool.servers[server].started_ms,
+		.work_stats = work,
+		.sent_at = now - 80 * WS_MS,
+		.load = 0.25,
+	};
 	struct ws_ed_report r = {
-		.known = true, .running = running, .slots = 4, .pace = pace
+		.from_server = true,
+		.known = true,
+		.running = running,
+		.slots = 4,
+		.pace = pace,
 	};
 
 	ws_ed_pool_sent(&pool, now, server);
-	ws_ed_pool_ended(&pool, now, server, work, end, 80 * WS_MS, 0.25, &r);
+	ws_ed_pool_ended(&pool, now, &x, end, 80 * WS_MS, &r);
 }
 
 /* Guards against unnecessary traffic between zones. */
--- /dev/null
+++ b/tests/test_ed_stated.c
@@ -0,0 +1,280 @@
+#include <check.h>
+
+#include "ed_fleet.h"
+#include "ed_suite.h"
+
+/*
+ * What servers state of themselves in their answers, at fleets of instances
+ * that exchange heartbeats.
+ */
+
+#define AT_ONCE 1
+
+static const int sizes[] = { 1, 6, 85 };
+
+static int count_arrivals(int server, int instance, ws_us from, ws_us to)
+{
+	const struct fleet_server *s = &fleet.servers[server];
+	int n = 0;
+	size_t k;
+
+	for (k = 0; k < s->n_arrivals; k++)
+		n += s->arrivals[k].instance == instance &&
+		     s->arrivals[k].at > from && s->arrivals[k].at <= to;
+	return n;
+}
+
+static int count_all(int server, ws_us from)
+{
+	int n = 0;
+	int i;
+
+	for (i = 0; i < fleet.n; i++)
+		n += count_arrivals(server, i, from, fleet.now);
+	return n;
+}
+
+static void start(int n, bool sharded)
+{
+	fleet_start(n, sharded);
+	fleet_run(4 * WS_SECOND, 100.0);
+}
+
+static void leave(int server)
+{
+	fleet.servers[server].leaving_at = fleet.now;
+}
+
+/* Requests that arrived later than a time and were answered by a server. */
+static int count_answered(size_t first)
+{
+	int n = 0;
+	size_t k;
+
+	for (k = first; k <= fleet.n_requests; k++)
+		n += fleet.requests[k].answered;
+	return n;
+}
+
+/* Guards against DRAIN: an instance sends on to a server that leaves. */
+START_TEST(server_that_states_that_it_leaves_gets_nothing_more)
+{
+	size_t first;
+	int i;
+
+	start(sizes[_i], false);
+	leave(1);
+	first = fleet.n_requests + 1;
+	fleet_run(4 * WS_SECOND, 200.0);
+	for (i = 0; i < fleet.n; i++)
+		if (fleet.servers[1].told_leaving_at[i])
+			ck_assert_int_eq(
+				count_arrivals(
+					1, i,
+					fleet.servers[1].told_leaving_at[i],
+					fleet.now),
+				0);
+	/* The others hear of it. */
+	ck_assert_int_eq(
+		count_all(1, fleet.servers[1].leaving_at + 1500 * WS_MS), 0);
+	/* No caller notices, but for those still on their way. */
+	ck_assert_int_ge(count_answered(first), 770);
+}
+END_TEST
+
+/* Guards against refusals while the only server still serves. */
+START_TEST(last_server_is_used_while_it_leaves)
+{
+	ws_us told = 0;
+	size_t k;
+	int i;
+
+	fleet.n_servers = 1;
+	start(6, _i);
+	leave(0);
+	fleet.store_down = true;
+	fleet_run(1 * WS_SECOND, 100.0);
+	ck_assert_int_ge(count_all(0, fleet.now - 500 * WS_MS), 30);
+	fleet_run(3 * WS_SECOND, 100.0);
+	for (i = 0; i < fleet.n; i++) {
+		told = fleet.servers[0].told_leaving_at[i];
+		ck_assert(told);
+		ck_assert_int_eq(count_arrivals(0, i, told + FLEET_DRAIN_TIME,
+						fleet.now),
+				 0);
+	}
+	/* Then requests are refused at once. */
+	for (k = fleet.n_requests - 50; k <= fleet.n_requests; k++) {
+		ck_assert_int_eq(fleet.requests[k].refused_after, AT_ONCE);
+		ck_assert(fleet.requests[k].retry_after > 0);
+	}
+	fleet.n_servers = 0;
+}
+END_TEST
+
+/* Guards against a server that stays excluded after it has started again. */
+START_TEST(new_start_of_a_server_is_not_leaving)
+{
+	start(6, false);
+	/* With and without a time in which it is not listed */
+	fleet.list_delay = _i ? 0 : 10 * WS_SECOND;
+	leave(1);
+	fleet_run(1 * WS_SECOND, 200.0);
+	fleet.servers[1].leaving_at = 0;
+	fleet_crash_server(1);
+	fleet_run(FLEET_DOWN_TIME + 2 * WS_SECOND, 200.0);
+	ck_assert_int_ge(count_all(1, fleet.now - 1 * WS_SECOND), 20);
+}
+END_TEST
+
+/*
+ * Guards against DRAIN after an outage of the store: the entry of a server that
+ * leaves lapses, and is written again under the same start.
+ */
+START_TEST(entry_that_returns_does_not_revoke_that_its_server_leaves)
+{
+	start(6, false);
+	leave(1);
+	fleet_run(1 * WS_SECOND, 200.0);
+	fleet_unlist_server(1);
+	fleet_run(1 * WS_SECOND, 200.0);
+	fleet_list_server(1);
+	fleet_run(3 * WS_SECOND, 200.0);
+	ck_assert_int_eq(
+		count_all(1, fleet.servers[1].leaving_at + 1500 * WS_MS), 0);
+}
+END_TEST
+
+/* Guards against DRAIN at an instance that starts after the statement. */
+START_TEST(instance_that_starts_hears_that_a_server_leaves)
+{
+	start(6, false);
+	leave(1);
+	fleet_run(1 * WS_SECOND, 200.0);
+	fleet_stop(2, 500 * WS_MS);
+	fleet_run(1500 * WS_MS, 200.0);
+	fleet_run(2 * WS_SECOND, 200.0);
+	ck_assert_int_eq(
+		count_arrivals(1, 2, fleet.now - 2 * WS_SECOND, fleet.now), 0);
+}
+END_TEST
+
+/* ===== One server ===== */
+
+static const struct ws_ed_report leaving_answer = {
+	.from_server = true,
+	.leaving = true,
+};
+
+/* Guards against a shorter time that ends a longer one. */
+START_TEST(longest_time_of_a_rejection_counts)
+{
+	struct ws_ed_stated s = { .leaving_since = 0 };
+	struct ws_ed_report r = {
+		.from_server = true,
+		.retry_after = 3 * WS_SECOND,
+	};
+	ws_us now = 100 * WS_SECOND;
+
+	ck_assert_uint_eq(ws_ed_stated_on_answer(&s, now, now, &r),
+			  WS_ED_STATED_CLOSED);
+	r.retry_after = 1 * WS_SECOND;
+	ck_assert_uint_eq(ws_ed_stated_on_answer(&s, now, now, &r), 0);
+	r.retry_after = 0;
+	ck_assert_uint_eq(ws_ed_stated_on_answer(&s, now, now, &r), 0);
+	ck_assert_int_eq(ws_ed_stated_closed_for(&s, now + 2 * WS_SECOND),
+			 1 * WS_SECOND);
+	ck_assert_int_eq(ws_ed_stated_closed_for(&s, now + 3 * WS_SECOND), 0);
+}
+END_TEST
+
+/* Guards against statements of answers that are not the server's own. */
+START_TEST(foreign_answer_states_nothing)
+{
+	struct ws_ed_stated s = { .leaving_since = 0 };
+	struct ws_ed_report r = {
+		.leaving = true,
+		.retry_after = 3 * WS_SECOND,
+		.limit = { .kind = WS_ED_LIMIT_NAMED, .per_s = 1.0 },
+		.idle_timeout = WS_SECOND,
+		.known = true,
+	};
+
+	ck_assert_uint_eq(ws_ed_stated_on_answer(&s, 100, 50, &r), 0);
+	ck_assert(!s.leaving_since && !s.limit.named && !s.idle_timeout);
+	ck_assert(!s.closed_until && !s.load.known);
+}
+END_TEST
+
+/* Guards against a longer use because of an answer that came later. */
+START_TEST(first_statement_that_it_leaves_counts)
+{
+	struct ws_ed_stated s = { .leaving_since = 0 };
+	const struct ws_ed_statement earlier = {
+		.kind = WS_ED_STATEMENT_LEAVING,
+		.as_of = 500,
+	};
+	const struct ws_ed_report silent = { .from_server = true };
+
+	ws_ed_stated_on_answer(&s, 1000, 900, &leaving_answer);
+	ws_ed_stated_on_answer(&s, 2000, 1900, &leaving_answer);
+	ck_assert_int_eq(s.leaving_since, 1000);
+	ws_ed_stated_on_answer(&s, 3000, 2900, &silent);
+	ck_assert_int_eq(s.leaving_since, 1000);
+	ws_ed_stated_on_peer(&s, 3000, &earlier);
+	ck_assert_int_eq(s.leaving_since, 500);
+}
+END_TEST
+
+/* Guards against statements of a former start that count for the next one. */
+START_TEST(kept_statements_belong_to_one_start)
+{
+	struct ws_ed_kept_statements k = { .n = 0 };
+	struct ws_ed_statement t = {
+		.server = 7,
+		.started = 1,
+		.kind = WS_ED_STATEMENT_LEAVING,
+		.as_of = 100,
+	};
+	struct ws_ed_statement got;
+
+	ws_ed_stated_keep(&k, &t);
+	t.as_of = 200;
+	ws_ed_stated_keep(&k, &t);
+	ck_assert(!ws_ed_stated_take_kept(&k, 7, 2, &got));
+	ck_assert(ws_ed_stated_take_kept(&k, 7, 1, &got));
+	ck_assert_int_eq(got.as_of, 100);
+	ck_assert(!ws_ed_stated_take_kept(&k, 7, 1, &got));
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("ed_stated");
+	TCase *fleets = tcase_create("fleets");
+	TCase *one = tcase_create("one");
+	SRunner *r;
+	int failed;
+
+	tcase_set_timeout(fleets, 300);
+	tcase_add_loop_test(fleets,
+			    server_that_states_that_it_leaves_gets_nothing_more,
+			    0, sizeof(sizes) / sizeof(sizes[0]));
+	tcase_add_loop_test(fleets, last_server_is_used_while_it_leaves, 0, 2);
+	tcase_add_loop_test(fleets, new_start_of_a_server_is_not_leaving, 0, 2);
+	tcase_add_test(
+		fleets,
+		entry_that_returns_does_not_revoke_that_its_server_leaves);
+	tcase_add_test(fleets, instance_that_starts_hears_that_a_server_leaves);
+	tcase_add_test(one, longest_time_of_a_rejection_counts);
+	tcase_add_test(one, foreign_answer_states_nothing);
+	tcase_add_test(one, first_statement_that_it_leaves_counts);
+	tcase_add_test(one, kept_statements_belong_to_one_start);
+	suite_add_tcase(s, fleets);
+	suite_add_tcase(s, one);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? 1 : 0;
+}
