Send nothing to servers that rejected a request with Retry-After, until its end

Cause: the header was not read; same class as Server-Leaving.

The time counts from the answer, the longest one of a start of the server holds, and it is not told to others, as it concerns one instance. First sends, retries and hedges pass the same check (ws_ed_throttle_time). If no other server can take a request, it is refused at once (reason=server_closed) with the time that is left and up to 0.3 s more, so that callers do not all return at the same moment. Zero, signed, malformed values and dates ask for no pause; huge ones count as 10^9 s. Grants and renewals of leases go on: they are no callers' requests.

test_ed_stated closed_servers_get_no_requests fails without the check (mutation RETRY_AFTER_IGNORED, caught).

--- a/lib/common/ws_events.h
+++ b/lib/common/ws_events.h
@@ -46,6 +46,7 @@
 	X(404, TARGET_LIMIT, NOTICE, "target limits its requests")          \
 	X(405, TARGET_UNLIMITED, NOTICE, "target has lifted its limit")     \
 	X(406, TARGET_LEAVING, NOTICE, "target states that it leaves")      \
+	X(407, TARGET_CLOSED, NOTICE, "target wants no requests for now")   \
 	X(501, PEER_UP, NOTICE, "peer connection established")              \
 	X(502, PEER_DOWN, WARNING, "peer connection closed")                \
 	X(503, PEER_REJECTED, WARNING, "peer failed authentication")        \
--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -222,15 +222,20 @@
 	ws_us waited = c->waiting_since ? e->now - c->waiting_since : 0;
 	ws_us wait_max =
 		(ws_us)(THROTTLE_WAIT_FRACTION * (double)c->objective) - waited;
+	const struct ws_ed_server *s;
 
 	if (at->throttled_for <= wait_max) {
 		set_waiting(e, c, e->now + at->throttled_for);
 		return;
 	}
+	s = &e->pool.servers[at->throttled];
 	give_up(e, c,
 		ws_ed_pool_retry_after(&e->pool, e->now,
 				       (uint32_t)at->throttled),
-		WS_EDR_SERVER_LIMIT, fx);
+		ws_ed_stated_closed_for(&s->stated, e->now) ?
+			WS_EDR_SERVER_CLOSED :
+			WS_EDR_SERVER_LIMIT,
+		fx);
 }
 
 static void place_at(struct ws_edge *e, struct ed_call *c,
--- a/lib/edge/ws_ed_fx.c
+++ b/lib/edge/ws_ed_fx.c
@@ -51,6 +51,7 @@
 		[WS_EDR_NO_SERVER] = "no_server",
 		[WS_EDR_NO_OWNER] = "no_owner_of_key",
 		[WS_EDR_SERVER_LIMIT] = "server_limit",
+		[WS_EDR_SERVER_CLOSED] = "server_closed",
 		[WS_EDR_OVERLOAD] = "overload",
 		[WS_EDR_TIMEOUT] = "timeout",
 		[WS_EDR_SERVER_SHED] = "server_shed",
--- a/lib/edge/ws_ed_fx.h
+++ b/lib/edge/ws_ed_fx.h
@@ -44,6 +44,7 @@
 	WS_EDR_NO_SERVER,
 	WS_EDR_NO_OWNER,
 	WS_EDR_SERVER_LIMIT, /* the rate of all its servers is used up */
+	WS_EDR_SERVER_CLOSED, /* its servers want no requests for now */
 	WS_EDR_OVERLOAD,
 	WS_EDR_TIMEOUT,
 	WS_EDR_SERVER_SHED,
--- a/lib/edge/ws_ed_pool_stated.c
+++ b/lib/edge/ws_ed_pool_stated.c
@@ -131,6 +131,10 @@
 	if (changed & WS_ED_STATED_LEAVING)
 		ws_ed_fx_log(fx, WS_LOG_TARGET_LEAVING, s->id,
 			     (now - s->stated.leaving_since) / WS_MS, source);
+	if (changed & WS_ED_STATED_CLOSED)
+		ws_ed_fx_log(fx, WS_LOG_TARGET_CLOSED, s->id,
+			     ws_ed_stated_closed_for(&s->stated, now) / WS_MS,
+			     source);
 	if (changed & WS_ED_STATED_LIMIT)
 		ws_ed_limit_log(&s->stated.limit, s->id, source, fx);
 }
--- a/lib/edge/ws_ed_throttle.c
+++ b/lib/edge/ws_ed_throttle.c
@@ -15,6 +15,8 @@
 #define COLD_HOLDERS_PER_RATE 0.6
 /* The same for the limit of a server, with one more for each request/s. */
 #define LIMIT_HOLDERS_MIN 3
+/* Time over which the callers return whom a closed server kept out. */
+#define RETURN_SPREAD (300 * WS_MS)
 /* A server with a lower limit gets this rate, to learn when it lifts it. */
 #define LIMIT_PER_S_MIN 0.25
 
@@ -124,8 +126,11 @@
 ws_us ws_ed_throttle_time(const struct ws_ed_pool *p, ws_us now,
 			  const struct ws_ed_server *s)
 {
-	ws_us wait = 0;
+	ws_us wait = ws_ed_stated_closed_for(&s->stated, now);
 
+#ifdef WS_MUTANT_RETRY_AFTER_IGNORED
+	wait = 0;
+#endif
 #ifndef WS_MUTANT_UNKNOWN_RATE_IGNORED
 	if (has_unknown_rate(s, now))
 		return WS_ED_NO_SHARE;
@@ -139,9 +144,10 @@
 	return wait;
 }
 
-ws_us ws_ed_pool_retry_after(struct ws_ed_pool *p, ws_us now, uint32_t server)
+/* Time until the server may get requests at the rate that is its due. */
+static ws_us rate_retry_after(struct ws_ed_pool *p, ws_us now,
+			      struct ws_ed_server *s)
 {
-	struct ws_ed_server *s = &p->servers[server];
 	ws_us time = 0;
 	ws_us cold;
 
@@ -158,6 +164,19 @@
 	return cold > time ? cold : time;
 }
 
+ws_us ws_ed_pool_retry_after(struct ws_ed_pool *p, ws_us now, uint32_t server)
+{
+	struct ws_ed_server *s = &p->servers[server];
+	ws_us time = rate_retry_after(p, now, s);
+	ws_us closed = ws_ed_stated_closed_for(&s->stated, now);
+
+	if (!closed)
+		return time;
+	/* Callers that were refused meanwhile must not all return at once. */
+	closed += (ws_us)ws_rand_below(&p->rand, RETURN_SPREAD);
+	return closed > time ? closed : time;
+}
+
 void ws_ed_throttle_sent(struct ws_ed_server *s, ws_us now)
 {
 	if (is_throttled_as_cold(s, now))
--- a/lib/edge/ws_ed_throttle.h
+++ b/lib/edge/ws_ed_throttle.h
@@ -6,8 +6,8 @@
 struct ws_ed_fx;
 
 /*
- * Request rates of single servers: cold ones, and those that state a limit.
- * Used by the pool for each server;
+ * Request rates of single servers: cold ones, those that state a limit, and
+ * those that want no requests for some time. Used by the pool for each server;
  * see ws_ed_share.h for how a rate is divided.
  */
 
--- a/tests/test_ed_conf.c
+++ b/tests/test_ed_conf.c
@@ -372,6 +372,37 @@
 }
 END_TEST
 
+/* Guards against BUDGET: the time of a rejection is not read, or misread. */
+START_TEST(time_of_a_rejection_is_read)
+{
+	static const char *const malformed[] = {
+		"Retry-After: -1",
+		"Retry-After: soon",
+		"Retry-After: 0x10",
+		"Retry-After: 1e3",
+		"Retry-After: nan",
+		"Retry-After: ",
+		"Retry-After: Sun, 06 Dec 2026 08:00:00 GMT",
+	};
+	size_t i;
+
+	ck_assert_int_eq(report_of(503, "r1", "Retry-After: 3").retry_after,
+			 3 * WS_SECOND);
+	ck_assert_int_eq(report_of(503, "r1", "Retry-After: 0.25").retry_after,
+			 250 * WS_MS);
+	ck_assert_int_eq(report_of(503, "r1", "Retry-After: 0").retry_after, 0);
+	ck_assert_int_eq(report_of(503, "r1",
+				   "Retry-After: 99999999999999999999")
+				 .retry_after,
+			 (ws_us)1000000000 * WS_SECOND);
+	ck_assert_int_eq(report_of(200, "r1", "Retry-After: 3").retry_after, 0);
+	ck_assert_int_eq(report_of(429, "r1", "Retry-After: 3").retry_after, 0);
+	for (i = 0; i < sizeof(malformed) / sizeof(malformed[0]); i++)
+		ck_assert_int_eq(report_of(503, "r1", malformed[i]).retry_after,
+				 0);
+}
+END_TEST
+
 /*
  * Guards against statements of another server that now has the address, and
  * of late copies of answers to other requests.
@@ -469,6 +500,7 @@
 		answer_of_another_request_is_detected,
 		limit_of_a_server_is_read,
 		leaving_server_is_read_from_its_answers,
+		time_of_a_rejection_is_read,
 		only_the_servers_own_answer_states_anything,
 		numbers_are_checked,
 		grant_body_contains_the_handover_token,
--- a/tests/test_ed_stated.c
+++ b/tests/test_ed_stated.c
@@ -8,6 +8,10 @@
  * that exchange heartbeats.
  */
 
+/* Requests too many that the users allow while a server is closed. */
+#define CLOSED_REQUESTS_MAX 2
+/* From a rejection until the instance must have stopped. */
+#define CLOSED_GRACE (500 * WS_MS)
 #define AT_ONCE 1
 
 static const int sizes[] = { 1, 6, 85 };
@@ -159,6 +163,72 @@
 }
 END_TEST
 
+/*
+ * Guards against BUDGET: requests to a server within the time that it has
+ * rejected one with.
+ */
+static void check_closed(int server, ws_us end)
+{
+	const struct fleet_server *s = &fleet.servers[server];
+	int i;
+
+	for (i = 0; i < fleet.n; i++) {
+		ws_us told = s->told_closed_at[i];
+
+		if (told)
+			ck_assert_int_le(count_arrivals(server, i,
+							told + CLOSED_GRACE,
+							end),
+					 CLOSED_REQUESTS_MAX);
+	}
+}
+
+START_TEST(closed_servers_get_no_requests)
+{
+	int n_closed = _i ? 1 : FLEET_SERVERS;
+	ws_us end;
+	size_t k;
+	int i;
+
+	start(6, _i);
+	end = fleet.now + 3 * WS_SECOND;
+	for (i = 0; i < n_closed; i++)
+		fleet.servers[i].closed_until = end;
+	fleet_run(1 * WS_SECOND, 100.0);
+	k = fleet.n_requests;
+	fleet_run(1900 * WS_MS, 100.0);
+	for (i = 0; i < n_closed; i++)
+		check_closed(i, end - 100 * WS_MS);
+	/* Requests are refused at once, with a time after the end. */
+	for (; k <= fleet.n_requests; k++) {
+		const struct fleet_request *r = &fleet.requests[k];
+
+		ck_assert_int_eq(r->refused_after, AT_ONCE);
+		ck_assert_int_eq(r->reason, WS_EDR_SERVER_CLOSED);
+		ck_assert_int_ge(r->arrived + r->retry_after, end);
+		ck_assert_int_le(r->arrived + r->retry_after,
+				 end + 500 * WS_MS);
+	}
+	k = fleet.n_requests + 1;
+	fleet_run(2 * WS_SECOND, 100.0);
+	ck_assert_int_ge(count_answered(k), 160);
+}
+END_TEST
+
+/* Guards against refusals while another server takes the requests. */
+START_TEST(others_serve_while_one_is_closed)
+{
+	size_t first;
+
+	start(6, false);
+	fleet.servers[1].closed_until = fleet.now + 3 * WS_SECOND;
+	first = fleet.n_requests + 1;
+	fleet_run(3 * WS_SECOND, 100.0);
+	check_closed(1, fleet.servers[1].closed_until);
+	ck_assert_int_ge(count_answered(first), 280);
+}
+END_TEST
+
 /* ===== One server ===== */
 
 static const struct ws_ed_report leaving_answer = {
@@ -266,6 +336,8 @@
 		fleets,
 		entry_that_returns_does_not_revoke_that_its_server_leaves);
 	tcase_add_test(fleets, instance_that_starts_hears_that_a_server_leaves);
+	tcase_add_loop_test(fleets, closed_servers_get_no_requests, 0, 2);
+	tcase_add_test(fleets, others_serve_while_one_is_closed);
 	tcase_add_test(one, longest_time_of_a_rejection_counts);
 	tcase_add_test(one, foreign_answer_states_nothing);
 	tcase_add_test(one, first_statement_that_it_leaves_counts);
