Move the keys of a server that states that it leaves, test the leader

With the reading of the header the leader treats such a server as one that drains; here: it keeps the keys while nobody else can get them (store away, no other server) and drain_s lasts, as its requests are served until then, and its former requests do not bounce: after its first 421 an instance waits for the new owner instead of sending six times.

Without the store keys do not move: the map in the store names the only server that may own a key, and a successor of the leader renews from it at once. Then requests are refused at once when drain_s is over.

test_ed_lead and test_ed_stated have a test for each half; the mutations LEAVING_IS_USABLE, RELEASE_WITHOUT_STORE and KEYS_NOT_GIVEN_UP are caught.

--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -267,7 +267,8 @@
 static bool may_serve_keys(const struct ws_edge *e, uint32_t server)
 {
 	return ws_ed_pool_usable(&e->pool, e->now, server) ||
-	       ws_ed_pool_usable_last(&e->pool, e->now, server);
+	       (ws_ed_pool_usable_last(&e->pool, e->now, server) &&
+		!e->pool.servers[server].stated.gives_up_keys);
 }
 
 /*
@@ -622,10 +623,15 @@
 }
 
 /* The server rejected the request without executing it. */
-static void on_shed(struct ws_edge *e, struct ed_call *c, bool not_owner,
-		    struct ws_ed_fx *fx)
+static void on_shed(struct ws_edge *e, struct ed_call *c, uint32_t server,
+		    bool not_owner, struct ws_ed_fx *fx)
 {
+	struct ws_ed_stated *stated = &e->pool.servers[server].stated;
+
 	if (not_owner && c->sharded) {
+#ifndef WS_MUTANT_KEYS_NOT_GIVEN_UP
+		stated->gives_up_keys |= stated->leaving_since != 0;
+#endif
 		/* Skipped if a peer has lately confirmed the map as current. */
 		if (e->now - e->map_confirmed_at > MAP_CONFIRMED_TIME)
 			ws_ed_fx_read(fx, WS_EDT_MAP);
@@ -705,7 +711,7 @@
 		on_failure(e, c, fx);
 		break;
 	case WS_ED_END_SHED:
-		on_shed(e, c, end->not_owner, fx);
+		on_shed(e, c, l->server, end->not_owner, fx);
 		break;
 	case WS_ED_END_NOT_SENT:
 		if (c->sends >= SENDS_MAX)
--- a/lib/edge/ws_ed_pool.c
+++ b/lib/edge/ws_ed_pool.c
@@ -321,6 +321,9 @@
 {
 	const struct ws_ed_server *s = &p->servers[server];
 
+#ifdef WS_MUTANT_LEAVING_IS_USABLE
+	return is_in_service(p, now, s);
+#endif
 	return is_in_service(p, now, s) && !s->stated.leaving_since;
 }
 
--- a/lib/edge/ws_ed_range.c
+++ b/lib/edge/ws_ed_range.c
@@ -155,6 +155,9 @@
 		return false;
 	if (!ws_ed_pool_usable_last(l->pool, now, (uint32_t)server))
 		return true;
+#ifdef WS_MUTANT_RELEASE_WITHOUT_STORE
+	return true;
+#endif
 	return ws_ed_lead_store_reachable(l, now) &&
 	       ws_ed_balance_has_candidate(l, now,
 					   l->pool->servers[server].service);
--- a/lib/edge/ws_ed_stated.h
+++ b/lib/edge/ws_ed_stated.h
@@ -52,6 +52,11 @@
 struct ws_ed_stated {
 	ws_us leaving_since; /* when it was first stated; 0: it was not */
 	unsigned leaving_rounds; /* heartbeats that send it before others */
+	/*
+	 * It leaves, and has rejected a request for a key that it owned: its
+	 * keys are on their way to other servers.
+	 */
+	bool gives_up_keys;
 	ws_us closed_until; /* no requests from this instance until then */
 	struct ws_ed_limit limit;
 	ws_us idle_timeout; /* 0: not known */
--- a/tests/ed_fleet.c
+++ b/tests/ed_fleet.c
@@ -230,6 +230,13 @@
 		end->report.leaving = true;
 		note_first(&s->told_leaving_at[p->instance]);
 	}
+	if (end->end == WS_ED_END_OK && s->released_at &&
+	    p->sent >= s->released_at) {
+		end->end = WS_ED_END_SHED;
+		end->not_owner = true;
+		end->report.from_server = false;
+		note_first(&s->told_released_at[p->instance]);
+	}
 	if (end->end == WS_ED_END_OK && fleet.now < s->closed_until) {
 		end->end = WS_ED_END_SHED;
 		end->status = 503;
--- a/tests/ed_fleet.h
+++ b/tests/ed_fleet.h
@@ -61,6 +61,8 @@
 					       none */
 	ws_us leaving_at; /* it states that it leaves; 0: it does not */
 	ws_us told_leaving_at[FLEET_INSTANCES_MAX];
+	ws_us released_at; /* from then on it owns no keys; 0: it does */
+	ws_us told_released_at[FLEET_INSTANCES_MAX];
 	/* It rejects requests with a time until then; 0: it does not */
 	ws_us closed_until;
 	ws_us told_closed_at[FLEET_INSTANCES_MAX];
--- a/tests/test_ed_conf.c
+++ b/tests/test_ed_conf.c
@@ -506,5 +506,6 @@
 		grant_body_contains_the_handover_token,
 	};
 
-	return ed_suite_run("ed_conf", tests, 13);
+	return ed_suite_run("ed_conf", tests,
+			    (int)(sizeof(tests) / sizeof(tests[0])));
 }
--- a/tests/test_ed_lead.c
+++ b/tests/test_ed_lead.c
@@ -405,6 +405,100 @@
 }
 END_TEST
 
+/* A leader of some time, with a second server that owns no keys. */
+static void lead_two_servers(void)
+{
+	const struct ws_ed_listing other = {
+		.name = "s1",
+		.address = "s1",
+		.service = SERVICE,
+		.slots = 4,
+		.started_ms = 1,
+	};
+
+	become_leader(1);
+	run(4 * WS_SECOND);
+	ws_ed_pool_listed(&pool, now, &other);
+	pool.drain_time = 2 * WS_SECOND;
+	ck_assert_uint_eq(ws_ed_map_owner(&lead.map, SERVICE, 5),
+			  ws_ed_id("s0"));
+}
+
+static void state_leaving(void)
+{
+	ck_assert_uint_eq(ws_ed_pool_key_answer_leaving(&pool, now,
+							ws_ed_id("s0"), 1),
+			  WS_ED_STATED_LEAVING);
+}
+
+/*
+ * Guards against keys that stay with a server which says only in its answers
+ * that it leaves.
+ */
+START_TEST(keys_of_a_server_that_states_that_it_leaves_move)
+{
+	ws_us stated_at;
+	size_t i;
+
+	lead_two_servers();
+	state_leaving();
+	stated_at = now;
+	run(100 * WS_MS);
+	ck_assert_uint_gt(effects_of(WS_EDFX_RELEASE), 0);
+	for (i = 0; i < fx.n; i++)
+		if (fx.items[i].kind == WS_EDFX_RELEASE)
+			ws_ed_lead_on_call_result(&lead, now,
+						  fx.items[i].u.call.ref,
+						  WS_EDC_DONE, "token", &fx);
+	for (i = 0; i < 20 && !lead.appending; i++)
+		run(50 * WS_MS);
+	finish_append(WS_EDA_DONE);
+	run(100 * WS_MS);
+	ck_assert(was_granted("s1"));
+	ck_assert_int_lt(now - stated_at, pool.drain_time);
+}
+END_TEST
+
+/*
+ * Guards against keys that are taken from their server, which still serves,
+ * while no other one can get them.
+ */
+START_TEST(leaving_server_keeps_its_keys_without_the_store)
+{
+	ws_us end;
+	size_t n_grants = 0;
+
+	lead_two_servers();
+	lead.store_reached_at = 0;
+	state_leaving();
+	for (end = now + 1500 * WS_MS; now < end; now += 10 * WS_MS) {
+		hear_all();
+		fx.n = 0;
+		ws_ed_lead_tick(&lead, now, &fx);
+		answer_calls(0);
+		ck_assert_uint_eq(effects_of(WS_EDFX_RELEASE), 0);
+		n_grants += effects_of(WS_EDFX_GRANT);
+	}
+	ck_assert_uint_gt(n_grants, 0);
+	/* The store is back. */
+	run(100 * WS_MS);
+	ck_assert_uint_gt(effects_of(WS_EDFX_RELEASE), 0);
+}
+END_TEST
+
+/* Guards against keys that nobody serves, as their only server leaves. */
+START_TEST(last_server_keeps_its_keys_while_it_leaves)
+{
+	become_leader(1);
+	run(4 * WS_SECOND);
+	pool.drain_time = 2 * WS_SECOND;
+	state_leaving();
+	run(1500 * WS_MS);
+	ck_assert_uint_eq(effects_of(WS_EDFX_RELEASE), 0);
+	ck_assert(was_granted("s0"));
+}
+END_TEST
+
 /*
  * Guards against two leaders: one that was cut off counts a majority of the
  * instances that it still knows, and extends a lease that has expired (review
@@ -652,6 +746,9 @@
 		late_append_of_an_earlier_era_is_overwritten,
 		late_claim_of_an_earlier_era_deposes_nobody,
 		leader_claims_again_before_its_tokens_are_used_up,
+		keys_of_a_server_that_states_that_it_leaves_move,
+		leaving_server_keeps_its_keys_without_the_store,
+		last_server_keeps_its_keys_while_it_leaves,
 		leader_that_is_cut_off_does_not_lead_again,
 		echoes_without_the_store_extend_a_lease_for_a_bounded_time,
 		echoes_of_other_instances_do_not_count,
@@ -669,5 +766,7 @@
 	};
 	int res = ed_suite_run_each("ed_lead", lost_server_tests, 1, 2);
 
-	return ed_suite_run("ed_lead", tests, 17) || res;
+	return ed_suite_run("ed_lead", tests,
+			    (int)(sizeof(tests) / sizeof(tests[0]))) ||
+	       res;
 }
--- a/tests/test_ed_stated.c
+++ b/tests/test_ed_stated.c
@@ -116,6 +116,29 @@
 }
 END_TEST
 
+/*
+ * Guards against sends that the former owner of keys rejects one after the
+ * other, while its keys are on their way to other servers.
+ */
+START_TEST(keys_that_a_leaving_server_gave_up_wait_for_their_owner)
+{
+	const struct fleet_server *s = &fleet.servers[0];
+	int i;
+
+	start(6, true);
+	leave(0);
+	fleet_run(500 * WS_MS, 100.0);
+	fleet.servers[0].released_at = fleet.now;
+	fleet_run(600 * WS_MS, 100.0);
+	for (i = 0; i < fleet.n; i++)
+		if (s->told_released_at[i])
+			ck_assert_int_eq(count_arrivals(0, i,
+							s->told_released_at[i],
+							fleet.now),
+					 0);
+}
+END_TEST
+
 /* Guards against a server that stays excluded after it has started again. */
 START_TEST(new_start_of_a_server_is_not_leaving)
 {
@@ -331,6 +354,8 @@
 			    server_that_states_that_it_leaves_gets_nothing_more,
 			    0, sizeof(sizes) / sizeof(sizes[0]));
 	tcase_add_loop_test(fleets, last_server_is_used_while_it_leaves, 0, 2);
+	tcase_add_test(fleets,
+		       keys_that_a_leaving_server_gave_up_wait_for_their_owner);
 	tcase_add_loop_test(fleets, new_start_of_a_server_is_not_leaving, 0, 2);
 	tcase_add_test(
 		fleets,
