Do not hedge to a server that leaves

A late request was sent a second time to a server that had stated that it leaves, if that was the only other one. Such a server is for requests that no other can take, and the first server has this one. Retries may still go there. test_edge late_read_is_not_hedged_to_a_server_that_leaves failed before.

--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -758,7 +758,8 @@
 	fill_choose_input(e, c, &in);
 	in.excluded[in.n_excluded++] = first->server;
 	ws_ed_pool_choose(&e->pool, e->now, &in, &at);
-	if (at.server < 0)
+	if (at.server < 0 ||
+	    !ws_ed_pool_usable(&e->pool, e->now, (uint32_t)at.server))
 		return;
 	h.expected_latency = at.expected_latency;
 	h.load = at.load;
--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -91,7 +91,8 @@
 			    .retry_ratio = 0.2,
 			    .linger = 1700 * WS_MS,
 			    .retry_slack = 60.0,
-			    .rate_slack = 20.0 },
+			    .rate_slack = 20.0,
+			    .drain_time = 2 * WS_SECOND },
 	};
 
 	ws_edge_free(edge);
@@ -289,6 +290,36 @@
 }
 END_TEST
 
+/*
+ * Guards against an extra send to a server that leaves, which only requests
+ * that no other server can take are to reach.
+ */
+START_TEST(late_read_is_not_hedged_to_a_server_that_leaves)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_REQUEST_ENDED };
+	uint32_t leaving;
+	uint64_t id;
+
+	setup();
+	id = arrive("/r/1", "k1");
+	leaving = find(WS_EDFX_SEND)->u.send.server;
+	ev.u.ending = (struct ws_ed_ending){
+		.request = id,
+		.end = WS_ED_END_OK,
+		.latency = 50 * WS_MS,
+		.report = { .from_server = true, .leaving = true },
+	};
+	step(&ev);
+	id = arrive("/r/1", "k1");
+	ck_assert_uint_ne(find(WS_EDFX_SEND)->u.send.server, leaving);
+	tick(190 * WS_MS);
+	ck_assert_ptr_null(find(WS_EDFX_SEND));
+	/* The only other server has failed it. */
+	end(id, 0, WS_ED_END_CONNECTION_LOST);
+	ck_assert_uint_eq(find(WS_EDFX_SEND)->u.send.server, leaving);
+}
+END_TEST
+
 START_TEST(orders_are_never_hedged)
 {
 	setup();
@@ -689,6 +720,7 @@
 		shed_order_goes_to_another_server,
 		lost_read_is_sent_again,
 		late_read_is_hedged_and_the_slower_send_cancelled,
+		late_read_is_not_hedged_to_a_server_that_leaves,
 		orders_are_never_hedged,
 		request_of_disconnected_caller_is_cancelled,
 		draining_instance_refuses_in_its_second_half,
@@ -707,5 +739,6 @@
 		strikes_are_sent_to_peers,
 	};
 
-	return ed_suite_run("edge", tests, 23);
+	return ed_suite_run("edge", tests,
+			    (int)(sizeof(tests) / sizeof(tests[0])));
 }
