Send a request again on a connection of its own, by the server's address

A request that a server rejected may be sent on a kept connection that carried its first send, if the server was listed under another id or handle meanwhile: entry removed and written again under a new id, or two ids at one address. A late copy of the rejection is then taken for the answer to the second send, and the caller gets 503 for a request that runs (REFUSED, TWICE).

Cause: sends of a call were told apart by the server's handle, but libcurl keeps connections by address. Every send of a call is now on record with a hash of its address, six at most, so that nothing has to be assumed when the list of excluded servers is full. Found by reading; not traced in a run of the users.

test_edge request_sent_to_an_address_again_is_marked and address_of_an_earlier_ send_is_not_forgotten failed before. main() of test_edge computes its count.

--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -25,8 +25,6 @@
 #define MAP_CONFIRMED_TIME (1 * WS_SECOND)
 /* Evidence of the store older than this shows that keys can't be moved. */
 #define STORE_EVIDENCE_MAX (1500 * WS_MS)
-/* Most sends of one request, including those that did not run. */
-#define SENDS_MAX 6
 /* Least time left until the end of a request for another send. */
 #define SEND_TIME_MIN (10 * WS_MS)
 /* How often requests at servers are checked for hedging. */
@@ -123,33 +121,42 @@
 	return c->lanes[0].active || c->lanes[1].active;
 }
 
-/* True also when not all servers that it was sent to are on record. */
-static bool may_have_been_sent_to(const struct ed_call *c, uint32_t server)
+/*
+ * Compares addresses, as kept connections belong to them: a server may be
+ * listed again under another id or handle.
+ */
+static bool may_have_been_sent_to(const struct ed_call *c, uint64_t address)
 {
-	size_t i;
+	uint32_t i;
 
-	for (i = 0; i < c->n_excluded; i++)
-		if (c->excluded[i] == server)
+#ifdef WS_MUTANT_RESENT_ON_KEPT_CONNECTION
+	return false;
+#endif
+	for (i = 0; i < c->sends; i++)
+		if (c->sent_to[i] == address)
 			return true;
-	return c->n_excluded == WS_ED_EXCLUDED_MAX;
+	return false;
 }
 
 static void send(struct ws_edge *e, struct ed_call *c,
 		 const struct ws_ed_choice *at, struct ws_ed_fx *fx)
 {
+	const char *to = e->pool.servers[at->server].address;
+	uint64_t address = ws_ed_hash(0, to, strlen(to));
 	struct ws_ed_effect *x = ws_ed_fx_add(fx, WS_EDFX_SEND);
 	uint8_t lane = free_lane(c);
 
+	WS_INVARIANT(c->sends < SENDS_MAX);
 	x->u.send.request = c->id;
 	x->u.send.lane = lane;
 	x->u.send.server = (uint32_t)at->server;
 	x->u.send.deadline = c->end_at;
-	x->u.send.resent = may_have_been_sent_to(c, (uint32_t)at->server);
+	x->u.send.resent = may_have_been_sent_to(c, address);
 	if (c->sends_received || has_active_lane(c)) {
 		ws_ed_budget_of(e, c->service)->tokens -= 1.0;
 		e->counters.repeats++;
 	}
-	c->sends++;
+	c->sent_to[c->sends++] = address;
 	c->lanes[lane] = (struct ed_lane){
 		.active = true,
 		.server = (uint32_t)at->server,
--- a/lib/edge/ws_ed_fx.h
+++ b/lib/edge/ws_ed_fx.h
@@ -81,7 +81,7 @@
 			uint8_t lane;
 			uint32_t server; /* handle */
 			ws_us deadline; /* absolute */
-			/* The server may have been sent the request before */
+			/* Its address may have been sent the request before */
 			bool resent;
 		} send; /* CANCEL uses request and lane only */
 		struct {
--- a/lib/edge/ws_edge_int.h
+++ b/lib/edge/ws_edge_int.h
@@ -18,6 +18,9 @@
  */
 #define LANES 2
 
+/* Most sends of one request, including those that did not run. */
+#define SENDS_MAX 6
+
 /* A send of a call that has not ended yet. */
 struct ed_lane {
 	bool active;
@@ -40,6 +43,7 @@
 	uint32_t max_attempts;
 	uint32_t attempts; /* sends that the server may have executed */
 	uint32_t sends;
+	uint64_t sent_to[SENDS_MAX]; /* hashes of the addresses */
 	uint32_t sends_received; /* sends that reached a server */
 	char customer[WS_ED_NAME_MAX];
 	uint32_t key;
--- a/lib/edgeio/ws_eio_targets.h
+++ b/lib/edgeio/ws_eio_targets.h
@@ -9,7 +9,7 @@
 struct ws_eio_request {
 	uint64_t id;
 	uint8_t lane;
-	bool resent; /* the server may have been sent it before */
+	bool resent; /* its address may have been sent it before */
 	const char *request_id;
 	const char *method;
 	const char *uri;
--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -61,7 +61,7 @@
 	step(&ev);
 }
 
-static void list(const char *name, const char *svc)
+static void list_at(const char *name, const char *svc, const char *address)
 {
 	struct ws_ed_event ev = { .kind = WS_EDEV_LISTED };
 	struct ws_ed_listing l = {
@@ -71,11 +71,16 @@
 	};
 
 	snprintf(l.name, sizeof(l.name), "%s", name);
-	snprintf(l.address, sizeof(l.address), "10.0.0.1:80");
+	snprintf(l.address, sizeof(l.address), "%s", address);
 	ev.u.listing = &l;
 	step(&ev);
 }
 
+static void list(const char *name, const char *svc)
+{
+	list_at(name, svc, "10.0.0.1:80");
+}
+
 static void setup(void)
 {
 	struct ws_ed_event ev = { .kind = WS_EDEV_CONFIG };
@@ -378,6 +383,60 @@
 }
 END_TEST
 
+static uint64_t send_order(void)
+{
+	uint64_t id = arrive("/o/1", "k1");
+
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	ck_assert(!find(WS_EDFX_SEND)->u.send.resent);
+	return id;
+}
+
+/*
+ * Guards against the same with a server that is listed under another id at the
+ * address of the first one: kept connections belong to addresses.
+ */
+START_TEST(request_sent_to_an_address_again_is_marked)
+{
+	uint64_t id;
+
+	setup();
+	unlist("b");
+	id = send_order();
+	unlist("a");
+	list("a2", "open");
+	end(id, 0, WS_ED_END_SHED);
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	ck_assert_str_eq(ws_edge_pool(edge)
+				 ->servers[find(WS_EDFX_SEND)->u.send.server]
+				 .name,
+			 "a2");
+	ck_assert(find(WS_EDFX_SEND)->u.send.resent);
+}
+END_TEST
+
+/* Guards against the same after a send to another address. */
+START_TEST(address_of_an_earlier_send_is_not_forgotten)
+{
+	uint64_t id;
+
+	setup();
+	unlist("b");
+	id = send_order();
+	list_at("a2", "open", "10.0.0.2:80");
+	end(id, 0, WS_ED_END_SHED);
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	ck_assert(!find(WS_EDFX_SEND)->u.send.resent);
+	/* The first one is back at the address, under an id of its own. */
+	unlist("a");
+	unlist("a2");
+	list("a3", "open");
+	end(id, 0, WS_ED_END_SHED);
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	ck_assert(find(WS_EDFX_SEND)->u.send.resent);
+}
+END_TEST
+
 /*
  * Guards against a map of the changed ranges only, with which this instance
  * refuses all other keys and, as a leader, would take them for free (soak seed
@@ -694,6 +753,8 @@
 		draining_instance_refuses_in_its_second_half,
 		key_without_owner_is_refused_soon,
 		request_sent_to_a_server_again_is_marked,
+		request_sent_to_an_address_again_is_marked,
+		address_of_an_earlier_send_is_not_forgotten,
 		changes_of_a_map_that_is_not_known_are_not_applied,
 		instance_behind_peers_reads_again,
 		requests_beyond_the_bound_are_refused,
@@ -707,5 +768,6 @@
 		strikes_are_sent_to_peers,
 	};
 
-	return ed_suite_run("edge", tests, 23);
+	return ed_suite_run("edge", tests,
+			    (int)(sizeof(tests) / sizeof(tests[0])));
 }
