Keep the time of a rejection while the server's entry is away

BUDGET: a server that had rejected a request with Retry-After got more of them when its entry lapsed and was written again under the same start, as in an outage of the store: 6 from one of two instances at 600 requests/s, 2 allowed. Cause: what is kept of a start that is not listed held that it leaves and its limit, not how long it wants no requests.

--- a/lib/edge/ws_ed_beat.c
+++ b/lib/edge/ws_ed_beat.c
@@ -401,7 +401,8 @@
 		if (s->id && takes_round(&s->stated.limit.rounds_left))
 			add_statement(s, now, WS_ED_STATEMENT_LIMIT, b);
 	}
-	for (i = 0; i < n && b->n_statements + WS_ED_STATEMENT_KINDS <= max;
+	for (i = 0;
+	     i < n && b->n_statements + WS_ED_STATEMENT_KINDS_TOLD <= max;
 	     i++) {
 		const struct ws_ed_server *s =
 			&e->pool.servers[(e->next_statement + i) % n];
--- a/lib/edge/ws_ed_codec.c
+++ b/lib/edge/ws_ed_codec.c
@@ -224,7 +224,7 @@
 		return false;
 	t->kind = (uint8_t)(word >> STATEMENT_AGE_BITS);
 	t->age_ms = word & WS_ED_STATEMENT_AGE_MAX;
-	return t->kind < WS_ED_STATEMENT_KINDS;
+	return t->kind < WS_ED_STATEMENT_KINDS_TOLD;
 }
 
 static bool xdr_statements(XDR *x, struct ws_ed_beat *b)
--- a/lib/edge/ws_ed_pool.c
+++ b/lib/edge/ws_ed_pool.c
@@ -683,7 +683,8 @@
 		if (s->id && !s->listed && now >= s->usable_until &&
 		    !s->in_flight) {
 #ifndef WS_MUTANT_STATEMENTS_FORGOTTEN
-			ws_ed_stated_keep_all(&p->kept, ws_ed_short_id(s->id),
+			ws_ed_stated_keep_all(&p->kept, now,
+					      ws_ed_short_id(s->id),
 					      (uint32_t)s->started_ms,
 					      &s->stated);
 #endif
--- a/lib/edge/ws_ed_pool_stated.c
+++ b/lib/edge/ws_ed_pool_stated.c
@@ -119,7 +119,7 @@
 	while (ws_ed_stated_take_kept(&p->kept, ws_ed_short_id(s->id),
 				      (uint32_t)s->started_ms, &t))
 		apply_changes(p, now, s, 0,
-			      ws_ed_stated_on_peer(&s->stated, now, &t));
+			      ws_ed_stated_on_kept(&s->stated, now, &t));
 }
 
 void ws_ed_pool_log_stated(const struct ws_ed_pool *p, ws_us now,
--- a/lib/edge/ws_ed_stated.c
+++ b/lib/edge/ws_ed_stated.c
@@ -63,6 +63,14 @@
 		       0;
 }
 
+unsigned ws_ed_stated_on_kept(struct ws_ed_stated *s, ws_us now,
+			      const struct ws_ed_statement *t)
+{
+	if (t->kind == WS_ED_STATEMENT_CLOSED)
+		return update_closed(s, now, t->as_of - now);
+	return ws_ed_stated_on_peer(s, now, t);
+}
+
 ws_us ws_ed_stated_closed_for(const struct ws_ed_stated *s, ws_us now)
 {
 	return s->closed_until > now ? s->closed_until - now : 0;
@@ -96,8 +104,9 @@
 	k->items[k->n++ % WS_ED_STATEMENTS_KEPT] = *t;
 }
 
-void ws_ed_stated_keep_all(struct ws_ed_kept_statements *k, uint32_t server,
-			   uint32_t started, const struct ws_ed_stated *s)
+void ws_ed_stated_keep_all(struct ws_ed_kept_statements *k, ws_us now,
+			   uint32_t server, uint32_t started,
+			   const struct ws_ed_stated *s)
 {
 	struct ws_ed_statement t = { .server = server, .started = started };
 
@@ -112,6 +121,11 @@
 		t.per_s = s->limit.per_s;
 		ws_ed_stated_keep(k, &t);
 	}
+	if (ws_ed_stated_closed_for(s, now)) {
+		t.kind = WS_ED_STATEMENT_CLOSED;
+		t.as_of = s->closed_until;
+		ws_ed_stated_keep(k, &t);
+	}
 }
 
 bool ws_ed_stated_take_kept(struct ws_ed_kept_statements *k, uint32_t server,
--- a/lib/edge/ws_ed_stated.h
+++ b/lib/edge/ws_ed_stated.h
@@ -76,7 +76,9 @@
 enum ws_ed_statement_kind {
 	WS_ED_STATEMENT_LIMIT = 0,
 	WS_ED_STATEMENT_LEAVING,
-	WS_ED_STATEMENT_KINDS,
+	WS_ED_STATEMENT_KINDS_TOLD,
+	/* Concerns this instance only */
+	WS_ED_STATEMENT_CLOSED = WS_ED_STATEMENT_KINDS_TOLD,
 };
 
 /* What instances tell each other of a server that one of them got an answer of.
@@ -87,7 +89,8 @@
 	enum ws_ed_statement_kind kind;
 	/*
 	 * LIMIT: time of the answer that it is known from, LEAVING: of the
-	 * first one that said so; on the clock of this instance
+	 * first one that said so, CLOSED: end of the time without requests; on
+	 * the clock of this instance
 	 */
 	ws_us as_of;
 	double per_s; /* LIMIT; < 0: it states none any more */
@@ -108,6 +111,10 @@
 unsigned ws_ed_stated_on_peer(struct ws_ed_stated *s, ws_us now,
 			      const struct ws_ed_statement *t);
 
+/* Applies what was kept of this start while it was not listed. */
+unsigned ws_ed_stated_on_kept(struct ws_ed_stated *s, ws_us now,
+			      const struct ws_ed_statement *t);
+
 /* Time until the server may get requests of this instance; 0: now. */
 ws_us ws_ed_stated_closed_for(const struct ws_ed_stated *s, ws_us now);
 
@@ -124,8 +131,9 @@
 		       const struct ws_ed_statement *t);
 
 /* Keeps what has to be known of a server that is no longer listed. */
-void ws_ed_stated_keep_all(struct ws_ed_kept_statements *k, uint32_t server,
-			   uint32_t started, const struct ws_ed_stated *s);
+void ws_ed_stated_keep_all(struct ws_ed_kept_statements *k, ws_us now,
+			   uint32_t server, uint32_t started,
+			   const struct ws_ed_stated *s);
 
 /*
  * Takes out a kept statement on this start of a server.
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -197,11 +197,15 @@
 		     struct ws_ed_fx *fx)
 {
 	const struct ws_ed_stated *s = &e->pool.servers[server].stated;
-
-	ws_ed_pool_log_stated(&e->pool, e->now, server,
-			      (s->leaving_since ? WS_ED_STATED_LEAVING : 0U) |
-				      (s->limit.named ? WS_ED_STATED_LIMIT :
-							0U),
+	unsigned known = 0;
+
+	if (s->leaving_since)
+		known |= WS_ED_STATED_LEAVING;
+	if (ws_ed_stated_closed_for(s, e->now))
+		known |= WS_ED_STATED_CLOSED;
+	if (s->limit.named)
+		known |= WS_ED_STATED_LIMIT;
+	ws_ed_pool_log_stated(&e->pool, e->now, server, known,
 			      "known before it was listed", fx);
 }
 
--- a/tests/test_ed_stated.c
+++ b/tests/test_ed_stated.c
@@ -238,6 +238,23 @@
 }
 END_TEST
 
+/*
+ * Guards against BUDGET when the entry of a closed server lapses, as in an
+ * outage of the store, and is written again under the same start.
+ */
+START_TEST(entry_that_returns_does_not_open_its_server)
+{
+	start(2, false);
+	fleet.servers[1].closed_until = fleet.now + 5 * WS_SECOND;
+	fleet_run(1 * WS_SECOND, 600.0);
+	fleet_unlist_server(1);
+	fleet_run(500 * WS_MS, 600.0);
+	fleet_list_server(1);
+	fleet_run(3 * WS_SECOND, 600.0);
+	check_closed(1, fleet.now);
+}
+END_TEST
+
 /* Guards against refusals while another server takes the requests. */
 START_TEST(others_serve_while_one_is_closed)
 {
@@ -362,6 +379,7 @@
 		entry_that_returns_does_not_revoke_that_its_server_leaves);
 	tcase_add_test(fleets, instance_that_starts_hears_that_a_server_leaves);
 	tcase_add_loop_test(fleets, closed_servers_get_no_requests, 0, 2);
+	tcase_add_test(fleets, entry_that_returns_does_not_open_its_server);
 	tcase_add_test(fleets, others_serve_while_one_is_closed);
 	tcase_add_test(one, longest_time_of_a_rejection_counts);
 	tcase_add_test(one, foreign_answer_states_nothing);
