Let requests wait for the rate of the last server that leaves

Callers got 503 no_server at once, with a time of their own to come back, when the only servers left stated that they leave and their rate was used up: a request for a server with a limit could have waited like any other, and one rejected with Retry-After was called back too early. Cause: the choice among servers that leave dropped those that are throttled.

They count like other throttled servers if they still get requests when they are permitted to. test_ed_stated last_server_keeps_its_rate_while_it_leaves (limit and rejection) fails on the commit before.

--- a/lib/edge/ws_ed_pool.c
+++ b/lib/edge/ws_ed_pool.c
@@ -546,6 +546,15 @@
 	}
 }
 
+/* Whether a server that leaves still gets requests when it is permitted to. */
+static bool is_used_then(const struct ws_ed_pool *p, ws_us now,
+			 const struct ws_ed_choice *c)
+{
+	return c->throttled_for == WS_ED_NO_SHARE ||
+	       ws_ed_pool_usable_last(p, now + c->throttled_for,
+				      (uint32_t)c->throttled);
+}
+
 void ws_ed_pool_choose(struct ws_ed_pool *p, ws_us now,
 		       const struct ws_ed_choose_input *in,
 		       struct ws_ed_choice *out)
@@ -561,6 +570,8 @@
 	choose(p, now, in, CANDIDATES_LAST, &last);
 	if (last.server >= 0)
 		*out = last;
+	else if (last.throttled >= 0 && is_used_then(p, now, &last))
+		note_throttled(out, &last);
 }
 
 /* ===== Observations ===== */
--- a/tests/test_ed_stated.c
+++ b/tests/test_ed_stated.c
@@ -255,6 +255,38 @@
 }
 END_TEST
 
+/*
+ * Guards against refusals of requests that could wait for the rate of the last
+ * server, or that are told to come back before it is open again.
+ */
+START_TEST(last_server_keeps_its_rate_while_it_leaves)
+{
+	ws_us end = 0;
+	size_t k;
+
+	fleet.n_servers = 1;
+	start(1, false);
+	if (_i)
+		fleet_limit_servers(1, 20.0);
+	else
+		fleet.servers[0].closed_until = end = fleet.now + 1500 * WS_MS;
+	leave(0);
+	fleet_run(300 * WS_MS, 30.0);
+	k = fleet.n_requests + 1;
+	fleet_run(1 * WS_SECOND, 30.0);
+	for (; k <= fleet.n_requests; k++) {
+		const struct fleet_request *r = &fleet.requests[k];
+
+		if (!r->refused_after)
+			continue;
+		ck_assert_int_eq(r->reason, _i ? WS_EDR_SERVER_LIMIT :
+						 WS_EDR_SERVER_CLOSED);
+		ck_assert_int_ge(r->arrived + r->retry_after, end);
+	}
+	fleet.n_servers = 0;
+}
+END_TEST
+
 /* Guards against refusals while another server takes the requests. */
 START_TEST(others_serve_while_one_is_closed)
 {
@@ -380,6 +412,8 @@
 	tcase_add_test(fleets, instance_that_starts_hears_that_a_server_leaves);
 	tcase_add_loop_test(fleets, closed_servers_get_no_requests, 0, 2);
 	tcase_add_test(fleets, entry_that_returns_does_not_open_its_server);
+	tcase_add_loop_test(fleets, last_server_keeps_its_rate_while_it_leaves,
+			    0, 2);
 	tcase_add_test(fleets, others_serve_while_one_is_closed);
 	tcase_add_test(one, longest_time_of_a_rejection_counts);
 	tcase_add_test(one, foreign_answer_states_nothing);
