--- a/lib/edge/ws_ed_pool.c
+++ b/lib/edge/ws_ed_pool.c
@@ -546,6 +546,15 @@
 	}
 }
 
+/* Whether a server that leaves still gets requests when it is permitted to. */
+static bool is_used_then(const struct ws_ed_pool *p, ws_us now,
+			 const struct ws_ed_choice *c)
+{
+	return c->throttled_for == WS_ED_NO_SHARE ||
+	       ws_ed_pool_usable_last(p, now + c->throttled_for,
+				      (uint32_t)c->throttled);
+}
+
 void ws_ed_pool_choose(struct ws_ed_pool *p, ws_us now,
 		       const struct ws_ed_choose_input *in,
 		       struct ws_ed_choice *out)
@@ -561,6 +570,8 @@
 	choose(p, now, in, CANDIDATES_LAST, &last);
 	if (last.server >= 0)
 		*out = last;
+	else if (last.throttled >= 0 && is_used_then(p, now, &last))
+		note_throttled(out, &last);
 }
 
 /* ===== Observations ===== */
@@ -683,7 +694,8 @@
 		if (s->id && !s->listed && now >= s->usable_until &&
 		    !s->in_flight) {
 #ifndef WS_MUTANT_STATEMENTS_FORGOTTEN
-			ws_ed_stated_keep_all(&p->kept, ws_ed_short_id(s->id),
+			ws_ed_stated_keep_all(&p->kept, now,
+					      ws_ed_short_id(s->id),
 					      (uint32_t)s->started_ms,
 					      &s->stated);
 #endif
--- a/lib/edge/ws_ed_range.c
+++ b/lib/edge/ws_ed_range.c
@@ -144,11 +144,18 @@
 	set_free(l, r, now);
 }
 
-/* Whether the store takes the record of a move; reads the map if not known. */
-static bool can_record_move(struct ws_ed_lead *l, ws_us now,
-			    struct ws_ed_fx *fx)
+/*
+ * Whether the store has been reached since a server stated that it leaves. It
+ * may be away though it was reached shortly before, so it is asked.
+ */
+static bool is_store_there(struct ws_ed_lead *l, ws_us now,
+			   const struct ws_ed_server *s, struct ws_ed_fx *fx)
 {
-	if (now - l->store_reached_at < STORE_REACHED_MAX)
+#ifdef WS_MUTANT_STORE_REACHED_BEFORE
+	return ws_ed_lead_store_reachable(l, now);
+#endif
+	if (l->store_reached_at >= s->stated.leaving_since &&
+	    now - l->store_reached_at < STORE_REACHED_MAX)
 		return true;
 	if (now >= l->next_store_check) {
 		l->next_store_check = now + CALL_RETRY;
@@ -165,6 +172,8 @@
 static bool must_release(struct ws_ed_lead *l, ws_us now, int32_t server,
 			 struct ws_ed_fx *fx)
 {
+	const struct ws_ed_server *s;
+
 	if (server < 0)
 		return true;
 	if (ws_ed_pool_usable(l->pool, now, (uint32_t)server))
@@ -174,9 +183,9 @@
 #ifdef WS_MUTANT_RELEASE_WITHOUT_STORE
 	return true;
 #endif
-	return ws_ed_balance_has_candidate(l, now,
-					   l->pool->servers[server].service) &&
-	       can_record_move(l, now, fx);
+	s = &l->pool->servers[server];
+	return ws_ed_balance_has_candidate(l, now, s->service) &&
+	       is_store_there(l, now, s, fx);
 }
 
 static void tick_owned(struct ws_ed_lead *l, struct ws_ed_range *r, ws_us now,
