Tell of each server that leaves before repeating others

Cause: a heartbeat has room for 8 statements, 15 of a relay, and the first ones of the table were sent three times before the others were sent once.

--- a/lib/edge/ws_ed_beat.c
+++ b/lib/edge/ws_ed_beat.c
@@ -374,6 +374,29 @@
 	return true;
 }
 
+/* Adds servers that leave: those that were sent least often so far first. */
+static void add_new_leaving(struct ws_edge *e, ws_us now, uint32_t max,
+			    struct ws_ed_beat *b)
+{
+	struct ws_ed_server *sent[WS_ED_STATEMENTS_OF_RELAY];
+	uint32_t n = 0;
+	unsigned left;
+	size_t i;
+
+	for (left = WS_ED_NEWS_ROUNDS; left > 0; left--) {
+		for (i = 0; i < e->pool.n && n < max; i++) {
+			struct ws_ed_server *s = &e->pool.servers[i];
+
+			if (!s->id || s->stated.leaving_rounds != left)
+				continue;
+			add_statement(s, now, WS_ED_STATEMENT_LEAVING, b);
+			sent[n++] = s;
+		}
+	}
+	while (n)
+		sent[--n]->stated.leaving_rounds--;
+}
+
 /* Adds what servers have stated: first what is new, then all in turn. */
 static void add_statements(struct ws_edge *e, ws_us now, uint32_t displaced,
 			   struct ws_ed_beat *b)
@@ -389,12 +412,7 @@
 #ifdef WS_MUTANT_STATEMENTS_NOT_SENT
 	return;
 #endif
-	for (i = 0; i < n && b->n_statements < max; i++) {
-		struct ws_ed_server *s = &e->pool.servers[i];
-
-		if (s->id && takes_round(&s->stated.leaving_rounds))
-			add_statement(s, now, WS_ED_STATEMENT_LEAVING, b);
-	}
+	add_new_leaving(e, now, max, b);
 	for (i = 0; i < n && b->n_statements < max; i++) {
 		struct ws_ed_server *s = &e->pool.servers[i];
 
--- a/lib/edge/ws_ed_stated.c
+++ b/lib/edge/ws_ed_stated.c
@@ -1,8 +1,5 @@
 #include "edge/ws_ed_stated.h"
 
-/* Heartbeats that send news before what others may know already. */
-#define NEWS_ROUNDS 3
-
 static unsigned update_leaving(struct ws_ed_stated *s, ws_us since)
 {
 	bool known = s->leaving_since != 0;
@@ -16,7 +13,7 @@
 		s->leaving_since = since;
 	if (known)
 		return 0;
-	s->leaving_rounds = NEWS_ROUNDS;
+	s->leaving_rounds = WS_ED_NEWS_ROUNDS;
 	return WS_ED_STATED_LEAVING;
 }
 
--- a/tests/test_ed_stated.c
+++ b/tests/test_ed_stated.c
@@ -1,4 +1,5 @@
 #include <check.h>
+#include <stdio.h>
 
 #include "ed_fleet.h"
 #include "ed_suite.h"
@@ -186,6 +187,55 @@
 }
 END_TEST
 
+/* An instance learns from a call about keys that a server leaves. */
+static void tell_leaving(int instance, int server)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_KEY_CALLED };
+	struct ws_ed_fx fx = { NULL, 0, 0 };
+	char name[16];
+
+	snprintf(name, sizeof(name), "s%d", server);
+	ev.now = fleet.now;
+	ev.u.key_called.end = WS_EDC_FAILED;
+	ev.u.key_called.handover = "";
+	ev.u.key_called.leaving = true;
+	ev.u.key_called.server = ws_ed_id(name);
+	ev.u.key_called.started_ms = fleet.servers[server].started_ms;
+	ws_edge_step(fleet.nodes[instance].edge, &ev, &fx);
+	ws_ed_fx_free(&fx);
+}
+
+static int count_known_leaving(int instance)
+{
+	const struct ws_ed_pool *p = ws_edge_pool(fleet.nodes[instance].edge);
+	int n = 0;
+	size_t i;
+
+	for (i = 0; i < p->n; i++)
+		n += p->servers[i].stated.leaving_since != 0;
+	return n;
+}
+
+/*
+ * Guards against instances that send to servers until these have ended, as a
+ * whole service leaves at once and each statement waits for the repetitions of
+ * others.
+ */
+START_TEST(servers_that_leave_at_once_are_known_in_time)
+{
+	int i;
+
+	fleet.n_servers = FLEET_SERVERS_MAX;
+	start(85, false);
+	for (i = 0; i < FLEET_SERVERS_MAX; i++)
+		tell_leaving(0, i);
+	fleet_run(FLEET_DRAIN_TIME, 0.0);
+	for (i = 0; i < fleet.n; i++)
+		ck_assert_int_eq(count_known_leaving(i), FLEET_SERVERS_MAX);
+	fleet.n_servers = 0;
+}
+END_TEST
+
 /*
  * Guards against BUDGET: requests to a server within the time that it has
  * rejected one with.
@@ -410,6 +460,7 @@
 		fleets,
 		entry_that_returns_does_not_revoke_that_its_server_leaves);
 	tcase_add_test(fleets, instance_that_starts_hears_that_a_server_leaves);
+	tcase_add_test(fleets, servers_that_leave_at_once_are_known_in_time);
 	tcase_add_loop_test(fleets, closed_servers_get_no_requests, 0, 2);
 	tcase_add_test(fleets, entry_that_returns_does_not_open_its_server);
 	tcase_add_loop_test(fleets, last_server_keeps_its_rate_while_it_leaves,
