Use a leaving owner again that has rejected a key once

Callers of all keys of a leaving server were refused until it ended, at each instance at which it had answered one request with 421, though it owned them: its lease was late, the instance's map old, or the 421 a copy. Cause: that it gives up its keys was kept for good.

--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -268,7 +268,7 @@
 {
 	return ws_ed_pool_usable(&e->pool, e->now, server) ||
 	       (ws_ed_pool_usable_last(&e->pool, e->now, server) &&
-		!e->pool.servers[server].stated.gives_up_keys);
+		e->now >= e->pool.servers[server].stated.gives_up_keys_until);
 }
 
 /*
@@ -630,7 +630,9 @@
 
 	if (not_owner && c->sharded) {
 #ifndef WS_MUTANT_KEYS_NOT_GIVEN_UP
-		stated->gives_up_keys |= stated->leaving_since != 0;
+		/* A late lease or an old map may be the reason as well. */
+		if (stated->leaving_since)
+			stated->gives_up_keys_until = e->now + OWNER_WAIT_MAX;
 #endif
 		/* Skipped if a peer has lately confirmed the map as current. */
 		if (e->now - e->map_confirmed_at > MAP_CONFIRMED_TIME)
--- a/lib/edge/ws_ed_stated.h
+++ b/lib/edge/ws_ed_stated.h
@@ -57,9 +57,9 @@
 	unsigned leaving_rounds; /* heartbeats that send it before others */
 	/*
 	 * It leaves, and has rejected a request for a key that it owned: its
-	 * keys are on their way to other servers.
+	 * keys are expected to have other owners by then.
 	 */
-	bool gives_up_keys;
+	ws_us gives_up_keys_until;
 	ws_us closed_until; /* no requests from this instance until then */
 	struct ws_ed_limit limit;
 	ws_us idle_timeout; /* 0: not known */
--- a/tests/test_ed_stated.c
+++ b/tests/test_ed_stated.c
@@ -140,6 +140,28 @@
 }
 END_TEST
 
+/*
+ * Guards against refusals for as long as a server leaves, since it has rejected
+ * one request while its lease was late or a map was old.
+ */
+START_TEST(one_rejection_of_a_leaving_owner_does_not_end_its_use)
+{
+	size_t first;
+
+	start(6, true);
+	fleet.store_down = true;
+	leave(0);
+	fleet_run(200 * WS_MS, 100.0);
+	fleet.servers[0].released_at = fleet.now;
+	fleet_run(100 * WS_MS, 100.0);
+	fleet.servers[0].released_at = 0;
+	fleet_run(700 * WS_MS, 100.0);
+	first = fleet.n_requests + 1;
+	fleet_run(500 * WS_MS, 100.0);
+	ck_assert_int_ge(count_answered(first), 40);
+}
+END_TEST
+
 /* Guards against a server that stays excluded after it has started again. */
 START_TEST(new_start_of_a_server_is_not_leaving)
 {
@@ -455,6 +477,8 @@
 	tcase_add_loop_test(fleets, last_server_is_used_while_it_leaves, 0, 2);
 	tcase_add_test(fleets,
 		       keys_that_a_leaving_server_gave_up_wait_for_their_owner);
+	tcase_add_test(fleets,
+		       one_rejection_of_a_leaving_owner_does_not_end_its_use);
 	tcase_add_loop_test(fleets, new_start_of_a_server_is_not_leaving, 0, 2);
 	tcase_add_test(
 		fleets,
