--- a/lib/edge/ws_ed_stated.h
+++ b/lib/edge/ws_ed_stated.h
@@ -48,15 +48,18 @@
 	WS_ED_PENDING_RELAYS = 2, /* relays of other zones */
 };
 
+/* Heartbeats that send news before what others may know already. */
+#define WS_ED_NEWS_ROUNDS 3
+
 /* What is known of one start of a server. */
 struct ws_ed_stated {
 	ws_us leaving_since; /* when it was first stated; 0: it was not */
 	unsigned leaving_rounds; /* heartbeats that send it before others */
 	/*
 	 * It leaves, and has rejected a request for a key that it owned: its
-	 * keys are on their way to other servers.
+	 * keys are expected to have other owners by then.
 	 */
-	bool gives_up_keys;
+	ws_us gives_up_keys_until;
 	ws_us closed_until; /* no requests from this instance until then */
 	struct ws_ed_limit limit;
 	ws_us idle_timeout; /* 0: not known */
