Let servers of the soak state that they leave and for how long they reject

The soak's servers stated neither, so no run of real processes could break the two rules. Series of both now run beside the other faults and beside each other: a server says in all its answers that it leaves, with its entry kept, removed or written again after a time without the store, and starts again under its id; one server or all of a service reject with Retry-After, with valid and other values.

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -73,6 +73,9 @@
 
 void soak_log(const char *format, ...) __attribute__((format(printf, 1, 2)));
 
+/* Begins a kind of fault at a time, beside those that are drawn. */
+void soak_schedule_fault(const char *name, ws_us at);
+
 /* ===== soak_store.c ===== */
 
 void soak_store_start(void);
@@ -87,6 +90,7 @@
 };
 
 void soak_store_fault(enum soak_store_fault fault);
+bool soak_store_is_down(void);
 
 /* Makes all current records unreadable by offset, as after log retention. */
 void soak_store_truncate(void);
@@ -107,6 +111,41 @@
 void soak_server_shed(int i, bool on);
 void soak_server_slow(int i, int factor);
 
+/* How a server leaves that says so in its answers; its entry stays ready. */
+struct soak_leave {
+	ws_us serves; /* until it stops; the times below count from the start */
+	ws_us entry_gone; /* when its entry is removed; 0: it is not */
+	ws_us entry_back; /* when it is written again; 0: it is not */
+	bool keeps_entry; /* does not remove it when it stops */
+	ws_us down; /* until it starts again */
+};
+
+/* Returns false if the server is down or leaves already. */
+bool soak_server_leave(int i, const struct soak_leave *l);
+
+enum soak_retry_after {
+	SOAK_RETRY_TIME = 0, /* 0.2 to 4 s */
+	SOAK_RETRY_ZERO,
+	SOAK_RETRY_NEGATIVE,
+	SOAK_RETRY_MALFORMED,
+	SOAK_RETRY_DATE,
+	SOAK_RETRY_HUGE,
+};
+
+/* How a server rejects requests with Retry-After. */
+struct soak_reject {
+	enum soak_retry_after retry_after;
+	unsigned percent; /* of its requests */
+	ws_us time;
+	ws_us restart; /* it starts again after this pause; 0: it does not */
+};
+
+/* Returns false if the server is down or rejects already. */
+bool soak_server_reject(int i, const struct soak_reject *r);
+
+/* Whether all servers run, and none leaves or rejects. */
+bool soak_servers_are_calm(void);
+
 /* The server states how many requests/s it takes; < 0: no limit. */
 void soak_server_limit(int i, double per_s);
 
@@ -179,8 +218,14 @@
 /* An instance answered that a request has not run and never will. */
 void soak_check_not_run(const char *id, int status);
 
-/* A caller sends a request with the key of a customer. */
-void soak_check_sent(const char *id, const char *customer, const char *path);
+/* A caller sends a request with the key of a customer to an instance. */
+void soak_check_sent(const char *id, const char *customer, int instance);
+
+/*
+ * Looks up to which instance a request was sent, and when.
+ * @return false if no caller sent it
+ */
+bool soak_check_find_sent(const char *id, int *instance, ws_us *sent);
 
 bool soak_check_has_run(const char *id);
 
@@ -202,4 +247,41 @@
 void soak_check_held_keys(int server, const bool *keys);
 void soak_check_print(void);
 
+/* ===== soak_stated.c ===== */
+
+/* Names the server and its start in its answers, for the checks. */
+#define SOAK_START_HEADER "Soak-Start"
+
+void soak_stated_format_start(int server, int64_t started_ms, bool leaving,
+			      char *buf, size_t size);
+
+/* Returns how long no requests are wanted by this value; 0: no time. */
+ws_us soak_stated_format_retry_after(enum soak_retry_after kind, char *buf,
+				     size_t size);
+
+/* A caller got an answer of a server; start: the value of SOAK_START_HEADER. */
+void soak_stated_passed_on(int instance, const char *start);
+
+void soak_stated_started(int server);
+
+/* A server has answered 503 with Retry-After. */
+void soak_stated_rejected(int server, const char *id, ws_us time);
+
+/* A request reaches a server, which answers 421 if it is misdirected. */
+void soak_stated_request(int server, int64_t started_ms, const char *id,
+			 bool misdirected);
+
+/* The way from the instances to a server is disturbed, or not any more. */
+void soak_stated_way_disturbed(int server, bool is_disturbed);
+
+/* Begins series of statements; to be called often. */
+void soak_stated_inject(ws_us now, bool may_begin);
+
+/* Whether no series is under way or about to begin. */
+bool soak_stated_is_calm(void);
+
+/* Checks at the end of the run that servers are in use again. */
+void soak_stated_check_used(void);
+void soak_stated_print(void);
+
 #endif
--- a/tests/soak/soak_caller.c
+++ b/tests/soak/soak_caller.c
@@ -102,6 +102,10 @@
 	int status = res->outcome == WS_HTTP_DONE ? res->answer.status : 0;
 
 	count_outcome(c, res);
+	if (status)
+		soak_stated_passed_on(c->instance,
+				      ws_body_header(&res->answer,
+						     SOAK_START_HEADER));
 	if (status >= 200 && status < 300)
 		check_answer(c, &res->answer);
 	else if (status == 429 || status == 503 || status == 408 ||
@@ -185,7 +189,7 @@
 	}
 	req.headers = c->headers;
 	snprintf(text, sizeof(text), "c%u", customer);
-	soak_check_sent(c->id, text, c->url);
+	soak_check_sent(c->id, text, c->instance);
 	g_hash_table_add(open_calls, c);
 	c->http = ws_http_start(soak.http, &req);
 }
--- a/tests/soak/soak_check.c
+++ b/tests/soak/soak_check.c
@@ -17,6 +17,8 @@
 struct request {
 	char id[40];
 	char customer[16];
+	int instance;
+	ws_us sent; /* 0: not by a caller */
 	int runs;
 	int not_run_status; /* of the answer that it did not run; 0: none */
 };
@@ -52,11 +54,22 @@
 	return r;
 }
 
-void soak_check_sent(const char *id, const char *customer, const char *path)
+void soak_check_sent(const char *id, const char *customer, int instance)
 {
-	(void)path;
-	g_strlcpy(find_request(id)->customer, customer,
-		  sizeof(find_request(id)->customer));
+	struct request *r = find_request(id);
+
+	g_strlcpy(r->customer, customer, sizeof(r->customer));
+	r->instance = instance;
+	r->sent = soak_now();
+}
+
+bool soak_check_find_sent(const char *id, int *instance, ws_us *sent)
+{
+	const struct request *r = find_request(id);
+
+	*instance = r->instance;
+	*sent = r->sent;
+	return r->sent != 0;
 }
 
 static void check_key(const struct request *r, const char *server)
--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -32,6 +32,7 @@
 	int instance;
 	int server;
 	ws_us until; /* 0: not active */
+	ws_us scheduled; /* soak_schedule_fault(); 0: not */
 };
 
 ws_us soak_now(void)
@@ -243,10 +244,12 @@
 {
 	soak_proxy_set(soak_server_proxy(f->server), random_proxy_mode(),
 		       soak_random_between(10 * WS_MS, 300 * WS_MS));
+	soak_stated_way_disturbed(f->server, true);
 }
 
 static void end_server_proxy(struct fault *f)
 {
+	soak_stated_way_disturbed(f->server, false);
 	soak_proxy_set(soak_server_proxy(f->server), SOAK_PROXY_PASS, 0);
 }
 
@@ -254,6 +257,7 @@
 {
 	soak_proxy_stall_open(soak_process_store_proxy(f->instance));
 	soak_proxy_stall_open(soak_server_proxy(f->server));
+	soak_stated_way_disturbed(f->server, false);
 }
 
 static void begin_crash(struct fault *f)
@@ -378,6 +382,24 @@
 	soak.last_fault = now;
 }
 
+void soak_schedule_fault(const char *name, ws_us at)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(faults); i++)
+		if (!strcmp(faults[i].name, name) && !soak.opt.only[0])
+			faults[i].scheduled = at;
+}
+
+static void begin_scheduled(struct fault *f, ws_us now)
+{
+	if (!f->scheduled || now < f->scheduled)
+		return;
+	f->scheduled = 0;
+	if (!f->until)
+		begin(f, now);
+}
+
 static void inject_faults(void *arg, ws_us now)
 {
 	static ws_us next;
@@ -392,9 +414,11 @@
 	for (i = 0; i < n; i++) {
 		if (faults[i].until && now >= faults[i].until)
 			end(&faults[i], now);
-		open += faults[i].until != 0;
+		begin_scheduled(&faults[i], now);
+		open += faults[i].until || faults[i].scheduled;
 	}
-	if (open || !soak_processes_all_run())
+	soak_stated_inject(now, time >= WARM_UP && time <= last);
+	if (open || !soak_processes_all_run() || !soak_stated_is_calm())
 		soak.calm_since = now;
 	if (time < WARM_UP || time > last || now < next || f->until ||
 	    open >= ACTIVE_FAULTS_MAX ||
@@ -456,8 +480,10 @@
 	served = check_recovery(false, SOAK_QUIET_TIME);
 	served_keyed = check_recovery(
 		true, soak.keys_stopped ? RECOVER_TIME : SOAK_QUIET_TIME);
+	soak_stated_check_used();
 	soak_callers_print();
 	soak_check_print();
+	soak_stated_print();
 	printf("after the last fault: served in %d s, with a key in %d s\n",
 	       soak_callers_recovery(false, soak.calm_since),
 	       soak_callers_recovery(true, soak.calm_since));
--- a/tests/soak/soak_server.c
+++ b/tests/soak/soak_server.c
@@ -45,6 +45,14 @@
 	bool draining;
 	bool listed;
 	bool sheds;
+	bool states_leaving; /* in all its answers */
+	bool keeps_entry; /* does not remove it when it stops */
+	ws_us entry_gone_at; /* 0: it stays */
+	ws_us entry_back_at; /* 0: it is not written again */
+	ws_us rejects_until;
+	enum soak_retry_after retry_after;
+	unsigned reject_percent;
+	ws_us restart_after_reject; /* pause of the restart; 0: none */
 	int slowdown; /* factor of run times; 0: none */
 	double limit; /* requests/s that it states; 0: none */
 	ws_us down_at; /* draining: when it will stop; down: when it stopped */
@@ -101,12 +109,18 @@
 
 /* ===== Answers ===== */
 
+struct extra {
+	const char *handover;
+	const char *retry_after;
+};
+
 static void answer(struct server *s, struct ws_server_request *req,
 		   unsigned status, const char *id, bool not_run,
-		   const char *extra)
+		   const struct extra *x)
 {
 	struct ws_headers h = { NULL, 0, 0 };
 	char text[512];
+	char start[48];
 	char load[32];
 	char limit[32];
 	int waiting = 0;
@@ -124,9 +138,18 @@
 		ws_headers_add(&h, "Wagtailshift-Server-Seal", 24, "seal", 4);
 	if (not_run)
 		ws_headers_add(&h, "Wagtailshift-Not-Executed", 25, "1", 1);
-	if (extra)
-		ws_headers_add(&h, "Wagtailshift-Handover", 21, extra,
-			       strlen(extra));
+	if (x && x->handover)
+		ws_headers_add(&h, "Wagtailshift-Handover", 21, x->handover,
+			       strlen(x->handover));
+	if (x && x->retry_after)
+		ws_headers_add(&h, "Retry-After", 11, x->retry_after,
+			       strlen(x->retry_after));
+	if (s->states_leaving)
+		ws_headers_add(&h, "Server-Leaving", 14, "1", 1);
+	soak_stated_format_start(s->i, s->started_ms, s->states_leaving, start,
+				 sizeof(start));
+	ws_headers_add(&h, SOAK_START_HEADER, strlen(SOAK_START_HEADER), start,
+		       strlen(start));
 	ws_headers_add(&h, "Wagtailshift-Server-Load", 24, load, strlen(load));
 	if (s->limit > 0.0) {
 		snprintf(limit, sizeof(limit), "%.1f", s->limit);
@@ -183,7 +206,8 @@
 
 	s->release = NULL;
 	req->user_data = NULL;
-	answer(s, req, 200, NULL, false, "token");
+	answer(s, req, 200, NULL, false,
+	       &(struct extra){ .handover = "token" });
 }
 
 static void release(struct server *s, struct ws_server_request *req,
@@ -194,7 +218,8 @@
 	for (key = from; key <= to; key++)
 		s->held_until[key] = 0;
 	if (s->release || !is_running_keys(s, from, to)) {
-		answer(s, req, 200, NULL, false, "token");
+		answer(s, req, 200, NULL, false,
+		       &(struct extra){ .handover = "token" });
 		return;
 	}
 	/* Answered when no request runs any more, see step(). */
@@ -262,8 +287,23 @@
 	free(w);
 }
 
-static bool refuse_request(struct server *s, struct ws_server_request *req,
-			   const char *id, uint32_t key)
+static void reject(struct server *s, struct ws_server_request *req,
+		   const char *id)
+{
+	char text[48];
+	ws_us time = soak_stated_format_retry_after(s->retry_after, text,
+						    sizeof(text));
+
+	answer(s, req, 503, id, true, &(struct extra){ .retry_after = text });
+	soak_stated_rejected(s->i, id, time);
+}
+
+/*
+ * Returns the status of a request that is not taken, without an answer to it;
+ * 0: it is taken.
+ */
+static unsigned refusal(const struct server *s,
+			const struct ws_server_request *req, uint32_t key)
 {
 	const char *target = header(req, "Wagtailshift-Target-Instance");
 	int n = 0;
@@ -272,15 +312,27 @@
 	for (w = s->jobs; w; w = w->next)
 		n++;
 	if ((target && strcmp(target, s->name) != 0) ||
-	    (s->sharded && !holds_key(s, key))) {
-		answer(s, req, 421, id, true, NULL);
-		return true;
-	}
-	if (n >= SLOTS + QUEUE || (s->sheds && soak_chance(50))) {
-		answer(s, req, 503, id, true, NULL);
+	    (s->sharded && !holds_key(s, key)))
+		return 421;
+	if (n >= SLOTS + QUEUE || (s->sheds && soak_chance(50)))
+		return 503;
+	return 0;
+}
+
+static bool refuse_request(struct server *s, struct ws_server_request *req,
+			   const char *id, uint32_t key)
+{
+	unsigned status = refusal(s, req, key);
+
+	soak_stated_request(s->i, s->started_ms, id, status == 421);
+	if (status != 421 && soak_now() < s->rejects_until &&
+	    soak_chance(s->reject_percent)) {
+		reject(s, req, id);
 		return true;
 	}
-	return false;
+	if (status)
+		answer(s, req, status, id, true, NULL);
+	return status != 0;
 }
 
 static void on_request(void *arg, struct ws_server_request *req)
@@ -363,10 +415,16 @@
 	s->started_ms = soak_now() / WS_MS;
 	s->sequence = 0;
 	s->draining = false;
+	s->states_leaving = false;
+	s->entry_gone_at = 0;
+	s->entry_back_at = 0;
+	s->rejects_until = 0;
+	s->restart_after_reject = 0;
 	/* A restarted server has lost its leases and fences. */
 	memset(s->held_until, 0, SOAK_KEY_SPACE * sizeof(*s->held_until));
 	memset(s->fence, 0, SOAK_KEY_SPACE * sizeof(*s->fence));
 	soak_check_server_up(s->name);
+	soak_stated_started(s->i);
 	publish_entry(s);
 }
 
@@ -384,6 +442,21 @@
 	s->down_at = now;
 }
 
+/* Removes the entry of a server that still runs, and writes it again. */
+static void step_entry(struct server *s, ws_us now)
+{
+	if (s->entry_gone_at && now >= s->entry_gone_at) {
+		s->entry_gone_at = 0;
+		remove_entry(s);
+	}
+	if (!s->entry_gone_at && s->entry_back_at && now >= s->entry_back_at &&
+	    !soak_store_is_down()) {
+		s->entry_back_at = 0;
+		soak_check_server_up(s->name);
+		publish_entry(s);
+	}
+}
+
 static void step(struct server *s, ws_us now)
 {
 	struct job *w = s->jobs;
@@ -405,8 +478,13 @@
 	start_jobs(s);
 	if (s->release && !is_running_keys(s, 0, SOAK_KEY_SPACE - 1))
 		finish_release(s);
-	if (s->draining && now >= s->down_at) {
-		remove_entry(s);
+	step_entry(s, now);
+	if ((s->draining || s->states_leaving) && now >= s->down_at) {
+		if (!s->keeps_entry)
+			remove_entry(s);
+		stop_server(s, now);
+	} else if (s->restart_after_reject && now >= s->rejects_until) {
+		s->restart_at = now + s->restart_after_reject;
 		stop_server(s, now);
 	}
 }
@@ -447,12 +525,57 @@
 	if (!s->http || s->draining)
 		return;
 	s->draining = true;
+	s->states_leaving = s->states_leaving || soak_chance(50);
+	s->keeps_entry = false;
+	s->entry_gone_at = 0;
+	s->entry_back_at = 0;
 	s->down_at = soak_now() + DRAIN_TIME;
 	s->restart_at = s->down_at + down_time;
 	publish_entry(s);
 	soak_check_server_leaving(s->name);
 }
 
+bool soak_server_leave(int i, const struct soak_leave *l)
+{
+	struct server *s = &servers[i];
+	ws_us now = soak_now();
+
+	if (!s->http || s->draining || s->states_leaving)
+		return false;
+	s->states_leaving = true;
+	s->keeps_entry = l->keeps_entry;
+	s->down_at = now + l->serves;
+	s->restart_at = s->down_at + l->down;
+	s->entry_gone_at = l->entry_gone ? now + l->entry_gone : 0;
+	s->entry_back_at = l->entry_back ? now + l->entry_back : 0;
+	return true;
+}
+
+bool soak_server_reject(int i, const struct soak_reject *r)
+{
+	struct server *s = &servers[i];
+
+	if (!s->http || soak_now() < s->rejects_until)
+		return false;
+	s->rejects_until = soak_now() + r->time;
+	s->retry_after = r->retry_after;
+	s->reject_percent = r->percent;
+	s->restart_after_reject = r->restart;
+	return true;
+}
+
+bool soak_servers_are_calm(void)
+{
+	int i;
+
+	for (i = 0; i < soak.opt.servers; i++)
+		if (!servers[i].http || servers[i].draining ||
+		    servers[i].states_leaving ||
+		    soak_now() < servers[i].rejects_until)
+			return false;
+	return true;
+}
+
 void soak_server_shed(int i, bool on)
 {
 	servers[i].sheds = on;
--- a/tests/soak/soak_store.c
+++ b/tests/soak/soak_store.c
@@ -446,6 +446,11 @@
 	active_fault = f;
 }
 
+bool soak_store_is_down(void)
+{
+	return active_fault == SOAK_STORE_DOWN;
+}
+
 void soak_store_truncate(void)
 {
 	int i;
