Keep a part of the memory for requests while answers have no end

Cause: one account without a reserve; answers fill it to the last byte before the largest calls end, and reads of the store are never ended. Ruled out: slowness (the refusals came within 100 ms), the servers, the limit of open requests. Change: answers leave an eighth of the account free.

--- a/lib/edgeio/ws_eio.c
+++ b/lib/edgeio/ws_eio.c
@@ -22,6 +22,8 @@
  * fragments of the heap and all else need the remainder.
  */
 #define MESSAGES_MEMORY_FRACTION 0.4
+/* Of that, a part (1/N) for requests only */
+#define REQUESTS_RESERVE_DIVISOR 8
 #define TRIM_PERIOD (1 * WS_SECOND)
 #define MIB ((size_t)1024 * 1024)
 /*
@@ -231,6 +233,7 @@
 	io->timers = ws_timer_new();
 	io->memory.max =
 		(size_t)(MESSAGES_MEMORY_FRACTION * (double)set->memory_max);
+	io->memory.reserve = io->memory.max / REQUESTS_RESERVE_DIVISOR;
 	ws_timer_every(io->timers, io->started_at, TRIM_PERIOD, trim_memory,
 		       &io->memory);
 	io->http = ws_http_new(loop);
--- a/lib/io/ws_http_memory.c
+++ b/lib/io/ws_http_memory.c
@@ -78,7 +78,7 @@
 
 	if (c->given_up)
 		return false;
-	while (!ws_memory_take(h->memory, n)) {
+	while (!ws_memory_take_for_answer(h->memory, n)) {
 		struct ws_http_call *largest = largest_call(h);
 
 		if (c->essential && !largest) {
--- a/lib/io/ws_memory.c
+++ b/lib/io/ws_memory.c
@@ -12,9 +12,9 @@
 		m->peak = m->used;
 }
 
-bool ws_memory_take(struct ws_memory *m, size_t n)
+static bool take_below(struct ws_memory *m, size_t max, size_t n)
 {
-	if (m->max && (n > m->max || m->used > m->max - n)) {
+	if (m->max && (n > max || m->used > max - n)) {
 		m->n_refused++;
 		return false;
 	}
@@ -22,6 +22,19 @@
 	return true;
 }
 
+bool ws_memory_take(struct ws_memory *m, size_t n)
+{
+	return take_below(m, m->max, n);
+}
+
+bool ws_memory_take_for_answer(struct ws_memory *m, size_t n)
+{
+#ifdef WS_MUTANT_NO_MEMORY_FOR_REQUESTS
+	return ws_memory_take(m, n);
+#endif
+	return take_below(m, m->max - m->reserve, n);
+}
+
 void ws_memory_give(struct ws_memory *m, size_t n)
 {
 	WS_INVARIANT(n <= m->used);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -24,6 +24,7 @@
 #define RECEIVE_LIMIT ((size_t)1536 * 1024)
 /* More than RECEIVE_LIMIT, as the socket buffers hold data too. */
 #define SENT_MAX ((size_t)24 * 1024 * 1024)
+#define RESERVE_CALLS 8
 #define CALL_TIMEOUT (10 * WS_SECOND)
 
 enum script {
@@ -354,6 +355,31 @@
 }
 END_TEST
 
+/*
+ * Guards against requests that are refused for want of memory while responses
+ * without end take all of it.
+ */
+START_TEST(endless_responses_leave_memory_for_requests)
+{
+	struct call o[RESERVE_CALLS];
+	bool waits = true;
+	int i;
+
+	start(ENDLESS_CHUNKS);
+	memory.reserve = RECEIVE_LIMIT / 4;
+	for (i = 0; i < RESERVE_CALLS; i++)
+		start_call(&o[i], false);
+	while (waits) {
+		ev_run(loop, EVRUN_ONCE);
+		ck_assert_uint_le(memory.used, memory.max - memory.reserve);
+		waits = false;
+		for (i = 0; i < RESERVE_CALLS; i++)
+			waits |= !o[i].ended;
+	}
+	stop();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const endless_tests[] = {
@@ -363,6 +389,7 @@
 		duplicate_response_is_avoided,
 		reset_response_is_not_complete,
 		total_response_bytes_are_limited,
+		endless_responses_leave_memory_for_requests,
 	};
 	const TTest *const cut_tests[] = {
 		response_cut_at_any_byte_is_not_complete
@@ -372,5 +399,7 @@
 
 	res |= ed_suite_run_each("http", cut_tests, 1,
 				 sizeof(cut_cases) / sizeof(cut_cases[0]));
-	return ed_suite_run("http", tests, 3) || res;
+	return ed_suite_run("http", tests,
+			    (int)(sizeof(tests) / sizeof(tests[0]))) ||
+	       res;
 }
