Check in the soak that instances tell each other which servers leave

The rule binds the instance that passed an answer on only, so the mutation STATEMENTS_NOT_SENT broke none of it. In quiet times, while enough other servers are free, no instance may send to such a server later than a second after any of them passed the statement on.

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -146,6 +146,9 @@
 /* Whether all servers run, and none leaves or rejects. */
 bool soak_servers_are_calm(void);
 
+/* Servers of a service that are in use, without limits, at their usual speed */
+int soak_servers_free(bool sharded);
+
 /* The server states how many requests/s it takes; < 0: no limit. */
 void soak_server_limit(int i, double per_s);
 
@@ -262,7 +265,7 @@
 /* A caller got an answer of a server; start: the value of SOAK_START_HEADER. */
 void soak_stated_passed_on(int instance, const char *start);
 
-void soak_stated_started(int server);
+void soak_stated_started(int server, int64_t started_ms);
 
 /* A server has answered 503 with Retry-After. */
 void soak_stated_rejected(int server, const char *id, ws_us time);
--- a/tests/soak/soak_server.c
+++ b/tests/soak/soak_server.c
@@ -424,7 +424,7 @@
 	memset(s->held_until, 0, SOAK_KEY_SPACE * sizeof(*s->held_until));
 	memset(s->fence, 0, SOAK_KEY_SPACE * sizeof(*s->fence));
 	soak_check_server_up(s->name);
-	soak_stated_started(s->i);
+	soak_stated_started(s->i, s->started_ms);
 	publish_entry(s);
 }
 
@@ -564,18 +564,36 @@
 	return true;
 }
 
+static bool is_calm(const struct server *s)
+{
+	return s->http && !s->draining && !s->states_leaving &&
+	       soak_now() >= s->rejects_until;
+}
+
 bool soak_servers_are_calm(void)
 {
 	int i;
 
 	for (i = 0; i < soak.opt.servers; i++)
-		if (!servers[i].http || servers[i].draining ||
-		    servers[i].states_leaving ||
-		    soak_now() < servers[i].rejects_until)
+		if (!is_calm(&servers[i]))
 			return false;
 	return true;
 }
 
+int soak_servers_free(bool sharded)
+{
+	int i;
+	int n = 0;
+
+	for (i = 0; i < soak.opt.servers; i++) {
+		const struct server *s = &servers[i];
+
+		n += is_calm(s) && s->sharded == sharded && s->listed &&
+		     !s->sheds && !s->slowdown && s->limit <= 0.0;
+	}
+	return n;
+}
+
 void soak_server_shed(int i, bool on)
 {
 	servers[i].sheds = on;
--- a/tests/soak/soak_stated.c
+++ b/tests/soak/soak_stated.c
@@ -18,6 +18,13 @@
 /* A pause of this process that may hold up requests and answers. */
 #define HELD_UP_MIN (200 * WS_MS)
 #define WINDOWS_MAX 64
+/* Instances tell each other that a server leaves in this time. */
+#define TOLD_MAX (1 * WS_SECOND)
+/* Time after its start until an instance has heard the others. */
+#define JOINED_MAX (3 * WS_SECOND)
+/* A server that leaves gets nothing if so many others of its service are free.
+ */
+#define FREE_MIN 4
 /* Each server that runs gets a request in this time, without faults. */
 #define UNUSED_MAX (10 * WS_SECOND)
 
@@ -43,7 +50,9 @@
 
 /* Whether a start of a server is in use, after one that stated something. */
 struct use {
+	int64_t started_ms;
 	ws_us started;
+	ws_us leaving; /* when any instance first passed that on; 0: none */
 	ws_us last_request; /* of this start; 0: none */
 	bool has_stated; /* this start */
 	bool former_stated; /* the start before it */
@@ -116,6 +125,8 @@
 		return;
 	t->leaving = soak_now();
 	n_passed_on++;
+	if (uses[server].started_ms == started_ms && !uses[server].leaving)
+		uses[server].leaving = t->leaving;
 }
 
 void soak_stated_rejected(int server, const char *id, ws_us time)
@@ -152,6 +163,23 @@
 			       (double)(sent - t->leaving) / 1e6, server);
 }
 
+/* Checks that an instance knows what another one has passed on. */
+static void check_told(int server, int instance, const char *id, ws_us sent)
+{
+	const struct use *u = &uses[server];
+	ws_us undisturbed = soak_process_undisturbed_since(instance);
+
+	if (!u->leaving || server % 2 || sent - u->leaving < TOLD_MAX ||
+	    !undisturbed || sent - undisturbed < JOINED_MAX ||
+	    !soak_is_quiet(0) || soak_servers_free(false) < FREE_MIN)
+		return;
+	soak_violation("TOLD",
+		       "s%d got %s from instance %d, sent %.3f s after an "
+		       "instance had passed on that s%d leaves",
+		       server, id, instance, (double)(sent - u->leaving) / 1e6,
+		       server);
+}
+
 static bool is_binding(const struct window *w, const struct way *way,
 		       ws_us undisturbed, ws_us now)
 {
@@ -202,8 +230,10 @@
 	if (!id || !soak_check_find_sent(id, &instance, &sent))
 		return;
 	t = find_told(server, instance, started_ms);
-	if (!misdirected)
+	if (!misdirected) {
 		check_leaving(t, server, instance, id, sent);
+		check_told(server, instance, id, sent);
+	}
 	check_rejections(t, server, instance, id);
 }
 
@@ -213,11 +243,12 @@
 	ways[server].since = soak_now();
 }
 
-void soak_stated_started(int server)
+void soak_stated_started(int server, int64_t started_ms)
 {
 	struct use *u = &uses[server];
 
 	*u = (struct use){
+		.started_ms = started_ms,
 		.started = soak_now(),
 		.former_stated = u->has_stated,
 	};
