Judge no time in which the soak's own process was held up

A pause of a second or longer now counts as a fault, and the time until the end of the run begins anew; a shorter one (200 ms) excuses rejections that were answered before it. Each is printed.

Also: a rejection was noted by the id of a request that its answer had freed.

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -52,6 +52,7 @@
 	ws_us last_fault; /* when the last fault ended; at first the start */
 	int active_faults;
 	ws_us calm_since; /* all faults have ended, all processes run */
+	ws_us held_up; /* when this process last went on after a pause */
 	bool keys_stopped; /* majority of the processes or records were lost */
 	char net[32]; /* first three bytes of all addresses, as text */
 	bool failed;
--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -22,6 +22,10 @@
 #define RECOVER_TIME (15 * WS_SECOND)
 #define SERVED_MIN_PERCENT 95
 #define ACTIVE_FAULTS_MAX 3
+/* A pause of this process that may hold up requests and answers. */
+#define HELD_UP_MIN (200 * WS_MS)
+/* One that is a fault of the run, such as a rename that waits for the disk. */
+#define HELD_UP_FAULT (1 * WS_SECOND)
 
 struct soak soak;
 
@@ -433,11 +437,30 @@
 
 /* ===== Run ===== */
 
+/* Callers and servers do nothing in a pause, so no time of it is judged. */
+static void notice_pause(void)
+{
+	static ws_us last;
+	ws_us now = soak_now();
+	ws_us time = last ? now - last : 0;
+
+	last = now;
+	if (time < HELD_UP_MIN)
+		return;
+	soak_log("this process was held up for %.3f s", (double)time / 1e6);
+	soak.held_up = now;
+	if (time < HELD_UP_FAULT)
+		return;
+	soak.last_fault = now;
+	soak.calm_since = now;
+}
+
 static void on_tick(EV_P_ ev_timer *w, int revents)
 {
 	(void)w;
 	(void)revents;
 	ws_timer_run(soak.timers, soak_now());
+	notice_pause();
 	if (soak_elapsed() > (ws_us)soak.opt.seconds * WS_SECOND &&
 	    soak_now() - soak.calm_since >
 		    RECOVER_TIME + (SOAK_JUDGED_SECONDS + 1) * WS_SECOND +
--- a/tests/soak/soak_server.c
+++ b/tests/soak/soak_server.c
@@ -294,8 +294,9 @@
 	ws_us time = soak_stated_format_retry_after(s->retry_after, text,
 						    sizeof(text));
 
-	answer(s, req, 503, id, true, &(struct extra){ .retry_after = text });
+	/* The id is freed with the request when that is answered. */
 	soak_stated_rejected(s->i, id, time);
+	answer(s, req, 503, id, true, &(struct extra){ .retry_after = text });
 }
 
 /*
--- a/tests/soak/soak_stated.c
+++ b/tests/soak/soak_stated.c
@@ -15,8 +15,6 @@
 /* A rejection binds after this time, but for some requests. */
 #define REJECTION_BINDS_AFTER (500 * WS_MS)
 #define REJECTION_SLACK 2
-/* A pause of this process that may hold up requests and answers. */
-#define HELD_UP_MIN (200 * WS_MS)
 #define WINDOWS_MAX 64
 /* Instances tell each other that a server leaves in this time. */
 #define TOLD_MAX (1 * WS_SECOND)
@@ -61,7 +59,6 @@
 static struct told told[SOAK_SERVERS_MAX][SOAK_INSTANCES_MAX];
 static struct way ways[SOAK_SERVERS_MAX];
 static struct use uses[SOAK_SERVERS_MAX];
-static ws_us held_up; /* when this process last went on after a pause */
 static unsigned n_series[2]; /* leaving, rejecting */
 static unsigned n_passed_on; /* pairs of a start of a server and an instance */
 static unsigned n_rejections;
@@ -184,7 +181,7 @@
 		       ws_us undisturbed, ws_us now)
 {
 	return w->answered && undisturbed && w->answered >= undisturbed &&
-	       w->answered >= held_up && !way->disturbed &&
+	       w->answered >= soak.held_up && !way->disturbed &&
 	       w->answered >= way->since &&
 	       now >= w->answered + REJECTION_BINDS_AFTER && now <= w->until;
 }
@@ -408,25 +405,12 @@
 		plan_company(soak_now());
 }
 
-static void notice_pause(ws_us now)
-{
-	static ws_us last;
-
-	/* Called each 50 ms. */
-	if (last && now - last > HELD_UP_MIN) {
-		soak_log("held up for %.3f s", (double)(now - last) / 1e6);
-		held_up = now;
-	}
-	last = now;
-}
-
 void soak_stated_inject(ws_us now, bool may_begin)
 {
 	static ws_us next;
 	const char *only = soak.opt.only;
 	int i;
 
-	notice_pause(now);
 	for (i = 0; i < soak.opt.servers; i++)
 		if (limited_until[i] && now >= limited_until[i]) {
 			limited_until[i] = 0;
