--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -52,6 +52,7 @@
 	ws_us last_fault; /* when the last fault ended; at first the start */
 	int active_faults;
 	ws_us calm_since; /* all faults have ended, all processes run */
+	ws_us held_up; /* when this process last went on after a pause */
 	bool keys_stopped; /* majority of the processes or records were lost */
 	char net[32]; /* first three bytes of all addresses, as text */
 	bool failed;
@@ -146,6 +147,9 @@
 /* Whether all servers run, and none leaves or rejects. */
 bool soak_servers_are_calm(void);
 
+/* Servers of a service that are in use, without limits, at their usual speed */
+int soak_servers_free(bool sharded);
+
 /* The server states how many requests/s it takes; < 0: no limit. */
 void soak_server_limit(int i, double per_s);
 
@@ -262,7 +266,7 @@
 /* A caller got an answer of a server; start: the value of SOAK_START_HEADER. */
 void soak_stated_passed_on(int instance, const char *start);
 
-void soak_stated_started(int server);
+void soak_stated_started(int server, int64_t started_ms);
 
 /* A server has answered 503 with Retry-After. */
 void soak_stated_rejected(int server, const char *id, ws_us time);
