Let servers leave in the randomized test of the leader

The test knew crashes only, so that neither rule for keys of a server that states that it leaves had a run under faults. A fourth set of faults has servers that state it in answers to requests and to key calls, which instances tell each other; their entries lapse and return, they start again under their id, and the store has short outages.

Checked beside one owner and rising tokens: no keys for a server that is known to leave, none taken from it while the store is away since before it was known and drain_s lasts, and after the faults others own all keys within drain_s. main() computes the number of tests.

--- a/tests/test_ed_lead_random.c
+++ b/tests/test_ed_lead_random.c
@@ -12,7 +12,9 @@
  * Randomized simulation of several instances, a store and servers with faults.
  * Guards against two servers owning a key at the same time, against a server
  * that gets a key with a fencing token not above all earlier ones, and against
- * keys without an owner after the faults have ended.
+ * keys without an owner after the faults have ended. Servers that state that
+ * they leave have to lose their keys in time, but not while nobody else can get
+ * them.
  */
 
 #define NODES 5
@@ -40,6 +42,13 @@
 #define SERVICE 77
 /* A planned move leaves a key without an owner for less than this. */
 #define MOVE_MAX WS_SECOND
+/* How long a server that states that it leaves goes on */
+#define DRAIN_TIME (2 * WS_SECOND)
+#define DRAIN_LONGER_MAX (3 * WS_SECOND)
+/* Servers leave one or two at a time after the faults, from then on. */
+#define CALM_LEAVES (CALM + 12 * WS_SECOND)
+#define CALM_LEAVE_PERIOD (4 * WS_SECOND)
+#define LAPSE_MAX (1500 * WS_MS)
 /* A server's clock runs 2 % slow. */
 #define SERVER_CLOCK_PERCENT 102
 
@@ -51,6 +60,9 @@
 	int64_t born;
 	ws_us down_since;
 	ws_us back_at;
+	ws_us leaving_at; /* it states since then that it leaves; 0: not */
+	ws_us end_at; /* of its process, if it leaves */
+	ws_us relisted_at; /* its entry has lapsed until then; 0: it has not */
 	uint64_t fence[POINTS];
 	ws_us until[POINTS];
 };
@@ -79,6 +91,8 @@
 	bool store_reachable;
 	ws_us timestamp;
 	ws_us echo;
+	struct ws_ed_statement stated[SERVERS]; /* with ages for times */
+	size_t n_stated;
 	/* Store */
 	ws_us started;
 	uint64_t end;
@@ -91,6 +105,7 @@
 	ws_us arrival;
 	int64_t born; /* incarnation of the server it was sent to */
 	enum ws_ed_call_result call_end;
+	bool leaving; /* the answer states that the server leaves */
 };
 
 struct node {
@@ -105,6 +120,7 @@
 	uint64_t heard_incarnation[MEMBERS_MAX];
 	ws_us frozen_until;
 	bool no_store;
+	ws_us store_lost_at; /* it has not reached the store since; 0: it can */
 	bool partitioned; /* from the other nodes */
 	ws_us next_read;
 	ws_us next_beat;
@@ -116,6 +132,7 @@
 	FAULTS_RESTORES, /* the store is restored as well */
 	/* Also cuts of any length, lost machines and clocks that go back */
 	FAULTS_LONG,
+	FAULTS_LEAVING, /* short ones, and servers leave */
 };
 
 struct world {
@@ -143,6 +160,8 @@
 	struct ws_ed_service service;
 	uint64_t grants;
 	uint64_t moves;
+	/* Checks of a leader that has to leave keys where they are */
+	uint64_t kept_checks;
 };
 
 static bool chance(struct world *w, uint64_t in_thousand)
@@ -353,6 +372,7 @@
 	a->incarnation = answer.incarnation;
 	a->call = answer.call;
 	a->call_end = answer.call_end;
+	a->leaving = answer.call_end != WS_EDC_NOT_SENT && sv->leaving_at;
 }
 
 static void publish_listing_to(struct world *w, size_t n, size_t s)
@@ -407,12 +427,126 @@
 		return;
 	sv->up = true;
 	sv->listed = true;
+	sv->leaving_at = 0;
+	sv->relisted_at = 0;
 	sv->born++;
 	memset(sv->fence, 0, sizeof(sv->fence));
 	memset(sv->until, 0, sizeof(sv->until));
 	publish_listing(w, s);
 }
 
+/* ===== Servers that leave ===== */
+
+static void start_leaving(struct world *w, size_t s)
+{
+	struct server *sv = &w->servers[s];
+
+	sv->leaving_at = w->now;
+	sv->end_at = w->now + DRAIN_TIME +
+		     random_between(w, 100 * WS_MS, DRAIN_LONGER_MAX);
+}
+
+/* Its entry lapses, and returns under the same start. */
+static void step_lapse(struct world *w, size_t s, bool calm)
+{
+	struct server *sv = &w->servers[s];
+
+	if (sv->listed && !calm && chance(w, 3)) {
+		sv->listed = false;
+		sv->relisted_at =
+			w->now + random_between(w, 100 * WS_MS, LAPSE_MAX);
+		publish_listing(w, s);
+	} else if (sv->relisted_at && w->now >= sv->relisted_at) {
+		sv->listed = true;
+		sv->relisted_at = 0;
+		publish_listing(w, s);
+	}
+}
+
+static void step_leaving(struct world *w, size_t s, bool calm)
+{
+	struct server *sv = &w->servers[s];
+
+	if (!sv->up)
+		return;
+	if (!sv->leaving_at) {
+		if (!calm && chance(w, 2))
+			start_leaving(w, s);
+		return;
+	}
+	if (w->now < sv->end_at) {
+		step_lapse(w, s, calm);
+		return;
+	}
+	sv->up = false;
+	sv->down_since = w->now;
+	sv->back_at = w->now + random_between(w, 500 * WS_MS, 4 * WS_SECOND);
+}
+
+/* One or two servers leave. */
+static void leave_in_calm(struct world *w)
+{
+	size_t n = 1 + ws_rand_below(&w->rand, 2);
+	size_t s;
+
+	if (w->now < CALM_LEAVES || (w->now - CALM_LEAVES) % CALM_LEAVE_PERIOD)
+		return;
+	for (s = 0; s < SERVERS && n; s++)
+		if (w->servers[s].up && !w->servers[s].leaving_at &&
+		    chance(w, 500)) {
+			start_leaving(w, s);
+			n--;
+		}
+}
+
+/* The instance gets answers to callers' requests. */
+static void receive_answers(struct world *w, size_t n)
+{
+	size_t s;
+
+	for (s = 0; s < SERVERS; s++) {
+		const struct server *sv = &w->servers[s];
+
+		if (sv->up && sv->leaving_at && chance(w, 50))
+			ws_ed_pool_key_answer_leaving(&w->nodes[n].pool,
+						      clock_of(w, n), sv->id,
+						      sv->born);
+	}
+}
+
+/* Adds what an instance knows of servers that leave, with ages for times. */
+static void add_statements(const struct node *nd, ws_us now, struct message *m)
+{
+	size_t i;
+
+	for (i = 0; i < nd->pool.n && m->n_stated < SERVERS; i++) {
+		const struct ws_ed_server *s = &nd->pool.servers[i];
+
+		if (s->id && s->stated.leaving_since)
+			m->stated[m->n_stated++] = (struct ws_ed_statement){
+				.server = ws_ed_short_id(s->id),
+				.started = (uint32_t)s->started_ms,
+				.kind = WS_ED_STATEMENT_LEAVING,
+				.as_of = now - s->stated.leaving_since,
+			};
+	}
+}
+
+static void receive_statements(struct node *nd, const struct message *m,
+			       ws_us now)
+{
+	unsigned changed;
+	size_t i;
+
+	for (i = 0; i < m->n_stated; i++) {
+		struct ws_ed_statement t = m->stated[i];
+
+		/* As for those of a machine that has run for longer. */
+		t.as_of = t.as_of < now ? now - t.as_of : 1;
+		ws_ed_pool_peer_stated(&nd->pool, now, &t, &changed);
+	}
+}
+
 /* ===== Store ===== */
 
 static void deliver_append(struct world *w, struct message *m)
@@ -488,6 +622,7 @@
 	nd->clock = random_between(w, WS_SECOND, 200 * WS_SECOND) - w->now;
 	ws_ed_pool_free(&nd->pool);
 	memset(&nd->pool, 0, sizeof(nd->pool));
+	nd->pool.drain_time = DRAIN_TIME;
 	ws_ed_heat_free(&nd->heat);
 	memset(&nd->heat, 0, sizeof(nd->heat));
 	for (s = 0; s < SERVERS; s++)
@@ -521,6 +656,7 @@
 	nd->lead.heat = &nd->heat;
 	nd->lead.conf = &w->conf;
 	nd->pool.instances = NODES;
+	nd->pool.drain_time = DRAIN_TIME;
 	/* The store lists lost instances as well. */
 	for (i = 0; i < w->n_ids || i < NODES; i++)
 		ws_ed_peers_add(&nd->peers, now,
@@ -557,6 +693,7 @@
 		m->epoch = ws_ed_lead_epoch(&nd->lead);
 		m->store_reachable = ws_ed_lead_store_reachable(&nd->lead, now);
 		m->timestamp = now;
+		add_statements(nd, now, m);
 		p = ws_ed_peers_find(&nd->peers, w->nodes[i].id);
 		if (!p || !ws_ed_lead_may_echo(&nd->lead, now) ||
 		    !ws_ed_member_alive(&nd->peers, p, now))
@@ -590,6 +727,7 @@
 	if (m->epoch > p->epoch)
 		p->epoch = m->epoch;
 	ws_ed_lead_on_epoch(&nd->lead, m->epoch);
+	receive_statements(nd, m, now);
 	if (m->echo > p->echoed_timestamp && m->echo <= now &&
 	    m->echo_incarnation == nd->incarnation)
 		p->echoed_timestamp = m->echo;
@@ -606,6 +744,16 @@
 			   m->has_map ? &m->map : NULL, m->end, fx);
 }
 
+static void receive_call_result(struct node *nd, const struct message *m,
+				ws_us now, struct ws_ed_fx *fx)
+{
+	if (m->leaving)
+		ws_ed_pool_key_answer_leaving(&nd->pool, now, m->call.server,
+					      m->call.started_ms);
+	ws_ed_lead_on_call_result(&nd->lead, now, m->call.ref, m->call_end, "t",
+				  fx);
+}
+
 static void deliver(struct world *w, struct message *m, struct ws_ed_fx *fx)
 {
 	struct node *nd = &w->nodes[m->node];
@@ -635,8 +783,7 @@
 			ws_ed_lead_on_append(&nd->lead, now, m->end, m->started,
 					     m->result, fx);
 		else
-			ws_ed_lead_on_call_result(&nd->lead, now, m->call.ref,
-						  m->call_end, "t", fx);
+			receive_call_result(nd, m, now, fx);
 	}
 	m->kind = MSG_FREE;
 	run_effects(w, n, fx);
@@ -682,9 +829,14 @@
 
 	if (calm)
 		w->store_down = false;
+	else if (w->faults == FAULTS_LEAVING)
+		/* Short outages, as a leader soon leaves without the store. */
+		w->store_down ^= chance(w, w->store_down ? 6 : 3);
 	else if (chance(w, 1) && (!rare || w->store_down))
 		w->store_down = !w->store_down;
-	if (!calm && w->faults != FAULTS_SHORT && chance(w, 1) && !rare)
+	if (!calm &&
+	    (w->faults == FAULTS_RESTORES || w->faults == FAULTS_LONG) &&
+	    chance(w, 1) && !rare)
 		restore_store(w);
 }
 
@@ -734,9 +886,17 @@
 	ws_us now;
 
 	inject_faults(w, n, calm);
+	if (!nd->no_store && !w->store_down)
+		nd->store_lost_at = 0;
+	else if (!nd->store_lost_at)
+		nd->store_lost_at = w->now;
 	if (w->now < nd->frozen_until)
 		return;
 	now = clock_of(w, n);
+	if (w->faults == FAULTS_LEAVING) {
+		receive_answers(w, n);
+		ws_ed_pool_tick(&nd->pool, now);
+	}
 	if (chance(w, 300))
 		ws_ed_heat_count(&nd->heat, SERVICE,
 				 (uint32_t)ws_rand_below(&w->rand, 3000));
@@ -790,6 +950,69 @@
 	}
 }
 
+/*
+ * A range that a leader has just released, or given to a server. A server that
+ * only states that it leaves keeps its keys while the leader can't reach the
+ * store, and gets none.
+ */
+static void check_range(struct world *w, size_t n, const struct ws_ed_range *r)
+{
+	const struct node *nd = &w->nodes[n];
+	ws_us now = clock_of(w, n);
+	int32_t h = ws_ed_pool_find(&nd->pool, r->server);
+	const struct ws_ed_stated *stated;
+
+	if (h < 0 || nd->pool.servers[h].started_ms != r->started_ms)
+		return;
+	stated = &nd->pool.servers[h].stated;
+	if (!stated->leaving_since)
+		return;
+	ck_assert_msg(r->state != WS_ED_RANGE_PROPOSED || r->changed_at != now,
+		      "keys for a server that leaves at %ld ms",
+		      (long)(w->now / WS_MS));
+	if (!nd->store_lost_at ||
+	    nd->store_lost_at + nd->clock >= stated->leaving_since ||
+	    !ws_ed_pool_usable_last(&nd->pool, now, (uint32_t)h))
+		return;
+	w->kept_checks++;
+	ck_assert_msg(r->state != WS_ED_RANGE_RELEASING || r->changed_at != now,
+		      "release without the store at %ld ms",
+		      (long)(w->now / WS_MS));
+}
+
+static void check_ranges(struct world *w)
+{
+	size_t n;
+	size_t i;
+
+	for (n = 0; n < NODES; n++)
+		for (i = 0; i < w->nodes[n].lead.n_ranges; i++)
+			check_range(w, n, &w->nodes[n].lead.ranges[i]);
+}
+
+/*
+ * After the faults, keys have another owner within the time for which a server
+ * goes on that leaves.
+ */
+static void check_left(const struct world *w)
+{
+	size_t s;
+	size_t p;
+
+	for (s = 0; s < SERVERS; s++) {
+		const struct server *sv = &w->servers[s];
+
+		if (!sv->up || sv->leaving_at < CALM_LEAVES ||
+		    w->now != sv->leaving_at + DRAIN_TIME)
+			continue;
+		for (p = 0; p < POINTS; p++)
+			ck_assert_msg(sv->until[p] <= w->now &&
+					      w->now - w->owned_at[p] <
+						      MOVE_MAX,
+				      "point %zu stays with server %zu", p, s);
+	}
+}
+
 /* Checks that no key has been without an owner for MOVE_MAX or longer. */
 static void check_all_owned(const struct world *w)
 {
@@ -868,13 +1091,23 @@
 				deliver(&w, &w.messages[i], &fx);
 		for (i = 0; i < SERVERS; i++)
 			step_server(&w, i, calm);
+		if (faults == FAULTS_LEAVING) {
+			for (i = 0; i < SERVERS; i++)
+				step_leaving(&w, i, calm);
+			leave_in_calm(&w);
+		}
 		for (i = 0; i < NODES; i++)
 			step_node(&w, i, calm, &fx);
 		check_owners(&w);
 		check_leaders(&w);
+		check_ranges(&w);
+		check_left(&w);
 	}
 	check_all_owned(&w);
 	moves = w.moves;
+	if (faults == FAULTS_LEAVING)
+		printf("%llu checks of kept ranges\n",
+		       (unsigned long long)w.kept_checks);
 	end_world(&w);
 	ws_ed_fx_free(&fx);
 	return moves;
@@ -928,13 +1161,26 @@
 }
 END_TEST
 
+/*
+ * Guards against two owners of a key, a token that is not above all earlier
+ * ones, and keys that stay with a server which leaves, or are taken from it
+ * while no other one can get them.
+ */
+START_TEST(one_owner_when_servers_leave)
+{
+	ck_assert_double_gt(run_seeds(FAULTS_LEAVING), 1.0);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		one_owner_under_faults,
 		one_owner_when_the_store_is_restored,
 		one_owner_after_long_cuts,
+		one_owner_when_servers_leave,
 	};
 
-	return ed_suite_run("ed_lead_random", tests, 3);
+	return ed_suite_run("ed_lead_random", tests,
+			    (int)(sizeof(tests) / sizeof(tests[0])));
 }
