Refuse heartbeats with limits that no share can be computed from

A heartbeat with an infinite limit of a server was accepted; the number of instances that share it was then computed by an undefined conversion.

--- a/lib/edge/ws_ed_codec.c
+++ b/lib/edge/ws_ed_codec.c
@@ -13,6 +13,8 @@
 #define MAP_MAGIC_WITHOUT_VOTERS 0x57534d01U
 #define MAP_ENTRIES_MAX 65536
 #define STATEMENT_AGE_BITS 24
+/* Higher limits of servers, in requests/s, are taken for malformed. */
+#define LIMIT_MAX 1e9F
 /* Of the word that holds the epoch, which is shorter. */
 #define UNVERIFIED_BIT (UINT64_C(1) << 63)
 
@@ -220,7 +222,7 @@
 
 	if (!xdr_uint32_t(x, &t->server) || !xdr_uint32_t(x, &t->started) ||
 	    !xdr_float(x, &t->per_s) || isnan(t->per_s) ||
-	    !xdr_uint32_t(x, &word))
+	    t->per_s > LIMIT_MAX || !xdr_uint32_t(x, &word))
 		return false;
 	t->kind = (uint8_t)(word >> STATEMENT_AGE_BITS);
 	t->age_ms = word & WS_ED_STATEMENT_AGE_MAX;
--- a/tests/test_ed_codec.c
+++ b/tests/test_ed_codec.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -110,6 +111,23 @@
 }
 END_TEST
 
+/* Guards against limits of servers that no share can be computed from. */
+START_TEST(beats_with_impossible_limits_are_refused)
+{
+	static const float limits[] = { INFINITY, NAN, 2e9F };
+	int len;
+	size_t i;
+
+	encode_sample();
+	for (i = 0; i < sizeof(limits) / sizeof(limits[0]); i++) {
+		beat.statements[0].per_s = limits[i];
+		len = ws_ed_beat_encode(&beat, buf, WS_ED_BEAT_BYTES);
+		ck_assert(len <= 0 ||
+			  ws_ed_beat_decode(&back, buf, (size_t)len));
+	}
+}
+END_TEST
+
 static void fill_address(char *address)
 {
 	memset(address, '1', WS_ED_ADDRESS_MAX - 1);
@@ -436,6 +454,7 @@
 	const TTest *const tests[] = {
 		beat_round_trips,
 		damaged_beats_are_refused_or_bounded,
+		beats_with_impossible_limits_are_refused,
 		full_beat_fits_one_datagram,
 		full_map_part_fits_one_datagram,
 		full_continuation_fits_one_datagram,
@@ -448,5 +467,6 @@
 		voters_are_kept_and_may_be_missing,
 	};
 
-	return ed_suite_run("ed_codec", tests, 12);
+	return ed_suite_run("ed_codec", tests,
+			    (int)(sizeof(tests) / sizeof(tests[0])));
 }
