--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -15,7 +15,9 @@
 	"{\"name\":\"open\",\"max_connections\":120,\"warmup_s\":3,"
 	"\"warmup_per_s\":9},"
 	"{\"name\":\"keyed\",\"sharded\":true}],"
-	"\"tenants\":[{\"name\":\"lab\",\"api_keys\":[\"k1\"]}],"
+	"\"tenants\":[{\"name\":\"lab\",\"api_keys\":[\"k1\"]},"
+	"{\"name\":\"few\",\"api_keys\":[\"k3\"],\"rate_per_s\":2,"
+	"\"burst\":2}],"
 	"\"virtual_hosts\":[{\"host\":\"h\",\"path_rules\":["
 	"{\"name\":\"read\",\"path_prefix\":\"/r/\",\"kind\":\"idempotent\","
 	"\"timeout_s\":1.2,\"target_latency_s\":0.3,\"service\":\"open\","
@@ -114,7 +116,8 @@
 	step(&member);
 }
 
-static uint64_t arrive(const char *path, const char *key)
+static uint64_t arrive_with_deadline(const char *path, const char *key,
+				     ws_us deadline)
 {
 	struct ws_ed_event ev = { .kind = WS_EDEV_ARRIVAL };
 	struct ws_ed_arrival a = {
@@ -123,7 +126,7 @@
 		.path = path,
 		.fingerprint = ws_ed_id(path),
 		.caller_key = key,
-		.deadline = 1200 * WS_MS,
+		.deadline = deadline,
 		.key = 7,
 		.started = now,
 	};
@@ -133,6 +136,11 @@
 	return a.id;
 }
 
+static uint64_t arrive(const char *path, const char *key)
+{
+	return arrive_with_deadline(path, key, 1200 * WS_MS);
+}
+
 static void end(uint64_t id, uint8_t lane, enum ws_ed_end outcome)
 {
 	struct ws_ed_event ev = { .kind = WS_EDEV_REQUEST_ENDED };
@@ -679,6 +687,34 @@
 }
 END_TEST
 
+/*
+ * Guards against a process that knows no configuration yet and denies requests
+ * that are allowed (DENIED).
+ */
+START_TEST(process_without_configuration_denies_nothing)
+{
+	const struct ws_ed_settings set = {
+		.self = SELF,
+		.incarnation = INCARNATION,
+		.zone = 1,
+		.now = WS_SECOND,
+		.max_calls = 100,
+	};
+	struct ws_ed_event member = { .kind = WS_EDEV_MEMBER };
+
+	ws_edge_free(edge);
+	now = WS_SECOND;
+	edge = ws_edge_new(&set);
+	member.u.member.id = SELF;
+	member.u.member.zone = 1;
+	step(&member);
+	sync_topics();
+	arrive("/r/1", "k1");
+	expect_reply(503, WS_EDR_NO_CONFIG);
+	ck_assert(!ws_edge_ready(edge, now));
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -705,7 +741,9 @@
 		answered_request_is_no_suspect,
 		lost_connection_of_live_server_is_no_strike,
 		strikes_are_sent_to_peers,
+		process_without_configuration_denies_nothing,
 	};
 
-	return ed_suite_run("edge", tests, 23);
+	return ed_suite_run("edge", tests,
+			    (int)(sizeof(tests) / sizeof(tests[0])));
 }
