--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -715,6 +715,28 @@
 }
 END_TEST
 
+/* Guards against a version that is replaced by an older one (CONFIG). */
+START_TEST(older_configuration_is_ignored)
+{
+	static const char newer_text[] =
+		"{\"version\":\"00000010\",\"services\":[],"
+		"\"virtual_hosts\":[]}";
+	struct ws_ed_event ev = { .kind = WS_EDEV_CONFIG };
+
+	setup();
+	ev.u.config =
+		wp_decode_config(newer_text, sizeof(newer_text) - 1, NULL);
+	step(&ev);
+	ck_assert_uint_eq(ws_edge_conf(edge)->version, 0x10);
+	ev.u.config =
+		wp_decode_config(config_text, sizeof(config_text) - 1, NULL);
+	step(&ev);
+	ck_assert_uint_eq(ws_edge_conf(edge)->version, 0x10);
+	arrive("/r/1", "k1");
+	expect_reply(404, WS_EDR_NO_ROUTE);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -742,6 +764,7 @@
 		lost_connection_of_live_server_is_no_strike,
 		strikes_are_sent_to_peers,
 		process_without_configuration_denies_nothing,
+		older_configuration_is_ignored,
 	};
 
 	return ed_suite_run("edge", tests,
