--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -737,6 +737,25 @@
 }
 END_TEST
 
+/* Guards against servers that work on after the caller's time (BUDGET). */
+START_TEST(deadline_of_a_resent_request_is_that_of_its_arrival)
+{
+	ws_us started;
+	uint64_t id;
+
+	setup();
+	started = now;
+	id = arrive_with_deadline("/r/1", "k1", 800 * WS_MS);
+	ck_assert_int_eq(find(WS_EDFX_SEND)->u.send.deadline,
+			 started + 800 * WS_MS);
+	now += 600 * WS_MS;
+	end(id, 0, WS_ED_END_CONNECTION_LOST);
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	ck_assert_int_eq(find(WS_EDFX_SEND)->u.send.deadline,
+			 started + 800 * WS_MS);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -765,6 +784,7 @@
 		strikes_are_sent_to_peers,
 		process_without_configuration_denies_nothing,
 		older_configuration_is_ignored,
+		deadline_of_a_resent_request_is_that_of_its_arrival,
 	};
 
 	return ed_suite_run("edge", tests,
