--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -756,6 +756,16 @@
 }
 END_TEST
 
+/* Guards against requests that outlast the time of their route (CONFIG). */
+START_TEST(deadline_is_at_most_the_timeout_of_the_route)
+{
+	setup();
+	arrive_with_deadline("/o/1", "k1", 5 * WS_SECOND);
+	ck_assert_int_eq(find(WS_EDFX_SEND)->u.send.deadline,
+			 now + 1200 * WS_MS);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -785,6 +795,7 @@
 		process_without_configuration_denies_nothing,
 		older_configuration_is_ignored,
 		deadline_of_a_resent_request_is_that_of_its_arrival,
+		deadline_is_at_most_the_timeout_of_the_route,
 	};
 
 	return ed_suite_run("edge", tests,
