--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -766,6 +766,35 @@
 }
 END_TEST
 
+/*
+ * Guards against more sends than the ratio and the slack allow when servers
+ * reject much (BUDGET).
+ */
+START_TEST(rejected_requests_are_resent_within_the_budget)
+{
+	const unsigned n = 600;
+	unsigned resent = 0;
+	unsigned i;
+
+	setup();
+	for (i = 0; i < n; i++) {
+		uint64_t id = arrive("/r/1", "k1");
+
+		ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+		end(id, 0, WS_ED_END_SHED);
+		if (find(WS_EDFX_SEND)) {
+			resent++;
+			end(id, 0, WS_ED_END_OK);
+		}
+		tick(10 * WS_MS);
+		sync_topics();
+	}
+	/* retry_ratio and retry_slack of setup() */
+	ck_assert_uint_le(resent, n / 5 + 60);
+	ck_assert_uint_gt(resent, 20);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -796,6 +825,7 @@
 		older_configuration_is_ignored,
 		deadline_of_a_resent_request_is_that_of_its_arrival,
 		deadline_is_at_most_the_timeout_of_the_route,
+		rejected_requests_are_resent_within_the_budget,
 	};
 
 	return ed_suite_run("edge", tests,
