--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -795,6 +795,31 @@
 }
 END_TEST
 
+/* Guards against more requests of a customer than its rate allows (QUOTA). */
+START_TEST(requests_beyond_the_rate_are_refused)
+{
+	unsigned sent = 0;
+	unsigned i;
+
+	setup();
+	for (i = 0; i < 100; i++) {
+		uint64_t id = arrive("/r/1", "k3");
+
+		if (find(WS_EDFX_SEND)) {
+			sent++;
+			end(id, 0, WS_ED_END_OK);
+		} else {
+			expect_reply(429, WS_EDR_RATE_EXCEEDED);
+		}
+		tick(10 * WS_MS);
+		sync_topics();
+	}
+	/* A second of the rate, the burst and rate_slack of setup() */
+	ck_assert_uint_le(sent, 2 + 2 + 20);
+	ck_assert_uint_gt(sent, 1);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -826,6 +851,7 @@
 		deadline_of_a_resent_request_is_that_of_its_arrival,
 		deadline_is_at_most_the_timeout_of_the_route,
 		rejected_requests_are_resent_within_the_budget,
+		requests_beyond_the_rate_are_refused,
 	};
 
 	return ed_suite_run("edge", tests,
