--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -820,6 +820,22 @@
 }
 END_TEST
 
+/* Guards against more servers than the route's max_attempts (BUDGET). */
+START_TEST(hedge_counts_as_an_attempt)
+{
+	uint64_t id;
+
+	setup();
+	list("c", "open");
+	id = arrive("/r/1", "k1");
+	end(id, 0, WS_ED_END_CONNECTION_LOST);
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	tick(190 * WS_MS);
+	ck_assert_ptr_null(find(WS_EDFX_SEND));
+	ck_assert_uint_eq(ws_edge_open(edge), 1);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -852,6 +868,7 @@
 		deadline_is_at_most_the_timeout_of_the_route,
 		rejected_requests_are_resent_within_the_budget,
 		requests_beyond_the_rate_are_refused,
+		hedge_counts_as_an_attempt,
 	};
 
 	return ed_suite_run("edge", tests,
