--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -836,6 +836,19 @@
 }
 END_TEST
 
+/* Guards against an order that failed and is run once more (TWICE). */
+START_TEST(failed_order_is_not_sent_again)
+{
+	uint64_t id;
+
+	setup();
+	id = arrive("/o/1", "k1");
+	end(id, 0, WS_ED_END_FAILED);
+	ck_assert_ptr_null(find(WS_EDFX_SEND));
+	ck_assert_ptr_nonnull(find(WS_EDFX_FORWARD));
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -869,6 +882,7 @@
 		rejected_requests_are_resent_within_the_budget,
 		requests_beyond_the_rate_are_refused,
 		hedge_counts_as_an_attempt,
+		failed_order_is_not_sent_again,
 	};
 
 	return ed_suite_run("edge", tests,
