--- a/tests/test_wp_wire.c
+++ b/tests/test_wp_wire.c
@@ -52,6 +52,18 @@
 }
 END_TEST
 
+/* Guards against a success that no server has proved to be its own (MIXED). */
+START_TEST(success_without_seal_is_no_answer)
+{
+	static const char unsealed[] = "Wagtailshift-Request-Id: r1";
+	struct ws_body b = BODY(200, unsealed);
+
+	ck_assert(!wp_wire_answers_request(&b, "r1"));
+	b = BODY(500, unsealed);
+	ck_assert(wp_wire_answers_request(&b, "r1"));
+}
+END_TEST
+
 /* Guards against taking a request's late answer for that to a release. */
 START_TEST(request_answer_is_no_key_answer)
 {
@@ -72,7 +84,9 @@
 		answer_belongs_to_the_request_it_names,
 		rejection_without_id_proves_nothing,
 		request_answer_is_no_key_answer,
+		success_without_seal_is_no_answer,
 	};
 
-	return ed_suite_run("wp_wire", tests, 3);
+	return ed_suite_run("wp_wire", tests,
+			    (int)(sizeof(tests) / sizeof(tests[0])));
 }
