--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -25,6 +26,9 @@
 /* More than RECEIVE_LIMIT, as the socket buffers hold data too. */
 #define SENT_MAX ((size_t)24 * 1024 * 1024)
 #define CALL_TIMEOUT (10 * WS_SECOND)
+/* More than the socket buffers hold. */
+#define LONG_BODY ((size_t)8 * 1024 * 1024)
+#define BODY_BYTE 'x'
 
 enum script {
 	DUPLICATE_RESPONSE, /* sends the previous response again first */
@@ -33,6 +37,8 @@
 	ENDLESS_CHUNKS,
 	ENDLESS_BODY, /* neither a length nor chunks */
 	CUT_RESPONSE, /* closes after cut_at bytes of cut_text */
+	CLOSE_AT_SECOND, /* closes at the second request, without an answer */
+	EARLY_RESPONSE, /* sends early_text at the first bytes of a request */
 	SCRIPTS,
 };
 
@@ -84,6 +90,9 @@
 	ev_io io;
 	enum script script;
 	int requests;
+	/* For EARLY_RESPONSE: */
+	size_t body_left; /* of the request under way */
+	size_t matched; /* bytes of the end of a head */
 };
 
 struct call {
@@ -99,10 +108,14 @@
 static ev_io acceptor;
 static struct con cons[CONNECTIONS_MAX];
 static int n_cons;
+static int n_requests;
 static size_t bytes_sent; /* by the target */
 static const char *cut_text;
 static size_t cut_at;
 static bool cut_by_reset; /* else the connection is closed in order */
+static const char *early_text;
+static struct curl_slist *no_expect; /* as for requests of callers */
+static bool foreign_bytes; /* others came where a body was due */
 
 static void send_text(struct con *c, const char *text)
 {
@@ -121,6 +134,28 @@
 	send_text(c, text);
 }
 
+/* Answers at the end of a head; the whole body is due after it. */
+static void read_after_response(struct con *c, const char *buf, size_t n)
+{
+	static const char head_end[] = "\r\n\r\n";
+
+	for (; n--; buf++) {
+		if (c->body_left) {
+			foreign_bytes |= *buf != BODY_BYTE;
+			c->body_left--;
+			continue;
+		}
+		c->matched = *buf == head_end[c->matched] ? c->matched + 1 :
+							    *buf == '\r';
+		if (c->matched < sizeof(head_end) - 1)
+			continue;
+		c->matched = 0;
+		c->requests++;
+		c->body_left = LONG_BODY;
+		send_text(c, early_text);
+	}
+}
+
 static void on_con(EV_P_ ev_io *w, int revents)
 {
 	struct con *c = (struct con *)w;
@@ -145,7 +180,21 @@
 		close(w->fd);
 		return;
 	}
+	if (c->script == EARLY_RESPONSE) {
+		read_after_response(c, buf, (size_t)n);
+		return;
+	}
 	c->requests++;
+	n_requests++;
+	if (c->script == CLOSE_AT_SECOND) {
+		if (c->requests < 2) {
+			answer(c, c->requests);
+			return;
+		}
+		ev_io_stop(loop, w);
+		close(w->fd);
+		return;
+	}
 	if (c->script == CUT_RESPONSE) {
 		const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
 
@@ -179,6 +228,8 @@
 	ev_io_init(&cons[n_cons].io, on_con, fd, EV_READ);
 	cons[n_cons].script = script;
 	cons[n_cons].requests = 0;
+	cons[n_cons].body_left = 0;
+	cons[n_cons].matched = 0;
 	ev_io_start(loop, &cons[n_cons++].io);
 }
 
@@ -191,6 +242,7 @@
 
 	script = s;
 	n_cons = 0;
+	n_requests = 0;
 	bytes_sent = 0;
 	curl_global_init(CURL_GLOBAL_NOTHING);
 	loop = ev_loop_new(0);
@@ -354,6 +406,78 @@
 }
 END_TEST
 
+static void start_post(struct call *o, const char *body, size_t len)
+{
+	const struct ws_http_request req = {
+		.url = URL,
+		.method = "POST",
+		.headers = no_expect,
+		.data = body,
+		.data_len = len,
+		.timeout = CALL_TIMEOUT,
+		.max_answer = ANSWER_MAX,
+		.allow_unframed = true,
+		.done = on_done,
+		.arg = o,
+	};
+
+	memset(o, 0, sizeof(*o));
+	ws_http_start(http, &req);
+}
+
+/*
+ * Guards against a request that runs twice (TWICE): on a kept connection that
+ * is closed without an answer, libcurl would send it again by itself.
+ */
+START_TEST(request_on_a_closed_connection_is_sent_once)
+{
+	struct call o;
+
+	start(CLOSE_AT_SECOND);
+	start_post(&o, "a", 1);
+	wait_for_result(&o);
+	ck_assert_int_eq(o.result, WS_HTTP_DONE);
+	start_post(&o, "b", 1);
+	wait_for_result(&o);
+	ck_assert_int_eq(o.result, WS_HTTP_BROKEN);
+	ck_assert_int_eq(n_requests, 2);
+	stop();
+}
+END_TEST
+
+/*
+ * Guards against bytes of another request where the rest of a body is due that
+ * the target has answered before it has read it (UNASKED).
+ */
+START_TEST(early_response_keeps_requests_apart)
+{
+	static const char *const texts[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 503 Unavailable\r\nContent-Length: 2\r\n\r\nno",
+	};
+	char *body = malloc(LONG_BODY);
+	struct call o;
+	int i;
+
+	ck_assert_ptr_nonnull(body);
+	memset(body, BODY_BYTE, LONG_BODY);
+	start(EARLY_RESPONSE);
+	no_expect = curl_slist_append(NULL, "Expect:");
+	early_text = texts[_i];
+	foreign_bytes = false;
+	for (i = 0; i < 3; i++) {
+		start_post(&o, body, LONG_BODY);
+		wait_for_result(&o);
+		ck_assert_int_eq(o.result, WS_HTTP_DONE);
+	}
+	ck_assert(!foreign_bytes);
+	stop();
+	curl_slist_free_all(no_expect);
+	no_expect = NULL;
+	free(body);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const endless_tests[] = {
@@ -363,6 +487,10 @@
 		duplicate_response_is_avoided,
 		reset_response_is_not_complete,
 		total_response_bytes_are_limited,
+		request_on_a_closed_connection_is_sent_once,
+	};
+	const TTest *const early_tests[] = {
+		early_response_keeps_requests_apart
 	};
 	const TTest *const cut_tests[] = {
 		response_cut_at_any_byte_is_not_complete
@@ -372,5 +500,8 @@
 
 	res |= ed_suite_run_each("http", cut_tests, 1,
 				 sizeof(cut_cases) / sizeof(cut_cases[0]));
-	return ed_suite_run("http", tests, 3) || res;
+	res |= ed_suite_run_each("http", early_tests, 1, 2);
+	return ed_suite_run("http", tests,
+			    (int)(sizeof(tests) / sizeof(tests[0]))) ||
+	       res;
 }
