--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -849,6 +849,42 @@
 }
 END_TEST
 
+/* Guards against a budget that each instance uses in full (BUDGET). */
+START_TEST(budget_is_divided_among_the_instances)
+{
+	const unsigned n = 100;
+	const unsigned peers = 9;
+	struct ws_ed_event ev = { .kind = WS_EDEV_MEMBER };
+	unsigned resent = 0;
+	unsigned i;
+
+	setup();
+	for (i = 1; i <= peers; i++) {
+		ev.u.member = (struct ws_ed_member_entry){
+			.id = SELF + i,
+			.zone = 1,
+			.address = "10.0.0.9:7",
+		};
+		step(&ev);
+	}
+	tick(100 * WS_MS);
+	sync_topics();
+	for (i = 0; i < n; i++) {
+		uint64_t id = arrive("/r/1", "k1");
+
+		ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+		end(id, 0, WS_ED_END_SHED);
+		if (find(WS_EDFX_SEND)) {
+			resent++;
+			end(id, 0, WS_ED_END_OK);
+		}
+		tick(10 * WS_MS);
+		sync_topics();
+	}
+	ck_assert_uint_le(resent, n / 5 + 60 / (peers + 1));
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -883,6 +919,7 @@
 		requests_beyond_the_rate_are_refused,
 		hedge_counts_as_an_attempt,
 		failed_order_is_not_sent_again,
+		budget_is_divided_among_the_instances,
 	};
 
 	return ed_suite_run("edge", tests,
