--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -885,6 +885,21 @@
 }
 END_TEST
 
+/* Guards against requests that wait longer than their callers (CONFIG). */
+START_TEST(request_waits_no_longer_than_its_deadline)
+{
+	ws_us started;
+
+	setup();
+	started = now;
+	arrive_with_deadline("/k/1", "k1", 100 * WS_MS);
+	while (!find(WS_EDFX_REPLY) && now - started < WS_SECOND)
+		tick(10 * WS_MS);
+	expect_reply(503, WS_EDR_TIMEOUT);
+	ck_assert_int_le(now - started, 100 * WS_MS);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -920,6 +935,7 @@
 		hedge_counts_as_an_attempt,
 		failed_order_is_not_sent_again,
 		budget_is_divided_among_the_instances,
+		request_waits_no_longer_than_its_deadline,
 	};
 
 	return ed_suite_run("edge", tests,
