--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -900,6 +900,27 @@
 }
 END_TEST
 
+/* Guards against servers at work when the process has ended (LOST). */
+START_TEST(deadlines_end_before_the_process)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_DRAIN };
+	uint64_t id;
+	ws_us end_at;
+
+	setup();
+	id = arrive("/r/1", "k1");
+	ev.u.drain_time = 800 * WS_MS;
+	end_at = now + ev.u.drain_time;
+	step(&ev);
+	end(id, 0, WS_ED_END_CONNECTION_LOST);
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	ck_assert_int_eq(find(WS_EDFX_SEND)->u.send.deadline, end_at);
+	arrive("/r/1", "k1");
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	ck_assert_int_eq(find(WS_EDFX_SEND)->u.send.deadline, end_at);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -936,6 +957,7 @@
 		failed_order_is_not_sent_again,
 		budget_is_divided_among_the_instances,
 		request_waits_no_longer_than_its_deadline,
+		deadlines_end_before_the_process,
 	};
 
 	return ed_suite_run("edge", tests,
