--- a/tests/test_eio_front.c
+++ b/tests/test_eio_front.c
@@ -9,6 +9,7 @@
 
 #include "ed_suite.h"
 #include "edgeio/ws_eio.h"
+#include "edgeio/ws_eio_front.h"
 #include "io/ws_server.h"
 #include "platform/wp_decode.h"
 
@@ -20,18 +21,23 @@
 
 #define IP "127.19.29.2"
 #define CALLERS_PORT 7100
+#define READINESS_PORT 7101
 #define SERVER_ADDRESS IP ":7200"
+#define CHECK "GET /readiness HTTP/1.1\r\nHost: h\r\n\r\n"
 #define DEADLINE_MS 900
 /* From this length on libcurl would wait for the server by default. */
 #define LONG_BODY ((size_t)1536 * 1024)
 #define TIME_MAX (5 * WS_SECOND)
 
 static const char config_text[] =
-	"{\"version\":\"00000001\",\"services\":[{\"name\":\"open\"}],"
+	"{\"version\":\"00000001\",\"limits\":{\"max_header_bytes\":60000},"
+	"\"services\":[{\"name\":\"open\"}],"
 	"\"tenants\":[{\"name\":\"lab\",\"api_keys\":[\"k1\"]}],"
 	"\"virtual_hosts\":[{\"host\":\"h\",\"path_rules\":["
 	"{\"name\":\"read\",\"path_prefix\":\"/r/\",\"kind\":\"idempotent\","
 	"\"target_latency_s\":0.8,\"service\":\"open\",\"auth_exempt\":true},"
+	"{\"name\":\"keys\",\"path_prefix\":\"/k/\",\"kind\":\"idempotent\","
+	"\"target_latency_s\":0.8,\"service\":\"open\"},"
 	"{\"name\":\"order\",\"path_prefix\":\"/o/\","
 	"\"kind\":\"non_idempotent\",\"target_latency_s\":0.8,"
 	"\"auth_exempt\":true,\"service\":\"open\"}]}]}";
@@ -58,6 +64,8 @@
 static struct ws_eio *io;
 static int caller = -1;
 static bool is_silent; /* the server answers nothing */
+static unsigned status; /* of its answers */
+static char answered[2048]; /* to the caller */
 static struct received received;
 
 /* ===== Server ===== */
@@ -75,7 +83,7 @@
 	const struct ws_body b = { .headers = req->headers.text,
 				   .headers_len = req->headers.len };
 	struct ws_headers h = { NULL, 0, 0 };
-	struct ws_server_answer a = { .status = 200 };
+	struct ws_server_answer a = { .status = status };
 	struct received *r = arg;
 	char deadline[32];
 
@@ -114,6 +122,20 @@
 
 /* ===== The instance ===== */
 
+static int connect_to(uint16_t port)
+{
+	const struct sockaddr_in to = {
+		.sin_family = AF_INET,
+		.sin_port = htons(port),
+		.sin_addr.s_addr = inet_addr(IP),
+	};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_int_eq(connect(fd, (const struct sockaddr *)&to, sizeof(to)),
+			 0);
+	return fd;
+}
+
 static void start(void)
 {
 	static const struct ws_server_ops ops = {
@@ -141,6 +163,7 @@
 		.max_fds = 1000,
 		.cores = 0.2,
 		.grace_period = 2 * WS_SECOND,
+		.bounds = { .key_evidence_max = 4600 * WS_MS },
 	};
 	const struct ws_ed_listing listing = {
 		.name = "s0",
@@ -150,12 +173,8 @@
 		.slots = 100,
 		.started_ms = 1,
 	};
-	const struct sockaddr_in to = {
-		.sin_family = AF_INET,
-		.sin_port = htons(CALLERS_PORT),
-		.sin_addr.s_addr = inet_addr(IP),
-	};
 	struct ws_ed_event ev = { .kind = WS_EDEV_CONFIG };
+	struct ws_server_limits limits;
 	struct wp_error err = { "" };
 
 	curl_global_init(CURL_GLOBAL_NOTHING);
@@ -164,8 +183,12 @@
 	conf.timers = timers;
 	memset(&received, 0, sizeof(received));
 	is_silent = false;
+	status = 200;
 	server = ws_server_new(loop, &conf);
 	ck_assert_ptr_nonnull(server);
+	limits = *ws_server_limits(server);
+	limits.max_header = (size_t)64 * 1024;
+	ws_server_set_limits(server, &limits);
 	io = ws_eio_new(loop, &set, &err);
 	ck_assert_msg(io != NULL, "%s", err.text);
 	ev.u.config =
@@ -174,9 +197,7 @@
 	ev.kind = WS_EDEV_LISTED;
 	ev.u.listing = &listing;
 	ws_eio_handle_event(io, &ev);
-	caller = socket(AF_INET, SOCK_STREAM, 0);
-	ck_assert_int_eq(
-		connect(caller, (const struct sockaddr *)&to, sizeof(to)), 0);
+	caller = connect_to(CALLERS_PORT);
 }
 
 static void stop(void)
@@ -299,23 +320,69 @@
 }
 END_TEST
 
-/* Guards against requests without an answer at their time limit (CONFIG). */
-START_TEST(silent_server_ends_at_the_deadline)
+/*
+ * Runs the loop until a socket has received something.
+ * @return whether it has
+ */
+static bool receive_on(int fd, ws_us time)
 {
-	ws_us end;
-	char answer[512];
+	ws_us end = ws_eio_now() + time;
 	ssize_t n = -1;
 
-	start();
-	is_silent = true;
-	send_text("GET /r/1 HTTP/1.1\r\n" OWN_HEADERS "\r\n");
-	end = ws_eio_now() + (DEADLINE_MS + 400) * WS_MS;
 	while (n <= 0 && ws_eio_now() < end) {
 		ev_run(loop, EVRUN_ONCE);
-		n = recv(caller, answer, sizeof(answer), MSG_DONTWAIT);
+		n = recv(fd, answered, sizeof(answered) - 1, MSG_DONTWAIT);
 	}
-	ck_assert_int_gt((int)n, 12);
-	ck_assert_int_eq(memcmp(answer, "HTTP/1.1 504", 12), 0);
+	answered[n > 0 ? n : 0] = '\0';
+	return n > 0;
+}
+
+static bool has_status(const char *text)
+{
+	static const char version[] = "HTTP/1.1 ";
+
+	return !strncmp(answered, version, sizeof(version) - 1) &&
+	       !strncmp(answered + sizeof(version) - 1, text, strlen(text));
+}
+
+/* Provides what a process learns from the store. */
+static void read_topics(void)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_MEMBER };
+
+	ev.u.member.id = ws_ed_id("n1");
+	ev.u.member.zone = ws_ed_id("z");
+	ws_eio_handle_event(io, &ev);
+	memset(&ev, 0, sizeof(ev));
+	ev.kind = WS_EDEV_READ_DONE;
+	ev.u.sync.started = ws_eio_now();
+	ev.u.sync.topic = WS_EDT_CONFIG;
+	ws_eio_handle_event(io, &ev);
+	ev.u.sync.topic = WS_EDT_SERVERS;
+	ws_eio_handle_event(io, &ev);
+}
+
+/* Guards against requests without an answer at their time limit (CONFIG). */
+START_TEST(silent_server_ends_at_the_deadline)
+{
+	start();
+	is_silent = true;
+	send_text("GET /r/1 HTTP/1.1\r\n" OWN_HEADERS "\r\n");
+	ck_assert(receive_on(caller, (DEADLINE_MS + 400) * WS_MS));
+	ck_assert(has_status("504"));
+	stop();
+}
+END_TEST
+
+/* Guards against a server that works for the wrong customer (UNASKED). */
+START_TEST(server_is_told_the_customer_of_the_key)
+{
+	start();
+	read_topics();
+	send_text("GET /k/1 HTTP/1.1\r\n" OWN_HEADERS "Api-Key: k1\r\n\r\n");
+	wait_for(&received.n);
+	ck_assert_str_eq(received.customer, "lab");
+	ck_assert(!received.has_caller_key);
 	stop();
 }
 END_TEST
@@ -328,6 +395,7 @@
 		server_sees_that_the_caller_has_left,
 		long_body_does_not_wait_for_the_server,
 		silent_server_ends_at_the_deadline,
+		server_is_told_the_customer_of_the_key,
 	};
 
 	return ed_suite_run("eio_front", tests,
