--- a/tests/test_eio_front.c
+++ b/tests/test_eio_front.c
@@ -387,6 +387,21 @@
 }
 END_TEST
 
+/* Guards against another status under a server's seal (MIXED). */
+START_TEST(failure_keeps_its_status_and_seal)
+{
+	start();
+	status = 500;
+	send_text("PUT /o/1 HTTP/1.1\r\n" OWN_HEADERS
+		  "Content-Length: 0\r\n\r\n");
+	ck_assert(receive_on(caller, TIME_MAX));
+	ck_assert(has_status("500"));
+	ck_assert_ptr_nonnull(
+		strstr(answered, "Wagtailshift-Server-Seal: s\r\n"));
+	stop();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -396,6 +411,7 @@
 		long_body_does_not_wait_for_the_server,
 		silent_server_ends_at_the_deadline,
 		server_is_told_the_customer_of_the_key,
+		failure_keeps_its_status_and_seal,
 	};
 
 	return ed_suite_run("eio_front", tests,
