--- a/tests/test_eio_front.c
+++ b/tests/test_eio_front.c
@@ -402,6 +402,28 @@
 }
 END_TEST
 
+/* Guards against refusing what the configuration allows (DENIED). */
+START_TEST(limits_of_the_configuration_apply)
+{
+	enum { FILLER = 40000 };
+	char *text = malloc(FILLER + 512);
+	size_t n;
+
+	ck_assert_ptr_nonnull(text);
+	start();
+	n = (size_t)sprintf(text,
+			    "GET /r/1 HTTP/1.1\r\n" OWN_HEADERS "X-Filler: ");
+	memset(text + n, 'x', FILLER);
+	strcpy(text + n + FILLER, "\r\n\r\n");
+	ws_eio_front_apply_config(io->front);
+	send_text(text);
+	ck_assert(receive_on(caller, TIME_MAX));
+	ck_assert(has_status("200"));
+	stop();
+	free(text);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -412,6 +434,7 @@
 		silent_server_ends_at_the_deadline,
 		server_is_told_the_customer_of_the_key,
 		failure_keeps_its_status_and_seal,
+		limits_of_the_configuration_apply,
 	};
 
 	return ed_suite_run("eio_front", tests,
