--- a/tests/test_eio_front.c
+++ b/tests/test_eio_front.c
@@ -424,6 +424,29 @@
 }
 END_TEST
 
+/* Guards against callers that an instance gets while it can't serve them. */
+START_TEST(readiness_is_told)
+{
+	int fd;
+
+	start();
+	fd = connect_to(READINESS_PORT);
+	ck_assert_int_gt(send(fd, CHECK, strlen(CHECK), MSG_NOSIGNAL), 0);
+	ck_assert(receive_on(fd, TIME_MAX));
+	ck_assert(has_status("503"));
+	read_topics();
+	ck_assert_int_gt(send(fd, CHECK, strlen(CHECK), MSG_NOSIGNAL), 0);
+	ck_assert(receive_on(fd, TIME_MAX));
+	ck_assert(has_status("200"));
+	ws_eio_drain(io);
+	ck_assert_int_gt(send(fd, CHECK, strlen(CHECK), MSG_NOSIGNAL), 0);
+	ck_assert(receive_on(fd, TIME_MAX));
+	ck_assert(has_status("503"));
+	close(fd);
+	stop();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -435,6 +458,7 @@
 		server_is_told_the_customer_of_the_key,
 		failure_keeps_its_status_and_seal,
 		limits_of_the_configuration_apply,
+		readiness_is_told,
 	};
 
 	return ed_suite_run("eio_front", tests,
