--- a/tests/test_eio_front.c
+++ b/tests/test_eio_front.c
@@ -447,6 +447,22 @@
 }
 END_TEST
 
+/* Guards against kept connections that end without a word at a stop (LOST). */
+START_TEST(answers_close_their_connection_at_a_stop)
+{
+	start();
+	send_text("GET /r/1 HTTP/1.1\r\n" OWN_HEADERS "\r\n");
+	ck_assert(receive_on(caller, TIME_MAX));
+	ck_assert_ptr_null(strstr(answered, "Connection: close"));
+	ws_eio_drain(io);
+	send_text("GET /r/1 HTTP/1.1\r\n" OWN_HEADERS "\r\n");
+	ck_assert(receive_on(caller, TIME_MAX));
+	ck_assert(has_status("200"));
+	ck_assert_ptr_nonnull(strstr(answered, "Connection: close"));
+	stop();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -459,6 +475,7 @@
 		failure_keeps_its_status_and_seal,
 		limits_of_the_configuration_apply,
 		readiness_is_told,
+		answers_close_their_connection_at_a_stop,
 	};
 
 	return ed_suite_run("eio_front", tests,
