--- a/tests/test_eio_front.c
+++ b/tests/test_eio_front.c
@@ -65,6 +65,7 @@
 static int caller = -1;
 static bool is_silent; /* the server answers nothing */
 static unsigned status; /* of its answers */
+static bool sends_hop_headers;
 static char answered[2048]; /* to the caller */
 static struct received received;
 
@@ -106,6 +107,10 @@
 		return;
 	ws_headers_add(&h, "Wagtailshift-Request-Id", 23, r->id, strlen(r->id));
 	ws_headers_add(&h, "Wagtailshift-Server-Seal", 24, "s", 1);
+	if (sends_hop_headers) {
+		ws_headers_add(&h, "Connection", 10, "X-Hop", 5);
+		ws_headers_add(&h, "X-Hop", 5, "1", 1);
+	}
 	a.headers = h.text;
 	a.headers_len = h.len;
 	ws_server_answer(req, &a);
@@ -184,6 +189,7 @@
 	memset(&received, 0, sizeof(received));
 	is_silent = false;
 	status = 200;
+	sends_hop_headers = false;
 	server = ws_server_new(loop, &conf);
 	ck_assert_ptr_nonnull(server);
 	limits = *ws_server_limits(server);
@@ -463,6 +469,19 @@
 }
 END_TEST
 
+/* Guards against headers that concern the server's connection only (MIXED). */
+START_TEST(headers_of_one_connection_are_not_forwarded)
+{
+	start();
+	sends_hop_headers = true;
+	send_text("GET /r/1 HTTP/1.1\r\n" OWN_HEADERS "\r\n");
+	ck_assert(receive_on(caller, TIME_MAX));
+	ck_assert(has_status("200"));
+	ck_assert_ptr_null(strstr(answered, "X-Hop"));
+	stop();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -476,6 +495,7 @@
 		limits_of_the_configuration_apply,
 		readiness_is_told,
 		answers_close_their_connection_at_a_stop,
+		headers_of_one_connection_are_not_forwarded,
 	};
 
 	return ed_suite_run("eio_front", tests,
