--- a/tests/test_eio_front.c
+++ b/tests/test_eio_front.c
@@ -482,6 +482,27 @@
 }
 END_TEST
 
+/* Guards against bounds that stay as they were at the start of the process. */
+START_TEST(bounds_of_changed_settings_apply)
+{
+	const struct wp_settings changed = {
+		.grace_period = 2 * WS_SECOND,
+		.bounds = { .key_evidence_max = 1 },
+	};
+
+	start();
+	read_topics();
+	send_text("GET /k/1 HTTP/1.1\r\n" OWN_HEADERS "Api-Key: k1\r\n\r\n");
+	ck_assert(receive_on(caller, TIME_MAX));
+	ck_assert(has_status("200"));
+	ws_eio_reload(io, &changed);
+	send_text("GET /k/1 HTTP/1.1\r\n" OWN_HEADERS "Api-Key: k1\r\n\r\n");
+	ck_assert(receive_on(caller, TIME_MAX));
+	ck_assert(has_status("503"));
+	stop();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -496,6 +517,7 @@
 		readiness_is_told,
 		answers_close_their_connection_at_a_stop,
 		headers_of_one_connection_are_not_forwarded,
+		bounds_of_changed_settings_apply,
 	};
 
 	return ed_suite_run("eio_front", tests,
