--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -15,7 +15,9 @@
 	"{\"name\":\"open\",\"max_connections\":120,\"warmup_s\":3,"
 	"\"warmup_per_s\":9},"
 	"{\"name\":\"keyed\",\"sharded\":true}],"
-	"\"tenants\":[{\"name\":\"lab\",\"api_keys\":[\"k1\"]}],"
+	"\"tenants\":[{\"name\":\"lab\",\"api_keys\":[\"k1\"]},"
+	"{\"name\":\"few\",\"api_keys\":[\"k3\"],\"rate_per_s\":2,"
+	"\"burst\":2}],"
 	"\"virtual_hosts\":[{\"host\":\"h\",\"path_rules\":["
 	"{\"name\":\"read\",\"path_prefix\":\"/r/\",\"kind\":\"idempotent\","
 	"\"timeout_s\":1.2,\"target_latency_s\":0.3,\"service\":\"open\","
@@ -120,7 +122,8 @@
 	step(&member);
 }
 
-static uint64_t arrive(const char *path, const char *key)
+static uint64_t arrive_with_deadline(const char *path, const char *key,
+				     ws_us deadline)
 {
 	struct ws_ed_event ev = { .kind = WS_EDEV_ARRIVAL };
 	struct ws_ed_arrival a = {
@@ -129,7 +132,7 @@
 		.path = path,
 		.fingerprint = ws_ed_id(path),
 		.caller_key = key,
-		.deadline = 1200 * WS_MS,
+		.deadline = deadline,
 		.key = 7,
 		.started = now,
 	};
@@ -139,6 +142,11 @@
 	return a.id;
 }
 
+static uint64_t arrive(const char *path, const char *key)
+{
+	return arrive_with_deadline(path, key, 1200 * WS_MS);
+}
+
 static void end(uint64_t id, uint8_t lane, enum ws_ed_end outcome)
 {
 	struct ws_ed_event ev = { .kind = WS_EDEV_REQUEST_ENDED };
@@ -769,6 +777,240 @@
 }
 END_TEST
 
+/*
+ * Guards against a process that knows no configuration yet and denies requests
+ * that are allowed (DENIED).
+ */
+START_TEST(process_without_configuration_denies_nothing)
+{
+	const struct ws_ed_settings set = {
+		.self = SELF,
+		.incarnation = INCARNATION,
+		.zone = 1,
+		.now = WS_SECOND,
+		.max_calls = 100,
+	};
+	struct ws_ed_event member = { .kind = WS_EDEV_MEMBER };
+
+	ws_edge_free(edge);
+	now = WS_SECOND;
+	edge = ws_edge_new(&set);
+	member.u.member.id = SELF;
+	member.u.member.zone = 1;
+	step(&member);
+	sync_topics();
+	arrive("/r/1", "k1");
+	expect_reply(503, WS_EDR_NO_CONFIG);
+	ck_assert(!ws_edge_ready(edge, now));
+}
+END_TEST
+
+/* Guards against a version that is replaced by an older one (CONFIG). */
+START_TEST(older_configuration_is_ignored)
+{
+	static const char newer_text[] =
+		"{\"version\":\"00000010\",\"services\":[],"
+		"\"virtual_hosts\":[]}";
+	struct ws_ed_event ev = { .kind = WS_EDEV_CONFIG };
+
+	setup();
+	ev.u.config =
+		wp_decode_config(newer_text, sizeof(newer_text) - 1, NULL);
+	step(&ev);
+	ck_assert_uint_eq(ws_edge_conf(edge)->version, 0x10);
+	ev.u.config =
+		wp_decode_config(config_text, sizeof(config_text) - 1, NULL);
+	step(&ev);
+	ck_assert_uint_eq(ws_edge_conf(edge)->version, 0x10);
+	arrive("/r/1", "k1");
+	expect_reply(404, WS_EDR_NO_ROUTE);
+}
+END_TEST
+
+/* Guards against servers that work on after the caller's time (BUDGET). */
+START_TEST(deadline_of_a_resent_request_is_that_of_its_arrival)
+{
+	ws_us started;
+	uint64_t id;
+
+	setup();
+	started = now;
+	id = arrive_with_deadline("/r/1", "k1", 800 * WS_MS);
+	ck_assert_int_eq(find(WS_EDFX_SEND)->u.send.deadline,
+			 started + 800 * WS_MS);
+	now += 600 * WS_MS;
+	end(id, 0, WS_ED_END_CONNECTION_LOST);
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	ck_assert_int_eq(find(WS_EDFX_SEND)->u.send.deadline,
+			 started + 800 * WS_MS);
+}
+END_TEST
+
+/* Guards against requests that outlast the time of their route (CONFIG). */
+START_TEST(deadline_is_at_most_the_timeout_of_the_route)
+{
+	setup();
+	arrive_with_deadline("/o/1", "k1", 5 * WS_SECOND);
+	ck_assert_int_eq(find(WS_EDFX_SEND)->u.send.deadline,
+			 now + 1200 * WS_MS);
+}
+END_TEST
+
+/*
+ * Guards against more sends than the ratio and the slack allow when servers
+ * reject much (BUDGET).
+ */
+START_TEST(rejected_requests_are_resent_within_the_budget)
+{
+	const unsigned n = 600;
+	unsigned resent = 0;
+	unsigned i;
+
+	setup();
+	for (i = 0; i < n; i++) {
+		uint64_t id = arrive("/r/1", "k1");
+
+		ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+		end(id, 0, WS_ED_END_SHED);
+		if (find(WS_EDFX_SEND)) {
+			resent++;
+			end(id, 0, WS_ED_END_OK);
+		}
+		tick(10 * WS_MS);
+		sync_topics();
+	}
+	/* retry_ratio and retry_slack of setup() */
+	ck_assert_uint_le(resent, n / 5 + 60);
+	ck_assert_uint_gt(resent, 20);
+}
+END_TEST
+
+/* Guards against more requests of a customer than its rate allows (QUOTA). */
+START_TEST(requests_beyond_the_rate_are_refused)
+{
+	unsigned sent = 0;
+	unsigned i;
+
+	setup();
+	for (i = 0; i < 100; i++) {
+		uint64_t id = arrive("/r/1", "k3");
+
+		if (find(WS_EDFX_SEND)) {
+			sent++;
+			end(id, 0, WS_ED_END_OK);
+		} else {
+			expect_reply(429, WS_EDR_RATE_EXCEEDED);
+		}
+		tick(10 * WS_MS);
+		sync_topics();
+	}
+	/* A second of the rate, the burst and rate_slack of setup() */
+	ck_assert_uint_le(sent, 2 + 2 + 20);
+	ck_assert_uint_gt(sent, 1);
+}
+END_TEST
+
+/* Guards against more servers than the route's max_attempts (BUDGET). */
+START_TEST(hedge_counts_as_an_attempt)
+{
+	uint64_t id;
+
+	setup();
+	list("c", "open");
+	id = arrive("/r/1", "k1");
+	end(id, 0, WS_ED_END_CONNECTION_LOST);
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	tick(190 * WS_MS);
+	ck_assert_ptr_null(find(WS_EDFX_SEND));
+	ck_assert_uint_eq(ws_edge_open(edge), 1);
+}
+END_TEST
+
+/* Guards against an order that failed and is run once more (TWICE). */
+START_TEST(failed_order_is_not_sent_again)
+{
+	uint64_t id;
+
+	setup();
+	id = arrive("/o/1", "k1");
+	end(id, 0, WS_ED_END_FAILED);
+	ck_assert_ptr_null(find(WS_EDFX_SEND));
+	ck_assert_ptr_nonnull(find(WS_EDFX_FORWARD));
+}
+END_TEST
+
+/* Guards against a budget that each instance uses in full (BUDGET). */
+START_TEST(budget_is_divided_among_the_instances)
+{
+	const unsigned n = 100;
+	const unsigned peers = 9;
+	struct ws_ed_event ev = { .kind = WS_EDEV_MEMBER };
+	unsigned resent = 0;
+	unsigned i;
+
+	setup();
+	for (i = 1; i <= peers; i++) {
+		ev.u.member = (struct ws_ed_member_entry){
+			.id = SELF + i,
+			.zone = 1,
+			.address = "10.0.0.9:7",
+		};
+		step(&ev);
+	}
+	tick(100 * WS_MS);
+	sync_topics();
+	for (i = 0; i < n; i++) {
+		uint64_t id = arrive("/r/1", "k1");
+
+		ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+		end(id, 0, WS_ED_END_SHED);
+		if (find(WS_EDFX_SEND)) {
+			resent++;
+			end(id, 0, WS_ED_END_OK);
+		}
+		tick(10 * WS_MS);
+		sync_topics();
+	}
+	ck_assert_uint_le(resent, n / 5 + 60 / (peers + 1));
+}
+END_TEST
+
+/* Guards against requests that wait longer than their callers (CONFIG). */
+START_TEST(request_waits_no_longer_than_its_deadline)
+{
+	ws_us started;
+
+	setup();
+	started = now;
+	arrive_with_deadline("/k/1", "k1", 100 * WS_MS);
+	while (!find(WS_EDFX_REPLY) && now - started < WS_SECOND)
+		tick(10 * WS_MS);
+	expect_reply(503, WS_EDR_TIMEOUT);
+	ck_assert_int_le(now - started, 100 * WS_MS);
+}
+END_TEST
+
+/* Guards against servers at work when the process has ended (LOST). */
+START_TEST(deadlines_end_before_the_process)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_DRAIN };
+	uint64_t id;
+	ws_us end_at;
+
+	setup();
+	id = arrive("/r/1", "k1");
+	ev.u.drain_time = 800 * WS_MS;
+	end_at = now + ev.u.drain_time;
+	step(&ev);
+	end(id, 0, WS_ED_END_CONNECTION_LOST);
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	ck_assert_int_eq(find(WS_EDFX_SEND)->u.send.deadline, end_at);
+	arrive("/r/1", "k1");
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	ck_assert_int_eq(find(WS_EDFX_SEND)->u.send.deadline, end_at);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -798,6 +1040,17 @@
 		answered_request_is_no_suspect,
 		lost_connection_of_live_server_is_no_strike,
 		strikes_are_sent_to_peers,
+		process_without_configuration_denies_nothing,
+		older_configuration_is_ignored,
+		deadline_of_a_resent_request_is_that_of_its_arrival,
+		deadline_is_at_most_the_timeout_of_the_route,
+		rejected_requests_are_resent_within_the_budget,
+		requests_beyond_the_rate_are_refused,
+		hedge_counts_as_an_attempt,
+		failed_order_is_not_sent_again,
+		budget_is_divided_among_the_instances,
+		request_waits_no_longer_than_its_deadline,
+		deadlines_end_before_the_process,
 	};
 
 	return ed_suite_run("edge", tests,
