Test the seal, 421, handovers and the body of releases

None of these was tested: with the code taken out in a scratch copy (seal_needed, 421_not_run, handover_token, release_body) test_wp_wire and test_ed_conf passed before, and each new test fails.

--- a/tests/test_wp_wire.c
+++ b/tests/test_wp_wire.c
@@ -23,6 +23,11 @@
 	};
 }
 
+static const char moved[] = "Wagtailshift-Request-Id: r1";
+static const char handover[] = "Content-Length: 0\0"
+			       "Wagtailshift-Handover: 5c0e7a21d94b36f8";
+static const char quoted_handover[] = "Wagtailshift-Handover: a\"b";
+
 #define BODY(status, headers) make_body(status, headers, sizeof(headers))
 
 /* Guards against forwarding the late answer to another request. */
@@ -66,13 +71,67 @@
 }
 END_TEST
 
+/* Guards against MIXED: a success that no server has sealed. */
+START_TEST(success_without_seal_is_no_answer)
+{
+	struct ws_body b = BODY(200, moved);
+
+	ck_assert(!wp_wire_answers_request(&b, "r1"));
+	/* A failure needs no seal. */
+	b = BODY(500, moved);
+	ck_assert(wp_wire_answers_request(&b, "r1"));
+}
+END_TEST
+
+/* Guards against a request that is lost because another server has the address.
+ */
+START_TEST(misdirected_request_has_not_run)
+{
+	struct ws_body b = BODY(421, moved);
+
+	ck_assert(wp_wire_answers_request(&b, "r1"));
+	ck_assert(wp_wire_not_run(&b));
+	b = BODY(500, moved);
+	ck_assert(!wp_wire_not_run(&b));
+}
+END_TEST
+
+/* Guards against keys that are slow because the handover was not passed on. */
+START_TEST(handover_of_a_release_is_read)
+{
+	struct ws_body b = BODY(200, handover);
+
+	ck_assert_str_eq(wp_wire_handover_token(&b), "5c0e7a21d94b36f8");
+	b = BODY(200, plain);
+	ck_assert_str_eq(wp_wire_handover_token(&b), "");
+	b = BODY(200, quoted_handover);
+	ck_assert_str_eq(wp_wire_handover_token(&b), "");
+}
+END_TEST
+
+/* Guards against OWNER: a release of other keys than those that move. */
+START_TEST(release_names_its_keys)
+{
+	const struct ws_ed_key_call c = { .from = 1, .to = 9, .fence = 12 };
+	char buf[160];
+
+	wp_wire_release_body(&c, buf, sizeof(buf));
+	ck_assert_str_eq(buf, "{\"from\":1,\"to\":9,\"fence\":12}");
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		answer_belongs_to_the_request_it_names,
 		rejection_without_id_proves_nothing,
 		request_answer_is_no_key_answer,
+		success_without_seal_is_no_answer,
+		misdirected_request_has_not_run,
+		handover_of_a_release_is_read,
+		release_names_its_keys,
 	};
 
-	return ed_suite_run("wp_wire", tests, 3);
+	return ed_suite_run("wp_wire", tests,
+			    (int)(sizeof(tests) / sizeof(tests[0])));
 }
