--- a/tests/test_ed_conf.c
+++ b/tests/test_ed_conf.c
@@ -256,12 +256,14 @@
 		{ "\"slots\":4", "\"slots\":\"4\"" },
 		{ ",\"slots\":4", "" },
 		{ "\"version\":\"v1\",", "" },
+		{ "\"born\":5", "\"born\":5.0" },
 		{ "\"born\":5", "\"born\":1e18" },
 		{ "\"born\":5", "\"born\":9223372036854775807" },
 		{ "\"warmup_left_s\":0", "\"warmup_left_s\":1e14" },
 		{ ",\"warmup_left_s\":0", "" },
 		{ "\"sequence\":4", "\"sequence\":18446744073709551616" },
 		{ "\"sequence\":4,", "" },
+		{ "\"ready\"", "\"asleep\"" },
 	};
 	static char nested[ENTRY_MAX / 2];
 	size_t i;
