--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -15,7 +15,10 @@
 	"{\"name\":\"open\",\"max_connections\":120,\"warmup_s\":3,"
 	"\"warmup_per_s\":9},"
 	"{\"name\":\"keyed\",\"sharded\":true}],"
-	"\"tenants\":[{\"name\":\"lab\",\"api_keys\":[\"k1\"]}],"
+	"\"tenants\":[{\"name\":\"lab\",\"api_keys\":[\"k1\"]},"
+	"{\"name\":\"vip\",\"api_keys\":[\"kv\"],\"priority\":0},"
+	"{\"name\":\"slow\",\"api_keys\":[\"ks\"],\"rate_per_s\":1,"
+	"\"burst\":1}],"
 	"\"virtual_hosts\":[{\"host\":\"h\",\"path_rules\":["
 	"{\"name\":\"read\",\"path_prefix\":\"/r/\",\"kind\":\"idempotent\","
 	"\"timeout_s\":1.2,\"target_latency_s\":0.3,\"service\":\"open\","
@@ -23,7 +26,13 @@
 	"{\"name\":\"order\",\"path_prefix\":\"/o/\","
 	"\"kind\":\"non_idempotent\",\"timeout_s\":1.2,"
 	"\"target_latency_s\":0.3,\"service\":\"open\",\"max_attempts\":2},"
+	"{\"name\":\"exempt\",\"path_prefix\":\"/e/\",\"kind\":\"idempotent\","
+	"\"auth_exempt\":true,\"service\":\"open\",\"max_attempts\":2},"
+	"{\"name\":\"urgent\",\"path_prefix\":\"/u/\",\"kind\":\"idempotent\","
+	"\"timeout_s\":1.2,\"target_latency_s\":0.3,\"service\":\"keyed\","
+	"\"priority\":1,\"max_attempts\":2},"
 	"{\"name\":\"keyed\",\"path_prefix\":\"/k/\",\"kind\":\"idempotent\","
+	"\"priority\":2,"
 	"\"timeout_s\":1.2,\"target_latency_s\":0.3,\"service\":\"keyed\","
 	"\"max_attempts\":2}]}]}";
 
@@ -114,10 +123,9 @@
 	step(&member);
 }
 
-static uint64_t arrive(const char *path, const char *key)
+static struct ws_ed_arrival arrival_of(const char *path, const char *key)
 {
-	struct ws_ed_event ev = { .kind = WS_EDEV_ARRIVAL };
-	struct ws_ed_arrival a = {
+	return (struct ws_ed_arrival){
 		.id = ++next_id,
 		.host = "h",
 		.path = path,
@@ -127,10 +135,22 @@
 		.key = 7,
 		.started = now,
 	};
+}
 
-	ev.u.arrival = &a;
+static uint64_t deliver(const struct ws_ed_arrival *a)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_ARRIVAL };
+
+	ev.u.arrival = a;
 	step(&ev);
-	return a.id;
+	return a->id;
+}
+
+static uint64_t arrive(const char *path, const char *key)
+{
+	const struct ws_ed_arrival a = arrival_of(path, key);
+
+	return deliver(&a);
 }
 
 static void end(uint64_t id, uint8_t lane, enum ws_ed_end outcome)
@@ -199,6 +219,143 @@
 }
 END_TEST
 
+START_TEST(exempt_route_needs_no_key)
+{
+	uint64_t id;
+
+	setup();
+	id = arrive("/e/1", NULL);
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	ck_assert_str_eq(ws_edge_customer(edge, id), "");
+	arrive("/e/1", "unknown");
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+}
+END_TEST
+
+START_TEST(configuration_without_customers_needs_no_key)
+{
+	static const char text[] =
+		"{\"version\":\"00000002\",\"services\":[{\"name\":\"open\"}],"
+		"\"virtual_hosts\":[{\"host\":\"h\",\"path_rules\":["
+		"{\"name\":\"read\",\"path_prefix\":\"/r/\",\"kind\":"
+		"\"idempotent\",\"service\":\"open\"}]}]}";
+	struct ws_ed_event ev = { .kind = WS_EDEV_CONFIG };
+
+	setup();
+	ev.u.config = wp_decode_config(text, sizeof(text) - 1, NULL);
+	step(&ev);
+	arrive("/r/1", NULL);
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+}
+END_TEST
+
+/* Guards against QUOTA: a rate that is divided but not applied. */
+START_TEST(requests_beyond_the_rate_are_refused)
+{
+	int refused = 0;
+	int i;
+
+	setup();
+	for (i = 0; i < 60; i++) {
+		arrive("/r/1", "ks");
+		if (!find(WS_EDFX_REPLY))
+			continue;
+		expect_reply(429, WS_EDR_RATE_EXCEEDED);
+		ck_assert_int_gt(find(WS_EDFX_REPLY)->u.reply.retry_after, 0);
+		refused++;
+	}
+	ck_assert_int_ge(refused, 35);
+}
+END_TEST
+
+START_TEST(incomplete_requests_are_refused)
+{
+	struct ws_ed_arrival a;
+
+	setup();
+	a = arrival_of("/r/1", "k1");
+	a.malformed = true;
+	deliver(&a);
+	expect_reply(400, WS_EDR_BAD_REQUEST);
+	a = arrival_of("/k/1", "k1");
+	a.key = -1;
+	deliver(&a);
+	expect_reply(400, WS_EDR_BAD_REQUEST);
+}
+END_TEST
+
+/* Guards against BUDGET: servers that are given more time than is left. */
+START_TEST(time_of_a_request_is_bounded)
+{
+	struct ws_ed_arrival a;
+
+	setup();
+	a = arrival_of("/r/1", "k1");
+	a.deadline = 300 * WS_MS;
+	deliver(&a);
+	ck_assert_int_eq(find(WS_EDFX_SEND)->u.send.deadline,
+			 now + 300 * WS_MS);
+	/* The route's timeout is shorter. */
+	a = arrival_of("/r/1", "k1");
+	a.deadline = 9 * WS_SECOND;
+	deliver(&a);
+	ck_assert_int_eq(find(WS_EDFX_SEND)->u.send.deadline,
+			 now + 1200 * WS_MS);
+}
+END_TEST
+
+/* Guards against BUDGET: more attempts than the route allows. */
+START_TEST(attempts_of_a_route_are_limited)
+{
+	uint64_t id;
+
+	setup();
+	list("c", "open");
+	id = arrive("/r/1", "k1");
+	end(id, 0, WS_ED_END_FAILED);
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	end(id, 0, WS_ED_END_FAILED);
+	ck_assert_ptr_null(find(WS_EDFX_SEND));
+	ck_assert_ptr_nonnull(find(WS_EDFX_FORWARD));
+}
+END_TEST
+
+/* Guards against TWICE: a failure of a server counts as run. */
+START_TEST(failed_order_is_not_sent_again)
+{
+	uint64_t id;
+
+	setup();
+	id = arrive("/o/1", "k1");
+	end(id, 0, WS_ED_END_FAILED);
+	ck_assert_ptr_null(find(WS_EDFX_SEND));
+	ck_assert_ptr_nonnull(find(WS_EDFX_FORWARD));
+}
+END_TEST
+
+/* Guards against BUDGET: each rejection was answered with another send. */
+START_TEST(repeated_sends_have_a_budget)
+{
+	int repeated = 0;
+	int i;
+
+	setup();
+	for (i = 0; i < 200; i++) {
+		uint64_t id = arrive("/r/1", "k1");
+
+		if (!find(WS_EDFX_SEND))
+			continue;
+		end(id, 0, WS_ED_END_SHED);
+		if (!find(WS_EDFX_SEND))
+			continue;
+		repeated++;
+		end(id, 0, WS_ED_END_OK);
+	}
+	ck_assert_int_gt(repeated, 20);
+	ck_assert_int_le(repeated, 100);
+}
+END_TEST
+
 /* Guards against a revoked key that a partitioned instance still accepts. */
 START_TEST(keys_need_recent_evidence)
 {
@@ -346,6 +503,65 @@
 }
 END_TEST
 
+static void assign_keys(const char *server)
+{
+	const struct ws_ed_map_entry all = { .service = ws_ed_id("keyed"),
+					     .to = WS_ED_KEYS - 1,
+					     .server = ws_ed_id(server) };
+	struct ws_ed_map map = { .epoch = 1, .leader = 2 };
+	struct ws_ed_event ev = { .kind = WS_EDEV_MAP_READ_DONE };
+
+	ws_ed_map_add(&map, &all);
+	ev.u.map.map = &map;
+	ev.u.map.started = now;
+	ev.u.map.end = 1;
+	step(&ev);
+	ws_ed_map_free(&map);
+}
+
+/*
+ * Guards against a less urgent request that is sent first, and a priority of
+ * the customer that is ignored.
+ */
+START_TEST(more_urgent_request_is_sent_first)
+{
+	uint64_t first;
+
+	setup();
+	list("c", "keyed");
+	arrive("/k/1", "k1");
+	first = arrive(_i ? "/k/2" : "/u/2", _i ? "kv" : "k1");
+	ck_assert_ptr_null(find(WS_EDFX_SEND));
+	assign_keys("c");
+	tick(20 * WS_MS);
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	ck_assert_uint_eq(find(WS_EDFX_SEND)->u.send.request, first);
+}
+END_TEST
+
+/* Guards against a key that is sent to a server which has just rejected it. */
+START_TEST(key_that_its_server_rejected_waits)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_REQUEST_ENDED };
+
+	setup();
+	list("c", "keyed");
+	assign_keys("c");
+	ev.u.ending = (struct ws_ed_ending){
+		.request = arrive("/k/1", "k1"),
+		.end = WS_ED_END_SHED,
+		.not_owner = true,
+		.latency = 5 * WS_MS,
+	};
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	step(&ev);
+	arrive("/k/2", "k1");
+	ck_assert_ptr_null(find(WS_EDFX_SEND));
+	tick(120 * WS_MS);
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+}
+END_TEST
+
 /*
  * Guards against a rejection that a server sends once more, late, and that is
  * taken for its answer to the next send of the same request (review case 2):
@@ -684,6 +900,14 @@
 	const TTest *const tests[] = {
 		response_is_forwarded,
 		callers_are_checked,
+		exempt_route_needs_no_key,
+		configuration_without_customers_needs_no_key,
+		requests_beyond_the_rate_are_refused,
+		incomplete_requests_are_refused,
+		time_of_a_request_is_bounded,
+		attempts_of_a_route_are_limited,
+		failed_order_is_not_sent_again,
+		repeated_sends_have_a_budget,
 		keys_need_recent_evidence,
 		lost_order_is_not_sent_again,
 		shed_order_goes_to_another_server,
@@ -693,6 +917,7 @@
 		request_of_disconnected_caller_is_cancelled,
 		draining_instance_refuses_in_its_second_half,
 		key_without_owner_is_refused_soon,
+		key_that_its_server_rejected_waits,
 		request_sent_to_a_server_again_is_marked,
 		changes_of_a_map_that_is_not_known_are_not_applied,
 		instance_behind_peers_reads_again,
@@ -706,6 +931,12 @@
 		lost_connection_of_live_server_is_no_strike,
 		strikes_are_sent_to_peers,
 	};
+	const TTest *const order_tests[] = {
+		more_urgent_request_is_sent_first,
+	};
+	int res = ed_suite_run_each("edge_order", order_tests, 1, 2);
 
-	return ed_suite_run("edge", tests, 23);
+	return ed_suite_run("edge", tests,
+			    (int)(sizeof(tests) / sizeof(tests[0]))) ||
+	       res;
 }
