--- a/tests/test_ed_pool.c
+++ b/tests/test_ed_pool.c
@@ -411,6 +411,44 @@
 }
 END_TEST
 
+/* Guards against a request on a connection that its server is closing. */
+START_TEST(idle_time_of_a_connection_is_bounded)
+{
+	struct ws_ed_server s = { .id = 1 };
+
+	ck_assert_int_le(ws_ed_pool_idle_limit(&s), 4 * WS_SECOND);
+	s.stated.idle_timeout = 10 * WS_SECOND;
+	ck_assert_int_lt(ws_ed_pool_idle_limit(&s), 10 * WS_SECOND);
+	ck_assert_int_gt(ws_ed_pool_idle_limit(&s), 5 * WS_SECOND);
+	s.stated.idle_timeout = 2 * WS_SECOND;
+	ck_assert_int_lt(ws_ed_pool_idle_limit(&s), 2 * WS_SECOND);
+}
+END_TEST
+
+/* Guards against more connections to a server than it accepts. */
+START_TEST(server_gets_no_more_than_its_share_of_connections)
+{
+	struct ws_ed_service limited = service;
+	const struct ws_ed_conf c = { .services = &limited, .n_services = 1 };
+	uint32_t own;
+	uint32_t other;
+	int i;
+
+	limited.max_connections = 6;
+	setup(3);
+	ws_ed_pool_configure(&pool, 0, &c);
+	own = list("a", OWN_ZONE, 1, 1, false, 0, 0);
+	other = list("b", OTHER_ZONE, 1, 1, false, 0, 0);
+	pool.servers[own].slots = 100;
+	for (i = 0; i < 2; i++) {
+		ck_assert_int_eq(choose(WS_SECOND), (int32_t)own);
+		ws_ed_pool_sent(&pool, WS_SECOND, own);
+	}
+	ck_assert_int_eq(choose(WS_SECOND), (int32_t)other);
+	ws_ed_pool_configure(&pool, 0, &conf);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -427,7 +465,10 @@
 		one_report_does_not_attract_all_instances,
 		load_of_silent_server_decays,
 		open_connection_is_preferred,
+		idle_time_of_a_connection_is_bounded,
+		server_gets_no_more_than_its_share_of_connections,
 	};
 
-	return ed_suite_run("ed_pool", tests, 13);
+	return ed_suite_run("ed_pool", tests,
+			    (int)(sizeof(tests) / sizeof(tests[0])));
 }
