--- a/tests/test_ed_lead.c
+++ b/tests/test_ed_lead.c
@@ -455,10 +455,101 @@
 	finish_append(WS_EDA_DONE);
 	run(100 * WS_MS);
 	ck_assert(was_granted("s1"));
+	for (i = 0; i < fx.n; i++)
+		if (fx.items[i].kind == WS_EDFX_GRANT &&
+		    !strcmp(fx.items[i].u.call.name, "s1"))
+			break;
+	ck_assert_str_eq(fx.items[i].u.call.handover, "token");
 	ck_assert_int_lt(now - stated_at, pool.drain_time);
 }
 END_TEST
 
+/*
+ * Guards against OWNER: a server that has started again under its name knows
+ * nothing of its keys, and needs a higher fencing token.
+ */
+START_TEST(server_that_started_again_is_granted_its_keys)
+{
+	const struct ws_ed_listing again = {
+		.name = "s0",
+		.address = "s0",
+		.service = SERVICE,
+		.slots = 4,
+		.started_ms = 2,
+	};
+	uint64_t before;
+	size_t i;
+
+	become_leader(1);
+	run(4 * WS_SECOND);
+	before = lead.ranges[0].fence;
+	ws_ed_pool_listed(&pool, now, &again);
+	run(50 * WS_MS);
+	ck_assert_uint_gt(effects_of(WS_EDFX_GRANT), 0);
+	for (i = 0; i < fx.n; i++)
+		if (fx.items[i].kind == WS_EDFX_GRANT) {
+			ck_assert_uint_gt(fx.items[i].u.call.fence, before);
+			ck_assert_int_eq(fx.items[i].u.call.started_ms, 2);
+		}
+}
+END_TEST
+
+/* Guards against keys that nobody serves, as their server knows a newer token.
+ */
+START_TEST(refused_grant_is_repeated_with_a_higher_token)
+{
+	uint64_t before = 0;
+	size_t n = 0;
+	size_t i;
+
+	become_leader(1);
+	dark = "s0";
+	dark_answer = WS_EDC_FENCED;
+	run(1500 * WS_MS);
+	dark = "";
+	for (i = 0; i < fx.n; i++) {
+		if (fx.items[i].kind != WS_EDFX_GRANT)
+			continue;
+		ck_assert_uint_gt(fx.items[i].u.call.fence, before);
+		before = fx.items[i].u.call.fence;
+		n++;
+	}
+	ck_assert_uint_gt(n, 2);
+}
+END_TEST
+
+/*
+ * Guards against OWNER: a grant without an answer may be carried out after the
+ * release of its keys.
+ */
+START_TEST(released_keys_wait_for_a_grant_without_answer)
+{
+	ws_us failed_at;
+	size_t i;
+
+	lead_two_servers();
+	dark = "s0";
+	dark_answer = WS_EDC_FAILED;
+	do
+		run(10 * WS_MS);
+	while (!effects_of(WS_EDFX_GRANT));
+	failed_at = now;
+	dark = "";
+	state_leaving();
+	run(50 * WS_MS);
+	ck_assert_uint_gt(effects_of(WS_EDFX_RELEASE), 0);
+	for (i = 0; i < fx.n; i++)
+		if (fx.items[i].kind == WS_EDFX_RELEASE)
+			ws_ed_lead_on_call_result(&lead, now,
+						  fx.items[i].u.call.ref,
+						  WS_EDC_DONE, "token", &fx);
+	for (i = 0; i < 500 && !lead.appending; i++)
+		run(10 * WS_MS);
+	ck_assert(lead.appending);
+	ck_assert_int_ge(now - failed_at, WS_ED_KEY_LEASE);
+}
+END_TEST
+
 /*
  * Guards against keys that are taken from their server, which still serves,
  * while no other one can get them.
@@ -747,6 +838,9 @@
 		late_claim_of_an_earlier_era_deposes_nobody,
 		leader_claims_again_before_its_tokens_are_used_up,
 		keys_of_a_server_that_states_that_it_leaves_move,
+		server_that_started_again_is_granted_its_keys,
+		refused_grant_is_repeated_with_a_higher_token,
+		released_keys_wait_for_a_grant_without_answer,
 		leaving_server_keeps_its_keys_without_the_store,
 		last_server_keeps_its_keys_while_it_leaves,
 		leader_that_is_cut_off_does_not_lead_again,
