Test bodies in chunks, 100 Continue and callers that close

Taking out the limit on bodies in chunks, the 100 answer or Connection: close passed test_server before; each new test fails without its code.

--- a/tests/test_server.c
+++ b/tests/test_server.c
@@ -444,6 +444,62 @@
 }
 END_TEST
 
+/* Guards against bodies in chunks that exceed the limit unnoticed. */
+START_TEST(body_in_chunks_is_limited)
+{
+	char chunk[2008];
+	int fd;
+	int i;
+
+	memset(chunk, 'x', sizeof(chunk));
+	memcpy(chunk, "7d0\r\n", 5);
+	memcpy(chunk + 2005, "\r\n", 3);
+	start(10);
+	fd = connect_client();
+	send_text(fd, "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+	for (i = 0; i < 3; i++)
+		send_text(fd, chunk);
+	ck_assert_int_eq(count(received(fd, NULL), "HTTP/1.1 413"), 1);
+	ck_assert_int_eq(n_requests, 0);
+	close(fd);
+	stop();
+}
+END_TEST
+
+START_TEST(caller_that_expects_it_is_told_to_continue)
+{
+	int fd;
+
+	start(10);
+	fd = connect_client();
+	send_text(fd, "POST /a HTTP/1.1\r\nExpect: 100-continue\r\n"
+		      "Content-Length: 2\r\n\r\n");
+	ck_assert_str_eq(received(fd, NULL), "HTTP/1.1 100 Continue\r\n\r\n");
+	send_text(fd, "ab");
+	ck_assert_int_eq(n_requests, 1);
+	close(fd);
+	stop();
+}
+END_TEST
+
+/* Guards against a connection that the caller wants closed and that stays. */
+START_TEST(caller_may_close_its_connection)
+{
+	bool ended;
+	int fd;
+
+	start(10);
+	auto_answer = true;
+	fd = connect_client();
+	send_text(fd, "GET /a HTTP/1.1\r\nConnection: close\r\n\r\n" GET("/b"));
+	ck_assert_int_eq(count(received(fd, &ended), "Connection: close"), 1);
+	ck_assert(ended);
+	ck_assert_int_eq(n_requests, 1);
+	close(fd);
+	stop();
+}
+END_TEST
+
 START_TEST(slow_and_idle_connections_end)
 {
 	bool ended;
@@ -564,6 +620,9 @@
 		bad_request_is_answered_after_earlier_requests,
 		request_sizes_are_limited,
 		total_body_bytes_are_limited,
+		body_in_chunks_is_limited,
+		caller_that_expects_it_is_told_to_continue,
+		caller_may_close_its_connection,
 		slow_and_idle_connections_end,
 		idle_connections_are_replaced,
 		long_response_reaches_a_slow_reader,
