Test the clock's share of leases, hedges and loads of three figures

orders_are_never_hedged looked once, when the objective had passed and nothing is hedged any more: with idempotent taken out of may_hedge() it passed. It looks each 10 ms now, and fails without the code.

--- a/tests/test_ed_conf.c
+++ b/tests/test_ed_conf.c
@@ -374,6 +374,21 @@
 }
 END_TEST
 
+/* Only some servers state their pace. */
+START_TEST(load_of_a_server_is_read)
+{
+	struct ws_ed_report r =
+		report_of(200, "r1", "Wagtailshift-Server-Load: 3,0,8");
+
+	ck_assert(r.known);
+	ck_assert_uint_eq(r.running, 3);
+	ck_assert_uint_eq(r.waiting, 0);
+	ck_assert_uint_eq(r.slots, 8);
+	ck_assert(!report_of(200, "r1", "Wagtailshift-Server-Load: 3,0").known);
+	ck_assert(!report_of(200, "r1", "Wagtailshift-Server-Load: x").known);
+}
+END_TEST
+
 /* Guards against BUDGET: the time of a rejection is not read, or misread. */
 START_TEST(time_of_a_rejection_is_read)
 {
@@ -502,6 +517,7 @@
 		answer_of_another_request_is_detected,
 		limit_of_a_server_is_read,
 		leaving_server_is_read_from_its_answers,
+		load_of_a_server_is_read,
 		time_of_a_rejection_is_read,
 		only_the_servers_own_answer_states_anything,
 		numbers_are_checked,
--- a/tests/test_ed_lead.c
+++ b/tests/test_ed_lead.c
@@ -546,7 +546,8 @@
 	for (i = 0; i < 500 && !lead.appending; i++)
 		run(10 * WS_MS);
 	ck_assert(lead.appending);
-	ck_assert_int_ge(now - failed_at, WS_ED_KEY_LEASE);
+	/* Its clock may be 2 % slow. */
+	ck_assert_int_ge(now - failed_at, WS_ED_KEY_LEASE * 102 / 100);
 }
 END_TEST
 
--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -26,6 +26,9 @@
 	"{\"name\":\"order\",\"path_prefix\":\"/o/\","
 	"\"kind\":\"non_idempotent\",\"timeout_s\":1.2,"
 	"\"target_latency_s\":0.3,\"service\":\"open\",\"max_attempts\":2},"
+	"{\"name\":\"single\",\"path_prefix\":\"/s/\",\"kind\":\"idempotent\","
+	"\"timeout_s\":1.2,\"target_latency_s\":0.3,\"service\":\"open\","
+	"\"max_attempts\":1},"
 	"{\"name\":\"exempt\",\"path_prefix\":\"/e/\",\"kind\":\"idempotent\","
 	"\"auth_exempt\":true,\"service\":\"open\",\"max_attempts\":2},"
 	"{\"name\":\"urgent\",\"path_prefix\":\"/u/\",\"kind\":\"idempotent\","
@@ -448,10 +451,29 @@
 
 START_TEST(orders_are_never_hedged)
 {
+	int i;
+
 	setup();
 	arrive("/o/1", "k1");
-	tick(400 * WS_MS);
-	ck_assert_ptr_null(find(WS_EDFX_SEND));
+	for (i = 0; i < 40; i++) {
+		tick(10 * WS_MS);
+		ck_assert_ptr_null(find(WS_EDFX_SEND));
+	}
+}
+END_TEST
+
+/* Guards against BUDGET: a hedge is an attempt as well. */
+START_TEST(single_attempt_is_not_hedged)
+{
+	int i;
+
+	setup();
+	arrive("/s/1", "k1");
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	for (i = 0; i < 40; i++) {
+		tick(10 * WS_MS);
+		ck_assert_ptr_null(find(WS_EDFX_SEND));
+	}
 }
 END_TEST
 
@@ -914,6 +936,7 @@
 		lost_read_is_sent_again,
 		late_read_is_hedged_and_the_slower_send_cancelled,
 		orders_are_never_hedged,
+		single_attempt_is_not_hedged,
 		request_of_disconnected_caller_is_cancelled,
 		draining_instance_refuses_in_its_second_half,
 		key_without_owner_is_refused_soon,
