Test bounds of the settings, no configuration, keyed work that fails

linger, drain_s, quota_slack and budget_slack taken out one by one passed test_wp_settings; 404 in place of 503 without a configuration, and a keyed request that is sent again after 500, passed test_edge.

--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -222,6 +222,24 @@
 }
 END_TEST
 
+/* Guards against DENIED: an instance that knows no route yet. */
+START_TEST(request_before_the_first_configuration_is_refused)
+{
+	const struct ws_ed_settings set = {
+		.self = SELF,
+		.incarnation = INCARNATION,
+		.now = WS_SECOND,
+		.max_calls = 100,
+	};
+
+	ws_edge_free(edge);
+	now = WS_SECOND;
+	edge = ws_edge_new(&set);
+	arrive("/r/1", "k1");
+	expect_reply(503, WS_EDR_NO_CONFIG);
+}
+END_TEST
+
 START_TEST(exempt_route_needs_no_key)
 {
 	uint64_t id;
@@ -561,6 +579,22 @@
 }
 END_TEST
 
+/* Guards against work that is run again when its lease has ended. */
+START_TEST(keyed_request_that_fails_is_not_sent_again)
+{
+	uint64_t id;
+
+	setup();
+	list("c", "keyed");
+	assign_keys("c");
+	id = arrive("/k/1", "k1");
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	end(id, 0, WS_ED_END_FAILED);
+	ck_assert_ptr_null(find(WS_EDFX_SEND));
+	ck_assert_ptr_nonnull(find(WS_EDFX_FORWARD));
+}
+END_TEST
+
 /* Guards against a key that is sent to a server which has just rejected it. */
 START_TEST(key_that_its_server_rejected_waits)
 {
@@ -922,6 +956,7 @@
 	const TTest *const tests[] = {
 		response_is_forwarded,
 		callers_are_checked,
+		request_before_the_first_configuration_is_refused,
 		exempt_route_needs_no_key,
 		configuration_without_customers_needs_no_key,
 		requests_beyond_the_rate_are_refused,
@@ -941,6 +976,7 @@
 		draining_instance_refuses_in_its_second_half,
 		key_without_owner_is_refused_soon,
 		key_that_its_server_rejected_waits,
+		keyed_request_that_fails_is_not_sent_again,
 		request_sent_to_a_server_again_is_marked,
 		changes_of_a_map_that_is_not_known_are_not_applied,
 		instance_behind_peers_reads_again,
--- a/tests/test_wp_settings.c
+++ b/tests/test_wp_settings.c
@@ -15,7 +15,8 @@
 	"\"ready\":\"10.0.0.1:81\"},\"internal_ports\":[7340,7355]},"
 	"\"platform\":{\"platform\":{\"address\":\"10.0.0.9:90\"}},"
 	"\"terms\":{\"bounds\":{\"revoke_s\":5,\"grace_s\":6,"
-	"\"budget_ratio\":0.2,\"budget_slack\":60,\"quota_slack\":20}}}";
+	"\"budget_ratio\":0.2,\"budget_slack\":60,\"quota_slack\":20,"
+	"\"drain_s\":3}}}";
 
 static struct wp_settings set;
 static struct wp_error err;
@@ -47,6 +48,12 @@
 	ck_assert_int_lt(set.bounds.key_evidence_max, 5 * WS_SECOND);
 	ck_assert_int_gt(set.bounds.key_evidence_max, 4 * WS_SECOND);
 	ck_assert_double_eq(set.bounds.retry_ratio, 0.2);
+	ck_assert_double_eq(set.bounds.retry_slack, 60.0);
+	ck_assert_double_eq(set.bounds.rate_slack, 20.0);
+	ck_assert_int_eq(set.bounds.drain_time, 3 * WS_SECOND);
+	/* Entries that the store lost return about 2 s after it does. */
+	ck_assert_int_gt(set.bounds.linger, WS_SECOND);
+	ck_assert_int_lt(set.bounds.linger, 2 * WS_SECOND);
 }
 END_TEST
 
