--- a/tests/test_server.c
+++ b/tests/test_server.c
@@ -451,9 +451,9 @@
 	int fd;
 	int i;
 
-	memset(chunk, 'x', sizeof(chunk));
-	memcpy(chunk, "7d0\r\n", 5);
-	memcpy(chunk + 2005, "\r\n", 3);
+	snprintf(chunk, sizeof(chunk), "7d0\r\n");
+	memset(chunk + 5, 'x', 2000);
+	snprintf(chunk + 2005, sizeof(chunk) - 2005, "\r\n");
 	start(10);
 	fd = connect_client();
 	send_text(fd, "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
