--- a/tests/test_ed_lead.c
+++ b/tests/test_ed_lead.c
@@ -405,6 +405,36 @@
 }
 END_TEST
 
+/*
+ * Guards against keys that are given away while their server may have them from
+ * a former leader, which was valid for up to its lease after the successor had
+ * been confirmed (OWNER).
+ */
+START_TEST(inherited_keys_wait_for_leases_of_the_former_leader)
+{
+	const struct ws_ed_listing other = {
+		.name = "s1",
+		.address = "s1",
+		.service = SERVICE,
+		.slots = 4,
+		.started_ms = 1,
+	};
+	int i;
+
+	become_leader(1);
+	dark = "s0";
+	dark_answer = WS_EDC_NOT_SENT;
+	ws_ed_pool_listed(&pool, now, &other);
+	for (i = 0; i < 1000 && !lead.appending; i++)
+		run(20 * WS_MS);
+	dark = "";
+	ck_assert(lead.appending);
+	ck_assert_int_ne(lead.confirmed_at, 0);
+	ck_assert_int_ge(now - lead.confirmed_at,
+			 WS_ED_LEADER_LEASE + WS_ED_KEY_LEASE);
+}
+END_TEST
+
 /* A leader of some time, with a second server that owns no keys. */
 static void lead_two_servers(void)
 {
@@ -759,6 +789,7 @@
 		epoch_known_only_from_a_copy_is_not_stated,
 		changes_do_not_reach_back_over_a_restore,
 		leases_outlast_a_configuration_without_their_service,
+		inherited_keys_wait_for_leases_of_the_former_leader,
 	};
 
 	const TTest *const lost_server_tests[] = {
