Test at each tick that requests that run once are not hedged

The test looked once, after 400 ms, when a hedge could no longer be in time: it passed although such requests were hedged. Now it looks every 10 ms, and fails.

--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -299,10 +299,14 @@
 
 START_TEST(orders_are_never_hedged)
 {
+	int i;
+
 	setup();
 	arrive("/o/1", "k1");
-	tick(400 * WS_MS);
-	ck_assert_ptr_null(find(WS_EDFX_SEND));
+	for (i = 0; i < 40; i++) {
+		tick(10 * WS_MS);
+		ck_assert_ptr_null(find(WS_EDFX_SEND));
+	}
 }
 END_TEST
 
