--- a/tests/test_eio_front.c
+++ b/tests/test_eio_front.c
@@ -503,6 +503,22 @@
 }
 END_TEST
 
+/* Guards against callers that return all at once, or too late. */
+START_TEST(refusal_states_when_to_return)
+{
+	const char *after;
+
+	start();
+	send_text("GET /k/1 HTTP/1.1\r\n" OWN_HEADERS "Api-Key: k1\r\n\r\n");
+	ck_assert(receive_on(caller, TIME_MAX));
+	ck_assert(has_status("503"));
+	after = strstr(answered, "Retry-After: ");
+	ck_assert_ptr_nonnull(after);
+	ck_assert(strtod(after + strlen("Retry-After: "), NULL) > 0.0);
+	stop();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -518,6 +534,7 @@
 		answers_close_their_connection_at_a_stop,
 		headers_of_one_connection_are_not_forwarded,
 		bounds_of_changed_settings_apply,
+		refusal_states_when_to_return,
 	};
 
 	return ed_suite_run("eio_front", tests,
