Test readiness, limits, Retry-After and the target of calls about keys

Through a whole instance (test_eio_front): readiness, the configuration's limits, the text of Retry-After, and a path with a dot segment; test_eio_targets looks at the target header of grants and releases.

--- a/tests/test_eio_front.c
+++ b/tests/test_eio_front.c
@@ -10,6 +10,7 @@
 
 #include "ed_suite.h"
 #include "edgeio/ws_eio.h"
+#include "edgeio/ws_eio_front.h"
 #include "io/ws_server.h"
 #include "platform/wp_decode.h"
 
@@ -21,11 +22,13 @@
 
 #define IP "127.19.43.1"
 #define CALLERS_PORT 7100
+#define READINESS_PORT 7101
 #define SERVER_ADDRESS IP ":7200"
 #define WAIT (2 * WS_SECOND)
 
 static const char config_text[] =
 	"{\"version\":\"00000001\",\"services\":[{\"name\":\"open\"}],"
+	"\"limits\":{\"max_header_bytes\":1000},"
 	"\"tenants\":[{\"name\":\"lab\",\"api_keys\":[\"k1\"]}],"
 	"\"virtual_hosts\":[{\"host\":\"h\",\"path_rules\":["
 	"{\"name\":\"order\",\"path_prefix\":\"/o/\","
@@ -102,6 +105,20 @@
 	ws_eio_handle_event(io, &read);
 }
 
+static void connect_to(uint16_t port)
+{
+	struct sockaddr_in to = {
+		.sin_family = AF_INET,
+		.sin_port = htons(port),
+		.sin_addr.s_addr = inet_addr(IP),
+	};
+
+	caller = socket(AF_INET, SOCK_STREAM, 0);
+	ck_assert_int_eq(connect(caller, (struct sockaddr *)&to, sizeof(to)),
+			 0);
+	fcntl(caller, F_SETFL, O_NONBLOCK);
+}
+
 static void start(void)
 {
 	static const struct ws_server_ops ops = {
@@ -130,11 +147,6 @@
 		.grace_period = 2 * WS_SECOND,
 		.bounds = { .key_evidence_max = 4600 * WS_MS },
 	};
-	struct sockaddr_in to = {
-		.sin_family = AF_INET,
-		.sin_port = htons(CALLERS_PORT),
-		.sin_addr.s_addr = inet_addr(IP),
-	};
 	struct wp_error err = { "" };
 
 	curl_global_init(CURL_GLOBAL_NOTHING);
@@ -147,10 +159,7 @@
 	io = ws_eio_new(loop, &set, &err);
 	ck_assert_msg(io != NULL, "%s", err.text);
 	provide_config();
-	caller = socket(AF_INET, SOCK_STREAM, 0);
-	ck_assert_int_eq(connect(caller, (struct sockaddr *)&to, sizeof(to)),
-			 0);
-	fcntl(caller, F_SETFL, O_NONBLOCK);
+	connect_to(CALLERS_PORT);
 }
 
 static void stop(void)
@@ -202,7 +211,7 @@
 }
 
 #define REQUEST                                                                 \
-	"POST /o/a%2Fb?x=1 HTTP/1.1\r\nHost: h\r\n"                             \
+	"POST /o/a%2Fb/./c?x=1 HTTP/1.1\r\nHost: h\r\n"                         \
 	"Wagtailshift-Request-Id: q1\r\nWagtailshift-Deadline-Ms: 1000\r\n"     \
 	"Wagtailshift-Tenant: other\r\nWagtailshift-Target-Instance: other\r\n" \
 	"Wagtailshift-Shard-Key: 7\r\nX-Kept: v\r\nX-Hop: 1\r\n"                \
@@ -216,7 +225,7 @@
 	exchange(REQUEST "Api-Key: k1\r\n" BODY);
 	ck_assert_uint_eq(n_calls, 1);
 	ck_assert_str_eq(method, "POST");
-	ck_assert_str_eq(uri, "/o/a%2Fb?x=1");
+	ck_assert_str_eq(uri, "/o/a%2Fb/./c?x=1");
 	ck_assert_str_eq(body, "body");
 	ck_assert_str_eq(header("Host"), "h");
 	ck_assert_str_eq(header("Wagtailshift-Request-Id"), "q1");
@@ -270,6 +279,71 @@
 }
 END_TEST
 
+/* Guards against callers that are sent to an instance which is going to stop.
+ */
+START_TEST(readiness_is_told)
+{
+	static const char check[] =
+		"GET /readiness HTTP/1.1\r\nHost: h\r\n\r\n";
+
+	struct ws_ed_event read = { .kind = WS_EDEV_READ_DONE };
+	struct ws_ed_event member = { .kind = WS_EDEV_MEMBER };
+
+	start();
+	close(caller);
+	connect_to(READINESS_PORT);
+	ck_assert_ptr_nonnull(strstr(exchange(check), " 503 "));
+	read.u.sync.topic = WS_EDT_SERVERS;
+	read.u.sync.started = ws_eio_now();
+	ws_eio_handle_event(io, &read);
+	member.u.member = (struct ws_ed_member_entry){
+		.id = ws_ed_id("n1"),
+		.zone = ws_ed_id("z"),
+		.address = IP ":7110",
+	};
+	ws_eio_handle_event(io, &member);
+	ck_assert_ptr_nonnull(strstr(exchange(check), " 200 "));
+	ws_eio_drain(io);
+	ck_assert_ptr_nonnull(strstr(exchange(check), " 503 "));
+	stop();
+}
+END_TEST
+
+START_TEST(limits_of_the_configuration_are_applied)
+{
+	static const char head[] = "GET /o/ HTTP/1.1\r\nX-Long: ";
+	char text[1200];
+	size_t n = sizeof(head) - 1;
+
+	start();
+	ws_eio_front_apply_config(io->front);
+	memcpy(text, head, n);
+	memset(text + n, 'x', 1100);
+	text[n + 1100] = '\0';
+	ck_assert_ptr_nonnull(strstr(exchange(text), " 431 "));
+	stop();
+}
+END_TEST
+
+/* Guards against a refusal that does not tell when to come back. */
+START_TEST(refusal_names_its_time_in_fractions)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_UNLISTED };
+	const char *text;
+	const char *value;
+
+	start();
+	ev.u.unlisted = ws_ed_id("s0");
+	ws_eio_handle_event(io, &ev);
+	text = exchange(REQUEST "Api-Key: k1\r\n" BODY);
+	ck_assert_ptr_nonnull(strstr(text, " 503 "));
+	value = strstr(text, "\r\nRetry-After: 0.");
+	ck_assert_ptr_nonnull(value);
+	ck_assert_double_gt(atof(value + 15), 0.2);
+	stop();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -277,6 +351,9 @@
 		headers_of_the_system_are_set,
 		answer_is_forwarded_unchanged,
 		request_without_its_key_is_refused,
+		readiness_is_told,
+		limits_of_the_configuration_are_applied,
+		refusal_names_its_time_in_fractions,
 	};
 
 	return ed_suite_run("eio_front", tests,
--- a/tests/test_eio_targets.c
+++ b/tests/test_eio_targets.c
@@ -18,6 +18,7 @@
 static unsigned status = 200; /* of its answers */
 static unsigned arrived;
 static unsigned connections; /* open ones when the last call arrived */
+static char target[32]; /* that the last call was meant for */
 
 static void on_call(void *arg, struct ws_server_request *req)
 {
@@ -30,7 +31,12 @@
 							     0,
 	};
 
+	const struct ws_body b = { .headers = req->headers.text,
+				   .headers_len = req->headers.len };
+	const char *name = ws_body_header(&b, WP_HEADER_TARGET);
+
 	(void)arg;
+	snprintf(target, sizeof(target), "%s", name ? name : "");
 	arrived++;
 	connections = ws_server_connections(server);
 	ws_server_answer(req, &a);
@@ -139,6 +145,19 @@
 }
 END_TEST
 
+/* Guards against OWNER: another server, which now has the address, takes keys.
+ */
+START_TEST(calls_about_keys_name_their_server)
+{
+	start();
+	call(true);
+	ck_assert_str_eq(target, "s1");
+	call(false);
+	ck_assert_str_eq(target, "s1");
+	stop();
+}
+END_TEST
+
 /*
  * Guards against a late duplicate of a 421 or 409 that is taken for the answer
  * to a later grant: the leader would conclude that it was not executed.
@@ -242,10 +261,12 @@
 {
 	const TTest *const tests[] = {
 		release_uses_a_connection_of_its_own,
+		calls_about_keys_name_their_server,
 		refused_grant_closes_its_connection,
 		resent_request_uses_another_connection,
 		status_that_promises_needs_the_statement,
 	};
 
-	return ed_suite_run("eio_targets", tests, 4);
+	return ed_suite_run("eio_targets", tests,
+			    (int)(sizeof(tests) / sizeof(tests[0])));
 }
