Send the request target as the caller wrote it

A server ran another path than the caller had sent (UNASKED): bytes that are no ASCII characters arrived as %xx, and what follows a number sign not at all. Cause: the target was a part of the URL, which libcurl parses and writes anew. It is given to libcurl as the request target now, which is sent as it is. test_eio_front path_is_sent_as_the_caller_wrote_it failed before.

--- a/lib/edgeio/ws_eio_targets.c
+++ b/lib/edgeio/ws_eio_targets.c
@@ -222,9 +222,10 @@
 	a->key = attempt_key(r->id, r->lane);
 	a->started = now;
 	snprintf(a->request_id, sizeof(a->request_id), "%s", r->request_id);
-	a->url = g_strdup_printf("http://%s%s", to->address, r->uri);
+	a->url = g_strdup_printf("http://%s/", to->address);
 	a->headers = build_headers(t, r, to->name, req.timeout);
 	req.url = a->url;
+	req.target = r->uri;
 	req.headers = a->headers;
 	a->http = ws_http_start(t->io->http, &req);
 	g_hash_table_insert(t->attempts, &a->key, a);
--- a/lib/io/ws_http.c
+++ b/lib/io/ws_http.c
@@ -288,6 +288,8 @@
 	c->allow_unframed = req->allow_unframed;
 	ws_headers_reset(&c->headers);
 	curl_easy_setopt(c->easy, CURLOPT_URL, req->url);
+	/* libcurl would encode some bytes of a path and drop a fragment. */
+	curl_easy_setopt(c->easy, CURLOPT_REQUEST_TARGET, req->target);
 	curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, req->headers);
 	curl_easy_setopt(c->easy, CURLOPT_TIMEOUT_MS, ms > 0 ? ms : 1L);
 	curl_easy_setopt(c->easy, CURLOPT_MAXAGE_CONN,
--- a/lib/io/ws_http.h
+++ b/lib/io/ws_http.h
@@ -48,6 +48,8 @@
 /* Strings, headers and data must stay valid until done is called. */
 struct ws_http_request {
 	const char *url;
+	/* Sent as it is in place of the path of the URL; NULL: that path */
+	const char *target;
 	const char *method;
 	struct curl_slist *headers; /* borrowed */
 	const void *data;
--- a/tests/test_eio_front.c
+++ b/tests/test_eio_front.c
@@ -271,6 +271,20 @@
 }
 END_TEST
 
+/*
+ * Guards against UNASKED: the HTTP library encodes bytes of a path that are no
+ * ASCII characters, and leaves out what follows a number sign.
+ */
+START_TEST(path_is_sent_as_the_caller_wrote_it)
+{
+	start();
+	send_text("GET /r/\xc3\xa9?x=\xff#y HTTP/1.1\r\n" OWN_HEADERS "\r\n");
+	wait_for(&received.n);
+	ck_assert_str_eq(received.uri, "/r/\xc3\xa9?x=\xff#y");
+	stop();
+}
+END_TEST
+
 /* Guards against GONE: a server at work for a caller that has left. */
 START_TEST(server_sees_that_the_caller_has_left)
 {
@@ -524,6 +538,7 @@
 	const TTest *const tests[] = {
 		server_is_told_its_name_and_the_deadline,
 		request_is_forwarded_unchanged_without_secrets,
+		path_is_sent_as_the_caller_wrote_it,
 		server_sees_that_the_caller_has_left,
 		long_body_does_not_wait_for_the_server,
 		silent_server_ends_at_the_deadline,
