--- a/tests/test_wp_wire.c
+++ b/tests/test_wp_wire.c
@@ -69,6 +69,23 @@
 }
 END_TEST
 
+/*
+ * Guards against a success whose body is encoded, which callers have not asked
+ * for and do not take for the server's (MIXED).
+ */
+START_TEST(encoded_success_is_no_answer)
+{
+	static const char encoded[] = "Wagtailshift-Request-Id: r1\0"
+				      "Wagtailshift-Server-Seal: s\0"
+				      "Content-Encoding: gzip";
+	struct ws_body b = BODY(200, encoded);
+
+	ck_assert(!wp_wire_answers_request(&b, "r1"));
+	b = BODY(500, encoded);
+	ck_assert(wp_wire_answers_request(&b, "r1"));
+}
+END_TEST
+
 /* Guards against taking a request's late answer for that to a release. */
 START_TEST(request_answer_is_no_key_answer)
 {
@@ -127,6 +144,7 @@
 		rejection_without_id_proves_nothing,
 		request_answer_is_no_key_answer,
 		success_without_seal_is_no_answer,
+		encoded_success_is_no_answer,
 		misdirected_request_has_not_run,
 		handover_of_a_release_is_read,
 		release_names_its_keys,
