--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -39,6 +39,7 @@
 	CUT_RESPONSE, /* closes after cut_at bytes of cut_text */
 	CLOSE_AT_SECOND, /* closes at the second request, without an answer */
 	EARLY_RESPONSE, /* sends early_text at the first bytes of a request */
+	SILENT, /* answers nothing */
 	SCRIPTS,
 };
 
@@ -109,6 +110,8 @@
 static struct con cons[CONNECTIONS_MAX];
 static int n_cons;
 static int n_requests;
+static int n_closed; /* connections, by the client */
+static int n_reset; /* those of them that were reset */
 static size_t bytes_sent; /* by the target */
 static const char *cut_text;
 static size_t cut_at;
@@ -176,6 +179,8 @@
 		return;
 	n = recv(w->fd, buf, sizeof(buf), 0);
 	if (n <= 0) {
+		n_closed++;
+		n_reset += n < 0 && errno == ECONNRESET;
 		ev_io_stop(loop, w);
 		close(w->fd);
 		return;
@@ -186,6 +191,8 @@
 	}
 	c->requests++;
 	n_requests++;
+	if (c->script == SILENT)
+		return;
 	if (c->script == CLOSE_AT_SECOND) {
 		if (c->requests < 2) {
 			answer(c, c->requests);
@@ -243,6 +250,8 @@
 	script = s;
 	n_cons = 0;
 	n_requests = 0;
+	n_closed = 0;
+	n_reset = 0;
 	bytes_sent = 0;
 	curl_global_init(CURL_GLOBAL_NOTHING);
 	loop = ev_loop_new(0);
@@ -275,7 +284,7 @@
 		memcpy(o->body, res->answer.data, res->answer.data_len);
 }
 
-static void start_call(struct call *o, bool new_connection)
+static struct ws_http_call *start_call(struct call *o, bool new_connection)
 {
 	const struct ws_http_request req = {
 		.url = URL,
@@ -289,7 +298,7 @@
 	};
 
 	memset(o, 0, sizeof(*o));
-	ws_http_start(http, &req);
+	return ws_http_start(http, &req);
 }
 
 static void wait_for_result(const struct call *o)
@@ -478,6 +487,30 @@
 }
 END_TEST
 
+/*
+ * Guards against a request that arrives after it was given up: its connection
+ * is reset, so that no bytes of it stay on the way.
+ */
+START_TEST(cancelled_call_resets_its_connection)
+{
+	ev_tstamp end = ev_time() + 5.;
+	struct ws_http_call *c;
+	struct call o;
+
+	start(SILENT);
+	c = start_call(&o, false);
+	while (!n_requests && ev_time() < end)
+		ev_run(loop, EVRUN_ONCE);
+	ck_assert_int_eq(n_requests, 1);
+	ws_http_cancel(c);
+	while (!n_closed && ev_time() < end)
+		ev_run(loop, EVRUN_ONCE);
+	ck_assert_int_eq(n_reset, 1);
+	ck_assert(!o.ended);
+	stop();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const endless_tests[] = {
@@ -488,6 +521,7 @@
 		reset_response_is_not_complete,
 		total_response_bytes_are_limited,
 		request_on_a_closed_connection_is_sent_once,
+		cancelled_call_resets_its_connection,
 	};
 	const TTest *const early_tests[] = {
 		early_response_keeps_requests_apart
