--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -27,7 +27,10 @@
 	"\"target_latency_s\":0.3,\"service\":\"open\",\"max_attempts\":2},"
 	"{\"name\":\"keyed\",\"path_prefix\":\"/k/\",\"kind\":\"idempotent\","
 	"\"timeout_s\":1.2,\"target_latency_s\":0.3,\"service\":\"keyed\","
-	"\"max_attempts\":2}]}]}";
+	"\"max_attempts\":2,\"priority\":3},"
+	"{\"name\":\"urgent\",\"path_prefix\":\"/u/\",\"kind\":\"idempotent\","
+	"\"timeout_s\":1.2,\"target_latency_s\":0.3,\"service\":\"keyed\","
+	"\"max_attempts\":2,\"priority\":1}]}]}";
 
 #define SELF 0x100
 #define INCARNATION 1
@@ -925,6 +928,37 @@
 }
 END_TEST
 
+/* Guards against urgent requests that wait behind others. */
+START_TEST(waiting_requests_are_sent_by_priority)
+{
+	struct ws_ed_map_entry all = { .service = ws_ed_id("keyed"),
+				       .to = WS_ED_KEYS - 1,
+				       .server = ws_ed_id("c") };
+	struct ws_ed_map map = { .epoch = 1, .leader = 2 };
+	struct ws_ed_event ev = { .kind = WS_EDEV_MAP_READ_DONE };
+	uint64_t urgent;
+	uint64_t other;
+
+	setup();
+	list("c", "keyed");
+	other = arrive("/k/1", "k1");
+	urgent = arrive("/u/1", "k1");
+	ck_assert_ptr_null(find(WS_EDFX_SEND));
+	ws_ed_map_add(&map, &all);
+	ev.u.map.map = &map;
+	ev.u.map.started = now;
+	ev.u.map.end = 1;
+	step(&ev);
+	tick(20 * WS_MS);
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	ck_assert_uint_eq(find(WS_EDFX_SEND)->u.send.request, urgent);
+	end(urgent, 0, WS_ED_END_OK);
+	end(other, 0, WS_ED_END_OK);
+	ck_assert_uint_eq(ws_edge_open(edge), 0);
+	ws_ed_map_free(&map);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -962,6 +996,7 @@
 		budget_is_divided_among_the_instances,
 		request_waits_no_longer_than_its_deadline,
 		deadlines_end_before_the_process,
+		waiting_requests_are_sent_by_priority,
 	};
 
 	return ed_suite_run("edge", tests,
