Pass request ids and host names on whole

A server got a request id that no caller had sent (UNASKED): ids were cut at 63 bytes, host names where their line exceeded 255. Ids that agree in the bytes that are kept were one for the router, too. Found by going through the contracts line by line. Cause: buffers of a fixed size. The id points into the request's headers now, as the host does, and an attempt has a copy; lines of headers have the length they need. test_eio_front long_id_reaches_the_server (400 bytes) failed before.

--- a/lib/edgeio/ws_eio_front.c
+++ b/lib/edgeio/ws_eio_front.c
@@ -41,9 +41,10 @@
 	struct ws_eio_front *front;
 	struct ws_server_request *req;
 	uint64_t id;
-	char request_id[WS_ED_NAME_MAX];
 	uint64_t fingerprint; /* 0: not computed */
-	const char *host; /* points into the request's headers */
+	/* Point into the request's headers; "" if there is no such field */
+	const char *request_id;
+	const char *host;
 	struct ws_headers headers; /* headers to forward to the server */
 	unsigned attempts;
 	char server[WS_ED_NAME_MAX]; /* server of the last attempt */
@@ -75,7 +76,7 @@
 		r = ws_alloc(1, sizeof(*r));
 	r->front = f;
 	r->req = req;
-	r->request_id[0] = '\0';
+	r->request_id = "";
 	r->fingerprint = 0;
 	r->host = "";
 	r->server[0] = '\0';
@@ -243,7 +244,6 @@
 struct request_headers {
 	const char *connection;
 	const char *caller_key;
-	const char *request_id;
 	const char *deadline;
 	const char *shard_key;
 };
@@ -264,7 +264,7 @@
 	else if (name_equals(header, len, WP_HEADER_CALLER_KEY))
 		fields->caller_key = value;
 	else if (name_equals(header, len, WP_HEADER_REQUEST_ID))
-		fields->request_id = value;
+		r->request_id = value;
 	else if (name_equals(header, len, WP_HEADER_DEADLINE))
 		fields->deadline = value;
 	else if (name_equals(header, len, WP_HEADER_SHARD_KEY))
@@ -303,8 +303,6 @@
 		copy_request_header(r, fields->connection, p,
 				    (size_t)(colon - p), colon + 2);
 	}
-	snprintf(r->request_id, sizeof(r->request_id), "%s",
-		 fields->request_id ? fields->request_id : "");
 }
 
 /* Hash that is the same for a repeated request at every instance. */
--- a/lib/edgeio/ws_eio_targets.c
+++ b/lib/edgeio/ws_eio_targets.c
@@ -23,7 +23,6 @@
 /* Key calls reuse connections that have been idle for at most this time. */
 #define KEY_CALL_IDLE_MAX (4 * WS_SECOND)
 #define KEY_ANSWER_MAX ((size_t)64 * 1024)
-#define LINE_MAX_BYTES 256
 #define KEY_BODY_MAX 256
 
 struct attempt {
@@ -32,7 +31,7 @@
 	uint64_t request;
 	uint8_t lane;
 	uint64_t key; /* in ws_eio_targets.attempts */
-	char request_id[WS_ED_NAME_MAX];
+	char *request_id;
 	struct curl_slist *headers;
 	char *url;
 	ws_us started;
@@ -62,11 +61,11 @@
 static void add_header(struct curl_slist **list, const char *name,
 		       const char *value)
 {
-	char line[LINE_MAX_BYTES];
+	char *line = g_strdup_printf("%s: %s", name, value);
 
-	snprintf(line, sizeof(line), "%s: %s", name, value);
 	*list = curl_slist_append(*list, line);
 	WS_INVARIANT(*list);
+	g_free(line);
 }
 
 /* For a header without a value libcurl requires "Name;". */
@@ -132,6 +131,7 @@
 {
 	curl_slist_free_all(a->headers);
 	g_free(a->url);
+	g_free(a->request_id);
 	free(a);
 }
 
@@ -221,7 +221,7 @@
 	a->lane = r->lane;
 	a->key = attempt_key(r->id, r->lane);
 	a->started = now;
-	snprintf(a->request_id, sizeof(a->request_id), "%s", r->request_id);
+	a->request_id = g_strdup(r->request_id);
 	a->url = g_strdup_printf("http://%s/", to->address);
 	a->headers = build_headers(t, r, to->name, req.timeout);
 	req.url = a->url;
--- a/tests/test_eio_front.c
+++ b/tests/test_eio_front.c
@@ -50,7 +50,8 @@
 	char uri[64];
 	char body[64];
 	char target[32];
-	char id[32];
+	char id[512];
+	char host[512];
 	char customer[32];
 	bool has_caller_key;
 	bool has_expect;
@@ -96,6 +97,7 @@
 	copy_header(&b, "Wagtailshift-Target-Instance", r->target,
 		    sizeof(r->target));
 	copy_header(&b, "Wagtailshift-Request-Id", r->id, sizeof(r->id));
+	copy_header(&b, "Host", r->host, sizeof(r->host));
 	copy_header(&b, "Wagtailshift-Tenant", r->customer,
 		    sizeof(r->customer));
 	copy_header(&b, "Wagtailshift-Deadline-Ms", deadline, sizeof(deadline));
@@ -394,6 +396,32 @@
 }
 END_TEST
 
+/*
+ * Guards against UNASKED: an id that was cut on its way, so that it is that of
+ * another request.
+ */
+START_TEST(long_id_reaches_the_server)
+{
+	char text[1024];
+	char id[401];
+
+	memset(id, 'i', sizeof(id) - 1);
+	id[sizeof(id) - 1] = '\0';
+	snprintf(text, sizeof(text),
+		 "GET /r/1 HTTP/1.1\r\nHost: h\r\n"
+		 "Wagtailshift-Request-Id: %s\r\n\r\n",
+		 id);
+	start();
+	send_text(text);
+	wait_for(&received.n);
+	ck_assert_str_eq(received.id, id);
+	ck_assert_str_eq(received.host, "h");
+	ck_assert(receive_on(caller, TIME_MAX));
+	ck_assert(has_status("200"));
+	stop();
+}
+END_TEST
+
 /* Guards against a server that works for the wrong customer (UNASKED). */
 START_TEST(server_is_told_the_customer_of_the_key)
 {
@@ -539,6 +567,7 @@
 		server_is_told_its_name_and_the_deadline,
 		request_is_forwarded_unchanged_without_secrets,
 		path_is_sent_as_the_caller_wrote_it,
+		long_id_reaches_the_server,
 		server_sees_that_the_caller_has_left,
 		long_body_does_not_wait_for_the_server,
 		silent_server_ends_at_the_deadline,
