Test that an answer to another request closes its connection

ws_http_disconnect() in on_attempt_done() taken out passed test_eio_targets and test_eio_stated; test_eio_targets fails now.

--- a/tests/test_eio_targets.c
+++ b/tests/test_eio_targets.c
@@ -180,12 +180,14 @@
 }
 END_TEST
 
+static const char *request_id = "r1"; /* the server always answers "r1" */
+
 static void send_request(bool resent)
 {
 	const struct ws_eio_request r = {
 		.id = 1,
 		.resent = resent,
-		.request_id = "r1",
+		.request_id = request_id,
 		.method = "DELETE",
 		.uri = "/k",
 		.host = "h",
@@ -223,6 +225,23 @@
 }
 END_TEST
 
+/*
+ * Guards against MIXED: a connection that is used again after an answer to
+ * another request, so that each answer comes one request late.
+ */
+START_TEST(answer_to_another_request_closes_its_connection)
+{
+	start();
+	request_id = "r2";
+	send_request(false);
+	ck_assert_uint_eq(ws_server_connections(server), 0);
+	request_id = "r1";
+	send_request(false);
+	ck_assert_uint_eq(ws_server_connections(server), 1);
+	stop();
+}
+END_TEST
+
 /*
  * Guards against a 503 that is passed on although nothing shows that the
  * request has not run: callers take that status for a promise.
@@ -264,6 +283,7 @@
 		calls_about_keys_name_their_server,
 		refused_grant_closes_its_connection,
 		resent_request_uses_another_connection,
+		answer_to_another_request_closes_its_connection,
 		status_that_promises_needs_the_statement,
 	};
 
