Serve paths of any length within the limit of headers

Callers got 400 for a path above 16 KiB, whatever max_header_bytes allowed (DENIED). Cause: a bound of the front, from before the configuration's limit counted; the head is bounded by that and by the account of memory. Ruled out: the URL given to libcurl, which no longer has the path. test_eio_front long_path_within_the_limit_is_served (20,000 bytes) failed before.

--- a/lib/edgeio/ws_eio_front.c
+++ b/lib/edgeio/ws_eio_front.c
@@ -28,7 +28,6 @@
 #define CROWDED_DIVISOR 6
 /* Callers' connections stay open this much longer than configured. */
 #define IDLE_TIMEOUT_MARGIN (1 * WS_SECOND)
-#define URI_LEN_MAX ((size_t)16 * 1024)
 /* One in this many answers forwarded at the first attempt is logged. */
 #define FORWARDED_PER_LOG_LINE 64
 #define READINESS_CONNECTIONS 16
@@ -356,8 +355,6 @@
 	read_headers(r, &fields);
 	if (req->body_dropped)
 		refuse(r, 503, INSTANCE_FULL_RETRY_AFTER, WS_EDR_INSTANCE_FULL);
-	else if (req->uri_len > URI_LEN_MAX)
-		refuse(r, 400, 0, WS_EDR_BAD_REQUEST);
 	else
 		submit(r, &fields);
 }
--- a/tests/test_eio_front.c
+++ b/tests/test_eio_front.c
@@ -27,6 +27,7 @@
 #define DEADLINE_MS 900
 /* From this length on libcurl would wait for the server by default. */
 #define LONG_BODY ((size_t)1536 * 1024)
+#define LONG_PATH ((size_t)20 * 1000)
 #define TIME_MAX (5 * WS_SECOND)
 
 static const char config_text[] =
@@ -56,6 +57,7 @@
 	bool has_caller_key;
 	bool has_expect;
 	size_t body_len;
+	size_t uri_len;
 	long deadline_ms;
 };
 
@@ -105,6 +107,7 @@
 	r->has_caller_key = ws_body_header(&b, "Api-Key") != NULL;
 	r->has_expect = ws_body_header(&b, "Expect") != NULL;
 	r->body_len = req->body_len;
+	r->uri_len = req->uri_len;
 	if (is_silent)
 		return;
 	ws_headers_add(&h, "Wagtailshift-Request-Id", 23, r->id, strlen(r->id));
@@ -396,6 +399,28 @@
 }
 END_TEST
 
+/*
+ * Guards against DENIED: a request within max_header_bytes that is refused for
+ * the length of its path.
+ */
+START_TEST(long_path_within_the_limit_is_served)
+{
+	static char text[LONG_PATH + 256];
+	static char path[LONG_PATH + 1];
+
+	memset(path, 'p', sizeof(path) - 1);
+	memcpy(path, "/r/", 3);
+	snprintf(text, sizeof(text), "GET %s HTTP/1.1\r\n" OWN_HEADERS "\r\n",
+		 path);
+	start();
+	send_text(text);
+	ck_assert(receive_on(caller, TIME_MAX));
+	ck_assert(has_status("200"));
+	ck_assert_uint_eq(received.uri_len, LONG_PATH);
+	stop();
+}
+END_TEST
+
 /*
  * Guards against UNASKED: an id that was cut on its way, so that it is that of
  * another request.
@@ -568,6 +593,7 @@
 		request_is_forwarded_unchanged_without_secrets,
 		path_is_sent_as_the_caller_wrote_it,
 		long_id_reaches_the_server,
+		long_path_within_the_limit_is_served,
 		server_sees_that_the_caller_has_left,
 		long_body_does_not_wait_for_the_server,
 		silent_server_ends_at_the_deadline,
