--- a/tests/test_eio_store.c
+++ b/tests/test_eio_store.c
@@ -33,6 +33,7 @@
 static struct pending_read pending_reads[PENDING_MAX];
 static ws_us store_latency;
 static uint64_t config_end;
+static uint64_t config_first; /* records before it have expired */
 static int store_reads; /* reads of the configuration's topic */
 static int cancelled;
 static bool odd_entries;
@@ -157,7 +158,7 @@
 	}
 	h->req = NULL;
 	req->user_data = NULL;
-	if (h->from > end) {
+	if (h->from > end || (h->config && h->from < config_first)) {
 		answer(req, 410, "{\"first\":0}", 11);
 		return;
 	}
@@ -286,6 +287,7 @@
 	loop = ev_loop_new(0);
 	timers = ws_timer_new();
 	config_end = 1;
+	config_first = 0;
 	config_version = 0;
 	server_listed = false;
 	zone_out = false;
@@ -476,6 +478,26 @@
 }
 END_TEST
 
+/*
+ * Guards against an instance that reads from an expired offset for ever, and
+ * never has a newer configuration.
+ */
+START_TEST(change_beyond_expired_records_is_read)
+{
+	start();
+	config_end = 4;
+	config_version = 14;
+	run_for(2500 * WS_MS, 4);
+	ck_assert_uint_eq(version_in_force(), 14);
+	config_first = 10;
+	config_end = 12;
+	config_version = 17;
+	run_for(1500 * WS_MS, 12);
+	ck_assert_uint_eq(version_in_force(), 17);
+	stop();
+}
+END_TEST
+
 static bool knows_server(void)
 {
 	const struct ws_ed_pool *p = ws_edge_pool(io->edge);
@@ -550,9 +572,11 @@
 		member_without_records_is_not_asked_again_at_once,
 		outage_is_left_to_the_relay,
 		change_after_a_restore_is_read,
+		change_beyond_expired_records_is_read,
 		gaps_of_a_restored_copy_are_not_applied_at_once,
 		odd_entries_leave_the_others_alone,
 	};
 
-	return ed_suite_run("eio_store", tests, 6);
+	return ed_suite_run("eio_store", tests,
+			    (int)(sizeof(tests) / sizeof(tests[0])));
 }
