Test promises beside copies of answers at random moments

test_eio_copies runs two instances, five servers, sharded and not, and 24 callers over loopback; the servers reject half of the requests, run others after a delay, reset connections and send copies of 45 in 100 answers, right behind the answer or up to 150 ms later. No request that is answered 408, 421, 429 or 503 may have run or run later, and none that must run once may run twice. Entries are written under new ids at random moments, and each open server has two ids.

Mutations switch off one proof each: RESENT_ON_KEPT_CONNECTION, RESENT_BY_SERVER (the former comparison), STATUS_WITHOUT_STATEMENT, LOST_IS_NOT_SENT, ANSWER_WITHOUT_ID, LIBRARY_RESENDS, LOSS_FORGOTTEN. ws_http counts a send that it aborts no longer; only zero or not is used.

--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -152,6 +152,11 @@
 	x->u.send.server = (uint32_t)at->server;
 	x->u.send.deadline = c->end_at;
 	x->u.send.resent = may_have_been_sent_to(c, address);
+#ifdef WS_MUTANT_RESENT_BY_SERVER
+	x->u.send.resent = false;
+	for (size_t i = 0; i < c->n_excluded; i++)
+		x->u.send.resent |= c->excluded[i] == (uint32_t)at->server;
+#endif
 	if (c->sends_received || has_active_lane(c)) {
 		ws_ed_budget_of(e, c->service)->tokens -= 1.0;
 		e->counters.repeats++;
@@ -657,7 +662,9 @@
 static void on_loss(struct ws_edge *e, struct ed_call *c, bool timeout,
 		    struct ws_ed_fx *fx)
 {
+#ifndef WS_MUTANT_LOSS_FORGOTTEN
 	c->may_have_run = true;
+#endif
 	c->attempts++;
 	if (c->idempotent && !timeout && may_resend(e, c))
 		resend(e, c, 0, fx);
--- a/lib/edgeio/ws_eio_targets.c
+++ b/lib/edgeio/ws_eio_targets.c
@@ -144,17 +144,26 @@
 	case WS_HTTP_TIMEOUT:
 		return WS_ED_END_TIMEOUT;
 	case WS_HTTP_BROKEN:
+#ifdef WS_MUTANT_LOST_IS_NOT_SENT
+		return WS_ED_END_NOT_SENT;
+#endif
 		return WS_ED_END_CONNECTION_LOST;
 	default:
 		break;
 	}
+#ifndef WS_MUTANT_ANSWER_WITHOUT_ID
 	if (!wp_wire_answers_request(&res->answer, request_id))
 		return WS_ED_END_CONNECTION_LOST;
+#endif
 	if (wp_wire_not_run(&res->answer))
 		return WS_ED_END_SHED;
 	/* The caller would take the status for a statement that it lacks. */
-	if (wp_wire_promises_not_run(res->answer.status))
+	if (wp_wire_promises_not_run(res->answer.status)) {
+#ifdef WS_MUTANT_STATUS_WITHOUT_STATEMENT
+		return WS_ED_END_SHED;
+#endif
 		return WS_ED_END_CONNECTION_LOST;
+	}
 	return res->answer.status >= 500 ? WS_ED_END_FAILED : WS_ED_END_OK;
 }
 
--- a/lib/io/ws_http.c
+++ b/lib/io/ws_http.c
@@ -126,8 +126,11 @@
 	(void)local;
 	(void)remote_port;
 	(void)local_port;
-	if (c->n_sends++)
+#ifndef WS_MUTANT_LIBRARY_RESENDS
+	if (c->n_sends)
 		return CURL_PREREQFUNC_ABORT;
+#endif
+	c->n_sends++;
 	return CURL_PREREQFUNC_OK;
 }
 
