--- a/tests/copying_server.c
+++ b/tests/copying_server.c
@@ -32,6 +32,8 @@
 	ev_io io;
 	struct con *next;
 	struct copying_server *server;
+	unsigned number; /* of the connection at its server */
+	unsigned n_requests;
 	int fd; /* -1: closed */
 	char head[HEAD_BYTES];
 	size_t head_len;
@@ -61,6 +63,7 @@
 	struct copying_server_conf conf;
 	ev_io listener;
 	struct con *cons;
+	unsigned n_cons; /* accepted so far */
 	unsigned n_pending;
 };
 
@@ -84,6 +87,21 @@
 	return rand_percent(s->conf.rand, percent);
 }
 
+static void trace(const struct con *c, size_t request, const char *what,
+		  unsigned status)
+{
+	struct copying_request *r = &c->server->conf.requests[request];
+	size_t len = strlen(r->trace);
+
+	snprintf(r->trace + len, sizeof(r->trace) - len,
+		 " %.1f:%d/%u#%u-%s%u%s",
+		 ev_now(c->server->conf.loop) * 1e3 -
+			 1e6 * (double)(uint64_t)(ev_now(c->server->conf.loop) /
+						  1e3),
+		 c->server->conf.port, c->number, c->n_requests, what, status,
+		 c->fd < 0 ? "(closed)" : "");
+}
+
 /* ===== Actions ===== */
 
 static void do_action(EV_P_ ev_timer *w, int revents);
@@ -134,11 +152,13 @@
 		status, request,
 		stated ? "Wagtailshift-Not-Executed: 1\r\n" : "");
 
+	trace(c, request, "answer", status);
 	if (!draw(s, COPIED)) {
 		write_text(c, text, len);
 		return;
 	}
 	if (draw(s, COPIED_AT_ONCE)) {
+		trace(c, request, "copied-at-once", 0);
 		memcpy(text + len, text, len);
 		write_text(c, text, 2 * len);
 		return;
@@ -160,6 +180,7 @@
 	if (c->fd < 0 && !a->runs_without_con)
 		return;
 	s->conf.requests[a->request].n_runs++;
+	trace(c, a->request, "run", a->status);
 	next = new_action(c, a->status ? ACTION_WRITE : ACTION_RESET,
 			  a->request);
 	next->status = a->status;
@@ -179,6 +200,7 @@
 		close_con(c, true);
 	} else if (a->is_copy) {
 		*c->server->conf.n_copies += c->fd >= 0;
+		trace(c, a->request, "copy", 0);
 		write_text(c, a->text, a->len);
 	} else {
 		send_answer(c, a->request, a->status, false);
@@ -206,12 +228,15 @@
 	struct action *a;
 
 	s->conf.requests[request].n_received++;
+	c->n_requests++;
+	trace(c, request, "received", 0);
 	if (drawn < REJECTED) {
 		reject(c, request);
 		return;
 	}
 	drawn -= REJECTED;
 	if (drawn < RESET_UNREAD) {
+		trace(c, request, "reset", 0);
 		close_con(c, true);
 		return;
 	}
@@ -241,7 +266,8 @@
  */
 static void parse_head(struct con *c)
 {
-	const char *end;
+	struct copying_server *s = c->server;
+	char *end;
 	size_t used;
 	size_t request;
 
@@ -251,8 +277,11 @@
 		if (!end)
 			return;
 		used = (size_t)(end + 4 - c->head);
+		/* Another request may be behind it, before the client closes */
+		end[2] = '\0';
 		request = number_after(c->head, "Request-Id: r");
-		ck_assert_uint_lt(request, c->server->conf.n_requests);
+		ck_assert_msg(request, "no id: %s", c->head);
+		ck_assert_uint_lt(request, s->conf.n_requests);
 		c->body_left = number_after(c->head, "Content-Length: ");
 		c->head_len -= used;
 		memmove(c->head, c->head + used, c->head_len);
@@ -308,6 +337,7 @@
 	c->server = s;
 	c->fd = fd;
 	c->next = s->cons;
+	c->number = ++s->n_cons;
 	s->cons = c;
 	ev_io_init(&c->io, on_readable, fd, EV_READ);
 	c->io.data = c;
--- a/tests/copying_server.h
+++ b/tests/copying_server.h
@@ -17,6 +17,7 @@
 	unsigned n_received;
 	unsigned n_rejected;
 	unsigned n_runs; /* times that a server began to run it */
+	char trace[400]; /* what the servers did, for messages */
 };
 
 struct copying_server;
--- a/tests/test_eio_copies.c
+++ b/tests/test_eio_copies.c
@@ -237,13 +237,13 @@
 	static const char *const paths[] = { "GET /r", "POST /o", "POST /k" };
 	static char text[BODY_MAX + 1024];
 	struct caller *c = w->data;
-	struct request *r = &requests[n_requests];
+	struct request *r = &requests[n_requests + 1];
 	size_t body = 0;
 	int n;
 
 	(void)loop;
 	(void)revents;
-	if (n_requests == REQUESTS_MAX)
+	if (n_requests + 1 == REQUESTS_MAX)
 		return;
 	if (c->fd < 0)
 		connect_caller(c);
@@ -251,7 +251,7 @@
 	if (r->kind != REQUEST_READ)
 		body = ws_rand_below(&rng,
 				     rand_percent(&rng, 10) ? BODY_MAX : 100);
-	c->request = n_requests++;
+	c->request = ++n_requests;
 	n = snprintf(text, 1024,
 		     "%s/%zu HTTP/1.1\r\nHost: h\r\n"
 		     "Wagtailshift-Request-Id: r%zu\r\n"
@@ -416,7 +416,7 @@
 	run_for(LOAD_TIME - DRAIN_AFTER);
 	ev_timer_stop(loop, &relisting);
 	finish();
-	for (i = 0; i < n_requests; i++) {
+	for (i = 1; i <= n_requests; i++) {
 		const struct request *r = &requests[i];
 		const struct copying_request *at = &seen[i];
 
@@ -426,6 +426,10 @@
 		n_promised += is_promise(r->status) && at->n_received;
 		n_broken += is_promise(r->status) && at->n_runs;
 		n_twice += r->kind != REQUEST_READ && at->n_runs > 1;
+		if ((is_promise(r->status) && at->n_runs) ||
+		    (r->kind != REQUEST_READ && at->n_runs > 1))
+			fprintf(stderr, "r%zu, kind %d, answered %u:%s\n", i,
+				(int)r->kind, r->status, at->trace);
 	}
 	fprintf(stderr,
 		"seed %" PRIu64 ": %zu requests, %u answered 200, %u lost, "
