Part the arrival of requests from their sends

ws_ed_call.c had grown to 867 lines; what refuses a request on arrival and limits its time is a file of its own now, without a change of logic.

--- a/lib/edge/ws_edge_int.h
+++ b/lib/edge/ws_edge_int.h
@@ -18,6 +18,10 @@
  */
 #define LANES 2
 
+#define NO_SERVER_RETRY_AFTER (300 * WS_MS)
+/* Short, as other instances serve: the caller only has to reconnect. */
+#define DRAINING_RETRY_AFTER (20 * WS_MS)
+
 /* Most sends of one request, including those that did not run. */
 #define SENDS_MAX 6
 
@@ -187,8 +191,15 @@
 
 /* ===== ws_ed_call.c ===== */
 
-void ws_ed_call_arrive(struct ws_edge *e, const struct ws_ed_arrival *a,
-		       struct ws_ed_fx *fx);
+/* Sends a call, queues it, or ends it if no server can take it in time. */
+void ws_ed_call_place(struct ws_edge *e, struct ed_call *c,
+		      struct ws_ed_fx *fx);
+
+/* Answers a request that is or becomes no call. */
+void ws_ed_call_reply(struct ws_edge *e, uint64_t id, const char *customer,
+		      int status, ws_us retry_after, enum ws_ed_reason reason,
+		      struct ws_ed_fx *fx);
+
 void ws_ed_call_gone(struct ws_edge *e, uint64_t id, struct ws_ed_fx *fx);
 void ws_ed_call_ended(struct ws_edge *e, const struct ws_ed_ending *end,
 		      struct ws_ed_fx *fx);
@@ -206,6 +217,11 @@
 			   const struct ws_ed_refused_list *l,
 			   struct ws_ed_fx *fx);
 
+/* ===== ws_ed_call_arrive.c ===== */
+
+void ws_ed_call_arrive(struct ws_edge *e, const struct ws_ed_arrival *a,
+		       struct ws_ed_fx *fx);
+
 /* ===== ws_ed_call_quar.c ===== */
 
 /* Whether a call must not be sent; it may become so at any time. */
--- a/tests/test_eio_front.c
+++ b/tests/test_eio_front.c
@@ -409,7 +409,9 @@
 	static char path[LONG_PATH + 1];
 
 	memset(path, 'p', sizeof(path) - 1);
-	memcpy(path, "/r/", 3);
+	path[0] = '/';
+	path[1] = 'r';
+	path[2] = '/';
 	snprintf(text, sizeof(text), "GET %s HTTP/1.1\r\n" OWN_HEADERS "\r\n",
 		 path);
 	start();
