Let short answers use the memory that long ones leave free

The reserve for requests bound all answers, so that requests could fill the account up to a level at which no answer, however short, had room. Calls that hold 64 KiB at most take from the whole account again, as before; longer answers leave the reserve free.

--- a/lib/io/ws_http_memory.c
+++ b/lib/io/ws_http_memory.c
@@ -11,6 +11,9 @@
 /* Of a header line without an end; libcurl ends calls with longer ones. */
 #define LINE_MAX_BYTES ((size_t)100 * 1024)
 
+/* A call that holds no more has a short answer, with its own structures. */
+#define SHORT_CALL_BYTES ((size_t)64 * 1024)
+
 /* ===== Lists of calls ===== */
 
 static struct ws_http_call **list_of(const struct ws_http_call *c)
@@ -72,13 +75,23 @@
 	ws_headers_free(&c->headers);
 }
 
+/* Long answers leave the reserve to requests and to short ones. */
+static bool take(struct ws_http_call *c, size_t n)
+{
+	struct ws_memory *m = c->http->memory;
+
+	return c->held + n > SHORT_CALL_BYTES ?
+		       ws_memory_take_for_answer(m, n) :
+		       ws_memory_take(m, n);
+}
+
 bool ws_http_hold(struct ws_http_call *c, size_t n)
 {
 	struct ws_http *h = c->http;
 
 	if (c->given_up)
 		return false;
-	while (!ws_memory_take_for_answer(h->memory, n)) {
+	while (!take(c, n)) {
 		struct ws_http_call *largest = largest_call(h);
 
 		if (c->essential && !largest) {
--- a/lib/io/ws_memory.h
+++ b/lib/io/ws_memory.h
@@ -12,7 +12,7 @@
 
 struct ws_memory {
 	size_t max; /* 0: no limit */
-	/* Of max, for requests: answers without end leave it free */
+	/* Of max, for requests and short answers: long ones leave it free */
 	size_t reserve;
 	size_t used;
 	size_t peak; /* since the last ws_memory_trim() that freed pages */
@@ -25,7 +25,7 @@
  */
 bool ws_memory_take(struct ws_memory *m, size_t n);
 
-/* The same for bytes of answers, which leave the reserve free. */
+/* The same for bytes of long answers, which leave the reserve free. */
 bool ws_memory_take_for_answer(struct ws_memory *m, size_t n);
 
 /* The same for bytes that cannot be refused, such as output that is due. */
