Treat downloads as repeatable; read whether customers' rates bound the load

Cause: routes of kind download were taken for requests that must not be repeated, so a lost answer ended as 502 although another server could answer. The two new deployments have no quotas: nothing bounds what callers send but the capacity of the servers, which the parts that follow share out. The settings say so (contracts without quota), so the earlier deployments keep their decisions. Ruled out: a switch by the number of customers in the configuration, as tests and small installations without customers would change their behaviour.

--- a/lib/edge/ws_ed_pool.h
+++ b/lib/edge/ws_ed_pool.h
@@ -113,6 +113,7 @@
 	size_t instances; /* number of those that share connections */
 	/* How long a server that states that it leaves may get requests */
 	ws_us drain_time;
+	bool unmetered; /* see struct ws_ed_bounds */
 	struct ws_ed_group group; /* those that share request rates */
 	bool warm_ups_changed; /* of any server */
 	struct ws_rand rand;
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -58,6 +58,7 @@
 	e->peers.full_mesh_until = set->now + WS_ED_FULL_MESH_TIME;
 	e->pool.instances = 1;
 	e->pool.drain_time = set->bounds.drain_time;
+	e->pool.unmetered = set->bounds.unmetered;
 	e->pool.group.self = set->self;
 	e->pool.group.settled_at = e->peers.full_mesh_until;
 	e->quota.slack = set->bounds.rate_slack;
@@ -605,6 +606,7 @@
 {
 	e->set.bounds = *bounds;
 	e->pool.drain_time = bounds->drain_time;
+	e->pool.unmetered = bounds->unmetered;
 	e->quota.slack = bounds->rate_slack;
 }
 
--- a/lib/edge/ws_edge.h
+++ b/lib/edge/ws_edge.h
@@ -33,6 +33,12 @@
 	double rate_slack; /* requests above a rate, all instances */
 	/* How long a server that states that it leaves may get requests */
 	ws_us drain_time;
+	/*
+	 * No customer has a rate, so that only the servers' capacity bounds
+	 * what callers send; see docs/design/capacity.md
+	 */
+	bool unmetered;
+	double link_rate; /* of this machine, bytes/s; 0: unknown */
 };
 
 struct ws_ed_settings {
--- a/tests/test_ed_conf.c
+++ b/tests/test_ed_conf.c
@@ -58,6 +58,37 @@
 }
 END_TEST
 
+/* Guards against repeating uploads, and against downloads that fail once. */
+START_TEST(kind_says_what_may_be_repeated)
+{
+	static const struct {
+		const char *kind;
+		bool idempotent;
+	} kinds[] = {
+		{ "idempotent", true }, { "download", true },
+		{ "upload", false },	{ "non_idempotent", false },
+		{ "downloads", false }, { "other", false },
+	};
+	char text[sizeof(config_text) + 32];
+	size_t i;
+
+	for (i = 0; i < sizeof(kinds) / sizeof(kinds[0]); i++) {
+		const char *at = strstr(config_text, "\"idempotent\"");
+		struct ws_ed_conf *c;
+
+		snprintf(text, sizeof(text), "%.*s\"%s\"%s",
+			 (int)(at - config_text), config_text, kinds[i].kind,
+			 at + strlen("\"idempotent\""));
+		c = wp_decode_config(text, strlen(text), NULL);
+		ck_assert_ptr_nonnull(c);
+		ck_assert_int_eq(
+			ws_ed_conf_route(c, "a.example", "/x/1")->idempotent,
+			kinds[i].idempotent);
+		ws_ed_conf_free(c);
+	}
+}
+END_TEST
+
 /* Guards against matching a shorter prefix or another host. */
 START_TEST(longest_prefix_wins)
 {
@@ -507,6 +538,7 @@
 	const TTest *const tests[] = {
 		config_is_decoded,
 		longest_prefix_wins,
+		kind_says_what_may_be_repeated,
 		split_keeps_its_weights,
 		malformed_config_is_refused,
 		each_field_is_checked,
--- a/tests/test_wp_settings.c
+++ b/tests/test_wp_settings.c
@@ -57,6 +57,40 @@
 }
 END_TEST
 
+/*
+ * Guards against capacity being shared out where customers' rates bound the
+ * load already, and against a missing list of contracts counting as a wish.
+ */
+START_TEST(capacity_bounds_the_load_without_quotas)
+{
+	static const struct {
+		const char *contracts;
+		bool unmetered;
+	} cases[] = {
+		{ "[\"base\",\"own\"]", true },
+		{ "[\"base\",\"own\",\"quota\"]", false },
+		{ "[\"base\"]", false },
+		{ "[]", false },
+		{ "7", false },
+		{ "[7,\"own\"]", true },
+	};
+	char text[sizeof(complete) + 100];
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		/* In front of the two braces that end the text */
+		snprintf(text, sizeof(text), "%.*s,\"contracts\":%s}}",
+			 (int)(sizeof(complete) - 3), complete,
+			 cases[i].contracts);
+		ck_assert_int_eq(load(text), 0);
+		ck_assert_int_eq(set.bounds.unmetered, cases[i].unmetered);
+	}
+	ck_assert_int_eq(load(complete), 0);
+	ck_assert(!set.bounds.unmetered);
+	ck_assert_double_eq(set.bounds.link_rate, 1000.0 * 125000.0);
+}
+END_TEST
+
 /* Guards against a start with incomplete settings and a vague error message. */
 START_TEST(missing_fields_are_named)
 {
@@ -83,6 +117,7 @@
 {
 	const TTest *const tests[] = {
 		complete_file_is_read,
+		capacity_bounds_the_load_without_quotas,
 		missing_fields_are_named,
 		malformed_file_is_refused,
 	};
