Let the lease of a lost server's inherited keys end

Cause: a new leader grants inherited ranges first. A server that had fallen silent took each grant without an answer, each postponed the end of its lease by 3.2 s, and the grant was repeated for as long as it stayed silent. Ruled out: a leader that is not confirmed (it was, 0.2 s after its claim; the line was dropped by the bound on log lines), maps told late, overload. Change: a server that can't be used any more gets no further grants for ranges that it has twice not taken. The wait for leases of former leaders and for grants that may still be carried out is as before.

--- a/lib/edge/ws_ed_range.c
+++ b/lib/edge/ws_ed_range.c
@@ -188,6 +188,23 @@
 	       is_store_there(l, now, s, fx);
 }
 
+/*
+ * Whether an inherited range is not granted any more, so that its lease ends: a
+ * server that is gone may still take a grant without answering, and each such
+ * grant would postpone the end.
+ */
+static bool awaits_lease_end(const struct ws_ed_lead *l,
+			     const struct ws_ed_range *r, ws_us now,
+			     int32_t server)
+{
+#ifdef WS_MUTANT_GONE_SERVER_IS_GRANTED
+	return false;
+#endif
+	return r->inherited && r->failures >= FAILURES_MAX &&
+	       (server < 0 ||
+		!ws_ed_pool_usable(l->pool, now, (uint32_t)server));
+}
+
 static void tick_owned(struct ws_ed_lead *l, struct ws_ed_range *r, ws_us now,
 		       struct ws_ed_fx *fx)
 {
@@ -213,7 +230,8 @@
 		ws_ed_range_start_release(r, now);
 		return;
 	}
-	if (!r->ref && now >= r->next_call && r->address[0])
+	if (!r->ref && now >= r->next_call && r->address[0] &&
+	    !awaits_lease_end(l, r, now, s))
 		grant(l, r, now, fx);
 }
 
--- a/tests/test_ed_lead.c
+++ b/tests/test_ed_lead.c
@@ -405,6 +405,43 @@
 }
 END_TEST
 
+/*
+ * Guards against keys that stay with a server that is gone: it took each grant
+ * without an answer, and each of them postponed the end of its lease (a leader
+ * was replaced while a third of the servers fell silent: their keys had no
+ * owner for 18 s).
+ */
+START_TEST(inherited_keys_of_a_silent_server_are_given_to_another)
+{
+	const struct ws_ed_listing other = {
+		.name = "s1",
+		.address = "s1",
+		.service = SERVICE,
+		.slots = 4,
+		.started_ms = 1,
+	};
+	ws_us bound = 2 * WS_ED_LEADER_LEASE + 2 * WS_ED_KEY_LEASE;
+	ws_us gone_at;
+
+	become_leader(1);
+	dark = "s0";
+	dark_answer = WS_EDC_FAILED;
+	ws_ed_pool_listed(&pool, now, &other);
+	run(WS_SECOND);
+	ws_ed_pool_unlisted(&pool, now, ws_ed_id("s0"), 0);
+	gone_at = now;
+	while (now - gone_at < bound && !lead.appending)
+		run(20 * WS_MS);
+	dark = "";
+	ck_assert(lead.appending);
+	/* Grants without an answer may be carried out until their lease ends */
+	ck_assert_int_ge(now - gone_at, WS_ED_KEY_LEASE - 100 * WS_MS);
+	finish_append(WS_EDA_DONE);
+	ck_assert_uint_eq(ws_ed_map_owner(&lead.map, SERVICE, 5),
+			  ws_ed_id("s1"));
+}
+END_TEST
+
 /*
  * Guards against keys that are given away while their server may have them from
  * a former leader, which was valid for up to its lease after the successor had
@@ -892,6 +929,7 @@
 		epoch_known_only_from_a_copy_is_not_stated,
 		changes_do_not_reach_back_over_a_restore,
 		leases_outlast_a_configuration_without_their_service,
+		inherited_keys_of_a_silent_server_are_given_to_another,
 		inherited_keys_wait_for_leases_of_the_former_leader,
 	};
 
