Learn the speed and the limit of each server from its answers

Cause: servers of a service differ in speed, and some slow down long before they are full, which one smoothed factor of service time can't tell apart.

Change: each start of a server has a learned speed and a learned limit of requests in progress. Outcomes of its requests feed both; the expected latency and the capacity of a service use them in place of the factor. Only where no customer has a rate; else every decision stays as it was.

--- a/lib/edge/ws_ed_learn.h
+++ b/lib/edge/ws_ed_learn.h
@@ -19,11 +19,17 @@
 	ws_us at; /* of the newest sample */
 	uint32_t n_samples;
 	/* Further private state */
-	double window_time; /* mean relative time of the current window */
-	double idle_time; /* relative time with free slots */
+	double time; /* smoothed relative time, without queueing; 1 / speed */
+	double idle_time; /* the same of samples with free slots; 0: none */
 	ws_us window_since;
-	uint32_t n_window;
+	uint32_t n_window; /* timed samples of a busy server in the window */
+	double window_time; /* sum of their relative times */
+	double window_load; /* sum of their loads */
 	uint32_t n_full; /* rejections and resets in the window, when busy */
+	ws_us streak_since; /* of samples that all differ the same way */
+	uint32_t n_streak;
+	bool is_slow_streak;
+	bool is_reduced; /* the limit is below the slots, as last logged */
 };
 
 /* One answer, or the loss of one. */
@@ -33,9 +39,14 @@
 	/* Expected time of such a request at an idle server of speed 1, us */
 	double work;
 	double load; /* requests at the server when it was sent, included */
-	bool ok; /* a complete answer, not a failure */
+	/*
+	 * A complete answer, not a failure. If neither this nor rejected, the
+	 * latency is a lower bound.
+	 */
+	bool ok;
 	bool rejected; /* or its connection reset */
-	double pace; /* slowness of its machine as it reports it; 0: unknown */
+	/* Slowness of its machine as it reports it; 0: unknown */
+	double pace;
 	bool has_report;
 	uint32_t running; /* by its report */
 	uint32_t waiting;
@@ -57,4 +68,16 @@
 /* Limit of requests in progress, at least 1; the slots if nothing is known. */
 double ws_ed_learn_limit(const struct ws_ed_learned *l, ws_us now);
 
+/*
+ * Whether the limit has fallen below the slots, or returned, since the last
+ * call; with hysteresis.
+ */
+bool ws_ed_learn_has_crossed(struct ws_ed_learned *l, ws_us now);
+
+/* Codes of one byte each, logarithmic; 0: unknown. */
+uint8_t ws_ed_learn_encode_speed(double speed);
+uint8_t ws_ed_learn_encode_limit(double limit);
+double ws_ed_learn_decode_speed(uint8_t code);
+double ws_ed_learn_decode_limit(uint8_t code);
+
 #endif
--- a/lib/edge/ws_ed_pool.c
+++ b/lib/edge/ws_ed_pool.c
@@ -49,6 +49,8 @@
 #define FAIL_GAIN 0.15
 #define SERVICE_TIME_FACTOR_GAIN 0.08
 #define SERVICE_TIME_GAIN 0.05
+/* Samples from which on a service time is one to learn speeds by. */
+#define SERVICE_TIME_SAMPLES 20
 #define SERVICE_TIME_FACTOR_MIN 0.2
 #define SERVICE_TIME_FACTOR_MAX 6.0
 /* Service time assumed before the first response, in microseconds. */
@@ -110,6 +112,7 @@
 	s->inverse_pace_mean = 1.0;
 	s->n_pace_samples = 0;
 	s->service_time_factor = 1.0;
+	s->learned = (struct ws_ed_learned){ .slots = 0 };
 	s->failure_rate = 0.0;
 	s->backoff_until = 0;
 	s->n_backoffs = 0;
@@ -193,6 +196,8 @@
 	s->service = l->service;
 	s->zone = l->zone;
 	s->slots = l->slots ? l->slots : 1;
+	if (s->learned.slots != s->slots)
+		ws_ed_learn_reset(&s->learned, s->slots);
 	s->started_ms = l->started_ms;
 	s->listed = true;
 	s->draining = l->draining;
@@ -360,15 +365,31 @@
  * Slowdown by load: latency relative to that at an idle server.
  * @param load requests at the server, this one included
  */
-static double load_slowdown(double load, uint32_t slots)
+static double load_slowdown(double load, double slots)
 {
-	double part = load / (double)slots;
+	double part = load / slots;
 
 	if (part <= 1.0)
 		return 1.0 + BUSY_SLOWNESS * part * part;
 	return part * (1.0 + BUSY_SLOWNESS);
 }
 
+/* Service time relative to the mean of the service. */
+static double time_factor(const struct ws_ed_pool *p, ws_us now,
+			  const struct ws_ed_server *s)
+{
+	return p->unmetered ? 1.0 / ws_ed_learn_speed(&s->learned, now) :
+			      s->service_time_factor;
+}
+
+/* Requests that a server takes at once. */
+static double effective_slots(const struct ws_ed_pool *p, ws_us now,
+			      const struct ws_ed_server *s)
+{
+	return p->unmetered ? ws_ed_learn_limit(&s->learned, now) :
+			      (double)s->slots;
+}
+
 /* @param tau time constant of the decay of load reports */
 static void estimate(const struct ws_ed_pool *p, ws_us now, uint32_t server,
 		     uint32_t work_stats, double tau, struct ws_ed_choice *out)
@@ -376,8 +397,8 @@
 	const struct ws_ed_server *s = &p->servers[server];
 	double load = load_of(s, now, tau) + 1.0;
 	double time = p->work_stats[work_stats].service_time *
-		      s->service_time_factor * pace_of(s, now) *
-		      load_slowdown(load, s->slots);
+		      time_factor(p, now, s) * pace_of(s, now) *
+		      load_slowdown(load, effective_slots(p, now, s));
 
 	out->server = (int32_t)server;
 	out->load = load / (double)s->slots;
@@ -410,15 +431,16 @@
 	c->slots = 0.0;
 	for (i = 0; i < p->n; i++) {
 		const struct ws_ed_server *s = &p->servers[i];
+		double taken;
 		double part;
 
 		if (s->service != service ||
 		    !ws_ed_pool_usable(p, now, (uint32_t)i))
 			continue;
-		part = (double)s->slots * s->inverse_pace_mean /
-		       s->service_time_factor;
+		taken = effective_slots(p, now, s);
+		part = taken * s->inverse_pace_mean / time_factor(p, now, s);
 		c->slots += now < s->cold_until ? part / COLD_SLOWNESS : part;
-		slots += (double)s->slots;
+		slots += taken;
 		load += load_of(s, now, REPORT_TAU);
 	}
 	c->slots /= 1.0 + BUSY_SLOWNESS;
@@ -600,14 +622,16 @@
 				 double load, ws_us now)
 {
 	struct ws_ed_work_stats *w = &p->work_stats[work_stats];
+	double slots = effective_slots(p, now, s);
 	double idle_time = (double)latency /
-			   load_slowdown(load * s->slots, s->slots) /
+			   load_slowdown(load * s->slots, slots) /
 			   pace_of(s, now);
-	double gain = w->n_samples < 20 ? 0.2 : SERVICE_TIME_GAIN;
+	double gain = w->n_samples < SERVICE_TIME_SAMPLES ? 0.2 :
+							    SERVICE_TIME_GAIN;
 
 	w->n_samples++;
 	w->service_time +=
-		gain * (idle_time / s->service_time_factor - w->service_time);
+		gain * (idle_time / time_factor(p, now, s) - w->service_time);
 	s->service_time_factor +=
 		SERVICE_TIME_FACTOR_GAIN *
 		(idle_time / w->service_time - s->service_time_factor);
@@ -616,6 +640,36 @@
 				       SERVICE_TIME_FACTOR_MAX);
 }
 
+/* Whether the outcome says anything of the server's capacity. */
+static bool is_capacity_sample(enum ws_ed_end end)
+{
+	return end != WS_ED_END_NOT_SENT;
+}
+
+static void learn(struct ws_ed_pool *p, ws_us now, struct ws_ed_server *s,
+		  const struct ws_ed_sending *x, enum ws_ed_end end,
+		  ws_us latency, const struct ws_ed_report *report)
+{
+	const struct ws_ed_work_stats *w = &p->work_stats[x->work_stats];
+	bool known = report && report->from_server && report->known;
+	struct ws_ed_learn_sample sample = {
+		.now = now,
+		.latency = latency,
+		.work = w->n_samples >= SERVICE_TIME_SAMPLES ? w->service_time :
+							       0.0,
+		.load = x->load * (double)s->slots,
+		.ok = end == WS_ED_END_OK,
+		.rejected = end == WS_ED_END_SHED ||
+			    end == WS_ED_END_CONNECTION_LOST,
+		.pace = pace_of(s, now),
+		.has_report = known,
+		.running = known ? report->running : 0,
+		.waiting = known ? report->waiting : 0,
+	};
+
+	ws_ed_learn_sample(&s->learned, &sample);
+}
+
 static void back_off(struct ws_ed_server *s, ws_us now)
 {
 	ws_us time = BACKOFF_INITIAL << s->n_backoffs;
@@ -641,6 +695,12 @@
 	WS_INVARIANT(s->in_flight > 0);
 	s->in_flight--;
 	changed = ws_ed_pool_apply_answer(p, now, s, x, report);
+	if (p->unmetered && x->started_ms == s->started_ms &&
+	    is_capacity_sample(end)) {
+		learn(p, now, s, x, end, latency, report);
+		if (ws_ed_learn_has_crossed(&s->learned, now))
+			changed |= WS_ED_STATED_CAPACITY;
+	}
 	if (end == WS_ED_END_OK || end == WS_ED_END_FAILED ||
 	    end == WS_ED_END_SHED) {
 		s->idle_connections++;
--- a/lib/edge/ws_ed_pool.h
+++ b/lib/edge/ws_ed_pool.h
@@ -2,6 +2,7 @@
 #define WS_ED_POOL_H
 
 #include "edge/ws_ed_conf.h"
+#include "edge/ws_ed_learn.h"
 #include "edge/ws_ed_share.h"
 #include "edge/ws_ed_stated.h"
 
@@ -68,6 +69,7 @@
 	double inverse_pace_mean; /* mean of 1 / pace: relative throughput */
 	uint32_t n_pace_samples; /* number of reports in both means */
 	double service_time_factor; /* smoothed; above 1: slow */
+	struct ws_ed_learned learned; /* if unmetered, instead of the factor */
 	double failure_rate; /* smoothed fraction of failed requests */
 	ws_us backoff_until;
 	uint32_t n_backoffs;
--- a/lib/edge/ws_ed_stated.h
+++ b/lib/edge/ws_ed_stated.h
@@ -71,6 +71,7 @@
 	WS_ED_STATED_CLOSED = 2, /* it wants no requests, for longer */
 	WS_ED_STATED_LIMIT = 4,
 	WS_ED_STATED_LOAD = 8,
+	WS_ED_STATED_CAPACITY = 16, /* learned, see ws_ed_learn.h */
 };
 
 enum ws_ed_statement_kind {
