Tell the other instances what was learned of each server

Cause: one instance among dozens gets an answer of each server every few seconds, too few to follow a server that slows for some seconds.

Change: heartbeats end with a list of learned speeds and limits, eight bytes a server, of those that changed; it takes the place of load reports and is left out when empty, so that it is absent wherever customers have rates and is not read by earlier versions. Log lines 408 and 409, and two metrics a server.

Ruled out: a wider load report, which would change the wire of all.

--- a/lib/common/ws_events.h
+++ b/lib/common/ws_events.h
@@ -47,6 +47,8 @@
 	X(405, TARGET_UNLIMITED, NOTICE, "target has lifted its limit")     \
 	X(406, TARGET_LEAVING, NOTICE, "target states that it leaves")      \
 	X(407, TARGET_CLOSED, NOTICE, "target wants no requests for now")   \
+	X(408, TARGET_REDUCED, NOTICE, "target takes less than its slots")  \
+	X(409, TARGET_RESTORED, NOTICE, "target takes its slots again")     \
 	X(501, PEER_UP, NOTICE, "peer connection established")              \
 	X(502, PEER_DOWN, WARNING, "peer connection closed")                \
 	X(503, PEER_REJECTED, WARNING, "peer failed authentication")        \
--- a/lib/edge/ws_ed_beat.c
+++ b/lib/edge/ws_ed_beat.c
@@ -76,6 +76,25 @@
 	}
 }
 
+static void process_learned(struct ws_edge *e, const struct ws_ed_beat *b)
+{
+	uint8_t next = forward_mask(e, b->zone == e->peers.zone);
+	uint32_t i;
+
+	for (i = 0; i < b->n_learned; i++) {
+		const struct ws_ed_beat_learned *l = &b->learned[i];
+		const struct ws_ed_peer_learned t = {
+			.server = l->server,
+			.started = l->started,
+			.speed = l->speed,
+			.limit = l->limit,
+			.age = (ws_us)l->age * WS_ED_AGE_STEP,
+		};
+
+		ws_ed_pool_peer_learned(&e->pool, e->now, &t, next);
+	}
+}
+
 static void process_statements(struct ws_edge *e, const struct ws_ed_beat *b,
 			       struct ws_ed_fx *fx)
 {
@@ -228,6 +247,7 @@
 	process_demands(e, b);
 	process_members(e, b);
 	process_loads(e, b);
+	process_learned(e, b);
 	process_statements(e, b, fx);
 }
 
@@ -293,6 +313,7 @@
 	if (b->continuation) {
 		process_demands(e, b);
 		process_loads(e, b);
+		process_learned(e, b);
 		return;
 	}
 	process_header(e, m, b);
@@ -347,6 +368,36 @@
 	e->next_load += i;
 }
 
+/* Adds what was learned and not yet sent to receivers, round robin. */
+static void add_learned(struct ws_edge *e, ws_us now, uint8_t receivers,
+			uint32_t max, struct ws_ed_beat *b)
+{
+	struct ws_ed_pool *p = &e->pool;
+	size_t i = e->next_learned < p->n ? e->next_learned : 0;
+	struct ws_ed_peer_learned t;
+
+	b->n_learned = 0;
+	while (b->n_learned < max &&
+	       (i = ws_ed_pool_next_learned(p, now, i, receivers, &t)) < p->n) {
+		b->learned[b->n_learned++] = (struct ws_ed_beat_learned){
+			.server = t.server,
+			.started = t.started,
+			.speed = t.speed,
+			.limit = t.limit,
+			.age = clamp_to_byte((double)t.age /
+					     (double)WS_ED_AGE_STEP),
+		};
+		i++;
+	}
+	e->next_learned = i < p->n ? i : 0;
+}
+
+/* Load reports whose place the learned capacities take. */
+static uint32_t loads_displaced_by_learned(const struct ws_ed_beat *b)
+{
+	return b->n_learned ? b->n_learned + 1 : 0;
+}
+
 static void add_statement(const struct ws_ed_server *s, ws_us now,
 			  enum ws_ed_statement_kind kind, struct ws_ed_beat *b)
 {
@@ -478,6 +529,19 @@
 		       0;
 }
 
+/* @param n_statements whose place loads can't take */
+static void add_own_loads(struct ws_edge *e, ws_us now, uint32_t n_statements,
+			  struct ws_ed_beat *b)
+{
+	const uint8_t all = WS_ED_PENDING_ZONE | WS_ED_PENDING_RELAYS;
+	uint32_t room =
+		WS_ED_LOADS_MAX - WS_ED_LOADS_PER_STATEMENT * n_statements;
+
+	add_learned(e, now, all,
+		    room > WS_ED_LEARNED_MAX ? WS_ED_LEARNED_MAX : 0, b);
+	add_loads(e, now, all, room - loads_displaced_by_learned(b), b);
+}
+
 void ws_edge_beat(struct ws_edge *e, ws_us now, struct ws_ed_beat *b)
 {
 	uint32_t displaced;
@@ -505,18 +569,17 @@
 	 * A relay sends loads in ws_edge_beat_continue() instead, since these
 	 * are the same for many receivers.
 	 */
-	if (e->peers.is_relay)
+	if (e->peers.is_relay) {
 		b->n_loads = 0;
-	else
-		add_loads(e, now, WS_ED_PENDING_ZONE | WS_ED_PENDING_RELAYS,
-			  WS_ED_LOADS_MAX -
-				  WS_ED_LOADS_PER_STATEMENT *
-					  (b->n_statements + displaced),
-			  b);
+		b->n_learned = 0;
+	} else {
+		add_own_loads(e, now, b->n_statements + displaced, b);
+	}
 	choose_demands(e, now, b);
 	add_counts(e, b);
 	e->round.n_strikes = b->n_strikes;
 	e->round.n_loads = b->n_loads;
+	e->round.n_learned = b->n_learned;
 	e->round.n_statements = b->n_statements;
 	e->round.n_demands = b->n_demands;
 	memcpy(e->round.demands, b->demands,
@@ -615,6 +678,7 @@
 	b->map_part = WS_ED_MAP_PART_NONE;
 	b->n_counts = e->round.n_counts;
 	b->n_loads = is_full && same_zone ? e->round.n_loads : 0;
+	b->n_learned = is_full && same_zone ? e->round.n_learned : 0;
 	b->n_statements = is_full ? e->round.n_statements : 0;
 	b->n_demands = is_full ? e->round.n_demands : 0;
 	if (b->n_demands)
@@ -667,6 +731,9 @@
 bool ws_edge_beat_continue(struct ws_edge *e, enum ws_ed_receiver_group to,
 			   struct ws_ed_beat *b)
 {
+	const uint8_t receivers = to == WS_ED_TO_RELAYS ? WS_ED_PENDING_RELAYS :
+							  WS_ED_PENDING_ZONE;
+
 	if (!e->peers.uses_relays || !e->peers.is_relay)
 		return false;
 	b->continuation = true;
@@ -677,16 +744,19 @@
 	b->n_strikes = 0;
 	b->n_members = 0;
 	b->n_loads = 0;
+	b->n_learned = 0;
 	b->n_statements = 0;
 	b->n_demands = 0;
 	if (to == WS_ED_TO_RELAYS && has_many_customers(e))
 		add_zone_demands(e, b);
-	if (!b->n_demands)
-		add_loads(e, b->timestamp,
-			  to == WS_ED_TO_RELAYS ? WS_ED_PENDING_RELAYS :
-						  WS_ED_PENDING_ZONE,
-			  WS_ED_LOADS_CONTINUED, b);
-	return b->n_demands || b->n_loads;
+	if (!b->n_demands) {
+		add_learned(e, b->timestamp, receivers, WS_ED_LEARNED_CONTINUED,
+			    b);
+		add_loads(e, b->timestamp, receivers,
+			  WS_ED_LOADS_CONTINUED - loads_displaced_by_learned(b),
+			  b);
+	}
+	return b->n_demands || b->n_loads || b->n_learned;
 }
 
 /* ===== The map of keys ===== */
@@ -737,6 +807,7 @@
 	b->n_demands = 0;
 	b->n_counts = 0;
 	b->n_loads = 0;
+	b->n_learned = 0;
 	b->n_statements = 0;
 	b->n_strikes = 0;
 	b->n_members = 0;
--- a/lib/edge/ws_ed_codec.c
+++ b/lib/edge/ws_ed_codec.c
@@ -255,6 +255,33 @@
 	return true;
 }
 
+/*
+ * The list follows all else and is left out when empty: instances of earlier
+ * versions don't read it, and get the same heartbeats as before.
+ */
+static bool xdr_learned(XDR *x, struct ws_ed_beat *b)
+{
+	uint32_t i;
+
+	if (!xdr_uint32_t(x, &b->n_learned) ||
+	    b->n_learned > WS_ED_LEARNED_CONTINUED)
+		return false;
+	for (i = 0; i < b->n_learned; i++) {
+		struct ws_ed_beat_learned *l = &b->learned[i];
+		uint32_t word = (uint32_t)l->started << 24 |
+				(uint32_t)l->speed << 16 |
+				(uint32_t)l->limit << 8 | l->age;
+
+		if (!xdr_uint32_t(x, &l->server) || !xdr_uint32_t(x, &word))
+			return false;
+		l->started = (uint8_t)(word >> 24);
+		l->speed = (uint8_t)(word >> 16);
+		l->limit = (uint8_t)(word >> 8);
+		l->age = (uint8_t)word;
+	}
+	return true;
+}
+
 static bool xdr_ends(XDR *x, struct ws_ed_beat *b)
 {
 	int i;
@@ -294,10 +321,11 @@
 
 int ws_ed_beat_encode(const struct ws_ed_beat *b, void *buf, size_t size)
 {
+	struct ws_ed_beat *in = (struct ws_ed_beat *)(uintptr_t)b;
 	XDR x;
 
 	xdrmem_create(&x, buf, (u_int)size, XDR_ENCODE);
-	if (!xdr_beat(&x, (struct ws_ed_beat *)(uintptr_t)b))
+	if (!xdr_beat(&x, in) || (b->n_learned && !xdr_learned(&x, in)))
 		return WS_ERR_LIMIT;
 	return (int)xdr_getpos(&x);
 }
@@ -307,7 +335,12 @@
 	XDR x;
 
 	xdrmem_create(&x, (char *)(uintptr_t)buf, (u_int)len, XDR_DECODE);
-	return xdr_beat(&x, b) ? 0 : WS_ERR_SYNTAX;
+	if (!xdr_beat(&x, b))
+		return WS_ERR_SYNTAX;
+	b->n_learned = 0;
+	if (xdr_getpos(&x) == len)
+		return 0;
+	return xdr_learned(&x, b) ? 0 : WS_ERR_SYNTAX;
 }
 
 /* ===== Refused requests ===== */
--- a/lib/edge/ws_ed_pool.c
+++ b/lib/edge/ws_ed_pool.c
@@ -113,6 +113,7 @@
 	s->n_pace_samples = 0;
 	s->service_time_factor = 1.0;
 	s->learned = (struct ws_ed_learned){ .slots = 0 };
+	s->learned_news = (struct ws_ed_learned_news){ .pending = 0 };
 	s->failure_rate = 0.0;
 	s->backoff_until = 0;
 	s->n_backoffs = 0;
@@ -698,6 +699,7 @@
 	if (p->unmetered && x->started_ms == s->started_ms &&
 	    is_capacity_sample(end)) {
 		learn(p, now, s, x, end, latency, report);
+		ws_ed_pool_note_learned(s);
 		if (ws_ed_learn_has_crossed(&s->learned, now))
 			changed |= WS_ED_STATED_CAPACITY;
 	}
--- a/lib/edge/ws_ed_pool.h
+++ b/lib/edge/ws_ed_pool.h
@@ -43,6 +43,13 @@
 	WS_ED_RATE_UNLIMITED,
 };
 
+/* What other instances were told, or told, of what is learned of a server. */
+struct ws_ed_learned_news {
+	uint8_t speed; /* ws_ed_learn_encode_speed() */
+	uint8_t limit;
+	uint8_t pending; /* enum ws_ed_report_pending */
+};
+
 struct ws_ed_server {
 	ws_id id; /* 0: free entry */
 	char name[WS_ED_NAME_MAX];
@@ -70,6 +77,7 @@
 	uint32_t n_pace_samples; /* number of reports in both means */
 	double service_time_factor; /* smoothed; above 1: slow */
 	struct ws_ed_learned learned; /* if unmetered, instead of the factor */
+	struct ws_ed_learned_news learned_news;
 	double failure_rate; /* smoothed fraction of failed requests */
 	ws_us backoff_until;
 	uint32_t n_backoffs;
@@ -297,6 +305,31 @@
 void ws_ed_pool_peer_report(struct ws_ed_pool *p, ws_us at, uint32_t server,
 			    const struct ws_ed_report *report, uint8_t pending);
 
+/* What another instance has learned of a start of a server. */
+struct ws_ed_peer_learned {
+	uint32_t server; /* ws_ed_short_id() */
+	uint8_t started; /* lowest bits of its start */
+	uint8_t speed; /* ws_ed_learn_encode_speed() */
+	uint8_t limit;
+	ws_us age;
+};
+
+/*
+ * Applies it if unmetered.
+ * @param pending enum ws_ed_report_pending: whom to pass it on to
+ */
+void ws_ed_pool_peer_learned(struct ws_ed_pool *p, ws_us now,
+			     const struct ws_ed_peer_learned *t,
+			     uint8_t pending);
+
+/*
+ * Takes out what is to be told to receivers, of servers from first on.
+ * @param pending enum ws_ed_report_pending: the receivers
+ * @return index of the server it is of; p->n: there is no more
+ */
+size_t ws_ed_pool_next_learned(struct ws_ed_pool *p, ws_us now, size_t first,
+			       uint8_t pending, struct ws_ed_peer_learned *t);
+
 /* Finds a server by the short form of its id; -1: none. */
 int32_t ws_ed_pool_find_short(const struct ws_ed_pool *p, uint32_t id);
 
--- a/lib/edge/ws_ed_pool_int.h
+++ b/lib/edge/ws_ed_pool_int.h
@@ -23,6 +23,14 @@
 				 const struct ws_ed_sending *x,
 				 const struct ws_ed_report *report);
 
+/* Decides whether to tell others what an answer to this instance has changed.
+ */
+void ws_ed_pool_note_learned(struct ws_ed_server *s);
+
+/* Appends WS_EDFX_LOG for a learned limit that has fallen or returned. */
+void ws_ed_pool_log_learned(const struct ws_ed_server *s, ws_us now,
+			    struct ws_ed_fx *fx);
+
 /* Applies what is known of a server from before it was listed. */
 void ws_ed_pool_apply_kept(struct ws_ed_pool *p, ws_us now,
 			   struct ws_ed_server *s);
--- a/lib/edge/ws_ed_pool_stated.c
+++ b/lib/edge/ws_ed_pool_stated.c
@@ -137,4 +137,6 @@
 			     source);
 	if (changed & WS_ED_STATED_LIMIT)
 		ws_ed_limit_log(&s->stated.limit, s->id, source, fx);
+	if (changed & WS_ED_STATED_CAPACITY)
+		ws_ed_pool_log_learned(s, now, fx);
 }
--- a/lib/edge/ws_edge.h
+++ b/lib/edge/ws_edge.h
@@ -154,6 +154,21 @@
 	uint8_t age; /* in units of WS_ED_AGE_STEP */
 };
 
+/*
+ * What the sender has learned of a server, in eight bytes on the wire, in place
+ * of a load report each; the list takes the place of one more.
+ */
+struct ws_ed_beat_learned {
+	uint32_t server; /* ws_ed_short_id() */
+	uint8_t started; /* lowest bits of its start */
+	uint8_t speed; /* ws_ed_learn_encode_speed() */
+	uint8_t limit;
+	uint8_t age; /* in units of WS_ED_AGE_STEP */
+};
+
+#define WS_ED_LEARNED_MAX 8
+#define WS_ED_LEARNED_CONTINUED 40
+
 /* A relay has more room, as it sends loads in continuations. */
 #define WS_ED_STATEMENTS_MAX 8
 #define WS_ED_STATEMENTS_OF_RELAY 15
@@ -213,6 +228,8 @@
 	struct ws_ed_beat_statement statements[WS_ED_STATEMENTS_OF_RELAY];
 	uint32_t n_strikes;
 	struct ws_ed_strike strikes[WS_ED_STRIKES_MAX];
+	uint32_t n_learned; /* 0 if customers have rates */
+	struct ws_ed_beat_learned learned[WS_ED_LEARNED_CONTINUED];
 	uint32_t n_members;
 	struct ws_ed_beat_member members[WS_ED_MEMBERS_MAX];
 	/*
--- a/lib/edge/ws_edge_int.h
+++ b/lib/edge/ws_edge_int.h
@@ -116,6 +116,7 @@
 	size_t next_demand; /* customer to start with in the next heartbeat */
 	size_t next_member; /* member to start with */
 	size_t next_load; /* server to start with */
+	size_t next_learned; /* server to start with */
 	size_t next_statement; /* server to start with */
 	ws_us next_digest; /* of the refused requests */
 	/* The current round of heartbeats */
@@ -126,6 +127,7 @@
 		uint32_t n_demands;
 		uint32_t n_counts;
 		uint32_t n_loads;
+		uint32_t n_learned;
 		uint32_t n_statements;
 		uint32_t n_strikes;
 		struct ws_ed_beat_demand demands[WS_ED_DEMANDS_MAX];
--- a/lib/edgeio/ws_eio_metrics.c
+++ b/lib/edgeio/ws_eio_metrics.c
@@ -108,6 +108,27 @@
 		io->memory.used, io->memory.n_refused);
 }
 
+/* Targets have their ids as in the log, since their names are not escaped. */
+static void add_learned(GString *s, const struct ws_ed_pool *p, ws_us now)
+{
+	size_t i;
+
+	for (i = 0; p->unmetered && i < p->n; i++) {
+		const struct ws_ed_server *t = &p->servers[i];
+
+		if (!t->id)
+			continue;
+		g_string_append_printf(
+			s,
+			"wagtailshift_target_speed{target=\"%016" PRIx64
+			"\"} %.3f\n"
+			"wagtailshift_target_limit{target=\"%016" PRIx64
+			"\"} %.2f\n",
+			t->id, ws_ed_learn_speed(&t->learned, now), t->id,
+			ws_ed_learn_limit(&t->learned, now));
+	}
+}
+
 static void on_request(void *arg, struct ws_server_request *req)
 {
 	static const char type[] = "Content-Type: text/plain; version=0.0.4";
@@ -122,6 +143,7 @@
 	add_counters(s, ws_edge_counters(m->io->edge));
 	add_latencies(s);
 	add_state(s, m->io);
+	add_learned(s, ws_edge_pool(m->io->edge), ws_eio_now());
 	a.data = s->str;
 	a.data_len = s->len;
 	ws_server_answer(req, &a);
