--- a/lib/edge/ws_ed_learn.c
+++ b/lib/edge/ws_ed_learn.c
@@ -21,6 +21,9 @@
 #define STREAK_TIME (250 * WS_MS)
 #define STREAK_SLOW_FACTOR 2.5
 #define STREAK_FAST_FACTOR 3.0
+/* Outside of streaks, the time grows by at most this factor per step. */
+#define STEP_FACTOR 1.35
+#define STEP_TIME (100 * WS_MS)
 /* Without samples for SILENT_AFTER, the estimates decay to the prior. */
 #define SILENT_AFTER (2 * WS_SECOND)
 #define SILENT_TAU (4.0 * (double)WS_SECOND)
@@ -138,7 +141,19 @@
 		gain = TIME_GAIN;
 	if (in_streak)
 		gain = STREAK_GAIN;
-	set_time(l, l->time + gain * (used - l->time));
+	if (!l->n_samples || now - l->step_since >= STEP_TIME) {
+		l->step_since = now;
+		l->step_time = l->time;
+	}
+	/* Much faster answers mean more than their share of a mean shows. */
+	if (time * STREAK_FAST_FACTOR < l->time)
+		time = l->time * pow(fmax(time, TIME_MIN) / l->time, gain);
+	else
+		time = l->time + gain * (used - l->time);
+	/* All requests of one slow moment are one sample. */
+	if (!in_streak && time > l->step_time * STEP_FACTOR)
+		time = fmax(l->time, l->step_time * STEP_FACTOR);
+	set_time(l, time);
 }
 
 /* ===== Limit ===== */
--- a/lib/edge/ws_ed_learn.h
+++ b/lib/edge/ws_ed_learn.h
@@ -26,6 +26,8 @@
 	double window_time; /* sum of their relative times */
 	double window_load; /* sum of their loads */
 	uint32_t n_full; /* rejections and resets in the window, when busy */
+	ws_us step_since; /* the bound on the growth of time counts from then */
+	double step_time; /* time as of then */
 	ws_us streak_since; /* of samples that all differ the same way */
 	uint32_t n_streak;
 	bool is_slow_streak;
--- a/lib/edge/ws_ed_pool_learned.c
+++ b/lib/edge/ws_ed_pool_learned.c
@@ -7,7 +7,7 @@
 /* What instances tell each other of learned capacities; see ws_ed_learn.h. */
 
 /* Least change that is told, in steps of the codes. */
-#define SPEED_STEPS_TOLD 3
+#define SPEED_STEPS_TOLD 2
 #define LIMIT_STEPS_TOLD 4
 /* What was learned before is not told any more. */
 #define TOLD_AGE_MAX (1 * WS_SECOND)
--- a/tests/test_ed_codec.c
+++ b/tests/test_ed_codec.c
@@ -111,6 +111,38 @@
 }
 END_TEST
 
+/*
+ * What was learned follows all else: without it, a heartbeat is that of earlier
+ * versions, which don't read the list.
+ */
+START_TEST(learned_capacities_follow_the_heartbeat)
+{
+	int plain = encode_sample();
+	int len;
+	int i;
+
+	beat.n_learned = 2;
+	beat.learned[1] = (struct ws_ed_beat_learned){
+		.server = 8, .started = 7, .speed = 100, .limit = 200, .age = 9
+	};
+	len = ws_ed_beat_encode(&beat, buf, sizeof(buf));
+	ck_assert_int_eq(len, plain + 4 + 2 * 8);
+	ck_assert_int_eq(ws_ed_beat_decode(&back, buf, (size_t)len), 0);
+	ck_assert_uint_eq(back.n_learned, 2);
+	ck_assert_mem_eq(&back.learned[1], &beat.learned[1],
+			 sizeof(beat.learned[1]));
+	for (i = plain + 1; i < len; i++)
+		ck_assert_int_eq(ws_ed_beat_decode(&back, buf, (size_t)i),
+				 WS_ERR_SYNTAX);
+	ck_assert_int_eq(ws_ed_beat_decode(&back, buf, (size_t)plain), 0);
+	ck_assert_uint_eq(back.n_learned, 0);
+	/* The number of items is the last byte of the word after the rest. */
+	buf[plain + 3] = WS_ED_LEARNED_CONTINUED + 1;
+	ck_assert_int_eq(ws_ed_beat_decode(&back, buf, sizeof(buf)),
+			 WS_ERR_SYNTAX);
+}
+END_TEST
+
 /* Guards against limits of servers that no share can be computed from. */
 START_TEST(beats_with_impossible_limits_are_refused)
 {
@@ -151,6 +183,10 @@
 	for (i = 0; i < WS_ED_MEMBERS_MAX; i++)
 		fill_address(beat.members[i].address);
 	ck_assert_int_gt(ws_ed_beat_encode(&beat, buf, WS_ED_BEAT_BYTES), 0);
+	beat.n_learned = WS_ED_LEARNED_MAX;
+	beat.n_loads = WS_ED_LOADS_MAX - beat.n_learned - 1;
+	ck_assert_int_gt(ws_ed_beat_encode(&beat, buf, WS_ED_BEAT_BYTES), 0);
+	beat.n_learned = 0;
 	beat.n_statements = WS_ED_STATEMENTS_MAX;
 	beat.n_loads =
 		WS_ED_LOADS_MAX - WS_ED_LOADS_PER_STATEMENT * beat.n_statements;
@@ -196,6 +232,9 @@
 	beat.n_demands = 0;
 	beat.n_loads = WS_ED_LOADS_CONTINUED;
 	ck_assert_int_gt(ws_ed_beat_encode(&beat, buf, WS_ED_BEAT_BYTES), 0);
+	beat.n_learned = WS_ED_LEARNED_CONTINUED;
+	beat.n_loads = WS_ED_LOADS_CONTINUED - beat.n_learned - 1;
+	ck_assert_int_gt(ws_ed_beat_encode(&beat, buf, WS_ED_BEAT_BYTES), 0);
 }
 END_TEST
 
@@ -455,6 +494,7 @@
 		beat_round_trips,
 		damaged_beats_are_refused_or_bounded,
 		beats_with_impossible_limits_are_refused,
+		learned_capacities_follow_the_heartbeat,
 		full_beat_fits_one_datagram,
 		full_map_part_fits_one_datagram,
 		full_continuation_fits_one_datagram,
