Count rejections only at a full server; log a limit every 10 s at most

Change: a rejection counts if the reported requests reach the limit, and a server's crossing is logged every 10 s at most. The test asks for the latter too.

--- a/lib/edge/ws_ed_learn.c
+++ b/lib/edge/ws_ed_learn.c
@@ -52,6 +52,8 @@
 /* Hysteresis of the log line, in requests below the slots. */
 #define REDUCED_BELOW 0.75
 #define RETURNED_ABOVE 0.25
+/* Least time between two such lines on a server. */
+#define CROSSED_INTERVAL (10 * WS_SECOND)
 /* Codes: a step is a factor of 2^(1/16); unity is at the offset. */
 #define CODE_STEPS 16.0
 #define SPEED_CODE_UNITY 128.0
@@ -162,10 +164,10 @@
 			    const struct ws_ed_learn_sample *s)
 {
 	/* The rejected request itself is not in the report. */
-	double load = s->has_report ? (double)(s->running + s->waiting) + 1.0 :
-				      s->load;
+	double load = s->has_report ? (double)(s->running + s->waiting) :
+				      s->load - 1.0;
 
-	if (load > 1.0 && load >= BUSY_PART * l->limit)
+	if (load >= l->limit)
 		l->n_full++;
 }
 
@@ -286,10 +288,13 @@
 	double below = (double)l->slots - ws_ed_learn_limit(l, now);
 	bool is_reduced = l->is_reduced ? below > RETURNED_ABOVE :
 					  below > REDUCED_BELOW;
-	bool has_crossed = is_reduced != l->is_reduced;
 
+	if (is_reduced == l->is_reduced ||
+	    (l->crossed_at && now - l->crossed_at < CROSSED_INTERVAL))
+		return false;
 	l->is_reduced = is_reduced;
-	return has_crossed;
+	l->crossed_at = now;
+	return true;
 }
 
 /* ===== Codes ===== */
--- a/lib/edge/ws_ed_learn.h
+++ b/lib/edge/ws_ed_learn.h
@@ -32,6 +32,7 @@
 	uint32_t n_streak;
 	bool is_slow_streak;
 	bool is_reduced; /* the limit is below the slots, as last logged */
+	ws_us crossed_at; /* when that was logged; 0: never */
 };
 
 /* One answer, or the loss of one. */
@@ -72,7 +73,7 @@
 
 /*
  * Whether the limit has fallen below the slots, or returned, since the last
- * call; with hysteresis.
+ * call; with hysteresis, and not again for some seconds.
  */
 bool ws_ed_learn_has_crossed(struct ws_ed_learned *l, ws_us now);
 
--- a/tests/test_ed_learn.c
+++ b/tests/test_ed_learn.c
@@ -118,6 +118,8 @@
 	ck_assert(!ws_ed_learn_has_crossed(&l, now));
 	answers(&l, 50, ROUND, 1.0);
 	ck_assert_double_ge(ws_ed_learn_limit(&l, now), SLOTS);
+	ck_assert(!ws_ed_learn_has_crossed(&l, now));
+	answers(&l, 100, ROUND, 1.0);
 	ck_assert(ws_ed_learn_has_crossed(&l, now));
 }
 END_TEST
