Ignore rejections of a server that rejects with free slots too

Change: the part rejected with free slots is kept; above 0.15, rejections of the busy server don't count. The test asks for that too.

--- a/lib/edge/ws_ed_learn.c
+++ b/lib/edge/ws_ed_learn.c
@@ -33,6 +33,9 @@
 #define WINDOW_REJECTIONS 2
 /* Multiplicative decrease of the limit on rejections by a busy server. */
 #define REJECTED_FACTOR 0.7
+/* Weight of an outcome in the part that is rejected with free slots. */
+#define REJECTED_GAIN 0.2
+#define REJECTED_FREE_MAX 0.15
 /* Least decrease of the limit by latency in one window. */
 #define GRADIENT_MIN 0.5
 /* Latency may grow by this factor from an idle server to a busy one. */
@@ -160,14 +163,22 @@
 
 /* ===== Limit ===== */
 
-static void count_rejection(struct ws_ed_learned *l,
-			    const struct ws_ed_learn_sample *s)
+/*
+ * A server that also rejects requests while it has free slots does so for
+ * another reason; its rejections when busy tell nothing.
+ */
+static void count_outcome(struct ws_ed_learned *l,
+			  const struct ws_ed_learn_sample *s)
 {
-	/* The rejected request itself is not in the report. */
+	/* The request itself has ended and is not in the report. */
 	double load = s->has_report ? (double)(s->running + s->waiting) :
 				      s->load - 1.0;
+	double rejected = s->rejected ? 1.0 : 0.0;
 
-	if (load >= l->limit)
+	if (load < l->limit)
+		l->rejected_free +=
+			REJECTED_GAIN * (rejected - l->rejected_free);
+	else if (s->rejected && l->rejected_free < REJECTED_FREE_MAX)
 		l->n_full++;
 }
 
@@ -230,9 +241,9 @@
 	if (!l->slots || (!s->rejected && s->work <= 0.0))
 		return;
 	apply_silence(l, s->now);
-	if (s->rejected) {
-		count_rejection(l, s);
-	} else {
+	if (s->rejected || s->ok)
+		count_outcome(l, s);
+	if (!s->rejected) {
 		time = (double)s->latency / (s->work * pace);
 		/* Without an answer, only what exceeds the estimate counts. */
 		if (!s->ok && time <= l->time * slowdown)
--- a/lib/edge/ws_ed_learn.h
+++ b/lib/edge/ws_ed_learn.h
@@ -26,6 +26,7 @@
 	double window_time; /* sum of their relative times */
 	double window_load; /* sum of their loads */
 	uint32_t n_full; /* rejections and resets in the window, when busy */
+	double rejected_free; /* part of requests rejected with free slots */
 	ws_us step_since; /* the bound on the growth of time counts from then */
 	double step_time; /* time as of then */
 	ws_us streak_since; /* of samples that all differ the same way */
--- a/tests/test_ed_learn.c
+++ b/tests/test_ed_learn.c
@@ -105,14 +105,18 @@
 {
 	struct ws_ed_learned l;
 	double idle;
+	double any;
 	double full;
 
 	ws_ed_learn_reset(&l, SLOTS);
 	idle = reject(&l, 200, 0.55, 0);
+	any = reject(&l, 5, 0.55, SLOTS);
+	ws_ed_learn_reset(&l, SLOTS);
 	full = reject(&l, 60, 0.9, SLOTS);
-	printf("limit by rejections: idle %.2f, full %.2f of %d\n", idle, full,
-	       SLOTS);
+	printf("limit by rejections: idle %.2f, any %.2f, full %.2f of %d\n",
+	       idle, any, full, SLOTS);
 	ck_assert_double_ge(idle, SLOTS);
+	ck_assert_double_ge(any, SLOTS);
 	ck_assert_double_lt(full, SLOTS - 1.0);
 	ck_assert(ws_ed_learn_has_crossed(&l, now));
 	ck_assert(!ws_ed_learn_has_crossed(&l, now));
