--- a/lib/edge/ws_ed_learn.c
+++ b/lib/edge/ws_ed_learn.c
@@ -33,6 +33,9 @@
 #define WINDOW_REJECTIONS 2
 /* Multiplicative decrease of the limit on rejections by a busy server. */
 #define REJECTED_FACTOR 0.7
+/* Weight of an outcome in the part that is rejected with free slots. */
+#define REJECTED_GAIN 0.2
+#define REJECTED_FREE_MAX 0.15
 /* Least decrease of the limit by latency in one window. */
 #define GRADIENT_MIN 0.5
 /* Latency may grow by this factor from an idle server to a busy one. */
@@ -52,6 +55,8 @@
 /* Hysteresis of the log line, in requests below the slots. */
 #define REDUCED_BELOW 0.75
 #define RETURNED_ABOVE 0.25
+/* Least time between two such lines on a server. */
+#define CROSSED_INTERVAL (10 * WS_SECOND)
 /* Codes: a step is a factor of 2^(1/16); unity is at the offset. */
 #define CODE_STEPS 16.0
 #define SPEED_CODE_UNITY 128.0
@@ -158,14 +163,22 @@
 
 /* ===== Limit ===== */
 
-static void count_rejection(struct ws_ed_learned *l,
-			    const struct ws_ed_learn_sample *s)
+/*
+ * A server that also rejects requests while it has free slots does so for
+ * another reason; its rejections when busy tell nothing.
+ */
+static void count_outcome(struct ws_ed_learned *l,
+			  const struct ws_ed_learn_sample *s)
 {
-	/* The rejected request itself is not in the report. */
-	double load = s->has_report ? (double)(s->running + s->waiting) + 1.0 :
-				      s->load;
-
-	if (load > 1.0 && load >= BUSY_PART * l->limit)
+	/* The request itself has ended and is not in the report. */
+	double load = s->has_report ? (double)(s->running + s->waiting) :
+				      s->load - 1.0;
+	double rejected = s->rejected ? 1.0 : 0.0;
+
+	if (load < l->limit)
+		l->rejected_free +=
+			REJECTED_GAIN * (rejected - l->rejected_free);
+	else if (s->rejected && l->rejected_free < REJECTED_FREE_MAX)
 		l->n_full++;
 }
 
@@ -228,9 +241,9 @@
 	if (!l->slots || (!s->rejected && s->work <= 0.0))
 		return;
 	apply_silence(l, s->now);
-	if (s->rejected) {
-		count_rejection(l, s);
-	} else {
+	if (s->rejected || s->ok)
+		count_outcome(l, s);
+	if (!s->rejected) {
 		time = (double)s->latency / (s->work * pace);
 		/* Without an answer, only what exceeds the estimate counts. */
 		if (!s->ok && time <= l->time * slowdown)
@@ -286,10 +299,13 @@
 	double below = (double)l->slots - ws_ed_learn_limit(l, now);
 	bool is_reduced = l->is_reduced ? below > RETURNED_ABOVE :
 					  below > REDUCED_BELOW;
-	bool has_crossed = is_reduced != l->is_reduced;
 
+	if (is_reduced == l->is_reduced ||
+	    (l->crossed_at && now - l->crossed_at < CROSSED_INTERVAL))
+		return false;
 	l->is_reduced = is_reduced;
-	return has_crossed;
+	l->crossed_at = now;
+	return true;
 }
 
 /* ===== Codes ===== */
--- a/lib/edge/ws_ed_learn.h
+++ b/lib/edge/ws_ed_learn.h
@@ -26,12 +26,14 @@
 	double window_time; /* sum of their relative times */
 	double window_load; /* sum of their loads */
 	uint32_t n_full; /* rejections and resets in the window, when busy */
+	double rejected_free; /* part of requests rejected with free slots */
 	ws_us step_since; /* the bound on the growth of time counts from then */
 	double step_time; /* time as of then */
 	ws_us streak_since; /* of samples that all differ the same way */
 	uint32_t n_streak;
 	bool is_slow_streak;
 	bool is_reduced; /* the limit is below the slots, as last logged */
+	ws_us crossed_at; /* when that was logged; 0: never */
 };
 
 /* One answer, or the loss of one. */
@@ -72,7 +74,7 @@
 
 /*
  * Whether the limit has fallen below the slots, or returned, since the last
- * call; with hysteresis.
+ * call; with hysteresis, and not again for some seconds.
  */
 bool ws_ed_learn_has_crossed(struct ws_ed_learned *l, ws_us now);
 
