Shed connections and refuse requests by the load of the machine's link

The cause is late news: at narrow machines the evidence of the store was 4 to 5.5 s old then and the configuration came 2.3 s later than at wide ones, as all messages queue in links that are full, while those of wide machines carry a tenth.

Ruled out by trials: holding large bodies back at their heads (the kernel had already received them; uploads only got later) and pacing them towards servers (no difference beside this change). Both were taken out again.

Change: answers close connections by the load of the link, so that they gather at wide links; requests are refused while the list of servers is too old and the link is full. Only with bounds.unmetered and bounds.link_rate.

--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -160,6 +160,7 @@
 		.expected_latency = at->expected_latency,
 	};
 	c->waiting_since = 0;
+	ws_ed_link_count(&e->link, e->now, WS_ED_LINK_OUT, c->body_len);
 	if (c->on_trial)
 		ws_ed_call_start_trial(e, c, fx);
 	if (c->state == CALL_WAITING)
@@ -420,6 +421,7 @@
 	x->u.reply.request = c->id;
 	memcpy(x->u.reply.customer, c->customer, sizeof(c->customer));
 	e->counters.forwarded++;
+	ws_ed_link_count(&e->link, e->now, WS_ED_LINK_OUT, c->answer_len);
 	cancel_lanes(e, c, fx);
 	ws_ed_call_remove(e, c);
 }
@@ -511,6 +513,8 @@
 	stated = lane_ended(e, c, l, end->end, end->latency, &end->report);
 	ws_ed_pool_log_stated(&e->pool, e->now, l->server, stated,
 			      "stated in its answer", fx);
+	ws_ed_link_count(&e->link, e->now, WS_ED_LINK_IN, end->answer_len);
+	c->answer_len = end->answer_len;
 	c->sends_received += end->end != WS_ED_END_NOT_SENT;
 	ws_ed_call_update_suspects(e, c, l->server, end->end, fx);
 	exclude(c, l->server);
--- a/lib/edge/ws_ed_call_arrive.c
+++ b/lib/edge/ws_ed_call_arrive.c
@@ -6,6 +6,10 @@
 
 #define STORE_RETRY_AFTER (500 * WS_MS)
 #define NO_CONFIG_RETRY_AFTER (500 * WS_MS)
+/* Short, as other instances have other links: the caller has to reconnect. */
+#define LINK_RETRY_AFTER (100 * WS_MS)
+/* Time that a request takes to a server through a full link. */
+#define LINK_MARGIN (300 * WS_MS)
 #define DEADLINE_DEFAULT (2 * WS_SECOND)
 /*
  * A request whose deadline is shorter than the longest one of its route by more
@@ -56,6 +60,7 @@
 	c->max_attempts = r->max_attempts ? r->max_attempts : 1;
 	c->key = a->key >= 0 ? (uint32_t)a->key : 0;
 	c->fingerprint = a->fingerprint;
+	c->body_len = a->body_len;
 	c->end_at = a->started + time_limit(a, r);
 	if (e->draining && c->end_at > e->drained_at)
 		c->end_at = e->drained_at;
@@ -128,6 +133,21 @@
 		a->started + time_limit(a, r) > e->drained_at);
 }
 
+/*
+ * Whether the list of servers is older than a leaving server may get requests
+ * and this instance's own link is the reason. Without the store alone, servers
+ * are used as they were last listed.
+ */
+static bool is_news_late(struct ws_edge *e)
+{
+	if (!ws_ed_link_is_full(&e->link, e->now) ||
+	    e->now - e->evidence[WS_EDT_SERVERS] <
+		    e->set.bounds.drain_time - LINK_MARGIN)
+		return false;
+	e->link.refused++;
+	return true;
+}
+
 static void refuse_arrival(struct ws_edge *e, const struct ws_ed_arrival *a,
 			   int status, ws_us retry_after,
 			   enum ws_ed_reason reason, struct ws_ed_fx *fx)
@@ -153,6 +173,7 @@
 	int status;
 
 	e->counters.arrivals++;
+	ws_ed_link_count(&e->link, e->now, WS_ED_LINK_IN, a->body_len);
 	if (!e->conf) {
 		refuse_arrival(e, a, 503, NO_CONFIG_RETRY_AFTER,
 			       WS_EDR_NO_CONFIG, fx);
@@ -177,6 +198,11 @@
 		refuse_arrival(e, a, status, retry_after, reason, fx);
 		return;
 	}
+	if (is_news_late(e)) {
+		refuse_arrival(e, a, 503, LINK_RETRY_AFTER, WS_EDR_LINK_FULL,
+			       fx);
+		return;
+	}
 	if (ws_ed_suspects_refuses(&e->suspects, e->now, a->fingerprint)) {
 		on_trial = ws_ed_call_may_try(e, a->fingerprint);
 		if (!on_trial) {
--- a/lib/edge/ws_ed_fx.h
+++ b/lib/edge/ws_ed_fx.h
@@ -53,6 +53,7 @@
 	WS_EDR_CALLER_GONE,
 	WS_EDR_INSTANCE_FULL,
 	WS_EDR_DRAINING,
+	WS_EDR_LINK_FULL, /* news waits in the full link */
 	WS_EDR_COUNT,
 };
 
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -46,6 +46,12 @@
 
 /* ===== Creation ===== */
 
+/* Elsewhere customers' rates keep the load below what links carry. */
+static double link_rate(const struct ws_ed_bounds *bounds)
+{
+	return bounds->unmetered ? bounds->link_rate : 0.0;
+}
+
 struct ws_edge *ws_edge_new(const struct ws_ed_settings *set)
 {
 	struct ws_edge *e = ws_alloc(1, sizeof(*e));
@@ -59,6 +65,7 @@
 	e->pool.instances = 1;
 	e->pool.drain_time = set->bounds.drain_time;
 	e->pool.unmetered = set->bounds.unmetered;
+	e->link.rate = link_rate(&set->bounds);
 	e->pool.group.self = set->self;
 	e->pool.group.settled_at = e->peers.full_mesh_until;
 	e->quota.slack = set->bounds.rate_slack;
@@ -607,6 +614,7 @@
 	e->set.bounds = *bounds;
 	e->pool.drain_time = bounds->drain_time;
 	e->pool.unmetered = bounds->unmetered;
+	e->link.rate = link_rate(bounds);
 	e->quota.slack = bounds->rate_slack;
 }
 
@@ -630,6 +638,16 @@
 	return &e->quota;
 }
 
+bool ws_edge_sheds_connection(struct ws_edge *e, ws_us now)
+{
+	return ws_ed_link_sheds(&e->link, now);
+}
+
+const struct ws_ed_link *ws_edge_link(const struct ws_edge *e)
+{
+	return &e->link;
+}
+
 const struct ws_ed_lead *ws_edge_lead(const struct ws_edge *e)
 {
 	return &e->lead;
--- a/lib/edge/ws_edge.h
+++ b/lib/edge/ws_edge.h
@@ -5,6 +5,7 @@
 #include "edge/ws_ed_fx.h"
 #include "edge/ws_ed_heat.h"
 #include "edge/ws_ed_lead.h"
+#include "edge/ws_ed_link.h"
 #include "edge/ws_ed_map.h"
 #include "edge/ws_ed_peers.h"
 #include "edge/ws_ed_pool.h"
@@ -92,6 +93,7 @@
 	uint64_t fingerprint; /* hash of method, path, caller and body */
 	bool malformed; /* a header is invalid */
 	ws_us started; /* when its first byte was read */
+	size_t body_len;
 };
 
 /* How a request at a server has ended. */
@@ -103,6 +105,7 @@
 	bool not_owner; /* SHED: the server has no lease of the key */
 	ws_us latency;
 	struct ws_ed_report report;
+	size_t answer_len; /* bytes of the body */
 };
 
 /*
@@ -281,6 +284,12 @@
 void ws_edge_step(struct ws_edge *e, const struct ws_ed_event *ev,
 		  struct ws_ed_fx *fx);
 
+/*
+ * Whether the connection of a request that is answered now is to be closed, so
+ * that its caller opens the next one at an instance with a wider link.
+ */
+bool ws_edge_sheds_connection(struct ws_edge *e, ws_us now);
+
 /* ===== Queries by the shell ===== */
 
 /*
@@ -379,6 +388,7 @@
 const struct ws_ed_peers *ws_edge_peers(const struct ws_edge *e);
 const struct ws_ed_quota *ws_edge_quota(const struct ws_edge *e);
 const struct ws_ed_lead *ws_edge_lead(const struct ws_edge *e);
+const struct ws_ed_link *ws_edge_link(const struct ws_edge *e);
 
 /* Name of the customer that a request belongs to; "" for none. */
 const char *ws_edge_customer(const struct ws_edge *e, uint64_t request);
--- a/lib/edge/ws_edge_int.h
+++ b/lib/edge/ws_edge_int.h
@@ -52,6 +52,8 @@
 	char customer[WS_ED_NAME_MAX];
 	uint32_t key;
 	uint64_t fingerprint;
+	size_t body_len;
+	size_t answer_len; /* of the last answer */
 	ws_us end_at; /* the deadline or the route's timeout, if earlier */
 	ws_us objective_at; /* when the latency objective ends */
 	ws_us objective; /* time until objective_at on arrival */
@@ -93,6 +95,7 @@
 	struct ws_ed_heat heat;
 	struct ws_ed_quota quota;
 	struct ws_ed_lead lead;
+	struct ws_ed_link link;
 	struct ws_ed_suspects suspects;
 	struct ws_rand rand;
 	/*
--- a/lib/edgeio/ws_eio_front.c
+++ b/lib/edgeio/ws_eio_front.c
@@ -143,7 +143,8 @@
 
 	ws_eio_metrics_answer(a->status, ws_eio_now() - r->req->started_at);
 	a->close = f->io->drain_started_at ||
-		   ws_server_connections(f->callers) > f->crowded_connections;
+		   ws_server_connections(f->callers) > f->crowded_connections ||
+		   ws_edge_sheds_connection(f->io->edge, ws_eio_now());
 	ws_server_answer(r->req, a);
 	g_hash_table_remove(f->pending, &r->id);
 	release_request(r);
@@ -336,6 +337,7 @@
 			       -1,
 		.malformed = !r->request_id[0],
 		.started = r->req->started_at,
+		.body_len = r->req->body_len,
 	};
 
 	r->fingerprint = fingerprint(r, fields);
--- a/lib/edgeio/ws_eio_metrics.c
+++ b/lib/edgeio/ws_eio_metrics.c
@@ -108,6 +108,20 @@
 		io->memory.used, io->memory.n_refused);
 }
 
+static void add_link(GString *s, struct ws_eio *io)
+{
+	const struct ws_ed_link *l = ws_edge_link(io->edge);
+
+	if (l->rate <= 0.0)
+		return;
+	g_string_append_printf(
+		s,
+		"wagtailshift_link_load %.3f\n"
+		"wagtailshift_link_connections_shed_total %" PRIu64 "\n"
+		"wagtailshift_link_refused_total %" PRIu64 "\n",
+		ws_ed_link_load(l, ws_eio_now()), l->shed, l->refused);
+}
+
 static void on_request(void *arg, struct ws_server_request *req)
 {
 	static const char type[] = "Content-Type: text/plain; version=0.0.4";
@@ -122,6 +136,7 @@
 	add_counters(s, ws_edge_counters(m->io->edge));
 	add_latencies(s);
 	add_state(s, m->io);
+	add_link(s, m->io);
 	a.data = s->str;
 	a.data_len = s->len;
 	ws_server_answer(req, &a);
--- a/lib/edgeio/ws_eio_targets.c
+++ b/lib/edgeio/ws_eio_targets.c
@@ -179,6 +179,7 @@
 	ev.u.ending.latency = ws_eio_now() - a->started;
 	if (res->outcome == WS_HTTP_DONE) {
 		ev.u.ending.status = res->answer.status;
+		ev.u.ending.answer_len = res->answer.data_len;
 		ev.u.ending.not_owner = wp_wire_misdirected(&res->answer);
 		wp_wire_parse_report(&res->answer, a->request_id,
 				     &ev.u.ending.report);
--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -556,6 +556,58 @@
 }
 END_TEST
 
+/*
+ * Returns how an arrival ends when the list of servers is old and a large body
+ * has just come; NULL: it is sent to a server.
+ */
+static const struct ws_ed_effect *arrive_behind_body(size_t body_len,
+						     double link_rate)
+{
+	struct ws_ed_bounds bounds = {
+		.key_evidence_max = 4600 * WS_MS,
+		.linger = 1700 * WS_MS,
+		.drain_time = 2 * WS_SECOND,
+		.unmetered = true,
+		.link_rate = link_rate,
+	};
+	struct ws_ed_arrival a;
+
+	setup();
+	ws_edge_set_bounds(edge, &bounds);
+	tick(1900 * WS_MS);
+	a = arrival_of("/r/1", "k1");
+	a.body_len = body_len;
+	deliver(&a);
+	arrive("/r/2", "k1");
+	return find(WS_EDFX_REPLY);
+}
+
+/*
+ * Guards against DRAIN: requests to a server that has left while the news of it
+ * waits in the link behind bodies.
+ */
+START_TEST(arrivals_are_refused_while_news_waits_in_the_link)
+{
+	const struct ws_ed_effect *x = arrive_behind_body(500000, 1.5e6);
+
+	ck_assert_ptr_nonnull(x);
+	expect_reply(503, WS_EDR_LINK_FULL);
+	ck_assert_int_gt(x->u.reply.retry_after, 0);
+	ck_assert(ws_edge_sheds_connection(edge, now));
+	/* The link empties, or the news comes. */
+	tick(WS_SECOND);
+	arrive("/r/3", "k1");
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	arrive_behind_body(500000, 1.5e6);
+	sync_topics();
+	arrive("/r/3", "k1");
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	/* Without the store, or if the link isn't known, servers are used. */
+	ck_assert_ptr_null(arrive_behind_body(1000, 1.5e6));
+	ck_assert_ptr_null(arrive_behind_body(500000, 0.0));
+}
+END_TEST
+
 /* Guards against requests that are accepted and then aborted by the exit. */
 START_TEST(draining_instance_refuses_in_its_second_half)
 {
@@ -1326,6 +1378,7 @@
 		orders_are_never_hedged,
 		single_attempt_is_not_hedged,
 		request_of_disconnected_caller_is_cancelled,
+		arrivals_are_refused_while_news_waits_in_the_link,
 		draining_instance_refuses_in_its_second_half,
 		key_without_owner_is_refused_soon,
 		key_that_its_server_rejected_waits,
