--- a/lib/edge/ws_ed_pool.c
+++ b/lib/edge/ws_ed_pool.c
@@ -47,6 +47,11 @@
 /* Relative jitter of costs; keeps instances from picking the same server. */
 #define JITTER 0.12
 #define FAIL_GAIN 0.15
+/*
+ * Logarithm of the factor by which learned speeds differ by chance; choosing by
+ * such differences would send all instances to the same servers.
+ */
+#define CHANCE_SLOWNESS 0.4
 #define SERVICE_TIME_FACTOR_GAIN 0.08
 #define SERVICE_TIME_GAIN 0.05
 /* Samples from which on a service time is one to learn speeds by. */
@@ -379,8 +384,14 @@
 static double time_factor(const struct ws_ed_pool *p, ws_us now,
 			  const struct ws_ed_server *s)
 {
-	return p->unmetered ? 1.0 / ws_ed_learn_speed(&s->learned, now) :
-			      s->service_time_factor;
+	double slowness;
+	double beyond;
+
+	if (!p->unmetered)
+		return s->service_time_factor;
+	slowness = -log(ws_ed_learn_speed(&s->learned, now));
+	beyond = fabs(slowness) - CHANCE_SLOWNESS;
+	return beyond > 0.0 ? exp(copysign(beyond, slowness)) : 1.0;
 }
 
 /* Requests that a server takes at once. */
