Ignore differences within chance in choices only

An estimate keeps what was learned (test_ed_learn's bound of a factor of two failed when estimates ignored it); the cost by which servers are compared doesn't.

--- a/lib/edge/ws_ed_pool.c
+++ b/lib/edge/ws_ed_pool.c
@@ -383,15 +383,21 @@
 /* Service time relative to the mean of the service. */
 static double time_factor(const struct ws_ed_pool *p, ws_us now,
 			  const struct ws_ed_server *s)
+{
+	return p->unmetered ? 1.0 / ws_ed_learn_speed(&s->learned, now) :
+			      s->service_time_factor;
+}
+
+/* The part of time_factor() that may be due to chance. */
+static double chance_factor(const struct ws_ed_pool *p, ws_us now,
+			    const struct ws_ed_server *s)
 {
 	double slowness;
-	double beyond;
 
 	if (!p->unmetered)
-		return s->service_time_factor;
+		return 1.0;
 	slowness = -log(ws_ed_learn_speed(&s->learned, now));
-	beyond = fabs(slowness) - CHANCE_SLOWNESS;
-	return beyond > 0.0 ? exp(copysign(beyond, slowness)) : 1.0;
+	return exp(fmin(fmax(slowness, -CHANCE_SLOWNESS), CHANCE_SLOWNESS));
 }
 
 /* Requests that a server takes at once. */
@@ -497,7 +503,7 @@
 		      const struct ws_ed_server *s,
 		      const struct ws_ed_choice *c)
 {
-	double cost = (double)c->expected_latency *
+	double cost = (double)c->expected_latency / chance_factor(p, now, s) *
 		      (1.0 + FAIL_FACTOR * s->failure_rate);
 
 	if (s->zone != in->zone)
