Take only a status for an answer

Cause: libcurl passes on codes from 600 to 999, "HTTP/1.1 200", text behind the code ("200x"), HTTP/2 in the status line and "http/1.1", and waits after a 101 until the deadline. ws_http took these for complete responses. Ruled out: status 000, 0, 00, 099, 2000, 0200, 2x0, -20, HTTP/0.9 and bytes without a status line; libcurl ends these, and callers get a 502, before and after. A check in ws_eio_targets_end() alone would leave grants, the store and records of other instances without it. Change: ws_http reads the status line itself (RFC 9112, section 4): HTTP/1.0 or 1.1, three digits from 100 to 599, no 101, as no upgrade is asked for. Anything else ends the call as broken and closes its connection; a line that begins with HTTP/ where a field is due does too. This holds for all that use ws_http.

--- a/lib/io/ws_http.c
+++ b/lib/io/ws_http.c
@@ -23,6 +23,12 @@
 /* Bytes of status lines and headers of a response, 1xx responses included. */
 #define HEAD_MAX ((size_t)128 * 1024)
 #define HEAD_LINES_MAX 2000
+/* Status codes (RFC 9110, section 15); final ones are no 1xx. */
+#define STATUS_DIGITS 3
+#define STATUS_MIN 100
+#define STATUS_FINAL_MIN 200
+#define STATUS_MAX 599
+#define STATUS_SWITCHING_PROTOCOLS 101
 /* Larger buffers are freed with their call instead of being kept for reuse. */
 #define KEPT_BUFFER_MAX ((size_t)16 * 1024)
 /* libcurl keeps a head with its handle, which is freed after a larger one. */
@@ -65,12 +71,59 @@
 	return len;
 }
 
-/* Whether the code of a status line is 1xx. */
-static bool is_informational(const char *line, size_t len)
+/*
+ * Whether what follows the version in a status line is a space, the code, and
+ * an end or a reason. A line without a reason may lack the space before it.
+ */
+static bool has_code_alone(const char *p, size_t len)
+{
+	size_t i;
+
+	if (len <= STATUS_DIGITS + 1 || p[0] != ' ')
+		return false;
+	for (i = 1; i <= STATUS_DIGITS; i++)
+		if (p[i] < '0' || p[i] > '9')
+			return false;
+	return p[i] == ' ' || p[i] == '\r' || p[i] == '\n';
+}
+
+/*
+ * Reads the code of a status line (RFC 9112, section 4). libcurl accepts more:
+ * codes above 599, text behind the code, other versions.
+ * @return 0 if it is none from 100 to 599
+ */
+static uint16_t parse_status(const char *line, size_t len)
+{
+	static const char version[] = "HTTP/1.";
+	size_t prefix = sizeof(version) - 1;
+	const char *code;
+	int status;
+
+	if (len <= prefix || memcmp(line, version, prefix) ||
+	    (line[prefix] != '0' && line[prefix] != '1') ||
+	    !has_code_alone(line + prefix + 1, len - prefix - 1))
+		return 0;
+	code = line + prefix + 2;
+	status = (code[0] - '0') * 100 + (code[1] - '0') * 10 + code[2] - '0';
+	return status >= STATUS_MIN && status <= STATUS_MAX ? (uint16_t)status :
+							      0;
+}
+
+/*
+ * Starts the set of headers of a status line, the first or one after a 1xx.
+ * @return false if it is none; a 101 is none either, as no upgrade is asked for
+ */
+static bool start_head(struct ws_http_call *c, const char *line, size_t len)
 {
-	const char *space = memchr(line, ' ', len);
+	uint16_t status = parse_status(line, len);
 
-	return space && space + 1 < line + len && space[1] == '1';
+#ifdef WS_MUTANT_ANY_STATUS
+	status = status ? status : 200;
+#endif
+	ws_headers_reset(&c->headers);
+	c->status = status;
+	c->in_head = true;
+	return status && status != STATUS_SWITCHING_PROTOCOLS;
 }
 
 static bool is_blank(char ch)
@@ -100,16 +153,17 @@
 	/* Trailers may not replace or add to the fields of the head. */
 	if (c->head_ended)
 		return len;
-	/* A status line starts a new set of headers, for instance after 100. */
-	if (len > 5 && !memcmp(line, "HTTP/", 5)) {
-		ws_headers_reset(&c->headers);
-		c->informational = is_informational(line, len);
-		return len;
-	}
+	if (!c->in_head)
+		return start_head(c, line, len) ? len : 0;
+	/* A status line in place of a field, or a field named like one. */
+	if (len > 5 && !memcmp(line, "HTTP/", 5))
+		return 0;
 	while (end && (line[end - 1] == '\r' || line[end - 1] == '\n'))
 		end--;
-	if (!end)
-		c->head_ended = !c->informational;
+	if (!end) {
+		c->in_head = false;
+		c->head_ended = c->status >= STATUS_FINAL_MIN;
+	}
 	colon = memchr(line, ':', end);
 	if (!colon)
 		return len;
@@ -280,7 +334,8 @@
 	c->n_pieces = 0;
 	c->line_held = 0;
 	c->essential = req->essential;
-	c->informational = false;
+	c->status = 0;
+	c->in_head = false;
 	c->head_ended = false;
 	c->is_head = !strcmp(req->method, "HEAD");
 	c->data_len = 0;
@@ -336,14 +391,11 @@
 static void fill_result(struct ws_http_call *c, CURLcode code,
 			struct ws_http_result *res)
 {
-	long status = 0;
-
 	res->timed_out = code == CURLE_OPERATION_TIMEDOUT;
-	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
 	res->answer = (struct ws_body){
 		.method = "",
 		.path = "",
-		.status = (uint16_t)status,
+		.status = c->status,
 		.headers = c->headers.text,
 		.headers_len = c->headers.len,
 		.data = c->data,
--- a/lib/io/ws_http.h
+++ b/lib/io/ws_http.h
@@ -15,12 +15,15 @@
  */
 
 /*
- * What a response proves. WS_HTTP_DONE says that head and body are complete,
- * but not that they belong to the request: a faulty target may send a response
- * once more, late, where the next one on a kept connection is due. A response
- * is attributed to a request by an id that it echoes and that its connection
- * has not carried before, or by being the first on a new connection. Therefore
- * a request must be sent with new_connection
+ * What a response proves. A status line other than of HTTP/1.x with three
+ * digits from 100 to 599 is no response: the call ends as WS_HTTP_BROKEN, and
+ * its connection is closed. WS_HTTP_DONE says that the status is a final one,
+ * from 200 to 599, and that head and body are complete, but not that they
+ * belong to the request: a faulty target may send a response once more, late,
+ * where the next one on a kept connection is due. A response is attributed to a
+ * request by an id that it echoes and that its connection has not carried
+ * before, or by being the first on a new connection. Therefore a request must
+ * be sent with new_connection
  * - if one with the same id may have been sent to the same target before, or
  * - if responses echo no id and the caller relies on what the response says.
  * A response that can't be attributed proves nothing: the request may have run,
--- a/lib/io/ws_http_int.h
+++ b/lib/io/ws_http_int.h
@@ -25,7 +25,8 @@
 	bool received; /* something was delivered in this read */
 	size_t head_len; /* bytes of status lines and headers so far */
 	unsigned n_head_lines;
-	bool informational; /* the newest status line is a 1xx */
+	uint16_t status; /* of the newest status line; 0: none, or malformed */
+	bool in_head; /* between a status line and the blank line */
 	bool head_ended; /* the head of the final response is complete */
 	bool is_head; /* the method is HEAD */
 	bool allow_unframed;
