Refuse folded fields; give each call a handle of its own

Cause: libcurl 7.88.1 adds a first field that begins with a blank to a field of the handle's former response, whose memory it has freed. Ruled out: refusing the line in the header callback, as libcurl handles the line first; looking into the socket before it reads, as a head may come in parts. A folded field ends the call as broken: its field would be forwarded in part (RFC 9112, section 5.2).

--- a/lib/io/ws_http.c
+++ b/lib/io/ws_http.c
@@ -99,7 +99,7 @@
 	const char *code;
 	int status;
 
-	if (len <= prefix || memcmp(line, version, prefix) ||
+	if (len <= prefix || memcmp(line, version, prefix) != 0 ||
 	    (line[prefix] != '0' && line[prefix] != '1') ||
 	    !has_code_alone(line + prefix + 1, len - prefix - 1))
 		return 0;
@@ -155,8 +155,11 @@
 		return len;
 	if (!c->in_head)
 		return start_head(c, line, len) ? len : 0;
-	/* A status line in place of a field, or a field named like one. */
-	if (len > 5 && !memcmp(line, "HTTP/", 5))
+	/*
+	 * A status line in place of a field, or a field named like one; or a
+	 * folded field, which would be forwarded in part (RFC 9112, 5.2).
+	 */
+	if (is_blank(line[0]) || (len > 5 && !memcmp(line, "HTTP/", 5)))
 		return 0;
 	while (end && (line[end - 1] == '\r' || line[end - 1] == '\n'))
 		end--;
@@ -254,10 +257,25 @@
 	c->http = h;
 	ws_memory_force(h->memory, CALL_BYTES);
 	c->held = CALL_BYTES;
+	return c;
+}
+
+/*
+ * Each call has a handle of its own: a used one keeps a pointer to a field of
+ * its former response, which it has freed (libcurl 7.88.1). It would follow it
+ * for a response whose first field begins with a blank. Connections belong to
+ * the multi handle and are kept.
+ */
+static void open_handle(struct ws_http_call *c)
+{
+#ifdef WS_MUTANT_HANDLE_REUSED
+	if (c->easy)
+		return;
+#endif
+	curl_easy_cleanup(c->easy);
 	c->easy = curl_easy_init();
 	WS_INVARIANT(c->easy);
 	set_common(c);
-	return c;
 }
 
 static void destroy_call(struct ws_http_call *c)
@@ -326,6 +344,7 @@
 	struct ws_http_call *c = alloc_call(h);
 	long ms = (long)((req->timeout + WS_MS - 1) / WS_MS);
 
+	open_handle(c);
 	c->done = req->done;
 	c->arg = req->arg;
 	c->n_sends = 0;
--- a/tests/test_eio_status.c
+++ b/tests/test_eio_status.c
@@ -114,6 +114,9 @@
 	/* A status line where a field belongs. */
 	{ "HTTP/1.1 500 -\r\nX-A: 1\r\nHTTP/1.1 200 OK\r\n", NULL, NO_ANSWER,
 	  true, 0 },
+	/* A folded field; it would be forwarded in part. */
+	{ "HTTP/1.1 200 -\r\n x: 1\r\n", NULL, NO_ANSWER, true, 0 },
+	{ "HTTP/1.1 200 -\r\nX-A: 1\r\n\tx\r\n", NULL, NO_ANSWER, true, 0 },
 	{ "HTTP/1.1 200 -\r\nHTTP/1.1 200 OK: 1\r\n", NULL, NO_ANSWER, true,
 	  0 },
 };
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -41,6 +41,8 @@
 	CLOSE_AT_SECOND, /* closes at the second request, without an answer */
 	EARLY_RESPONSE, /* sends early_text at the first bytes of a request */
 	SILENT, /* answers nothing */
+	FOLDED_START, /* every second answer has a blank before its first field
+		       */
 	SCRIPTS,
 };
 
@@ -79,6 +81,11 @@
 	[ENDLESS_BODY] = "01234567890123456789012345678901",
 };
 
+#define FOLDED_BODY "Content-Length: 2\r\n\r\nok"
+#define FOLDABLE "HTTP/1.1 200 OK\r\nX-Long: 01234567890\r\n" FOLDED_BODY
+#define FOLDED "HTTP/1.1 200 OK\r\n x: 01234567890\r\n" FOLDED_BODY
+#define FOLDED_ROUNDS 20
+
 #define CHUNKED_HEAD "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 static const char *const response_start[SCRIPTS] = {
@@ -194,6 +201,10 @@
 	n_requests++;
 	if (c->script == SILENT)
 		return;
+	if (c->script == FOLDED_START) {
+		send_text(c, n_requests % 2 ? FOLDABLE : FOLDED);
+		return;
+	}
 	if (c->script == CLOSE_AT_SECOND) {
 		if (c->requests < 2) {
 			answer(c, c->requests);
@@ -537,6 +548,27 @@
 }
 END_TEST
 
+/*
+ * Guards against a server that ends processes by a blank before the first field
+ * of an answer: libcurl 7.88.1 adds such a line to a field of the handle's
+ * earlier response, whose memory it has freed.
+ */
+START_TEST(folded_first_field_is_harmless)
+{
+	struct call o;
+	int i;
+
+	start(FOLDED_START);
+	for (i = 0; i < FOLDED_ROUNDS; i++) {
+		start_call(&o, false);
+		wait_for_result(&o);
+		ck_assert_int_eq(o.result,
+				 i % 2 ? WS_HTTP_BROKEN : WS_HTTP_DONE);
+	}
+	stop();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const endless_tests[] = {
@@ -549,6 +581,7 @@
 		endless_responses_leave_memory_for_requests,
 		request_on_a_closed_connection_is_sent_once,
 		cancelled_call_resets_its_connection,
+		folded_first_field_is_harmless,
 	};
 	const TTest *const early_tests[] = {
 		early_response_keeps_requests_apart
