Explain where a request would go, without sending it

Cause: operators could ask the older daemon only where a key is served, and nothing of wagtailshift-edge, which their callers use. Ruled out: running the arrival on a copy of the whole reducer, as state behind pointers would be shared with it; a listener of its own, as the one of the metrics isn't reachable for callers. Two functions and four constants of the placement became visible to the edge's other files, unchanged.

--- a/lib/cli/ws_cli.c
+++ b/lib/cli/ws_cli.c
@@ -54,6 +54,15 @@
 	{ "targets", "", 0, ADMIN_OPTIONS, "targets and their load",
 	  "Lists targets with state, concurrency limit, load and latency.",
 	  ws_cli_targets },
+	{ "explain request", "METHOD HOST PATH KEY", 4,
+	  WS_CLI_EDGE | WS_CLI_JSON, "where a request would go now",
+	  "Asks an instance of wagtailshift-edge where it would send the "
+	  "request if it arrived\nnow, and why, without sending it: route, "
+	  "service, the owner of the key, the servers\nwith their expected "
+	  "latency and load, the decision and its Retry-After. KEY is the\n"
+	  "shard key, a number, or - for none. The caller's key is taken for "
+	  "valid and its\nrate for not used up.",
+	  ws_cli_explain_request },
 	{ "explain", "SERVICE KEY", 2, ADMIN_OPTIONS, "where a key is served",
 	  "Tells which target owns the key, under which fence, and which "
 	  "instance dispatches\nto it.",
@@ -117,9 +126,9 @@
 			commands[i].args, commands[i].summary);
 	fprintf(to, "\n'wagtailshift COMMAND --help' describes a command.\n"
 		    "Exit codes: 0 done, 1 refused, 2 usage, 3 not reachable.\n"
-		    "Environment: WAGTAILSHIFT_ADMIN and "
-		    "WAGTAILSHIFT_TOKEN_FILE replace --admin and "
-		    "--token-file.\n");
+		    "Environment: WAGTAILSHIFT_ADMIN, "
+		    "WAGTAILSHIFT_TOKEN_FILE and WAGTAILSHIFT_EDGE replace "
+		    "--admin,\n--token-file and --edge.\n");
 }
 
 /* ===== Options ===== */
@@ -139,6 +148,10 @@
 		  { "token-file", 't', 0, G_OPTION_ARG_FILENAME,
 		    &cli->token_file, "File with the administration token",
 		    "FILE" } },
+		{ WS_CLI_EDGE,
+		  { "edge", 'e', 0, G_OPTION_ARG_STRING, &cli->edge,
+		    "Metrics listener of an instance of wagtailshift-edge",
+		    "http://IP:9180" } },
 		{ WS_CLI_JSON,
 		  { "json", 'j', 0, G_OPTION_ARG_NONE, &cli->json, "Print JSON",
 		    NULL } },
@@ -189,6 +202,14 @@
 			    c->name);
 		return false;
 	}
+	if ((c->options & WS_CLI_EDGE) && !cli->edge) {
+		ws_cli_fail(0,
+			    "%s needs --edge http://ip:9180, the metrics "
+			    "listener of an instance, or the variable "
+			    "WAGTAILSHIFT_EDGE",
+			    c->name);
+		return false;
+	}
 	if ((c->options & WS_CLI_KEY) && !cli->key) {
 		ws_cli_fail(0,
 			    "%s needs --key FILE; 'wagtailshift keygen FILE' "
@@ -256,6 +277,7 @@
 
 	cli.admin = g_strdup(g_getenv("WAGTAILSHIFT_ADMIN"));
 	cli.token_file = g_strdup(g_getenv("WAGTAILSHIFT_TOKEN_FILE"));
+	cli.edge = g_strdup(g_getenv("WAGTAILSHIFT_EDGE"));
 	if (parse_options(&cli, c, &argc, &argv) &&
 	    check_options(&cli, c, argc - 1)) {
 		cli.args = argv + 1;
@@ -263,6 +285,7 @@
 	}
 	g_free(cli.admin);
 	g_free(cli.token_file);
+	g_free(cli.edge);
 	g_free(cli.key);
 	g_free(cli.out);
 	return code;
--- a/lib/cli/ws_cli_http.c
+++ b/lib/cli/ws_cli_http.c
@@ -57,16 +57,17 @@
 		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
 }
 
-static int perform(const struct ws_cli *cli, CURL *curl,
+/* @param option that names the address */
+static int perform(const char *address, const char *option, CURL *curl,
 		   struct ws_cli_reply *reply)
 {
 	CURLcode res = curl_easy_perform(curl);
 
 	if (res != CURLE_OK)
 		return ws_cli_fail(WS_CLI_UNREACHABLE,
-				   "%s does not answer (%s); check --admin and "
+				   "%s does not answer (%s); check --%s and "
 				   "that the instance runs",
-				   cli->admin, curl_easy_strerror(res));
+				   address, curl_easy_strerror(res), option);
 	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &reply->status);
 	return WS_CLI_OK;
 }
@@ -87,7 +88,7 @@
 	curl = curl_easy_init();
 	WS_INVARIANT(curl);
 	set_options(curl, url, headers, body, reply->body);
-	code = perform(cli, curl, reply);
+	code = perform(cli->admin, "admin", curl, reply);
 	curl_easy_cleanup(curl);
 	curl_slist_free_all(headers);
 	g_free(url);
@@ -115,10 +116,12 @@
 /* A response without a JSON error may come from another kind of listener. */
 static int unexpected_status(long status)
 {
-	return ws_cli_fail(WS_CLI_REFUSED,
-			   "the instance answered with status %ld; check that "
-			   "--admin names an administration listener",
-			   status);
+	return ws_cli_fail(
+		WS_CLI_REFUSED,
+		"the instance answered with status %ld; check that "
+		"--admin names an administration listener, or --edge "
+		"the metrics listener of wagtailshift-edge",
+		status);
 }
 
 int ws_cli_print_error(const struct ws_cli_reply *reply)
@@ -141,23 +144,45 @@
 	return WS_CLI_REFUSED;
 }
 
-json_t *ws_cli_fetch(const struct ws_cli *cli, const char *path, int *code)
+/* Takes the object out of a reply, which is cleared. */
+static json_t *take_object(struct ws_cli_reply *reply, int *code)
 {
-	struct ws_cli_reply reply;
 	json_t *o = NULL;
 
-	*code = ws_cli_request(cli, path, NULL, &reply);
-	if (*code != WS_CLI_OK)
-		return NULL;
-	if (reply.status / 100 == 2)
-		o = json_loadb(reply.body->str, reply.body->len, 0, NULL);
-	if (reply.status / 100 != 2)
-		*code = ws_cli_print_error(&reply);
+	if (reply->status / 100 == 2)
+		o = json_loadb(reply->body->str, reply->body->len, 0, NULL);
+	if (reply->status / 100 != 2)
+		*code = ws_cli_print_error(reply);
 	else if (!json_is_object(o))
-		*code = unexpected_status(reply.status);
-	ws_cli_reply_clear(&reply);
+		*code = unexpected_status(reply->status);
+	ws_cli_reply_clear(reply);
 	if (*code == WS_CLI_OK)
 		return o;
 	json_decref(o);
 	return NULL;
 }
+
+json_t *ws_cli_fetch(const struct ws_cli *cli, const char *path, int *code)
+{
+	struct ws_cli_reply reply;
+
+	*code = ws_cli_request(cli, path, NULL, &reply);
+	return *code == WS_CLI_OK ? take_object(&reply, code) : NULL;
+}
+
+json_t *ws_cli_fetch_edge(const struct ws_cli *cli, const char *path, int *code)
+{
+	struct ws_cli_reply reply = { .body = g_string_new(NULL) };
+	char *url = g_strdup_printf("%s%s", cli->edge, path);
+	CURL *curl = curl_easy_init();
+
+	WS_INVARIANT(curl);
+	set_options(curl, url, NULL, NULL, reply.body);
+	*code = perform(cli->edge, "edge", curl, &reply);
+	curl_easy_cleanup(curl);
+	g_free(url);
+	if (*code == WS_CLI_OK)
+		return take_object(&reply, code);
+	ws_cli_reply_clear(&reply);
+	return NULL;
+}
--- a/lib/cli/ws_cli_int.h
+++ b/lib/cli/ws_cli_int.h
@@ -16,11 +16,13 @@
 	WS_CLI_OUT = 1 << 3,
 	WS_CLI_RAW = 1 << 4,
 	WS_CLI_WATCH = 1 << 5, /* --watch, --interval, --count */
+	WS_CLI_EDGE = 1 << 6, /* --edge */
 };
 
 struct ws_cli {
 	char *admin;
 	char *token_file;
+	char *edge;
 	char *key;
 	char *out;
 	gboolean json;
@@ -55,6 +57,7 @@
 int ws_cli_shares(const struct ws_cli *cli);
 int ws_cli_targets(const struct ws_cli *cli);
 int ws_cli_explain(const struct ws_cli *cli);
+int ws_cli_explain_request(const struct ws_cli *cli);
 int ws_cli_audit(const struct ws_cli *cli);
 int ws_cli_drain(const struct ws_cli *cli);
 int ws_cli_zone_out(const struct ws_cli *cli);
@@ -90,6 +93,10 @@
 /* Fetches a JSON object; on failure prints an error, returns NULL. */
 json_t *ws_cli_fetch(const struct ws_cli *cli, const char *path, int *code);
 
+/* The same from the metrics listener of wagtailshift-edge (--edge). */
+json_t *ws_cli_fetch_edge(const struct ws_cli *cli, const char *path,
+			  int *code);
+
 /* ===== Files ===== */
 
 /* Reads a file, or stdin for "-"; on failure prints an error, returns NULL. */
--- a/lib/cli/ws_cli_pages.c
+++ b/lib/cli/ws_cli_pages.c
@@ -1,6 +1,7 @@
 #include "cli/ws_cli_int.h"
 
 #include <stdio.h>
+#include <string.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -253,6 +254,72 @@
 	return code;
 }
 
+static const struct ws_cli_column request_columns[] = {
+	{ "route", "route" },
+	{ "service", "service" },
+	{ "needs API key", "needs_api_key" },
+	{ "decision", "decision" },
+	{ "server", "server" },
+	{ "reason", "reason" },
+	{ "status", "status" },
+	{ "retry after (s)", "retry_after_s" },
+	{ "open requests", "open_requests" },
+	{ "waiting requests", "waiting_requests" },
+	{ NULL, NULL }
+};
+static const struct ws_cli_column range_columns[] = {
+	{ "key", "key" },
+	{ "from", "from" },
+	{ "to", "to" },
+	{ "owner", "owner" },
+	{ "epoch", "epoch" },
+	{ "moving", "moving" },
+	{ "paused (s)", "paused_s" },
+	{ "in progress", "in_progress" },
+	{ NULL, NULL }
+};
+static const struct ws_cli_column server_columns[] = {
+	{ "SERVER", "name" },	    { "ADDRESS", "address" },
+	{ "OWN ZONE", "own_zone" }, { "EXPECTED S", "expected_latency_s" },
+	{ "LOAD", "load" },	    { "IN PROGRESS", "in_progress" },
+	{ "STATE", "state" },	    { NULL, NULL }
+};
+
+static void print_request(const json_t *o)
+{
+	ws_cli_fields(o, request_columns);
+	if (json_object_get(o, "range"))
+		print_section(o, "range", "key range", range_columns);
+	putchar('\n');
+	ws_cli_table(json_object_get(o, "servers"), server_columns);
+}
+
+int ws_cli_explain_request(const struct ws_cli *cli)
+{
+	char *method = g_uri_escape_string(cli->args[0], NULL, FALSE);
+	char *host = g_uri_escape_string(cli->args[1], NULL, FALSE);
+	char *path = g_uri_escape_string(cli->args[2], NULL, FALSE);
+	char *key = g_uri_escape_string(cli->args[3], NULL, FALSE);
+	bool has_key = strcmp(cli->args[3], "-") != 0;
+	char *page = g_strdup_printf("/explain?method=%s&host=%s&path=%s%s%s",
+				     method, host, path, has_key ? "&key=" : "",
+				     has_key ? key : "");
+	int code;
+	json_t *o = ws_cli_fetch_edge(cli, page, &code);
+
+	if (o && cli->json)
+		ws_cli_print_json(o);
+	else if (o)
+		print_request(o);
+	json_decref(o);
+	g_free(page);
+	g_free(key);
+	g_free(path);
+	g_free(host);
+	g_free(method);
+	return code;
+}
+
 /* ===== Drain ===== */
 
 int ws_cli_drain(const struct ws_cli *cli)
--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -12,11 +12,6 @@
 /* Longest wait for the owner of a key, as a fraction of the objective. */
 #define OWNER_WAIT_FRACTION 0.5
 #define OWNER_WAIT_MAX (600 * WS_MS)
-/*
- * Longest wait for a server whose rate is used up, as a fraction of the
- * objective.
- */
-#define THROTTLE_WAIT_FRACTION 0.12
 /* Delay of the next lookup of a key whose server rejected it as not its own. */
 #define NOT_OWNER_PAUSE (100 * WS_MS)
 /* Delay of the next send for a key whose server refused the connection. */
@@ -261,22 +256,17 @@
 
 static ws_us *key_pause(struct ws_edge *e, uint32_t key)
 {
-	return &e->key_pause[key / (WS_ED_KEYS / KEY_PAUSE_BUCKETS)];
+	return &e->key_pause[KEY_PAUSE_BUCKET(key)];
 }
 
-/* The owner of a key serves it while it leaves, until it has another owner. */
-static bool may_serve_keys(const struct ws_edge *e, uint32_t server)
+bool ws_ed_call_may_serve_keys(const struct ws_edge *e, uint32_t server)
 {
 	return ws_ed_pool_usable(&e->pool, e->now, server) ||
 	       (ws_ed_pool_usable_last(&e->pool, e->now, server) &&
 		e->now >= e->pool.servers[server].stated.gives_up_keys_until);
 }
 
-/*
- * Whether the keys of a server that can't serve them may soon have another
- * owner. Without the store, those of a server that left get none.
- */
-static bool may_keys_move(const struct ws_edge *e, uint32_t server)
+bool ws_ed_call_may_keys_move(const struct ws_edge *e, uint32_t server)
 {
 	return !e->pool.servers[server].stated.leaving_since ||
 	       e->now - e->evidence[WS_EDT_SERVERS] < STORE_EVIDENCE_MAX;
@@ -294,8 +284,9 @@
 		no_server(e, c, true, WS_EDR_NO_OWNER, fx);
 		return;
 	}
-	if (h < 0 || !may_serve_keys(e, (uint32_t)h)) {
-		no_server(e, c, h < 0 || may_keys_move(e, (uint32_t)h),
+	if (h < 0 || !ws_ed_call_may_serve_keys(e, (uint32_t)h)) {
+		no_server(e, c,
+			  h < 0 || ws_ed_call_may_keys_move(e, (uint32_t)h),
 			  WS_EDR_NO_OWNER, fx);
 		return;
 	}
--- a/lib/edge/ws_ed_call_arrive.c
+++ b/lib/edge/ws_ed_call_arrive.c
@@ -4,9 +4,6 @@
 
 /* Requests that arrive: which are refused at once, and the limits of time. */
 
-#define STORE_RETRY_AFTER (500 * WS_MS)
-#define NO_CONFIG_RETRY_AFTER (500 * WS_MS)
-#define DEADLINE_DEFAULT (2 * WS_SECOND)
 /*
  * A request whose deadline is shorter than the longest one of its route by more
  * than this is taken for a caller's retry.
--- a/lib/edge/ws_edge_int.h
+++ b/lib/edge/ws_edge_int.h
@@ -6,6 +6,7 @@
 /* Private to ws_edge.c and to the files that the sections below name. */
 
 #define KEY_PAUSE_BUCKETS 256
+#define KEY_PAUSE_BUCKET(key) ((key) / (WS_ED_KEYS / KEY_PAUSE_BUCKETS))
 
 enum call_state {
 	CALL_FREE = 0,
@@ -22,6 +23,16 @@
 /* Short, as other instances serve: the caller only has to reconnect. */
 #define DRAINING_RETRY_AFTER (20 * WS_MS)
 
+#define STORE_RETRY_AFTER (500 * WS_MS)
+#define NO_CONFIG_RETRY_AFTER (500 * WS_MS)
+/* Of a request that states none. */
+#define DEADLINE_DEFAULT (2 * WS_SECOND)
+/*
+ * Longest wait for a server whose rate is used up, as a fraction of the
+ * objective.
+ */
+#define THROTTLE_WAIT_FRACTION 0.12
+
 /* Most sends of one request, including those that did not run. */
 #define SENDS_MAX 6
 
@@ -207,6 +218,15 @@
 /* Sends hedges, sends queued calls and ends those out of time. */
 void ws_ed_call_tick(struct ws_edge *e, struct ws_ed_fx *fx);
 
+/* The owner of a key serves it while it leaves, until it has another owner. */
+bool ws_ed_call_may_serve_keys(const struct ws_edge *e, uint32_t server);
+
+/*
+ * Whether the keys of a server that can't serve them may soon have another
+ * owner. Without the store, those of a server that left get none.
+ */
+bool ws_ed_call_may_keys_move(const struct ws_edge *e, uint32_t server);
+
 /* Limits the time of all calls to drained_at. */
 void ws_ed_call_drain(struct ws_edge *e);
 
--- a/lib/edgeio/ws_eio_metrics.c
+++ b/lib/edgeio/ws_eio_metrics.c
@@ -4,8 +4,10 @@
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "common/ws_hist.h"
+#include "edgeio/ws_eio_explain.h"
 #include "edgeio/ws_eio_log.h"
 #include "edgeio/ws_eio_store.h"
 #include "io/ws_server.h"
@@ -108,17 +110,38 @@
 		io->memory.used, io->memory.n_refused);
 }
 
+static void answer_explain(const struct ws_eio *io,
+			   struct ws_server_request *req)
+{
+	static const char type[] = "Content-Type: application/json";
+	struct ws_server_answer a = {
+		.headers = type,
+		.headers_len = sizeof(type),
+	};
+	char *text = ws_eio_explain(io, req->uri, &a.status);
+
+	a.data = text;
+	a.data_len = strlen(text);
+	ws_server_answer(req, &a);
+	free(text);
+}
+
 static void on_request(void *arg, struct ws_server_request *req)
 {
 	static const char type[] = "Content-Type: text/plain; version=0.0.4";
 	struct ws_eio_metrics *m = arg;
-	GString *s = g_string_new(NULL);
+	GString *s;
 	struct ws_server_answer a = {
 		.status = 200,
 		.headers = type,
 		.headers_len = sizeof(type),
 	};
 
+	if (ws_eio_explain_is_asked(req->uri)) {
+		answer_explain(m->io, req);
+		return;
+	}
+	s = g_string_new(NULL);
 	add_counters(s, ws_edge_counters(m->io->edge));
 	add_latencies(s);
 	add_state(s, m->io);
--- a/lib/edgeio/ws_eio_metrics.h
+++ b/lib/edgeio/ws_eio_metrics.h
@@ -3,7 +3,10 @@
 
 #include "edgeio/ws_eio.h"
 
-/* Counters and latency histograms of the edge, in Prometheus text format. */
+/*
+ * Counters and latency histograms of the edge, in Prometheus text format; and
+ * explanations of requests (ws_eio_explain.h) at /explain.
+ */
 
 /* Port on the machine's own address. */
 #define WS_EIO_METRICS_PORT 9180
--- a/tests/test_cli.c
+++ b/tests/test_cli.c
@@ -1,11 +1,18 @@
 #include <check.h>
+#include <curl/curl.h>
+#include <ev.h>
+#include <fcntl.h>
+#include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include "cli/ws_cli.h"
+#include "edgeio/ws_eio_metrics.h"
+#include "platform/wp_decode.h"
 
 #define OPERATOR \
 	"00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
@@ -139,6 +146,130 @@
 }
 END_TEST
 
+#define EDGE_IP "127.19.44.2"
+#define EDGE_URL "http://127.19.44.2:9180"
+
+/* An instance of wagtailshift-edge without store, servers or other members. */
+static void run_edge(int ready)
+{
+	static const char config[] =
+		"{\"version\":\"00000001\",\"services\":[{\"name\":\"open\"}],"
+		"\"virtual_hosts\":[{\"host\":\"h\",\"path_rules\":["
+		"{\"name\":\"read\",\"path_prefix\":\"/r/\","
+		"\"kind\":\"idempotent\",\"service\":\"open\"}]}]}";
+	const struct wp_settings set = {
+		.name = "n1",
+		.zone = "z",
+		.ip = EDGE_IP,
+		.callers_address = EDGE_IP ":7100",
+		.readiness_address = EDGE_IP ":7101",
+		.heartbeat_address = EDGE_IP ":7110",
+		.records_address = EDGE_IP ":7111",
+		.store_address = EDGE_IP ":7000",
+		.memory_max = (size_t)260 * 1024 * 1024,
+		.max_fds = 1000,
+		.cores = 0.2,
+	};
+	struct ws_ed_event ev = { .kind = WS_EDEV_CONFIG };
+	struct ev_loop *loop = ev_loop_new(0);
+	struct wp_error err = { "" };
+	struct ws_eio *io = ws_eio_new(loop, &set, &err);
+
+	if (!io || !ws_eio_metrics_new(io))
+		_exit(EXIT_FAILURE);
+	ev.u.config = wp_decode_config(config, sizeof(config) - 1, NULL);
+	ws_eio_handle_event(io, &ev);
+	if (write(ready, "r", 1) != 1)
+		_exit(EXIT_FAILURE);
+	ev_run(loop, 0);
+	_exit(EXIT_SUCCESS);
+}
+
+static const char *format = "--json";
+
+static int explain(const char *host, const char *path, const char *key)
+{
+	char *argv[] = { (char *)"wagtailshift",
+			 (char *)"explain",
+			 (char *)"request",
+			 (char *)"GET",
+			 (char *)host,
+			 (char *)path,
+			 (char *)key,
+			 (char *)format,
+			 NULL };
+
+	return ws_cli_main(format ? 8 : 7, argv);
+}
+
+/* What a call of explain() writes to standard output. */
+static const char *explanation(const char *path, int *code)
+{
+	static char text[4096];
+	FILE *file = tmpfile();
+	int out = dup(STDOUT_FILENO);
+	size_t n;
+
+	ck_assert_ptr_nonnull(file);
+	fflush(stdout);
+	dup2(fileno(file), STDOUT_FILENO);
+	*code = explain("h", path, "-");
+	fflush(stdout);
+	dup2(out, STDOUT_FILENO);
+	close(out);
+	rewind(file);
+	n = fread(text, 1, sizeof(text) - 1, file);
+	text[n] = '\0';
+	fclose(file);
+	return text;
+}
+
+/* Guards against an explanation that fails or misleads while callers wait. */
+START_TEST(request_is_explained_by_a_running_edge)
+{
+	int ready[2];
+	int code;
+	char c;
+	pid_t edge;
+	const char *text;
+
+	ck_assert_int_eq(pipe(ready), 0);
+	edge = fork();
+	if (!edge)
+		run_edge(ready[1]);
+	close(ready[1]);
+	ck_assert_int_eq((int)read(ready[0], &c, 1), 1);
+	unsetenv("WAGTAILSHIFT_EDGE");
+	ck_assert_int_eq(explain("h", "/r/1", "-"), WS_CLI_USAGE);
+	setenv("WAGTAILSHIFT_EDGE", EDGE_URL, 1);
+	text = explanation("/r/1?q=a b", &code);
+	ck_assert_int_eq(code, WS_CLI_OK);
+	ck_assert_ptr_nonnull(strstr(text, "\"route\": \"read\""));
+	ck_assert_ptr_nonnull(strstr(text, "\"decision\": \"refuse\""));
+	ck_assert_ptr_nonnull(strstr(text, "\"status\": 503"));
+	ck_assert_ptr_nonnull(strstr(text, "\"path\": \"/r/1?q=a b\""));
+	text = explanation("/none", &code);
+	ck_assert_int_eq(code, WS_CLI_OK);
+	ck_assert_ptr_nonnull(strstr(text, "\"status\": 404"));
+	format = NULL;
+	text = explanation("/r/1", &code);
+	ck_assert_int_eq(code, WS_CLI_OK);
+	ck_assert_ptr_nonnull(strstr(text, "refuse"));
+	ck_assert_ptr_nonnull(strstr(text, "no_server"));
+	ck_assert_ptr_nonnull(strstr(text, "EXPECTED S"));
+	ck_assert_int_eq(explain("h", "no-slash", "-"), WS_CLI_REFUSED);
+	ck_assert_int_eq(explain("h", "/\xff", "-"), WS_CLI_REFUSED);
+	ck_assert_int_eq(explain("", "/r/1", "-"), WS_CLI_REFUSED);
+	ck_assert_int_eq(explain("h", "/r/1", "65536"), WS_CLI_REFUSED);
+	ck_assert_int_eq(explain("h", "/r/1", ""), WS_CLI_REFUSED);
+	ck_assert_int_eq(explain("h", "/r/1", "65535"), WS_CLI_OK);
+	kill(edge, SIGKILL);
+	waitpid(edge, NULL, 0);
+	ck_assert_int_eq(explain("h", "/r/1", "-"), WS_CLI_UNREACHABLE);
+	close(ready[0]);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("cli");
@@ -154,6 +285,7 @@
 	tcase_add_test(tc, key_file_is_private_and_never_overwritten);
 	tcase_add_test(tc, recover_record_verifies_and_names_the_instances);
 	tcase_add_test(tc, exit_codes_are_as_documented);
+	tcase_add_test(tc, request_is_explained_by_a_running_edge);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
 	srunner_run_all(sr, CK_NORMAL);
