--- a/lib/edge/ws_ed_call_arrive.c
+++ b/lib/edge/ws_ed_call_arrive.c
@@ -4,13 +4,10 @@
 
 /* Requests that arrive: which are refused at once, and the limits of time. */
 
-#define STORE_RETRY_AFTER (500 * WS_MS)
-#define NO_CONFIG_RETRY_AFTER (500 * WS_MS)
 /* Short, as other instances have other links: the caller has to reconnect. */
 #define LINK_RETRY_AFTER (100 * WS_MS)
 /* Time that a request takes to a server through a full link. */
 #define LINK_MARGIN (300 * WS_MS)
-#define DEADLINE_DEFAULT (2 * WS_SECOND)
 /*
  * A request whose deadline is shorter than the longest one of its route by more
  * than this is taken for a caller's retry.
