Let leases of inherited keys end when their server has left without a word

A new leader was elected at 5.4 s. It calls a server for its inherited keys first, and these calls got no answer. As an unanswered grant may have been executed, each extended the lease by 3.2 s, and they were repeated every 200 ms: the lease could not end, and KEYS_LOST was logged only at 25.5 s, by the next leader. A release was no way out, because inherited keys are released only after a grant.

Ruled out: servers without room. While the keys had no owner 145 servers were candidates, and 65 to 74 of them had less than a quarter of their share.

The keys move as before, after the leases of former leaders and those of its own grants; the safety argument is unchanged. Only for deployments whose customers have no rates.

The new test of test_ed_lead fails without the change and passes with it.

--- a/lib/edge/ws_ed_range.c
+++ b/lib/edge/ws_ed_range.c
@@ -188,6 +188,21 @@
 	       is_store_there(l, now, s, fx);
 }
 
+/*
+ * Whether grants to a server end, so that its lease can expire. A failed grant
+ * extends the lease, as it may have been executed; a server that has left the
+ * list and does not answer would keep inherited keys for as long as it is
+ * called.
+ */
+static bool is_given_up(const struct ws_ed_lead *l, const struct ws_ed_range *r,
+			ws_us now, int32_t server)
+{
+	return l->pool->unmetered && r->inherited &&
+	       r->failures >= FAILURES_MAX &&
+	       (server < 0 ||
+		!ws_ed_pool_usable(l->pool, now, (uint32_t)server));
+}
+
 static void tick_owned(struct ws_ed_lead *l, struct ws_ed_range *r, ws_us now,
 		       struct ws_ed_fx *fx)
 {
@@ -213,7 +228,8 @@
 		ws_ed_range_start_release(r, now);
 		return;
 	}
-	if (!r->ref && now >= r->next_call && r->address[0])
+	if (!r->ref && now >= r->next_call && r->address[0] &&
+	    !is_given_up(l, r, now, s))
 		grant(l, r, now, fx);
 }
 
--- a/tests/test_ed_lead.c
+++ b/tests/test_ed_lead.c
@@ -405,6 +405,50 @@
 }
 END_TEST
 
+/*
+ * Guards against keys that nobody serves for as long as a leader goes on: their
+ * server left the list without a word just after the leader was elected, and
+ * every unanswered grant extended the lease (play adcr-wire-grown trouble-1).
+ * The keys move, but not before the last lease that the server may have ended.
+ */
+START_TEST(inherited_keys_of_a_server_that_left_unanswered_move)
+{
+	const struct ws_ed_listing other = {
+		.name = "s1",
+		.address = "s1",
+		.service = SERVICE,
+		.slots = 4,
+		.started_ms = 1,
+	};
+	ws_us last_grant = 0;
+	size_t i;
+
+	become_leader(1);
+	pool.unmetered = true;
+	ws_ed_pool_listed(&pool, now, &other);
+	ws_ed_pool_unlisted(&pool, now, ws_ed_id("s0"), 0);
+	dark = "s0";
+	dark_answer = WS_EDC_FAILED;
+	while (now < 130 * WS_SECOND && !lead.appending) {
+		run(10 * WS_MS);
+		for (i = 0; i < fx.n; i++)
+			if (fx.items[i].kind == WS_EDFX_GRANT)
+				last_grant = now;
+	}
+	dark = "";
+	ck_assert(lead.appending);
+	ck_assert_int_ge(now - last_grant, WS_ED_KEY_LEASE);
+	ck_assert_int_ge(now, lead.confirmed_at + WS_ED_LEADER_LEASE +
+				      WS_ED_KEY_LEASE_BOUND);
+	/* Within the longest time that the last lease takes to end. */
+	ck_assert_int_le(now, lead.confirmed_at + WS_ED_LEADER_LEASE +
+				      WS_ED_KEY_LEASE_BOUND + WS_SECOND);
+	finish_append(WS_EDA_DONE);
+	ck_assert_uint_eq(ws_ed_map_owner(&lead.map, SERVICE, 5),
+			  ws_ed_id("s1"));
+}
+END_TEST
+
 /*
  * Guards against keys that are given away while their server may have them from
  * a former leader, which was valid for up to its lease after the successor had
@@ -893,6 +937,7 @@
 		changes_do_not_reach_back_over_a_restore,
 		leases_outlast_a_configuration_without_their_service,
 		inherited_keys_wait_for_leases_of_the_former_leader,
+		inherited_keys_of_a_server_that_left_unanswered_move,
 	};
 
 	const TTest *const lost_server_tests[] = {
