Place keys first when the servers have registered

Ruled out: rebalancing before the requests, as it takes grants and moves for what one placement does.

Without metered customers the first placement now waits until no server has registered for 0.8 s, at most 6 s, and not longer than until requests arrive.

--- a/lib/edge/ws_ed_balance.c
+++ b/lib/edge/ws_ed_balance.c
@@ -31,6 +31,14 @@
 /* A range is not moved again for this time after its state changed. */
 #define MOVE_MIN_AGE (1 * WS_SECOND)
 
+/* Without metered customers only: */
+
+/* The first placement waits until no server has registered for this time. */
+#define SETTLED_TIME (800 * WS_MS)
+#define FIRST_PLACEMENT_MAX (6 * WS_SECOND)
+/* Requests counted from which on it waits no longer. */
+#define FIRST_REQUESTS 20.0
+
 /* A server that may own keys, with its current load. */
 struct candidate {
 	uint32_t handle;
@@ -409,6 +417,46 @@
 	}
 }
 
+/* Whether servers still register, and no requests have arrived yet. */
+static bool is_filling(const struct ws_ed_lead *l, ws_us now, ws_id service)
+{
+	const uint32_t buckets = WS_ED_BUCKETS;
+	double idle = buckets * WS_ED_HEAT_FLOOR;
+	size_t i;
+
+	if (now >= l->started + FIRST_PLACEMENT_MAX ||
+	    ws_ed_heat_range(l->heat, service, 0, WS_ED_KEYS - 1) >
+		    idle + FIRST_REQUESTS)
+		return false;
+	for (i = 0; i < l->pool->n; i++) {
+		const struct ws_ed_server *s = &l->pool->servers[i];
+
+		if (s->service == service && s->listed &&
+		    now - s->known_since < SETTLED_TIME)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Keys that were placed on the servers known so far would have to be moved to
+ * the others under load.
+ */
+static bool is_first_placement_early(const struct ws_ed_lead *l, ws_us now)
+{
+	size_t i;
+
+	if (l->map.n)
+		return false;
+	if (now < l->started + FIRST_PLACEMENT_DELAY)
+		return true;
+	for (i = 0; l->pool->unmetered && i < l->conf->n_services; i++)
+		if (l->conf->services[i].sharded &&
+		    is_filling(l, now, l->conf->services[i].id))
+			return true;
+	return false;
+}
+
 void ws_ed_balance_tick(struct ws_ed_lead *l, ws_us now, struct ws_ed_fx *fx)
 {
 	struct plan pl = { NULL, 0, 0.0, 0.0, 0 };
@@ -417,7 +465,7 @@
 	(void)fx;
 	if (!l->conf || now < l->next_balance)
 		return;
-	if (!l->map.n && now < l->started + FIRST_PLACEMENT_DELAY)
+	if (is_first_placement_early(l, now))
 		return;
 	l->next_balance = now + BALANCE_PERIOD;
 	drop_unsharded(l, now);
--- a/lib/edge/ws_ed_heat.c
+++ b/lib/edge/ws_ed_heat.c
@@ -10,8 +10,6 @@
  */
 #define HEAT_TAU (2.5 * (double)WS_SECOND)
 #define DECAY_PERIOD (250 * WS_MS)
-/* Added to the heat of each bucket, so that idle ranges have a weight. */
-#define HEAT_FLOOR 0.001
 
 void ws_ed_heat_free(struct ws_ed_heat *h)
 {
@@ -95,7 +93,8 @@
 	uint32_t last = first + WS_ED_BUCKET_KEYS - 1;
 	uint32_t low = from > first ? from : first;
 	uint32_t high = to < last ? to : last;
-	double heat = HEAT_FLOOR + (s ? (double)s->requests[bucket] : 0.0);
+	double heat =
+		WS_ED_HEAT_FLOOR + (s ? (double)s->requests[bucket] : 0.0);
 
 	return heat * (double)(high - low + 1) / WS_ED_BUCKET_KEYS;
 }
--- a/lib/edge/ws_ed_heat.h
+++ b/lib/edge/ws_ed_heat.h
@@ -13,6 +13,8 @@
 #define WS_ED_KEYS 65536
 #define WS_ED_BUCKET_KEYS 2
 #define WS_ED_BUCKETS (WS_ED_KEYS / WS_ED_BUCKET_KEYS)
+/* Added to the heat of each bucket, so that idle ranges have a weight. */
+#define WS_ED_HEAT_FLOOR 0.001
 /* Maximum number of counts in one heartbeat. */
 #define WS_ED_COUNTS_MAX 17
 
--- a/tests/test_ed_lead_random.c
+++ b/tests/test_ed_lead_random.c
@@ -52,6 +52,9 @@
 /* A server's clock runs 2 % slow. */
 #define SERVER_CLOCK_PERCENT 102
 
+/* Each test runs with both policies of placement. */
+static bool unmetered;
+
 struct server {
 	ws_id id;
 	char name[WS_ED_NAME_MAX];
@@ -623,6 +626,7 @@
 	ws_ed_pool_free(&nd->pool);
 	memset(&nd->pool, 0, sizeof(nd->pool));
 	nd->pool.drain_time = DRAIN_TIME;
+	nd->pool.unmetered = unmetered;
 	ws_ed_heat_free(&nd->heat);
 	memset(&nd->heat, 0, sizeof(nd->heat));
 	for (s = 0; s < SERVERS; s++)
@@ -1134,6 +1138,7 @@
 
 START_TEST(one_owner_under_faults)
 {
+	unmetered = _i;
 	/* The faults must move each key once in an average run. */
 	ck_assert_double_gt(run_seeds(FAULTS_SHORT), 1.0);
 }
@@ -1146,6 +1151,7 @@
  */
 START_TEST(one_owner_when_the_store_is_restored)
 {
+	unmetered = _i;
 	ck_assert_double_gt(run_seeds(FAULTS_RESTORES), 1.0);
 }
 END_TEST
@@ -1157,6 +1163,7 @@
  */
 START_TEST(one_owner_after_long_cuts)
 {
+	unmetered = _i;
 	ck_assert_double_gt(run_seeds(FAULTS_LONG), 1.0);
 }
 END_TEST
@@ -1168,6 +1175,7 @@
  */
 START_TEST(one_owner_when_servers_leave)
 {
+	unmetered = _i;
 	ck_assert_double_gt(run_seeds(FAULTS_LEAVING), 1.0);
 }
 END_TEST
@@ -1181,6 +1189,6 @@
 		one_owner_when_servers_leave,
 	};
 
-	return ed_suite_run("ed_lead_random", tests,
-			    (int)(sizeof(tests) / sizeof(tests[0])));
+	return ed_suite_run_each("ed_lead_random", tests,
+				 (int)(sizeof(tests) / sizeof(tests[0])), 2);
 }
