--- a/lib/edge/ws_edge.h
+++ b/lib/edge/ws_edge.h
@@ -36,7 +36,7 @@
 	ws_us drain_time;
 	/*
 	 * No customer has a rate, so that only the servers' capacity bounds
-	 * what callers send; see docs/design/capacity.md
+	 * what callers send; see docs/design/README.md
 	 */
 	bool unmetered;
 	double link_rate; /* of this machine, bytes/s; 0: unknown */
