Issue permits to send to the owner of a key, first form

Cause: each instance decides alone, by old reports, what it sends to the one owner of a key; all together have more there than it takes. Change: issuer of permits a server, calendar of returns, messages, metrics.

--- a/lib/common/ws_events.h
+++ b/lib/common/ws_events.h
@@ -40,6 +40,7 @@
 	X(304, SUSPECT_DROPPED, NOTICE, "request is no longer suspected")   \
 	X(305, REQUEST_CLEARED, NOTICE, "request cleared by an answer")     \
 	X(306, QUARANTINE_TRIAL, NOTICE, "quarantined request is tried")    \
+	X(307, ISSUER_SILENT, WARNING, "issuer of permits is silent")       \
 	X(401, TARGET_COLD, NOTICE, "target is cold, slow start")           \
 	X(402, TARGET_CRASHED, WARNING, "target closed mid-request")        \
 	X(403, TARGET_SHED, NOTICE, "target refused to run a request")      \
--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "edge/ws_ed_admit.h"
+#include "edge/ws_ed_call_permit.h"
 #include "edge/ws_edge_int.h"
 
 /*
@@ -57,6 +58,7 @@
 			enum ws_ed_reason reason, struct ws_ed_fx *fx)
 {
 	WS_INVARIANT(!c->may_have_run);
+	ws_ed_call_withdraw_permit(e, c, fx);
 	ws_ed_call_reply(e, c->id, c->customer, 503, retry_after, reason, fx);
 	ws_ed_call_remove(e, c);
 }
@@ -65,6 +67,7 @@
 static void fail_call(struct ws_edge *e, struct ed_call *c, int status,
 		      enum ws_ed_reason reason, struct ws_ed_fx *fx)
 {
+	ws_ed_call_withdraw_permit(e, c, fx);
 	ws_ed_call_reply(e, c->id, c->customer, status, 0, reason, fx);
 	ws_ed_call_remove(e, c);
 }
@@ -160,6 +163,8 @@
 		.expected_latency = at->expected_latency,
 	};
 	c->waiting_since = 0;
+	if (c->permit.state == PERMIT_GRANTED)
+		c->permit.state = PERMIT_USED;
 	if (c->on_trial)
 		ws_ed_call_start_trial(e, c, fx);
 	if (c->state == CALL_WAITING)
@@ -203,6 +208,7 @@
 	double wait_max = OWNER_WAIT_FRACTION * (double)c->objective;
 	ws_us waited = c->waiting_since ? e->now - c->waiting_since : 0;
 
+	ws_ed_call_withdraw_permit(e, c, fx);
 	if (temporary && (double)waited < wait_max && waited < OWNER_WAIT_MAX) {
 		set_waiting(e, c, e->now);
 		return;
@@ -225,6 +231,7 @@
 		(ws_us)(THROTTLE_WAIT_FRACTION * (double)c->objective) - waited;
 	const struct ws_ed_server *s;
 
+	ws_ed_call_withdraw_permit(e, c, fx);
 	if (at->throttled_for <= wait_max) {
 		set_waiting(e, c, e->now + at->throttled_for);
 		return;
@@ -259,6 +266,33 @@
 	}
 }
 
+void ws_ed_call_refused_permit(struct ws_edge *e, struct ed_call *c,
+			       ws_us retry_after, struct ws_ed_fx *fx)
+{
+	give_up(e, c, retry_after, WS_EDR_OVERLOAD, fx);
+}
+
+/* Sends a request to the owner of its key when the issuer permits it. */
+static void place_with_permit(struct ws_edge *e, struct ed_call *c,
+			      const struct ws_ed_choice *at,
+			      struct ws_ed_fx *fx)
+{
+	switch (ws_ed_call_permit(e, c, (uint32_t)at->server, fx)) {
+	case WS_ED_PERMIT_MAY_SEND:
+		send(e, c, at, fx);
+		break;
+	case WS_ED_PERMIT_PENDING:
+		set_waiting(e, c, e->now);
+		break;
+	case WS_ED_PERMIT_UNAVAILABLE:
+		e->counters.permits_unavailable++;
+		place_at(e, c, at, fx);
+		break;
+	default:
+		break;
+	}
+}
+
 static ws_us *key_pause(struct ws_edge *e, uint32_t key)
 {
 	return &e->key_pause[key / (WS_ED_KEYS / KEY_PAUSE_BUCKETS)];
@@ -304,7 +338,10 @@
 		on_throttled(e, c, &at, fx);
 		return;
 	}
-	place_at(e, c, &at, fx);
+	if (e->pool.unmetered)
+		place_with_permit(e, c, &at, fx);
+	else
+		place_at(e, c, &at, fx);
 }
 
 static void fill_choose_input(const struct ws_edge *e, const struct ed_call *c,
@@ -356,9 +393,10 @@
 /* ===== Sends that end ===== */
 
 /* @return enum ws_ed_stated_change */
-static unsigned lane_ended(struct ws_edge *e, const struct ed_call *c,
+static unsigned lane_ended(struct ws_edge *e, struct ed_call *c,
 			   const struct ed_lane *l, enum ws_ed_end end,
-			   ws_us latency, const struct ws_ed_report *report)
+			   ws_us latency, const struct ws_ed_report *report,
+			   struct ws_ed_fx *fx)
 {
 	const struct ws_ed_sending sending = {
 		.server = l->server,
@@ -368,6 +406,7 @@
 		.load = l->load,
 	};
 
+	ws_ed_call_permit_ended(e, c, l, end, latency, report, fx);
 	return ws_ed_pool_ended(&e->pool, e->now, &sending, end, latency,
 				report);
 }
@@ -389,7 +428,7 @@
 		x->u.send.request = c->id;
 		x->u.send.lane = i;
 		lane_ended(e, c, l, WS_ED_END_CANCELLED, e->now - l->sent_at,
-			   NULL);
+			   NULL, fx);
 	}
 }
 
@@ -401,6 +440,7 @@
 		return;
 	e->counters.gone++;
 	cancel_lanes(e, c, fx);
+	ws_ed_call_withdraw_permit(e, c, fx);
 	ws_ed_call_remove(e, c);
 }
 
@@ -421,6 +461,7 @@
 	memcpy(x->u.reply.customer, c->customer, sizeof(c->customer));
 	e->counters.forwarded++;
 	cancel_lanes(e, c, fx);
+	ws_ed_call_withdraw_permit(e, c, fx);
 	ws_ed_call_remove(e, c);
 }
 
@@ -508,7 +549,7 @@
 		return;
 	l = &c->lanes[end->lane];
 	l->active = false;
-	stated = lane_ended(e, c, l, end->end, end->latency, &end->report);
+	stated = lane_ended(e, c, l, end->end, end->latency, &end->report, fx);
 	ws_ed_pool_log_stated(&e->pool, e->now, l->server, stated,
 			      "stated in its answer", fx);
 	c->sends_received += end->end != WS_ED_END_NOT_SENT;
@@ -659,6 +700,11 @@
 				.objective_at = e->calls[i].objective_at,
 			};
 	qsort(e->order, n, sizeof(*e->order), compare_urgency);
-	for (i = 0; i < n; i++)
-		ws_ed_call_place(e, ws_ed_call_find(e, e->order[i].id), fx);
+	for (i = 0; i < n; i++) {
+		struct ed_call *c = ws_ed_call_find(e, e->order[i].id);
+
+		/* An earlier one may have freed a permit for this one. */
+		if (c && c->state == CALL_WAITING)
+			ws_ed_call_place(e, c, fx);
+	}
 }
--- a/lib/edge/ws_ed_fx.h
+++ b/lib/edge/ws_ed_fx.h
@@ -1,6 +1,7 @@
 #ifndef WS_ED_FX_H
 #define WS_ED_FX_H
 
+#include "edge/ws_ed_permit.h"
 #include "edge/ws_ed_pool.h"
 
 /*
@@ -20,6 +21,7 @@
 	WS_EDFX_CHECK, /* find out whether a server accepts connections */
 	WS_EDFX_HEARTBEAT, /* send a heartbeat now */
 	WS_EDFX_REFUSED, /* send a member the list of refused requests */
+	WS_EDFX_PERMIT, /* send a member a message on a permit */
 	WS_EDFX_LOG, /* write a log line */
 };
 
@@ -95,6 +97,10 @@
 		enum ws_ed_topic topic; /* READ */
 		uint32_t check; /* CHECK: handle of the server */
 		ws_id member; /* REFUSED */
+		struct {
+			ws_id to; /* the member that gets it */
+			struct ws_ed_permit_message message;
+		} permit;
 		struct {
 			uint64_t at; /* position the record must get */
 		} append;
--- a/lib/edge/ws_ed_issuer.h
+++ b/lib/edge/ws_ed_issuer.h
@@ -40,6 +40,7 @@
 	double limit; /* learned, requests in progress */
 	double speed; /* learned */
 	double pace; /* slowness of its machine now; 1: usual */
+	double mean_pace; /* in the long term */
 };
 
 enum ws_ed_permit_verdict {
@@ -114,6 +115,9 @@
 /* Takes back all permits of an instance that has ended. */
 void ws_ed_issuer_asker_lost(struct ws_ed_issuers *is, ws_us now, ws_id asker);
 
+/* Whether anything is kept of a server, so that it needs ticks. */
+bool ws_ed_issuer_knows(const struct ws_ed_issuers *is, ws_id server);
+
 /* Requests at the server now, as the issuer reckons. */
 double ws_ed_issuer_busy(const struct ws_ed_issuers *is, ws_us now,
 			 ws_id server);
--- a/lib/edge/ws_ed_pool.c
+++ b/lib/edge/ws_ed_pool.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "edge/ws_ed_issuer.h"
 #include "edge/ws_ed_pool_int.h"
 #include "edge/ws_ed_throttle.h"
 
@@ -392,6 +393,20 @@
 	estimate(p, now, server, work_stats, REPORT_TAU, out);
 }
 
+void ws_ed_pool_issuer_view(const struct ws_ed_pool *p, ws_us now,
+			    uint32_t server, struct ws_ed_issuer_server *out)
+{
+	const struct ws_ed_server *s = &p->servers[server];
+
+	*out = (struct ws_ed_issuer_server){
+		.slots = s->slots,
+		.limit = (double)s->slots,
+		.speed = 1.0 / s->service_time_factor,
+		.pace = pace_of(s, now),
+		.mean_pace = 1.0 / s->inverse_pace_mean,
+	};
+}
+
 static double choice_tau(const struct ws_ed_pool *p)
 {
 	double n = (double)p->instances;
--- a/lib/edge/ws_ed_pool.h
+++ b/lib/edge/ws_ed_pool.h
@@ -220,6 +220,12 @@
 void ws_ed_pool_expect(const struct ws_ed_pool *p, ws_us now, uint32_t server,
 		       uint32_t work_stats, struct ws_ed_choice *out);
 
+struct ws_ed_issuer_server;
+
+/* What the issuer of permits for a server has to know of it. */
+void ws_ed_pool_issuer_view(const struct ws_ed_pool *p, ws_us now,
+			    uint32_t server, struct ws_ed_issuer_server *out);
+
 /* Totals of the usable servers of a service. */
 struct ws_ed_capacity {
 	double slots; /* weighted by long-term throughput */
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "common/ws_events.h"
+#include "edge/ws_ed_call_permit.h"
 #include "edge/ws_ed_throttle.h"
 #include "edge/ws_edge_int.h"
 
@@ -91,6 +92,7 @@
 	ws_ed_quota_free(&e->quota);
 	ws_ed_lead_free(&e->lead);
 	ws_ed_suspects_free(&e->suspects);
+	ws_ed_issuers_free(&e->issuers);
 	ws_ed_map_free(&e->received_map);
 	free(e->calls);
 	free(e->order);
@@ -444,6 +446,8 @@
 		slow_tick(e, fx);
 	}
 	check_servers(e, fx);
+	if (e->pool.unmetered)
+		ws_ed_call_permit_tick(e, fx);
 	ws_ed_call_tick(e, fx);
 }
 
@@ -522,6 +526,9 @@
 	case WS_EDEV_REFUSED_LIST:
 		ws_ed_refused_receive(e, ev->u.refused_list, fx);
 		break;
+	case WS_EDEV_PERMIT:
+		ws_ed_call_on_permit(e, ev->u.permit, fx);
+		break;
 	case WS_EDEV_DRAIN:
 		e->draining = true;
 		e->refuse_from = e->now + (ws_us)(DRAIN_ACCEPT_FRACTION *
@@ -630,6 +637,11 @@
 	return &e->quota;
 }
 
+const struct ws_ed_issuers *ws_edge_issuers(const struct ws_edge *e)
+{
+	return &e->issuers;
+}
+
 const struct ws_ed_lead *ws_edge_lead(const struct ws_edge *e)
 {
 	return &e->lead;
--- a/lib/edge/ws_edge.h
+++ b/lib/edge/ws_edge.h
@@ -7,6 +7,7 @@
 #include "edge/ws_ed_lead.h"
 #include "edge/ws_ed_map.h"
 #include "edge/ws_ed_peers.h"
+#include "edge/ws_ed_permit.h"
 #include "edge/ws_ed_pool.h"
 #include "edge/ws_ed_quota.h"
 #include "edge/ws_ed_refused.h"
@@ -78,6 +79,7 @@
 	WS_EDEV_KEY_CALLED, /* a grant or release has ended */
 	WS_EDEV_CHECK_REFUSED, /* a server has refused a checked connection */
 	WS_EDEV_REFUSED_LIST, /* refused requests of another instance */
+	WS_EDEV_PERMIT, /* a message of another instance on a permit */
 	WS_EDEV_DRAIN, /* the process is asked to terminate */
 };
 
@@ -273,6 +275,7 @@
 			int64_t started_ms; /* when the check began */
 		} check_refused;
 		const struct ws_ed_refused_list *refused_list;
+		const struct ws_ed_permit_message *permit;
 		ws_us drain_time; /* until all requests must be answered */
 	} u;
 };
@@ -378,6 +381,7 @@
 const struct ws_ed_pool *ws_edge_pool(const struct ws_edge *e);
 const struct ws_ed_peers *ws_edge_peers(const struct ws_edge *e);
 const struct ws_ed_quota *ws_edge_quota(const struct ws_edge *e);
+const struct ws_ed_issuers *ws_edge_issuers(const struct ws_edge *e);
 const struct ws_ed_lead *ws_edge_lead(const struct ws_edge *e);
 
 /* Name of the customer that a request belongs to; "" for none. */
@@ -393,6 +397,9 @@
 	uint64_t refused[WS_EDR_COUNT];
 	uint64_t lost; /* ended with status 502 or 504 */
 	uint64_t gone; /* the caller disconnected */
+	uint64_t permits_asked;
+	uint64_t permits_refused;
+	uint64_t permits_unavailable; /* calls placed without a permit */
 };
 
 const struct ws_ed_counters *ws_edge_counters(const struct ws_edge *e);
--- a/lib/edge/ws_edge_int.h
+++ b/lib/edge/ws_edge_int.h
@@ -35,6 +35,31 @@
 	ws_us expected_latency; /* as estimated at sent_at */
 };
 
+/* State of a call's permit to send to a server; see ws_ed_call_permit.h. */
+enum permit_state {
+	PERMIT_NONE = 0,
+	PERMIT_ASKED, /* no answer yet */
+	PERMIT_QUEUED, /* it waits at the issuer */
+	PERMIT_GRANTED,
+	PERMIT_USED, /* the call is at the server */
+};
+
+struct ed_permit {
+	uint8_t state;
+	uint8_t asks; /* sent so far */
+	ws_id server;
+	ws_id issuer; /* the instance that issues it */
+	ws_us ask_again_at;
+};
+
+/* Issuers that are remembered as silent. */
+#define SILENT_ISSUERS 8
+
+struct ed_silent_issuer {
+	ws_id id;
+	ws_us until;
+};
+
 struct ed_call {
 	uint8_t state;
 	uint64_t id;
@@ -61,6 +86,7 @@
 	bool is_retry; /* the caller's earlier try was refused */
 	bool on_trial; /* refused, but may be sent once */
 	uint64_t trial; /* identifies the trial that has begun; 0: none has */
+	struct ed_permit permit;
 	struct ed_lane lanes[LANES]; /* CALL_SENT */
 	size_t n_excluded;
 	uint32_t excluded[WS_ED_EXCLUDED_MAX];
@@ -142,6 +168,10 @@
 	ws_us key_pause[KEY_PAUSE_BUCKETS];
 	struct ws_ed_counters counters;
 
+	struct ws_ed_issuers issuers; /* permits that this instance issues */
+	struct ed_silent_issuer silent_issuers[SILENT_ISSUERS];
+	size_t next_silent_issuer; /* entry to replace */
+
 	struct ed_call *calls; /* open addressing by id */
 	size_t cap_calls; /* power of two */
 	size_t n_calls;
@@ -195,6 +225,10 @@
 void ws_ed_call_place(struct ws_edge *e, struct ed_call *c,
 		      struct ws_ed_fx *fx);
 
+/* Ends a call for which the issuer of its server has no permit. */
+void ws_ed_call_refused_permit(struct ws_edge *e, struct ed_call *c,
+			       ws_us retry_after, struct ws_ed_fx *fx);
+
 /* Answers a request that is or becomes no call. */
 void ws_ed_call_reply(struct ws_edge *e, uint64_t id, const char *customer,
 		      int status, ws_us retry_after, enum ws_ed_reason reason,
--- a/lib/edgeio/ws_eio.c
+++ b/lib/edgeio/ws_eio.c
@@ -92,6 +92,10 @@
 	case WS_EDFX_REFUSED:
 		ws_eio_beats_send_refused(io->beats, x->u.member);
 		break;
+	case WS_EDFX_PERMIT:
+		ws_eio_beats_send_permit(io->beats, x->u.permit.to,
+					 &x->u.permit.message);
+		break;
 	case WS_EDFX_LOG:
 		ws_eio_log(x->u.log.number, x->u.log.subject, x->u.log.value,
 			   x->u.log.detail);
--- a/lib/edgeio/ws_eio_beats.c
+++ b/lib/edgeio/ws_eio_beats.c
@@ -22,6 +22,7 @@
 	struct ws_ed_beat beat; /* scratch space for sending */
 	struct ws_ed_beat received; /* scratch space for receiving */
 	struct ws_ed_refused_list list; /* scratch space */
+	struct ws_ed_permit_message permit; /* scratch space */
 	unsigned char buf[WS_ED_BEAT_BYTES];
 	unsigned char in[WS_ED_BEAT_BYTES];
 };
@@ -94,6 +95,17 @@
 	} while (next);
 }
 
+void ws_eio_beats_send_permit(struct ws_eio_beats *b, ws_id member,
+			      const struct ws_ed_permit_message *p)
+{
+	const struct ws_ed_member *m =
+		ws_ed_peers_find(ws_edge_peers(b->io->edge), member);
+
+	if (m)
+		send_bytes(b, m,
+			   ws_ed_permit_encode(p, b->buf, sizeof(b->buf)));
+}
+
 static void send_map(struct ws_eio_beats *b, const struct ws_ed_member *m)
 {
 	uint32_t next = 0;
@@ -147,6 +159,9 @@
 	} else if (!ws_ed_refused_decode(&b->list, b->in, len)) {
 		ev.kind = WS_EDEV_REFUSED_LIST;
 		ev.u.refused_list = &b->list;
+	} else if (!ws_ed_permit_decode(&b->permit, b->in, len)) {
+		ev.kind = WS_EDEV_PERMIT;
+		ev.u.permit = &b->permit;
 	} else {
 		return;
 	}
--- a/lib/edgeio/ws_eio_beats.h
+++ b/lib/edgeio/ws_eio_beats.h
@@ -14,4 +14,8 @@
 /* Sends a member the list of refused requests. */
 void ws_eio_beats_send_refused(struct ws_eio_beats *b, ws_id member);
 
+/* Sends a member a message on a permit. */
+void ws_eio_beats_send_permit(struct ws_eio_beats *b, ws_id member,
+			      const struct ws_ed_permit_message *p);
+
 #endif
--- a/lib/edgeio/ws_eio_metrics.c
+++ b/lib/edgeio/ws_eio_metrics.c
@@ -77,6 +77,25 @@
 		latencies.count, (double)latencies.sum / 1e6, latencies.count);
 }
 
+static void add_permits(GString *s, const struct ws_edge *e)
+{
+	const struct ws_ed_counters *c = ws_edge_counters(e);
+	const struct ws_ed_issuers *is = ws_edge_issuers(e);
+
+	g_string_append_printf(
+		s,
+		"wagtailshift_permits_asked_total %" PRIu64 "\n"
+		"wagtailshift_permits_refused_total %" PRIu64 "\n"
+		"wagtailshift_permits_unavailable_total %" PRIu64 "\n"
+		"wagtailshift_issued_total{verdict=\"granted\"} %" PRIu64 "\n"
+		"wagtailshift_issued_total{verdict=\"queued\"} %" PRIu64 "\n"
+		"wagtailshift_issued_total{verdict=\"refused\"} %" PRIu64 "\n"
+		"wagtailshift_issued_to_returning_callers_total %" PRIu64 "\n"
+		"wagtailshift_issued_expired_total %" PRIu64 "\n",
+		c->permits_asked, c->permits_refused, c->permits_unavailable,
+		is->granted, is->queued, is->refused, is->kept, is->expired);
+}
+
 static void add_state(GString *s, struct ws_eio *io)
 {
 	ws_us now = ws_eio_now();
@@ -120,6 +139,7 @@
 	};
 
 	add_counters(s, ws_edge_counters(m->io->edge));
+	add_permits(s, m->io->edge);
 	add_latencies(s);
 	add_state(s, m->io);
 	a.data = s->str;
