Let all askers choose the same issuer, count what is at a server once

Cause: up to seven instances issued permits for one server at the same time, as each asker judged by the heartbeats that it hears itself, and an instance of another zone hears few. The report of a server counts the request that it answers, so that each server seemed to have one more than it had. One lost exchange made an issuer silent for a second for all its servers; one machine issued for most servers of its zone. Slowness was counted for each request ahead, and room was promised that new requests needed. Change: alive members as relays report them; the stronger half shares issuing; silence by what was heard since; a verdict for servers that the issuer does not know; requests at a server by report and permits, each once; bookings only of room that new requests leave free; late ones do not wait at the server. The test of malformed messages named 4 as the first verdict out of range; 4 is a verdict now, so it takes the first one after the last, and 0 as well.

--- a/lib/edge/ws_ed_calendar.c
+++ b/lib/edge/ws_ed_calendar.c
@@ -2,9 +2,8 @@
 
 #include <string.h>
 
-/* Fraction of a server's room that may be booked, so that new requests, which
- * can still be answered in time, get most of it. */
-#define BOOKED_FRACTION 0.25
+/* With less room than this, in slots, none is promised. */
+#define FREE_SLOTS_MIN 0.15
 /* A caller may come this much before its time. */
 #define EARLY_MAX (30 * WS_MS)
 /* A booking that was not used for this time lapses. */
@@ -21,11 +20,12 @@
 			  double time, double slots, ws_us latest,
 			  uint64_t fingerprint)
 {
-	ws_us spacing = (ws_us)(time / (slots * BOOKED_FRACTION));
 	ws_us at = earliest > now ? earliest : now;
+	ws_us spacing;
 
-	if (c->n == WS_ED_BOOKINGS_MAX)
+	if (c->n == WS_ED_BOOKINGS_MAX || slots < FREE_SLOTS_MIN)
 		return 0;
+	spacing = (ws_us)(time / slots);
 	/* Bookings are in the order of their times. */
 	if (c->n && c->items[c->n - 1].at + spacing > at)
 		at = c->items[c->n - 1].at + spacing;
--- a/lib/edge/ws_ed_calendar.h
+++ b/lib/edge/ws_ed_calendar.h
@@ -28,7 +28,7 @@
  * Books room.
  * @param earliest when the work that is there already will be done
  * @param time that the request takes of one slot, us
- * @param slots of the server, so many bookings overlap
+ * @param slots of the server that are free for bookings on average
  * @param latest no room after this time is of use to the caller
  * @return when to return, or 0 if there is no room until then
  */
--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -316,6 +316,21 @@
 	       e->now - e->evidence[WS_EDT_SERVERS] < STORE_EVIDENCE_MAX;
 }
 
+void ws_ed_call_place_without_permit(struct ws_edge *e, struct ed_call *c,
+				     struct ws_ed_fx *fx)
+{
+	int32_t h = ws_ed_pool_find(
+		&e->pool, ws_ed_map_owner(&e->lead.map, c->service, c->key));
+	struct ws_ed_choice at;
+
+	e->counters.permits_unavailable++;
+	if (h < 0 || !may_serve_keys(e, (uint32_t)h))
+		return;
+	ws_ed_pool_expect(&e->pool, e->now, (uint32_t)h, c->work_stats, &at);
+	if (at.throttled < 0)
+		place_at(e, c, &at, fx);
+}
+
 static void place_sharded(struct ws_edge *e, struct ed_call *c,
 			  struct ws_ed_fx *fx)
 {
--- a/lib/edge/ws_ed_call_permit.c
+++ b/lib/edge/ws_ed_call_permit.c
@@ -11,70 +11,102 @@
  * placed by what this instance knows, as are others for some time.
  */
 
-/* Time after which an unanswered message is sent again, and how often. */
+/* Time after which an unanswered message is sent again; doubles each time. */
 #define ASK_AGAIN_AFTER (30 * WS_MS)
 #define ASKS_MAX 3
+/* No answer is awaited for more than this fraction (1/N) of the objective. */
+#define ANSWER_TIME_DIVISOR 4
 /* A permit may have been lost on its way to a request that is queued. */
 #define QUEUED_ASK_AFTER (150 * WS_MS)
 /* Time for which an issuer that did not answer is not asked. */
 #define SILENT_TIME (1 * WS_SECOND)
+/*
+ * Instances of at least this fraction (1/N) of the strongest one's capacity
+ * share the issuing, so that no single link carries it all.
+ */
+#define ISSUER_CAPACITY_DIVISOR 2
 /* Bits of a call's id that tell apart the calls of a process. */
 #define CALL_BITS 32
 
 /* ===== Issuers ===== */
 
-static bool may_issue(const struct ws_edge *e, const struct ws_ed_member *m,
+static struct ed_issuer_contact *contact_of(struct ws_edge *e, ws_id issuer)
+{
+	struct ed_issuer_contact *t =
+		&e->issuer_contacts[ws_mix(issuer, 0) % ISSUER_CONTACTS];
+
+	if (t->id != issuer)
+		*t = (struct ed_issuer_contact){ .id = issuer };
+	return t;
+}
+
+static bool is_silent(struct ws_edge *e, ws_id issuer)
+{
+	return e->now < contact_of(e, issuer)->silent_until;
+}
+
+/*
+ * Who is alive is judged by what relays report as well: an instance of another
+ * zone hears few others itself, and all askers have to choose the same issuer.
+ */
+static bool may_issue(struct ws_edge *e, const struct ws_ed_member *m,
 		      ws_id zone)
 {
 	return (!zone || m->zone == zone) && !m->leaving && m->address[0] &&
-	       ws_ed_member_alive(&e->peers, m, e->now);
+	       ws_ed_member_reported_alive(&e->peers, m, e->now) &&
+	       !is_silent(e, m->id);
 }
 
-struct issuer_choice {
-	ws_id id; /* 0: none */
-	uint32_t capacity;
-	uint64_t hash;
-};
-
-static void consider_issuer(struct issuer_choice *best, ws_id server, ws_id id,
-			    uint32_t capacity)
+static uint32_t strongest_in_zone(struct ws_edge *e, ws_id zone)
 {
-	uint64_t hash = ws_mix(server, id);
+	const struct ws_ed_peers *p = &e->peers;
+	uint32_t best = 0;
+	size_t i;
 
-	if (best->id && (capacity < best->capacity ||
-			 (capacity == best->capacity && hash >= best->hash)))
-		return;
-	*best = (struct issuer_choice){
-		.id = id,
-		.capacity = capacity,
-		.hash = hash,
-	};
+	if (!e->draining && (!zone || zone == e->set.zone))
+		best = e->set.capacity;
+	for (i = 0; i < p->n; i++)
+		if (p->members[i].capacity > best &&
+		    may_issue(e, &p->members[i], zone))
+			best = p->members[i].capacity;
+	return best;
 }
 
 /*
- * Among the strongest instances of a zone, or of all zones if it is 0: messages
+ * Among the stronger instances of a zone, or of all zones if it is 0: messages
  * to a machine with a narrow link may wait behind bodies.
  */
-static ws_id issuer_in_zone(const struct ws_edge *e, ws_id server, ws_id zone)
+static ws_id issuer_in_zone(struct ws_edge *e, ws_id server, ws_id zone)
 {
 	const struct ws_ed_peers *p = &e->peers;
-	struct issuer_choice best = { .id = 0 };
+	uint32_t least = strongest_in_zone(e, zone) / ISSUER_CAPACITY_DIVISOR;
+	uint64_t best_hash = UINT64_MAX;
+	ws_id best = 0;
 	size_t i;
 
-	if (!e->draining && (!zone || zone == e->set.zone))
-		consider_issuer(&best, server, e->set.self, e->set.capacity);
-	for (i = 0; i < p->n; i++)
-		if (may_issue(e, &p->members[i], zone))
-			consider_issuer(&best, server, p->members[i].id,
-					p->members[i].capacity);
-	return best.id;
+	if (!e->draining && (!zone || zone == e->set.zone) &&
+	    e->set.capacity >= least) {
+		best = e->set.self;
+		best_hash = ws_mix(server, best);
+	}
+	for (i = 0; i < p->n; i++) {
+		const struct ws_ed_member *m = &p->members[i];
+		uint64_t hash = ws_mix(server, m->id);
+
+		if (m->capacity < least || hash >= best_hash ||
+		    !may_issue(e, m, zone))
+			continue;
+		best = m->id;
+		best_hash = hash;
+	}
+	return best;
 }
 
 /*
  * The instance that issues permits for a server: one of its zone, as who can
  * reach the server can reach its zone.
  */
-static ws_id issuer_of(const struct ws_edge *e, const struct ws_ed_server *s)
+static ws_id issuer_of(struct ws_edge *e, const struct ws_ed_server *s)
 {
 	ws_id issuer = issuer_in_zone(e, s->id, s->zone);
 
@@ -83,38 +115,27 @@
 	return issuer ? issuer : e->set.self;
 }
 
-static struct ed_silent_issuer *find_silent(struct ws_edge *e, ws_id issuer)
+static void note_heard(struct ws_edge *e, ws_id issuer)
 {
-	size_t i;
+	struct ed_issuer_contact *t = contact_of(e, issuer);
 
-	for (i = 0; i < SILENT_ISSUERS; i++)
-		if (e->silent_issuers[i].id == issuer)
-			return &e->silent_issuers[i];
-	return NULL;
+	t->heard_at = e->now;
+	t->silent_until = 0;
 }
 
-static bool is_silent(struct ws_edge *e, ws_id issuer)
+/* Notes that an issuer has not answered what was asked at a time. */
+static void note_silent(struct ws_edge *e, ws_id issuer, ws_us asked_at,
+			struct ws_ed_fx *fx)
 {
-	const struct ed_silent_issuer *s = find_silent(e, issuer);
+	struct ed_issuer_contact *t = contact_of(e, issuer);
 
-	return s && e->now < s->until;
-}
-
-static void set_silent(struct ws_edge *e, ws_id issuer, struct ws_ed_fx *fx)
-{
-	struct ed_silent_issuer *s = find_silent(e, issuer);
-
-	if (!s) {
-		s = &e->silent_issuers[e->next_silent_issuer++ %
-				       SILENT_ISSUERS];
-		s->id = issuer;
-		s->until = 0;
-	}
-	if (e->now >= s->until)
+	if (t->heard_at > asked_at)
+		return;
+	if (e->now >= t->silent_until)
 		ws_ed_fx_log(fx, WS_LOG_ISSUER_SILENT, issuer,
 			     SILENT_TIME / WS_MS,
 			     "requests are placed without its permits");
-	s->until = e->now + SILENT_TIME;
+	t->silent_until = e->now + SILENT_TIME;
 }
 
 /* What the issuer knows of a server; slots is 0 if it is not listed. */
@@ -189,6 +210,16 @@
 	ws_ed_permit_answers_free(out);
 }
 
+/* The asker may know a server that isn't listed here yet. */
+static void tell_unknown(struct ws_edge *e, ws_id server, ws_id asker,
+			 uint64_t call, struct ws_ed_fx *fx)
+{
+	if (asker == e->set.self)
+		return;
+	add_message(e, asker, WS_ED_PERMIT_ANSWER, server, call, fx)
+		->u.answer.verdict = WS_ED_PERMIT_UNKNOWN;
+}
+
 static void ask_here(struct ws_edge *e, ws_id server,
 		     const struct ws_ed_ask *ask, struct ws_ed_fx *fx)
 {
@@ -196,8 +227,10 @@
 	struct ws_ed_issuer_server s;
 
 	fill_server(e, server, &s);
-	if (!s.slots)
+	if (!s.slots) {
+		tell_unknown(e, server, ask->ref.asker, ask->ref.call, fx);
 		return;
+	}
 	ws_ed_issuer_ask(&e->issuers, e->now, server, &s, ask, &out);
 	tell_answers(e, &out, fx);
 }
@@ -232,7 +265,8 @@
 	ws_id server = c->permit.server;
 
 	c->permit.asks++;
-	c->permit.ask_again_at = e->now + ASK_AGAIN_AFTER;
+	c->permit.ask_again_at =
+		e->now + (ASK_AGAIN_AFTER << (c->permit.asks - 1));
 	e->counters.permits_asked++;
 	if (c->permit.issuer == e->set.self) {
 		ask_here(e, server, &a, fx);
@@ -257,6 +291,7 @@
 		const struct ws_ed_permit_end here = {
 			.ref = { .asker = issuer, .call = number },
 			.sent = end->u.end.outcome != WS_ED_PERMIT_WITHDRAWN,
+			.served = end->u.end.outcome == WS_ED_PERMIT_SERVED,
 			.has_report = end->u.end.has_report,
 			.running = end->u.end.running,
 			.waiting = end->u.end.waiting,
@@ -315,21 +350,18 @@
 }
 
 /* Begins to ask for a permit to send to a server. */
-static bool start_asking(struct ws_edge *e, struct ed_call *c, uint32_t server,
+static void start_asking(struct ws_edge *e, struct ed_call *c, uint32_t server,
 			 struct ws_ed_fx *fx)
 {
 	const struct ws_ed_server *s = &e->pool.servers[server];
-	ws_id issuer = issuer_of(e, s);
 
-	if (is_silent(e, issuer))
-		return false;
 	c->permit = (struct ed_permit){
 		.state = PERMIT_ASKED,
 		.server = s->id,
-		.issuer = issuer,
+		.issuer = issuer_of(e, s),
+		.asked_at = e->now,
 	};
 	ask(e, c, fx);
-	return true;
 }
 
 /*
@@ -341,12 +373,14 @@
 	if (c->permit.state == PERMIT_QUEUED) {
 		c->permit.state = PERMIT_ASKED;
 		c->permit.asks = 0;
+		c->permit.asked_at = e->now;
 	}
-	if (c->permit.asks < ASKS_MAX) {
+	if (c->permit.asks < ASKS_MAX &&
+	    e->now - c->permit.asked_at < c->objective / ANSWER_TIME_DIVISOR) {
 		ask(e, c, fx);
 		return true;
 	}
-	set_silent(e, c->permit.issuer, fx);
+	note_silent(e, c->permit.issuer, c->permit.asked_at, fx);
 	ws_ed_call_withdraw_permit(e, c, fx);
 	return false;
 }
@@ -362,12 +396,10 @@
 		ws_ed_call_withdraw_permit(e, c, fx);
 	if (c->permit.state == PERMIT_GRANTED)
 		return WS_ED_PERMIT_MAY_SEND;
-	if (c->permit.state == PERMIT_NONE) {
-		if (!start_asking(e, c, server, fx))
-			return WS_ED_PERMIT_UNAVAILABLE;
-	} else if (e->now >= c->permit.ask_again_at && !ask_again(e, c, fx)) {
+	if (c->permit.state == PERMIT_NONE)
+		start_asking(e, c, server, fx);
+	else if (e->now >= c->permit.ask_again_at && !ask_again(e, c, fx))
 		return WS_ED_PERMIT_UNAVAILABLE;
-	}
 	/* An answer of this instance itself may have sent or ended it. */
 	c = ws_ed_call_find(e, id);
 	if (!c || c->state != CALL_WAITING)
@@ -406,6 +438,10 @@
 		c->permit.state = PERMIT_QUEUED;
 		c->permit.ask_again_at = e->now + QUEUED_ASK_AFTER;
 		break;
+	case WS_ED_PERMIT_UNKNOWN:
+		c->permit.state = PERMIT_NONE;
+		ws_ed_call_place_without_permit(e, c, fx);
+		break;
 	default:
 		c->permit.state = PERMIT_NONE;
 		e->counters.permits_refused++;
@@ -450,6 +486,7 @@
 	const struct ws_ed_permit_end end = {
 		.ref = { .asker = m->from, .call = m->call },
 		.sent = m->u.end.outcome != WS_ED_PERMIT_WITHDRAWN,
+		.served = m->u.end.outcome == WS_ED_PERMIT_SERVED,
 		.has_report = m->u.end.has_report,
 		.running = m->u.end.running,
 		.waiting = m->u.end.waiting,
@@ -473,6 +510,7 @@
 		on_ask(e, m, fx);
 		break;
 	case WS_ED_PERMIT_ANSWER:
+		note_heard(e, m->from);
 		a = m->u.answer;
 		a.server = m->server;
 		a.ref = (struct ws_ed_permit_ref){ .asker = e->set.self,
@@ -489,7 +527,6 @@
 {
 	struct ws_ed_permit_answers out = { NULL, 0, 0 };
 	size_t i;
-
 	for (i = 0; i < e->pool.n; i++) {
 		struct ws_ed_issuer_server s;
 		ws_id server = e->pool.servers[i].id;
--- a/lib/edge/ws_ed_issuer.c
+++ b/lib/edge/ws_ed_issuer.c
@@ -1,5 +1,6 @@
 #include "edge/ws_ed_issuer.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -27,11 +28,16 @@
 #define PERMIT_TIME_MIN (250 * WS_MS)
 /* A report counts for this time. */
 #define REPORT_TIME (150 * WS_MS)
-/* What was permitted this shortly before a report is not in it. */
-#define REPORT_DELAY (10 * WS_MS)
+/* What was permitted this shortly before a report may not be in it. */
+#define REPORT_DELAY (20 * WS_MS)
 /* A server that nobody asks for is forgotten after this time. */
 #define IDLE_TIME (10 * WS_SECOND)
 
+/* Permits of a server, open and queued, that are kept at most. */
+#define PERMITS_MAX 512
+/* Time constant of the demand on a server. */
+#define DEMAND_TAU (500.0 * (double)WS_MS)
+
 /* Time for which the present pace of a machine is expected to last. */
 #define PACE_TIME (200.0 * (double)WS_MS)
 
@@ -65,6 +71,8 @@
 	uint32_t top_priority; /* the highest that asked lately */
 	ws_us top_at;
 	unsigned top_grants; /* since the last one of a lower priority */
+	double demand; /* of requests that can be in time, slots */
+	ws_us demand_at;
 	struct ws_ed_calendar calendar;
 };
 
@@ -157,10 +165,22 @@
 	return PACE_TIME + (usual - done) * s->mean_pace;
 }
 
+static bool has_report(const struct ws_ed_issuer *r, ws_us now)
+{
+	return r->reported_at && now - r->reported_at <= REPORT_TIME;
+}
+
+/*
+ * Requests at the server. Permits that were granted long enough before the last
+ * report are in it; if it counts fewer, the others have ended, and if it counts
+ * more than all permits, these were sent without one.
+ */
 static double busy_of(const struct ws_ed_issuer *r, ws_us now)
 {
-	double open = 0.0;
-	double recent = 0.0;
+	size_t before = 0;
+	size_t about = 0; /* may be in the report */
+	size_t after = 0;
+	size_t unexpired = 0;
 	size_t i;
 
 	for (i = 0; i < r->n; i++) {
@@ -168,13 +188,21 @@
 
 		if (p->state != PERMIT_OPEN)
 			continue;
-		open += p->expires_at > now;
-		recent += p->granted_at > r->reported_at - REPORT_DELAY;
+		unexpired += p->expires_at > now;
+		if (p->granted_at > r->reported_at)
+			after++;
+		else if (p->granted_at > r->reported_at - REPORT_DELAY)
+			about++;
+		else
+			before++;
 	}
-	if (!r->reported_at || now - r->reported_at > REPORT_TIME)
-		return open;
-	recent += (double)r->reported;
-	return recent > open ? recent : open;
+	if (!has_report(r, now))
+		return (double)unexpired;
+	if (before > r->reported)
+		return (double)(r->reported + about + after);
+	if (before + about > r->reported)
+		return (double)(before + about + after);
+	return (double)(r->reported + after);
 }
 
 double ws_ed_issuer_busy(const struct ws_ed_issuers *is, ws_us now,
@@ -185,14 +213,44 @@
 	return r ? busy_of(r, now) : 0.0;
 }
 
-static double room_of(const struct ws_ed_issuer_server *s)
+static double slots_of(const struct ws_ed_issuer_server *s)
 {
-	return s->limit + AHEAD;
+	return s->limit < (double)s->slots ? s->limit : (double)s->slots;
 }
 
-static double slots_of(const struct ws_ed_issuer_server *s)
+/*
+ * Whether a request may be at the server now. One that is late anyway does not
+ * wait there in front of others.
+ */
+static bool has_room(const struct ws_ed_issuer *r, ws_us now,
+		     const struct ws_ed_issuer_server *s,
+		     const struct permit *p)
 {
-	return s->limit < (double)s->slots ? s->limit : (double)s->slots;
+	bool late = now + (ws_us)time_of(s, p->work) > p->objective_at;
+
+	return busy_of(r, now) < s->limit + (late ? 0.0 : AHEAD);
+}
+
+/* Slots that new requests leave free, on average. */
+static double free_slots(const struct ws_ed_issuer *r, ws_us now,
+			 const struct ws_ed_issuer_server *s)
+{
+	double age = (double)(now - r->demand_at) / DEMAND_TAU;
+
+	return slots_of(s) - r->demand * exp(-age);
+}
+
+static void note_demand(struct ws_ed_issuer *r, ws_us now,
+			const struct ws_ed_issuer_server *s,
+			const struct ws_ed_ask *ask)
+{
+	double time = time_of(s, ask->work);
+	double age = (double)(now - r->demand_at) / DEMAND_TAU;
+
+	if (time > (double)ask->objective_left)
+		return;
+	r->demand = r->demand * exp(-age) + time / DEMAND_TAU;
+	r->demand_at = now;
 }
 
 /* Whether a queued permit goes before another one. */
@@ -203,30 +261,44 @@
 	return a->objective_at < b->objective_at;
 }
 
-/* Time until a permit that is queued, or about to be, may begin at a slot. */
-static double wait_of(const struct ws_ed_issuer *r, ws_us now,
-		      const struct ws_ed_issuer_server *s,
-		      const struct permit *p)
+/* Work of one slot until a permit that is queued, or about to be, may begin. */
+static double work_before(const struct ws_ed_issuer *r, ws_us now,
+			  const struct ws_ed_issuer_server *s,
+			  const struct permit *p)
 {
 	double slots = slots_of(s);
 	double ahead = busy_of(r, now) - slots + 1.0;
-	double queued = 0.0;
-	double wait;
+	double work = ahead > 0.0 ? ahead * p->work : 0.0;
 	size_t i;
 
 	for (i = 0; i < r->n; i++) {
 		const struct permit *q = &r->items[i];
 
 		if (q->state == PERMIT_WAITS && q != p && goes_before(q, p))
-			queued += time_of(s, q->work);
+			work += q->work;
 	}
-	wait = (ahead > 0.0 ? ahead : 0.0) * time_of(s, p->work) / slots +
-	       queued / slots;
-	if (p->booked)
-		return wait;
-	return wait +
-	       ws_ed_calendar_booked(&r->calendar, now, now + (ws_us)wait) /
-		       slots;
+	if (!p->booked)
+		work += s->speed *
+			ws_ed_calendar_booked(
+				&r->calendar, now,
+				now + (ws_us)time_of(s, work / slots));
+	return work / slots;
+}
+
+/* Time until it may begin. */
+static double wait_of(const struct ws_ed_issuer *r, ws_us now,
+		      const struct ws_ed_issuer_server *s,
+		      const struct permit *p)
+{
+	return time_of(s, work_before(r, now, s, p));
+}
+
+/* Time until it is answered. */
+static double expected_of(const struct ws_ed_issuer *r, ws_us now,
+			  const struct ws_ed_issuer_server *s,
+			  const struct permit *p)
+{
+	return time_of(s, work_before(r, now, s, p) + p->work);
 }
 
 static bool is_lower(const struct ws_ed_issuer *r, const struct permit *p)
@@ -277,9 +349,12 @@
 	ws_us wait = (ws_us)wait_of(r, now, s, p);
 	ws_us latest = now + (p->end_at - now) / RETURN_TIME_DIVISOR;
 	ws_us at = ws_ed_calendar_book(&r->calendar, now, now + wait,
-				       time_of(s, p->work), slots_of(s), latest,
+				       time_of(s, p->work),
+				       free_slots(r, now, s), latest,
 				       p->fingerprint);
 
+	is->broken += p->booked;
+	a->booked = at != 0;
 	if (!at)
 		at = latest;
 	if (at < now + RETRY_AFTER_MIN)
@@ -345,7 +420,7 @@
 	struct permit *p;
 
 	refuse_late(is, r, now, s, out);
-	while (busy_of(r, now) < room_of(s) && (p = next_waiting(r)))
+	while ((p = next_waiting(r)) && has_room(r, now, s, p))
 		grant(is, r, now, s, p, out);
 }
 
@@ -358,9 +433,9 @@
 
 	a->verdict = p->state == PERMIT_OPEN ? WS_ED_PERMIT_GRANTED :
 					       WS_ED_PERMIT_QUEUED;
-	a->expected = (ws_us)time_of(s, p->work);
-	if (p->state == PERMIT_WAITS)
-		a->expected += (ws_us)wait_of(r, now, s, p);
+	a->expected = (ws_us)(p->state == PERMIT_WAITS ?
+				      expected_of(r, now, s, p) :
+				      time_of(s, p->work));
 }
 
 static struct permit *add_permit(struct ws_ed_issuer *r, ws_us now,
@@ -402,13 +477,15 @@
 	}
 	ws_ed_calendar_tick(&r->calendar, now);
 	grant_waiting(is, r, now, s, out);
+	note_demand(r, now, s, ask);
 	p = add_permit(r, now, ask);
-	if (busy_of(r, now) < room_of(s)) {
+	if (has_room(r, now, s, p)) {
 		grant(is, r, now, s, p, out);
 		return;
 	}
-	expected = wait_of(r, now, s, p) + time_of(s, p->work);
+	expected = expected_of(r, now, s, p);
 	if (expected > IN_TIME_FRACTION * (double)ask->time_left ||
+	    r->n > PERMITS_MAX ||
 	    (!p->booked && !is_in_time(r, now, p, expected))) {
 		refuse(is, r, now, s, p, out);
 		return;
@@ -431,8 +508,12 @@
 	p = find_permit(r, &end->ref);
 	if (p)
 		drop_permit(r, p);
+	if (p && end->sent && !end->has_report && r->reported)
+		r->reported--;
 	if (end->has_report) {
 		r->reported = end->running + end->waiting;
+		if (end->served && r->reported)
+			r->reported--;
 		r->reported_at = now;
 	}
 	grant_waiting(is, r, now, s, out);
--- a/lib/edge/ws_ed_issuer.h
+++ b/lib/edge/ws_ed_issuer.h
@@ -47,6 +47,7 @@
 	WS_ED_PERMIT_GRANTED = 1,
 	WS_ED_PERMIT_QUEUED, /* it will be granted or refused later */
 	WS_ED_PERMIT_REFUSED,
+	WS_ED_PERMIT_UNKNOWN, /* this instance can't issue for the server */
 };
 
 /* A decision to be told to the asker. */
@@ -55,6 +56,7 @@
 	ws_id server;
 	enum ws_ed_permit_verdict verdict;
 	ws_us retry_after; /* REFUSED: when the caller may return */
+	bool booked; /* REFUSED: there will be room then; not sent */
 	ws_us expected; /* GRANTED, QUEUED: time until it is answered */
 };
 
@@ -68,6 +70,7 @@
 struct ws_ed_permit_end {
 	struct ws_ed_permit_ref ref;
 	bool sent; /* false: withdrawn before it was sent */
+	bool served; /* its report counts the request itself as running */
 	bool has_report;
 	uint32_t running; /* requests at the server by its report */
 	uint32_t waiting;
@@ -81,6 +84,7 @@
 	uint64_t granted;
 	uint64_t queued;
 	uint64_t refused;
+	uint64_t broken; /* refused though they returned when told */
 	uint64_t kept; /* granted to callers that returned when told */
 	uint64_t expired; /* permits whose end was never told */
 };
--- a/lib/edge/ws_ed_peers.c
+++ b/lib/edge/ws_ed_peers.c
@@ -92,8 +92,7 @@
 					    WS_ED_ALIVE_TIMEOUT);
 }
 
-/* Heard recently by this instance or by a relay. */
-static bool is_heard_or_reported(const struct ws_ed_peers *p,
+bool ws_ed_member_reported_alive(const struct ws_ed_peers *p,
 				 const struct ws_ed_member *m, ws_us now)
 {
 	return (m->relayed_at &&
@@ -114,7 +113,7 @@
 	for (i = 0; i < p->n; i++) {
 		const struct ws_ed_member *m = &p->members[i];
 
-		n += !m->leaving && is_heard_or_reported(p, m, now);
+		n += !m->leaving && ws_ed_member_reported_alive(p, m, now);
 	}
 	return n;
 }
@@ -187,7 +186,7 @@
 		const struct ws_ed_member *m = &p->members[i];
 
 		if (ws_mix(item, m->id) < own && !m->leaving &&
-		    is_heard_or_reported(p, m, now))
+		    ws_ed_member_reported_alive(p, m, now))
 			return false;
 	}
 	return true;
@@ -300,7 +299,7 @@
 		 * gone silent.
 		 */
 		n += m->zone == p->zone && is_before_self(p, m) &&
-		     !m->leaving && is_heard_or_reported(p, m, now) &&
+		     !m->leaving && ws_ed_member_reported_alive(p, m, now) &&
 		     (!m->heard_at ||
 		      m->relayed_at > m->heard_at + WS_ED_ALIVE_TIMEOUT);
 	}
@@ -355,7 +354,7 @@
 		if (m->is_relay)
 			alone = m->isolated;
 		else if (is_before_self(p, m) &&
-			 is_heard_or_reported(p, m, now))
+			 ws_ed_member_reported_alive(p, m, now))
 			return false;
 	}
 	return alone && !p->leaving;
--- a/lib/edge/ws_ed_peers.h
+++ b/lib/edge/ws_ed_peers.h
@@ -147,6 +147,10 @@
 bool ws_ed_member_alive(const struct ws_ed_peers *p,
 			const struct ws_ed_member *m, ws_us now);
 
+/* Heard recently by this instance or by a relay. */
+bool ws_ed_member_reported_alive(const struct ws_ed_peers *p,
+				 const struct ws_ed_member *m, ws_us now);
+
 /* Members among which rate limits are divided, including this instance. */
 size_t ws_ed_peers_known(const struct ws_ed_peers *p);
 
--- a/lib/edge/ws_ed_permit.c
+++ b/lib/edge/ws_ed_permit.c
@@ -72,7 +72,7 @@
 	uint32_t verdict = a->verdict;
 
 	if (!xdr_uint32_t(x, &verdict) || verdict < WS_ED_PERMIT_GRANTED ||
-	    verdict > WS_ED_PERMIT_REFUSED)
+	    verdict > WS_ED_PERMIT_UNKNOWN)
 		return false;
 	a->verdict = (enum ws_ed_permit_verdict)verdict;
 	return xdr_time(x, &a->retry_after) && a->retry_after >= 0 &&
--- a/lib/edge/ws_edge_int.h
+++ b/lib/edge/ws_edge_int.h
@@ -49,15 +49,17 @@
 	uint8_t asks; /* sent so far */
 	ws_id server;
 	ws_id issuer; /* the instance that issues it */
+	ws_us asked_at; /* first */
 	ws_us ask_again_at;
 };
 
-/* Issuers that are remembered as silent. */
-#define SILENT_ISSUERS 8
+/* Contacts with issuers; a table indexed by a hash of their ids. */
+#define ISSUER_CONTACTS 64
 
-struct ed_silent_issuer {
+struct ed_issuer_contact {
 	ws_id id;
-	ws_us until;
+	ws_us heard_at; /* its last answer; 0: none */
+	ws_us silent_until;
 };
 
 struct ed_call {
@@ -169,8 +171,7 @@
 	struct ws_ed_counters counters;
 
 	struct ws_ed_issuers issuers; /* permits that this instance issues */
-	struct ed_silent_issuer silent_issuers[SILENT_ISSUERS];
-	size_t next_silent_issuer; /* entry to replace */
+	struct ed_issuer_contact issuer_contacts[ISSUER_CONTACTS];
 
 	struct ed_call *calls; /* open addressing by id */
 	size_t cap_calls; /* power of two */
@@ -225,6 +226,10 @@
 void ws_ed_call_place(struct ws_edge *e, struct ed_call *c,
 		      struct ws_ed_fx *fx);
 
+/* Places a call by this instance's own view of the owner of its key. */
+void ws_ed_call_place_without_permit(struct ws_edge *e, struct ed_call *c,
+				     struct ws_ed_fx *fx);
+
 /* Ends a call for which the issuer of its server has no permit. */
 void ws_ed_call_refused_permit(struct ws_edge *e, struct ed_call *c,
 			       ws_us retry_after, struct ws_ed_fx *fx);
--- a/tests/test_ed_permit.c
+++ b/tests/test_ed_permit.c
@@ -105,7 +105,10 @@
 	ck_assert_int_ne(ws_ed_permit_decode(&r, buf, (size_t)len), 0);
 
 	m = answer_message();
-	m.u.answer.verdict = (enum ws_ed_permit_verdict)4;
+	m.u.answer.verdict =
+		(enum ws_ed_permit_verdict)(WS_ED_PERMIT_UNKNOWN + 1);
+	ck_assert_int_lt(ws_ed_permit_encode(&m, buf, sizeof(buf)), 0);
+	m.u.answer.verdict = (enum ws_ed_permit_verdict)0;
 	ck_assert_int_lt(ws_ed_permit_encode(&m, buf, sizeof(buf)), 0);
 	m = answer_message();
 	m.u.answer.retry_after = -1 * WS_SECOND;
