Test permits between joined reducers; forget servers that have ended

Cause: what an issuer kept of a server was only ticked while the pool listed the server, so that it stayed for ever after the server's end. Change: the tick goes over the issuers. The fleet of reducers passes messages on permits, and loses some.

--- a/lib/edge/ws_ed_call_permit.c
+++ b/lib/edge/ws_ed_call_permit.c
@@ -526,15 +526,20 @@
 void ws_ed_call_permit_tick(struct ws_edge *e, struct ws_ed_fx *fx)
 {
 	struct ws_ed_permit_answers out = { NULL, 0, 0 };
-	size_t i;
-	for (i = 0; i < e->pool.n; i++) {
+	size_t i = 0;
+
+	while (i < e->issuers.n) {
+		size_t n = e->issuers.n;
+		ws_id server = ws_ed_issuers_server(&e->issuers, i);
 		struct ws_ed_issuer_server s;
-		ws_id server = e->pool.servers[i].id;
 
-		if (!server || !ws_ed_issuer_knows(&e->issuers, server))
-			continue;
-		ws_ed_pool_issuer_view(&e->pool, e->now, (uint32_t)i, &s);
-		ws_ed_issuer_tick(&e->issuers, e->now, server, &s, &out);
+		fill_server(e, server, &s);
+		if (s.slots)
+			ws_ed_issuer_tick(&e->issuers, e->now, server, &s,
+					  &out);
+		else
+			ws_ed_issuer_forget(&e->issuers, server);
+		i += e->issuers.n == n;
 	}
 	tell_answers(e, &out, fx);
 }
--- a/lib/edge/ws_ed_issuer.c
+++ b/lib/edge/ws_ed_issuer.c
@@ -118,9 +118,23 @@
 	return r;
 }
 
-bool ws_ed_issuer_knows(const struct ws_ed_issuers *is, ws_id server)
+ws_id ws_ed_issuers_server(const struct ws_ed_issuers *is, size_t i)
 {
-	return find_issuer(is, server);
+	return is->items[i].server;
+}
+
+static void remove_issuer(struct ws_ed_issuers *is, struct ws_ed_issuer *r)
+{
+	free(r->items);
+	*r = is->items[--is->n];
+}
+
+void ws_ed_issuer_forget(struct ws_ed_issuers *is, ws_id server)
+{
+	struct ws_ed_issuer *r = find_issuer(is, server);
+
+	if (r)
+		remove_issuer(is, r);
 }
 
 static struct permit *find_permit(const struct ws_ed_issuer *r,
@@ -542,8 +556,7 @@
 	grant_waiting(is, r, now, s, out);
 	if (r->n || now - r->used_at < IDLE_TIME)
 		return;
-	free(r->items);
-	*r = is->items[--is->n];
+	remove_issuer(is, r);
 }
 
 void ws_ed_issuer_asker_lost(struct ws_ed_issuers *is, ws_us now, ws_id asker)
--- a/lib/edge/ws_ed_issuer.h
+++ b/lib/edge/ws_ed_issuer.h
@@ -110,7 +110,8 @@
 
 /*
  * Grants and refuses what was queued and takes back permits whose end was
- * never told; to be called for each server every 20 ms at least.
+ * never told; to be called for each server every 20 ms at least. What was not
+ * asked for lately is dropped.
  */
 void ws_ed_issuer_tick(struct ws_ed_issuers *is, ws_us now, ws_id server,
 		       const struct ws_ed_issuer_server *s,
@@ -119,8 +120,11 @@
 /* Takes back all permits of an instance that has ended. */
 void ws_ed_issuer_asker_lost(struct ws_ed_issuers *is, ws_us now, ws_id asker);
 
-/* Whether anything is kept of a server, so that it needs ticks. */
-bool ws_ed_issuer_knows(const struct ws_ed_issuers *is, ws_id server);
+/* Server of the i-th issuer, i < n; a tick may remove it. */
+ws_id ws_ed_issuers_server(const struct ws_ed_issuers *is, size_t i);
+
+/* Drops all that is kept of a server that has ended; nobody is answered. */
+void ws_ed_issuer_forget(struct ws_ed_issuers *is, ws_id server);
 
 /* Requests at the server now, as the issuer reckons. */
 double ws_ed_issuer_busy(const struct ws_ed_issuers *is, ws_us now,
--- a/tests/ed_fleet.c
+++ b/tests/ed_fleet.c
@@ -14,6 +14,7 @@
 #define OBJECTIVE_TEXT "0.3"
 #define DEADLINE (1200 * WS_MS)
 #define LIST_SENDS_MAX 1024
+#define PERMIT_SENDS_MAX 1024
 
 struct fleet fleet;
 
@@ -44,6 +45,13 @@
 	ws_id to;
 } list_sends[LIST_SENDS_MAX];
 static size_t n_list_sends;
+/* Messages on permits that arrive at the next step. */
+static struct permit_send {
+	int from;
+	ws_id to;
+	struct ws_ed_permit_message message;
+} permit_sends[PERMIT_SENDS_MAX];
+static size_t n_permit_sends;
 static unsigned char buf[WS_ED_BEAT_BYTES];
 
 static ws_id instance_id(int i)
@@ -152,6 +160,22 @@
 			fleet.pending[k].at = 0;
 }
 
+static void send_permit(int i, const struct ws_ed_effect *x)
+{
+	const struct ws_ed_permit_message *m = &x->u.permit.message;
+
+	if (fleet.lost_permits[m->kind]) {
+		fleet.lost_permits[m->kind]--;
+		return;
+	}
+	ck_assert_uint_lt(n_permit_sends, PERMIT_SENDS_MAX);
+	permit_sends[n_permit_sends++] = (struct permit_send){
+		.from = i,
+		.to = x->u.permit.to,
+		.message = *m,
+	};
+}
+
 static void step(int i, struct ws_ed_event *ev)
 {
 	size_t j;
@@ -180,6 +204,9 @@
 				.to = x->u.member,
 			};
 			break;
+		case WS_EDFX_PERMIT:
+			send_permit(i, x);
+			break;
 		case WS_EDFX_REPLY:
 			r = &fleet.requests[x->u.reply.request];
 			/* 1 us stands for "at once". */
@@ -475,6 +502,7 @@
 		.max_calls = 500,
 		.bounds = { .key_evidence_max = 4600 * WS_MS,
 			    .retry_ratio = 0.2,
+			    .unmetered = fleet.unmetered,
 			    .retry_slack = 60.0,
 			    .rate_slack = 20.0,
 			    .drain_time = FLEET_DRAIN_TIME },
@@ -659,6 +687,36 @@
 	step(i, &ev);
 }
 
+/* ===== Permits ===== */
+
+static void deliver_permits(void)
+{
+	static struct permit_send sends[PERMIT_SENDS_MAX];
+	size_t n = n_permit_sends;
+	size_t k;
+	int i;
+
+	memcpy(sends, permit_sends, n * sizeof(sends[0]));
+	n_permit_sends = 0;
+	for (k = 0; k < n; k++) {
+		struct ws_ed_event ev = { .kind = WS_EDEV_PERMIT };
+
+		ev.u.permit = &sends[k].message;
+		for (i = 0; i < fleet.n; i++)
+			if (instance_id(i) == sends[k].to && is_running(i) &&
+			    !is_cut(i) && !is_cut(sends[k].from))
+				step(i, &ev);
+	}
+}
+
+void fleet_leave(int i, size_t request)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_CALLER_GONE };
+
+	ev.u.gone = request;
+	step(i, &ev);
+}
+
 /* ===== Run ===== */
 
 void fleet_run(ws_us time, double per_s)
@@ -670,6 +728,7 @@
 	while (fleet.now < end) {
 		fleet.now += FLEET_STEP;
 		fleet.n_reports = 0;
+		deliver_permits();
 		deliver_answers();
 		end_checks();
 		update_servers();
@@ -696,6 +755,7 @@
 void fleet_start(int n, bool sharded)
 {
 	const char *caller_key = fleet.caller_key;
+	bool unmetered = fleet.unmetered;
 	int n_servers = fleet.n_servers ? fleet.n_servers : FLEET_SERVERS;
 	int i;
 
@@ -703,6 +763,8 @@
 		ws_edge_free(fleet.nodes[i].edge);
 	memset(&fleet, 0, sizeof(fleet));
 	fleet.caller_key = caller_key;
+	fleet.unmetered = unmetered;
+	n_permit_sends = 0;
 	fleet.n_servers = n_servers;
 	ws_rand_seed(&fleet.rand, 11);
 	fleet.n = n;
--- a/tests/ed_fleet.h
+++ b/tests/ed_fleet.h
@@ -115,6 +115,9 @@
 	const char *caller_key;
 	/* Servers listed, set before the start; 0: FLEET_SERVERS */
 	int n_servers;
+	bool unmetered; /* set before the start: requests need permits */
+	/* So many of the next messages on permits of a kind are lost */
+	int lost_permits[WS_ED_PERMIT_KINDS_END];
 	/* Fingerprint of the request that crashes servers; 0: none */
 	uint64_t crashing;
 	/* From a crash until the list has dropped the server */
@@ -154,6 +157,9 @@
 /* The same for a request with a fingerprint of its own. */
 size_t fleet_submit_as(int i, uint64_t fingerprint);
 
+/* The caller of a request leaves. */
+void fleet_leave(int i, size_t request);
+
 /* The list drops a server, or has it again under the same start. */
 void fleet_unlist_server(int server);
 void fleet_list_server(int server);
--- a/tests/test_ed_permit.c
+++ b/tests/test_ed_permit.c
@@ -1,12 +1,17 @@
 #include <string.h>
 
 #include "common/ws_common.h"
+#include "ed_fleet.h"
 #include "ed_suite.h"
 #include "edge/ws_ed_permit.h"
 
 /* Messages on permits: encoding, and bytes from outside. */
 
 #define RANDOM_INPUTS 20000
+#define INSTANCES 4
+#define SOME_RATE 20.0
+/* More than the owner of all keys bears at once */
+#define CROWD 60
 
 static unsigned char buf[WS_ED_PERMIT_BYTES];
 
@@ -153,14 +158,164 @@
 }
 END_TEST
 
+/* ===== Reducers of several instances, joined ===== */
+
+static void start_fleet(void)
+{
+	fleet.unmetered = true;
+	fleet_start(INSTANCES, true);
+	fleet_run(3 * WS_SECOND, SOME_RATE);
+}
+
+/* Permits that were taken back because their end was never told. */
+static uint64_t expired(void)
+{
+	uint64_t n = 0;
+	int i;
+
+	for (i = 0; i < INSTANCES; i++)
+		n += ws_edge_issuers(fleet.nodes[i].edge)->expired;
+	return n;
+}
+
+static uint64_t granted(void)
+{
+	uint64_t n = 0;
+	int i;
+
+	for (i = 0; i < INSTANCES; i++)
+		n += ws_edge_issuers(fleet.nodes[i].edge)->granted;
+	return n;
+}
+
+/* The only one that issues for the owner of all keys. */
+static int find_issuer(void)
+{
+	int issuer = -1;
+	int i;
+
+	for (i = 0; i < INSTANCES; i++) {
+		if (!ws_edge_issuers(fleet.nodes[i].edge)->granted)
+			continue;
+		ck_assert_int_eq(issuer, -1);
+		issuer = i;
+	}
+	ck_assert_int_ge(issuer, 0);
+	return issuer;
+}
+
+static void check_all_ended(size_t from)
+{
+	size_t i;
+
+	for (i = from; i <= fleet.n_requests; i++)
+		ck_assert(fleet.requests[i].answered ||
+			  fleet.requests[i].refused_after);
+}
+
+/* Guards against instances that choose different issuers for a server. */
+START_TEST(one_instance_issues_for_a_server)
+{
+	start_fleet();
+	find_issuer();
+	ck_assert_uint_ge(granted(), fleet.n_requests * 9 / 10);
+	fleet_run(5 * WS_SECOND, 0.0);
+	check_all_ended(1);
+	ck_assert_uint_eq(expired(), 0);
+}
+END_TEST
+
+/* Guards against a request, or a permit, that hangs after a lost message. */
+START_TEST(lost_message_costs_no_request)
+{
+	size_t from;
+
+	start_fleet();
+	from = fleet.n_requests + 1;
+	fleet.lost_permits[_i] = _i != 0;
+	fleet_run(1 * WS_SECOND, SOME_RATE);
+	ck_assert_int_eq(fleet.lost_permits[_i], 0);
+	fleet_run(5 * WS_SECOND, 0.0);
+	check_all_ended(from);
+	for (; from <= fleet.n_requests; from++)
+		ck_assert(fleet.requests[from].answered);
+	ck_assert_uint_le(expired(), _i == WS_ED_PERMIT_END);
+}
+END_TEST
+
+/* Guards against requests that wait for an instance that has ended. */
+START_TEST(silent_issuer_is_replaced)
+{
+	size_t from;
+	int issuer;
+
+	start_fleet();
+	issuer = find_issuer();
+	from = fleet.n_requests + 1;
+	fleet.nodes[issuer].cut_until = fleet.now + 1 * WS_SECOND;
+	fleet_run(1 * WS_SECOND, SOME_RATE);
+	fleet_run(5 * WS_SECOND, 0.0);
+	for (; from <= fleet.n_requests; from++)
+		ck_assert(fleet.requests[from].answered);
+	check_all_ended(1);
+}
+END_TEST
+
+/* Guards against permits of callers that left, granted or queued. */
+START_TEST(caller_that_leaves_returns_its_permit)
+{
+	size_t from;
+	size_t i;
+
+	start_fleet();
+	from = fleet.n_requests + 1;
+	for (i = 0; i < CROWD; i++)
+		fleet_submit((int)(i % INSTANCES));
+	fleet_run(50 * WS_MS, 0.0);
+	for (i = from; i <= fleet.n_requests; i++)
+		if (!fleet.requests[i].answered &&
+		    !fleet.requests[i].refused_after)
+			fleet_leave((int)((i - from) % INSTANCES), i);
+	fleet_run(5 * WS_SECOND, 0.0);
+	ck_assert_uint_eq(expired(), 0);
+	i = fleet_submit(0);
+	fleet_run(1 * WS_SECOND, 0.0);
+	ck_assert(fleet.requests[i].answered);
+}
+END_TEST
+
+/* Guards against state that is kept of a server that has ended. */
+START_TEST(owner_that_ends_is_forgotten)
+{
+	int i;
+
+	start_fleet();
+	for (i = 0; i < CROWD; i++)
+		fleet_submit(i % INSTANCES);
+	fleet_run(50 * WS_MS, 0.0);
+	fleet_unlist_server(0);
+	fleet_run(5 * WS_SECOND, 0.0);
+	check_all_ended(1);
+	for (i = 0; i < INSTANCES; i++)
+		ck_assert_uint_eq(ws_edge_issuers(fleet.nodes[i].edge)->n, 0);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		messages_survive_the_way,
 		malformed_messages_are_refused,
 		random_bytes_do_no_harm,
+		one_instance_issues_for_a_server,
+		silent_issuer_is_replaced,
+		caller_that_leaves_returns_its_permit,
+		owner_that_ends_is_forgotten,
 	};
+	const TTest *const losses[] = { lost_message_costs_no_request };
+	int failed = ed_suite_run_each("ed_permit_losses", losses, 1,
+				       WS_ED_PERMIT_KINDS_END);
 
-	return ed_suite_run("ed_permit", tests,
-			    (int)(sizeof(tests) / sizeof(tests[0])));
+	return failed | ed_suite_run("ed_permit", tests,
+				     (int)(sizeof(tests) / sizeof(tests[0])));
 }
