--- a/lib/edge/ws_ed_call_permit.c
+++ b/lib/edge/ws_ed_call_permit.c
@@ -14,7 +14,7 @@
 /* Time after which an unanswered message is sent again; doubles each time. */
 #define ASK_AGAIN_AFTER (30 * WS_MS)
 #define ASKS_MAX 3
-/* No answer is awaited for more than this fraction (1/N) of the objective. */
+/* No answer is awaited for more than this fraction (1/N) of the time left. */
 #define ANSWER_TIME_DIVISOR 4
 /* A permit may have been lost on its way to a request that is queued. */
 #define QUEUED_ASK_AFTER (150 * WS_MS)
@@ -25,6 +25,13 @@
  * share the issuing, so that no single link carries it all.
  */
 #define ISSUER_CAPACITY_DIVISOR 2
+/*
+ * While answers take more than this fraction (1/N) of the objective, as on a
+ * link that is full, most requests are placed without asking.
+ */
+#define PERMIT_TIME_DIVISOR 10
+#define ASKS_SPARED_MAX 8
+#define PERMIT_TIME_GAIN 0.1
 /* Bits of a call's id that tell apart the calls of a process. */
 #define CALL_BITS 32
 
@@ -115,6 +122,31 @@
 	return issuer ? issuer : e->set.self;
 }
 
+/* What a request that waits for an answer has to lose. */
+static ws_us time_at_stake(const struct ws_edge *e, const struct ed_call *c)
+{
+	return c->objective_at > e->now ? c->objective : c->end_at - e->now;
+}
+
+static void note_permit_time(struct ws_edge *e, const struct ed_call *c)
+{
+	e->permit_time +=
+		PERMIT_TIME_GAIN *
+		((double)(e->now - c->permit.asked_at) - e->permit_time);
+}
+
+static bool is_slow_to_ask(struct ws_edge *e, const struct ed_call *c)
+{
+	double most = (double)time_at_stake(e, c) / PERMIT_TIME_DIVISOR;
+
+	if (e->permit_time <= most || e->asks_spared >= ASKS_SPARED_MAX) {
+		e->asks_spared = 0;
+		return false;
+	}
+	e->asks_spared++;
+	return true;
+}
+
 static void note_heard(struct ws_edge *e, ws_id issuer)
 {
 	struct ed_issuer_contact *t = contact_of(e, issuer);
@@ -376,10 +408,12 @@
 		c->permit.asked_at = e->now;
 	}
 	if (c->permit.asks < ASKS_MAX &&
-	    e->now - c->permit.asked_at < c->objective / ANSWER_TIME_DIVISOR) {
+	    e->now - c->permit.asked_at <
+		    time_at_stake(e, c) / ANSWER_TIME_DIVISOR) {
 		ask(e, c, fx);
 		return true;
 	}
+	note_permit_time(e, c);
 	note_silent(e, c->permit.issuer, c->permit.asked_at, fx);
 	ws_ed_call_withdraw_permit(e, c, fx);
 	return false;
@@ -396,10 +430,13 @@
 		ws_ed_call_withdraw_permit(e, c, fx);
 	if (c->permit.state == PERMIT_GRANTED)
 		return WS_ED_PERMIT_MAY_SEND;
-	if (c->permit.state == PERMIT_NONE)
+	if (c->permit.state == PERMIT_NONE) {
+		if (is_slow_to_ask(e, c))
+			return WS_ED_PERMIT_UNAVAILABLE;
 		start_asking(e, c, server, fx);
-	else if (e->now >= c->permit.ask_again_at && !ask_again(e, c, fx))
+	} else if (e->now >= c->permit.ask_again_at && !ask_again(e, c, fx)) {
 		return WS_ED_PERMIT_UNAVAILABLE;
+	}
 	/* An answer of this instance itself may have sent or ended it. */
 	c = ws_ed_call_find(e, id);
 	if (!c || c->state != CALL_WAITING)
@@ -428,6 +465,8 @@
 		m->u.end.outcome = WS_ED_PERMIT_WITHDRAWN;
 		return;
 	}
+	if (c->permit.state == PERMIT_ASKED && issuer != e->set.self)
+		note_permit_time(e, c);
 	switch (a->verdict) {
 	case WS_ED_PERMIT_GRANTED:
 		c->permit.state = PERMIT_GRANTED;
--- a/lib/edge/ws_edge_int.h
+++ b/lib/edge/ws_edge_int.h
@@ -172,6 +172,8 @@
 
 	struct ws_ed_issuers issuers; /* permits that this instance issues */
 	struct ed_issuer_contact issuer_contacts[ISSUER_CONTACTS];
+	double permit_time; /* mean time from an ask to its answer, us */
+	uint32_t asks_spared; /* since the last one */
 
 	struct ed_call *calls; /* open addressing by id */
 	size_t cap_calls; /* power of two */
--- a/tests/test_ed_issuer.c
+++ b/tests/test_ed_issuer.c
@@ -25,6 +25,9 @@
 #define STEP WS_MS
 #define TICK (20 * WS_MS)
 #define SEEDS 8
+#define DECISIONS 100000
+/* 1,500 decisions a second take at most 1.5 % of a core. */
+#define DECISION_NS_MAX 10000.0
 #define LOAD_FROM (2 * WS_SECOND)
 #define END (15 * WS_SECOND)
 #define REQUESTS_MAX 2048
@@ -383,12 +386,60 @@
 }
 END_TEST
 
+/* Guards against a decision whose cost grows with the askers or servers. */
+START_TEST(cost_of_decision_is_bounded)
+{
+	static const struct {
+		int askers;
+		int servers;
+	} sizes[] = {
+		{ 26, 20 }, { 58, 20 }, { 300, 20 }, { 300, 200 }, { 300, 500 }
+	};
+	struct ws_ed_permit_answers out = { NULL, 0, 0 };
+	size_t k;
+
+	for (k = 0; k < sizeof(sizes) / sizeof(sizes[0]); k++) {
+		struct ws_ed_issuers is = { .n = 0 };
+		clock_t start = clock();
+		uint64_t i;
+		double ns;
+
+		for (i = 0; i < DECISIONS; i++) {
+			struct ws_ed_ask a = {
+				.work = (double)WORK,
+				.objective = OBJECTIVE,
+				.objective_left = OBJECTIVE,
+				.time_left = DEADLINE,
+				.fingerprint = i + 1,
+			};
+			ws_us t = STEP + (ws_us)i * 100 / sizes[k].servers;
+
+			a.ref.asker = i % (uint64_t)sizes[k].askers + 1;
+			a.ref.call = i;
+			ws_ed_issuer_ask(&is, t,
+					 i % (uint64_t)sizes[k].servers + 1,
+					 &usual, &a, &out);
+			out.n = 0;
+		}
+		ns = (double)(clock() - start) / CLOCKS_PER_SEC * 1e9 /
+		     DECISIONS;
+		printf("%d askers, %d servers: %.0f ns a decision\n",
+		       sizes[k].askers, sizes[k].servers, ns);
+		fflush(stdout);
+		ck_assert_double_lt(ns, DECISION_NS_MAX);
+		ws_ed_issuers_free(&is);
+	}
+	ws_ed_permit_answers_free(&out);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		hot_key_is_answered_in_time,
 		slow_server_is_not_flooded,
 		permits_of_dead_asker_return,
+		cost_of_decision_is_bounded,
 	};
 
 	return ed_suite_run("ed_issuer", tests,
