Let late requests wait for permits while they would wait to return

Change: a late request waits behind those that can be in time, for a third of its time left, if it is expected to be answered by then.

--- a/lib/edge/ws_ed_issuer.c
+++ b/lib/edge/ws_ed_issuer.c
@@ -56,6 +56,7 @@
 	double work;
 	ws_us objective_at;
 	ws_us end_at;
+	ws_us hold_until; /* if it is late */
 	ws_us granted_at;
 	ws_us expires_at; /* OPEN */
 };
@@ -232,6 +233,12 @@
 	return s->limit < (double)s->slots ? s->limit : (double)s->slots;
 }
 
+static bool is_late(const struct ws_ed_issuer_server *s, ws_us now,
+		    const struct permit *p)
+{
+	return now + (ws_us)time_of(s, p->work) > p->objective_at;
+}
+
 /*
  * Whether a request may be at the server now. One that is late anyway does not
  * wait there in front of others.
@@ -240,9 +247,7 @@
 		     const struct ws_ed_issuer_server *s,
 		     const struct permit *p)
 {
-	bool late = now + (ws_us)time_of(s, p->work) > p->objective_at;
-
-	return busy_of(r, now) < s->limit + (late ? 0.0 : AHEAD);
+	return busy_of(r, now) < s->limit + (is_late(s, now, p) ? 0.0 : AHEAD);
 }
 
 /* Slots that new requests leave free, on average. */
@@ -268,10 +273,16 @@
 }
 
 /* Whether a queued permit goes before another one. */
-static bool goes_before(const struct permit *a, const struct permit *b)
+static bool goes_before(const struct ws_ed_issuer_server *s, ws_us now,
+			const struct permit *a, const struct permit *b)
 {
+	bool a_late = is_late(s, now, a);
+	bool b_late = is_late(s, now, b);
+
 	if (a->booked != b->booked)
 		return a->booked;
+	if (a_late != b_late)
+		return b_late;
 	return a->objective_at < b->objective_at;
 }
 
@@ -288,7 +299,8 @@
 	for (i = 0; i < r->n; i++) {
 		const struct permit *q = &r->items[i];
 
-		if (q->state == PERMIT_WAITS && q != p && goes_before(q, p))
+		if (q->state == PERMIT_WAITS && q != p &&
+		    goes_before(s, now, q, p))
 			work += q->work;
 	}
 	if (!p->booked)
@@ -321,12 +333,19 @@
 	       r->top_grants < GRANTS_BEFORE_LOWER;
 }
 
-static bool is_in_time(const struct ws_ed_issuer *r, ws_us now,
-		       const struct permit *p, double expected)
+/*
+ * Whether a request is worth queueing. A late one is if it is answered before
+ * its caller would return.
+ */
+static bool may_wait(const struct ws_ed_issuer *r, ws_us now,
+		     const struct ws_ed_issuer_server *s,
+		     const struct permit *p, double expected)
 {
 	double part = is_lower(r, p) ? IN_TIME_FRACTION_LOWER :
 				       IN_TIME_FRACTION;
 
+	if (is_late(s, now, p))
+		return expected <= (double)(p->hold_until - now);
 	return expected <= part * (double)(p->objective_at - now);
 }
 
@@ -379,39 +398,24 @@
 	drop_permit(r, p);
 }
 
-static struct permit *next_waiting(struct ws_ed_issuer *r)
+static struct permit *next_waiting(struct ws_ed_issuer *r, ws_us now,
+				   const struct ws_ed_issuer_server *s)
 {
 	struct permit *best = NULL;
 	size_t i;
 
 	for (i = 0; i < r->n; i++)
 		if (r->items[i].state == PERMIT_WAITS &&
-		    (!best || goes_before(&r->items[i], best)))
+		    (!best || goes_before(s, now, &r->items[i], best)))
 			best = &r->items[i];
 	return best;
 }
 
-static bool has_in_time(const struct ws_ed_issuer *r, ws_us now,
-			const struct ws_ed_issuer_server *s)
-{
-	size_t i;
-
-	for (i = 0; i < r->n; i++) {
-		const struct permit *p = &r->items[i];
-
-		if (p->state == PERMIT_WAITS &&
-		    now + (ws_us)time_of(s, p->work) <= p->objective_at)
-			return true;
-	}
-	return false;
-}
-
-/* Refuses what can't be answered in time any more while others can. */
+/* Refuses what can't be answered any more, or has been late for too long. */
 static void refuse_late(struct ws_ed_issuers *is, struct ws_ed_issuer *r,
 			ws_us now, const struct ws_ed_issuer_server *s,
 			struct ws_ed_permit_answers *out)
 {
-	bool others = has_in_time(r, now, s);
 	size_t i = 0;
 
 	while (i < r->n) {
@@ -420,7 +424,7 @@
 
 		if (p->state == PERMIT_WAITS &&
 		    (done_at > p->end_at ||
-		     (others && !p->booked && done_at > p->objective_at)))
+		     (now >= p->hold_until && is_late(s, now, p))))
 			refuse(is, r, now, s, p, out);
 		else
 			i++;
@@ -434,7 +438,7 @@
 	struct permit *p;
 
 	refuse_late(is, r, now, s, out);
-	while ((p = next_waiting(r)) && has_room(r, now, s, p))
+	while ((p = next_waiting(r, now, s)) && has_room(r, now, s, p))
 		grant(is, r, now, s, p, out);
 }
 
@@ -466,6 +470,7 @@
 		.work = ask->work,
 		.objective_at = now + ask->objective_left,
 		.end_at = now + ask->time_left,
+		.hold_until = now + ask->time_left / RETURN_TIME_DIVISOR,
 	};
 	if (ask->priority <= r->top_priority ||
 	    now - r->top_at > PRIORITY_TIME || !r->top_at) {
@@ -500,7 +505,7 @@
 	expected = expected_of(r, now, s, p);
 	if (expected > IN_TIME_FRACTION * (double)ask->time_left ||
 	    r->n > PERMITS_MAX ||
-	    (!p->booked && !is_in_time(r, now, p, expected))) {
+	    (!p->booked && !may_wait(r, now, s, p, expected))) {
 		refuse(is, r, now, s, p, out);
 		return;
 	}
