Tell in heartbeats that a server's entry says it drains

Change: who reads such an entry tells it like the statement of an answer, where customers have no rates; the messages are those that exist.

--- a/lib/edge/ws_ed_pool.c
+++ b/lib/edge/ws_ed_pool.c
@@ -213,6 +213,8 @@
 		s->warm_at = now + l->cold_for + COLD_MARGIN;
 	ws_ed_throttle_update(p, now, s);
 	ws_ed_pool_apply_kept(p, now, s);
+	if (p->unmetered && s->draining)
+		ws_ed_pool_tell_leaving(now, s);
 	return (int32_t)h;
 }
 
--- a/lib/edge/ws_ed_pool_int.h
+++ b/lib/edge/ws_ed_pool_int.h
@@ -31,6 +31,13 @@
 void ws_ed_pool_log_learned(const struct ws_ed_server *s, ws_us now,
 			    struct ws_ed_fx *fx);
 
+/*
+ * Has others told that a server leaves, as its list entry says so. For links
+ * that are full: a heartbeat passes them in a fraction of the time that the
+ * record of the entry takes.
+ */
+void ws_ed_pool_tell_leaving(ws_us now, struct ws_ed_server *s);
+
 /* Applies what is known of a server from before it was listed. */
 void ws_ed_pool_apply_kept(struct ws_ed_pool *p, ws_us now,
 			   struct ws_ed_server *s);
--- a/lib/edge/ws_ed_pool_stated.c
+++ b/lib/edge/ws_ed_pool_stated.c
@@ -111,6 +111,19 @@
 	return ws_ed_stated_on_peer(&p->servers[h].stated, now, &t);
 }
 
+void ws_ed_pool_tell_leaving(ws_us now, struct ws_ed_server *s)
+{
+	const struct ws_ed_statement t = {
+		.kind = WS_ED_STATEMENT_LEAVING,
+		.as_of = now,
+	};
+
+#ifndef WS_MUTANT_LEAVING_ENTRY_NOT_TOLD
+	if (!s->stated.leaving_since)
+		ws_ed_stated_on_peer(&s->stated, now, &t);
+#endif
+}
+
 void ws_ed_pool_apply_kept(struct ws_ed_pool *p, ws_us now,
 			   struct ws_ed_server *s)
 {
--- a/tests/ed_fleet.c
+++ b/tests/ed_fleet.c
@@ -346,7 +346,7 @@
 	return fleet.nodes[i].edge && fleet.now >= fleet.nodes[i].frozen_until;
 }
 
-static void list_server(int i, int j)
+static void list_server(int i, int j, bool draining)
 {
 	struct ws_ed_event ev = { .kind = WS_EDEV_LISTED };
 	struct ws_ed_listing l = {
@@ -354,6 +354,8 @@
 		.zone = zone_id(j),
 		.slots = 4,
 		.started_ms = fleet.servers[j].started_ms,
+		.draining = draining,
+		.sequence = draining,
 	};
 
 	snprintf(l.name, sizeof(l.name), "s%d", j);
@@ -362,6 +364,11 @@
 	step(i, &ev);
 }
 
+void fleet_list_draining(int instance, int server)
+{
+	list_server(instance, server, true);
+}
+
 static void unlist_server(int i, int j)
 {
 	struct ws_ed_event ev = { .kind = WS_EDEV_UNLISTED };
@@ -385,7 +392,7 @@
 	int i;
 
 	for (i = 0; i < fleet.n; i++)
-		list_server(i, server);
+		list_server(i, server, false);
 }
 
 /* Servers that are down stay listed until the list drops them. */
@@ -396,7 +403,7 @@
 	for (j = 0; j < fleet.n_servers; j++)
 		if (!fleet.servers[j].down_until ||
 		    fleet.servers[j].unlisted_at)
-			list_server(i, j);
+			list_server(i, j, false);
 }
 
 /* Starts crashed servers again and updates the list. */
@@ -423,7 +430,7 @@
 		s->started_ms++;
 		for (i = 0; i < fleet.n; i++)
 			if (is_running(i))
-				list_server(i, j);
+				list_server(i, j, false);
 	}
 }
 
@@ -477,7 +484,8 @@
 			    .retry_ratio = 0.2,
 			    .retry_slack = 60.0,
 			    .rate_slack = 20.0,
-			    .drain_time = FLEET_DRAIN_TIME },
+			    .drain_time = FLEET_DRAIN_TIME,
+			    .unmetered = fleet.unmetered },
 	};
 
 	n->edge = ws_edge_new(&set);
@@ -697,6 +705,7 @@
 {
 	const char *caller_key = fleet.caller_key;
 	int n_servers = fleet.n_servers ? fleet.n_servers : FLEET_SERVERS;
+	bool unmetered = fleet.unmetered;
 	int i;
 
 	for (i = 0; i < FLEET_INSTANCES_MAX; i++)
@@ -704,6 +713,7 @@
 	memset(&fleet, 0, sizeof(fleet));
 	fleet.caller_key = caller_key;
 	fleet.n_servers = n_servers;
+	fleet.unmetered = unmetered;
 	ws_rand_seed(&fleet.rand, 11);
 	fleet.n = n;
 	fleet.zones = 1 + n / PER_ZONE_MAX;
--- a/tests/ed_fleet.h
+++ b/tests/ed_fleet.h
@@ -111,6 +111,7 @@
 	int n;
 	int zones;
 	bool sharded;
+	bool unmetered; /* set before the start */
 	/* Of the only customer, set before the start; NULL: there is none */
 	const char *caller_key;
 	/* Servers listed, set before the start; 0: FLEET_SERVERS */
@@ -139,6 +140,9 @@
 
 extern struct fleet fleet;
 
+/* One instance reads that a server is draining; the others do not yet. */
+void fleet_list_draining(int instance, int server);
+
 /* Starts n instances with a service that is sharded or not. */
 void fleet_start(int n, bool sharded);
 
--- a/tests/test_ed_stated.c
+++ b/tests/test_ed_stated.c
@@ -87,6 +87,36 @@
 }
 END_TEST
 
+/* Requests that reach a server 1.5 s after one instance has read its entry. */
+static int count_late_by_entry(bool unmetered)
+{
+	ws_us read_at;
+
+	fleet.unmetered = unmetered;
+	start(26, false);
+	fleet_list_draining(0, 1);
+	read_at = fleet.now;
+	fleet_run(4 * WS_SECOND, 200.0);
+	fleet.unmetered = false;
+	return count_all(1, read_at + 1500 * WS_MS);
+}
+
+/*
+ * Guards against DRAIN: the record that a server drains waits behind bodies in
+ * the links of most instances, and heartbeats pass.
+ */
+START_TEST(entry_that_a_server_drains_is_told_in_heartbeats)
+{
+	int before = count_late_by_entry(false);
+	int with = count_late_by_entry(true);
+
+	printf("requests to a draining server: %d, told in heartbeats %d\n",
+	       before, with);
+	ck_assert_int_gt(before, 0);
+	ck_assert_int_eq(with, 0);
+}
+END_TEST
+
 /* Guards against refusals while the only server still serves. */
 START_TEST(last_server_is_used_while_it_leaves)
 {
@@ -517,6 +547,8 @@
 	tcase_add_loop_test(fleets, last_server_keeps_its_rate_while_it_leaves,
 			    0, 2);
 	tcase_add_test(fleets, others_serve_while_one_is_closed);
+	tcase_add_test(fleets,
+		       entry_that_a_server_drains_is_told_in_heartbeats);
 	tcase_add_test(one, longest_time_of_a_rejection_counts);
 	tcase_add_test(one, foreign_answer_states_nothing);
 	tcase_add_test(one, first_statement_that_it_leaves_counts);
