--- a/lib/edge/ws_ed_call_arrive.c
+++ b/lib/edge/ws_ed_call_arrive.c
@@ -4,8 +4,6 @@
 
 /* Requests that arrive: which are refused at once, and the limits of time. */
 
-/* Short, as other instances have other links: the caller has to reconnect. */
-#define LINK_RETRY_AFTER (100 * WS_MS)
 /* Time that a request takes to a server through a full link. */
 #define LINK_MARGIN (300 * WS_MS)
 /*
@@ -130,19 +128,11 @@
 		a->started + time_limit(a, r) > e->drained_at);
 }
 
-/*
- * Whether the list of servers is older than a leaving server may get requests
- * and this instance's own link is the reason. Without the store alone, servers
- * are used as they were last listed.
- */
-static bool is_news_late(struct ws_edge *e)
+bool ws_ed_call_is_news_late(const struct ws_edge *e, ws_us now)
 {
-	if (!ws_ed_link_is_full(&e->link, e->now) ||
-	    e->now - e->evidence[WS_EDT_SERVERS] <
-		    e->set.bounds.drain_time - LINK_MARGIN)
-		return false;
-	e->link.refused++;
-	return true;
+	return ws_ed_link_is_full(&e->link, now) &&
+	       now - e->evidence[WS_EDT_SERVERS] >=
+		       e->set.bounds.drain_time - LINK_MARGIN;
 }
 
 static void refuse_arrival(struct ws_edge *e, const struct ws_ed_arrival *a,
@@ -195,7 +185,8 @@
 		refuse_arrival(e, a, status, retry_after, reason, fx);
 		return;
 	}
-	if (is_news_late(e)) {
+	if (ws_ed_call_is_news_late(e, e->now)) {
+		e->link.refused++;
 		refuse_arrival(e, a, 503, LINK_RETRY_AFTER, WS_EDR_LINK_FULL,
 			       fx);
 		return;
--- a/lib/edge/ws_ed_explain.c
+++ b/lib/edge/ws_ed_explain.c
@@ -225,6 +225,8 @@
 	if (x->needs_caller_key && d->now - e->evidence[WS_EDT_CONFIG] >=
 					   e->set.bounds.key_evidence_max)
 		refuse(d, 503, WS_EDR_STORE_UNREACHABLE, STORE_RETRY_AFTER);
+	else if (ws_ed_call_is_news_late(e, d->now))
+		refuse(d, 503, WS_EDR_LINK_FULL, LINK_RETRY_AFTER);
 	else if (!x->service)
 		refuse(d, 503, WS_EDR_NO_SERVER, NO_SERVER_RETRY_AFTER);
 	else if (e->n_calls >= e->set.max_calls)
--- a/lib/edge/ws_ed_pool_stated.c
+++ b/lib/edge/ws_ed_pool_stated.c
@@ -118,10 +118,11 @@
 		.as_of = now,
 	};
 
-#ifndef WS_MUTANT_LEAVING_ENTRY_NOT_TOLD
+#ifdef WS_MUTANT_LEAVING_ENTRY_NOT_TOLD
+	return;
+#endif
 	if (!s->stated.leaving_since)
 		ws_ed_stated_on_peer(&s->stated, now, &t);
-#endif
 }
 
 void ws_ed_pool_apply_kept(struct ws_ed_pool *p, ws_us now,
--- a/lib/edge/ws_edge_int.h
+++ b/lib/edge/ws_edge_int.h
@@ -24,6 +24,8 @@
 #define DRAINING_RETRY_AFTER (20 * WS_MS)
 
 #define STORE_RETRY_AFTER (500 * WS_MS)
+/* Short, as other instances have other links: the caller has to reconnect. */
+#define LINK_RETRY_AFTER (100 * WS_MS)
 #define NO_CONFIG_RETRY_AFTER (500 * WS_MS)
 /* Of a request that states none. */
 #define DEADLINE_DEFAULT (2 * WS_SECOND)
@@ -244,6 +246,13 @@
 
 /* ===== ws_ed_call_arrive.c ===== */
 
+/*
+ * Whether the list of servers is older than a leaving server may get requests
+ * and this instance's own link is the reason. Without the store alone, servers
+ * are used as they were last listed.
+ */
+bool ws_ed_call_is_news_late(const struct ws_edge *e, ws_us now);
+
 void ws_ed_call_arrive(struct ws_edge *e, const struct ws_ed_arrival *a,
 		       struct ws_ed_fx *fx);
 
