Refuse while neither the list nor heartbeats tell of leaving servers

Change: heartbeats with statements count as news; what is allowed for the way through a full link and for the teller to learn of it is 1 s.

--- a/lib/edge/ws_ed_call_arrive.c
+++ b/lib/edge/ws_ed_call_arrive.c
@@ -4,8 +4,11 @@
 
 /* Requests that arrive: which are refused at once, and the limits of time. */
 
-/* Time that a request takes to a server through a full link. */
-#define LINK_MARGIN (300 * WS_MS)
+/*
+ * Longest time that a request takes to a server through a full link, and that
+ * the instance which tells of a leaving server takes to learn of it.
+ */
+#define LINK_MARGIN (1 * WS_SECOND)
 /*
  * A request whose deadline is shorter than the longest one of its route by more
  * than this is taken for a caller's retry.
@@ -130,9 +133,12 @@
 
 bool ws_ed_call_is_news_late(const struct ws_edge *e, ws_us now)
 {
+	ws_us known = e->evidence[WS_EDT_SERVERS];
+
+	if (e->statements_heard_at > known)
+		known = e->statements_heard_at;
 	return ws_ed_link_is_full(&e->link, now) &&
-	       now - e->evidence[WS_EDT_SERVERS] >=
-		       e->set.bounds.drain_time - LINK_MARGIN;
+	       now - known >= e->set.bounds.drain_time - LINK_MARGIN;
 }
 
 static void refuse_arrival(struct ws_edge *e, const struct ws_ed_arrival *a,
--- a/lib/edge/ws_edge_int.h
+++ b/lib/edge/ws_edge_int.h
@@ -122,6 +122,9 @@
 	/* Since when a peer is ahead and topic_ends has not grown; 0: not */
 	ws_us behind_since[WS_EDT_COUNT];
 	uint64_t behind_at[WS_EDT_COUNT]; /* value of topic_ends then */
+	/* When a heartbeat with statements on servers was last heard; 0: never
+	 */
+	ws_us statements_heard_at;
 	ws_us store_failed_at; /* last failure of the store */
 	ws_us store_recovered_at; /* end of its last outage; 0: none */
 	ws_us next_slow_tick;
@@ -247,9 +250,9 @@
 /* ===== ws_ed_call_arrive.c ===== */
 
 /*
- * Whether the list of servers is older than a leaving server may get requests
- * and this instance's own link is the reason. Without the store alone, servers
- * are used as they were last listed.
+ * Whether what is known of leaving servers, by the list or by heartbeats, is
+ * older than these may get requests and this instance's own link is the reason.
+ * Without the store alone, servers are used as they were last listed.
  */
 bool ws_ed_call_is_news_late(const struct ws_edge *e, ws_us now);
 
