--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -588,6 +588,8 @@
  */
 START_TEST(arrivals_are_refused_while_news_waits_in_the_link)
 {
+	static struct ws_ed_beat b;
+	struct ws_ed_event ev = { .kind = WS_EDEV_HEARTBEAT };
 	const struct ws_ed_effect *x = arrive_behind_body(500000, 1.5e6);
 
 	ck_assert_ptr_nonnull(x);
@@ -602,6 +604,20 @@
 	sync_topics();
 	arrive("/r/3", "k1");
 	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+	/* Heartbeats tell of leaving servers, but brief ones don't. */
+	arrive_behind_body(500000, 1.5e6);
+	b.from = 2;
+	b.timestamp = 5;
+	b.scope = WS_ED_SCOPE_BRIEF;
+	ev.u.beat = &b;
+	step(&ev);
+	arrive("/r/3", "k1");
+	expect_reply(503, WS_EDR_LINK_FULL);
+	b.timestamp++;
+	b.scope = WS_ED_SCOPE_FULL;
+	step(&ev);
+	arrive("/r/3", "k1");
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
 	/* Without the store, or if the link isn't known, servers are used. */
 	ck_assert_ptr_null(arrive_behind_body(1000, 1.5e6));
 	ck_assert_ptr_null(arrive_behind_body(500000, 0.0));
