--- a/lib/edge/ws_ed_link.c
+++ b/lib/edge/ws_ed_link.c
@@ -2,7 +2,7 @@
 
 #include <math.h>
 
-/* Time over which the load is measured: several answers of servers. */
+/* Time constant with which counted bytes decay. */
 #define LOAD_TIME (300 * WS_MS)
 /* Head of an HTTP message and the headers of its packets. */
 #define OVERHEAD_BYTES 600.0
--- a/lib/edge/ws_ed_pool.h
+++ b/lib/edge/ws_ed_pool.h
@@ -43,7 +43,7 @@
 	WS_ED_RATE_UNLIMITED,
 };
 
-/* What other instances were told, or told, of what is learned of a server. */
+/* Learned capacity as last exchanged with other instances. */
 struct ws_ed_learned_news {
 	uint8_t speed; /* ws_ed_learn_encode_speed() */
 	uint8_t limit;
