Go on granting inherited keys to servers that are listed

Cause (found in review): a server that drains, states that it leaves or whose zone is out still serves its keys, but after two lost grants it got no further one, so its keys lapsed. Change: only a server that has left the list is given up.

--- a/lib/edge/ws_ed_range.c
+++ b/lib/edge/ws_ed_range.c
@@ -200,9 +200,11 @@
 #ifdef WS_MUTANT_GONE_SERVER_IS_GRANTED
 	return false;
 #endif
+	/* One that leaves or whose zone is out may still serve its keys. */
 	return r->inherited && r->failures >= FAILURES_MAX &&
 	       (server < 0 ||
-		!ws_ed_pool_usable(l->pool, now, (uint32_t)server));
+		(!l->pool->servers[server].listed &&
+		 !ws_ed_pool_usable(l->pool, now, (uint32_t)server)));
 }
 
 static void tick_owned(struct ws_ed_lead *l, struct ws_ed_range *r, ws_us now,
--- a/tests/test_ed_lead_random.c
+++ b/tests/test_ed_lead_random.c
@@ -661,6 +661,7 @@
 	nd->lead.conf = &w->conf;
 	nd->pool.instances = NODES;
 	nd->pool.drain_time = DRAIN_TIME;
+	nd->pool.unmetered = unmetered;
 	/* The store lists lost instances as well. */
 	for (i = 0; i < w->n_ids || i < NODES; i++)
 		ws_ed_peers_add(&nd->peers, now,
