Count heartbeats as news from senders that reach the store only; seed a test

Cause (found in review): any full heartbeat counted, also of an instance that can't reach the store; a test of learned limits drew from a generator that had no seed, so that its mixed cases were never run.

--- a/lib/edge/ws_ed_beat.c
+++ b/lib/edge/ws_ed_beat.c
@@ -249,7 +249,9 @@
 	process_loads(e, b);
 	process_learned(e, b);
 	process_statements(e, b, fx);
-	e->statements_heard_at = e->now;
+	/* One that can't reach the store doesn't know who leaves either. */
+	if (b->store_reachable && !b->isolated)
+		e->statements_heard_at = e->now;
 }
 
 static void reset_member(struct ws_ed_member *m, const struct ws_ed_beat *b,
--- a/tests/test_ed_learn.c
+++ b/tests/test_ed_learn.c
@@ -108,6 +108,7 @@
 	double any;
 	double full;
 
+	ws_rand_seed(&rnd, 3);
 	ws_ed_learn_reset(&l, SLOTS);
 	idle = reject(&l, 200, 0.55, 0);
 	any = reject(&l, 5, 0.55, SLOTS);
--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -617,6 +617,12 @@
 	b.scope = WS_ED_SCOPE_FULL;
 	step(&ev);
 	arrive("/r/3", "k1");
+	expect_reply(503, WS_EDR_LINK_FULL);
+	/* The sender has to reach the store. */
+	b.timestamp++;
+	b.store_reachable = true;
+	step(&ev);
+	arrive("/r/3", "k1");
 	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
 	/* Without the store, or if the link isn't known, servers are used. */
 	ck_assert_ptr_null(arrive_behind_body(1000, 1.5e6));
