Show that a machine started after a restore takes a revoked key

It reads the restored copy and goes by it until the operator has written again, though its peers know the newer configuration.

--- a/review/common-2/rig.c
+++ b/review/common-2/rig.c
@@ -37,6 +37,8 @@
 static int starts[RIG_MACHINES_MAX];
 static bool cut[RIG_MACHINES_MAX];
 static bool store_cut[RIG_MACHINES_MAX];
+static bool store_away;
+static unsigned store_era = 1;
 
 /* ===== Time and record ===== */
 
@@ -507,6 +509,7 @@
 	char key[256];
 	char *value;
 	size_t len;
+	double at; /* when it was written */
 };
 
 struct topic {
@@ -545,6 +548,7 @@
 	e->value = malloc(len + 1);
 	memcpy(e->value, value, len);
 	e->len = len;
+	e->at = rig_now();
 	pthread_cond_broadcast(&store_changed);
 }
 
@@ -555,6 +559,38 @@
 	pthread_mutex_unlock(&store_lock);
 }
 
+void rig_store_away(bool away)
+{
+	pthread_mutex_lock(&store_lock);
+	store_away = away;
+	pthread_cond_broadcast(&store_changed);
+	pthread_mutex_unlock(&store_lock);
+}
+
+void rig_store_restore(double written_before)
+{
+	int i;
+
+	pthread_mutex_lock(&store_lock);
+	store_era++;
+	for (i = 0; i < TOPICS_MAX; i++) {
+		struct topic *t = &topics[i];
+
+		while (t->n && t->entries[t->n - 1].at > written_before)
+			free(t->entries[--t->n].value);
+	}
+	pthread_cond_broadcast(&store_changed);
+	pthread_mutex_unlock(&store_lock);
+}
+
+void rig_put_last(const char *topic, const char *key, const char *value)
+{
+	pthread_mutex_lock(&store_lock);
+	add_entry(find_topic(topic), key, strlen(key), value, strlen(value));
+	store_away = true;
+	pthread_mutex_unlock(&store_lock);
+}
+
 int rig_last_writer(void)
 {
 	return last_writer;
@@ -738,7 +774,7 @@
 		until.tv_sec++;
 		until.tv_nsec -= 1000000000;
 	}
-	while (t->n == from &&
+	while (t->n == from && !store_away &&
 	       !pthread_cond_timedwait(&store_changed, &store_lock, &until))
 		;
 }
@@ -794,15 +830,20 @@
 		while (store_cut[machine])
 			rig_sleep(0.02);
 		pthread_mutex_lock(&store_lock);
-		status = answer_store(machine, m, &b);
+		/* Away: nothing is done, and waiting reads end. */
+		status = store_away ? 503 : answer_store(machine, m, &b);
+		if (store_away) {
+			status = 503;
+			b.len = 0;
+		}
 		pthread_mutex_unlock(&store_lock);
 		free(m->body);
 		while (store_cut[machine])
 			rig_sleep(0.02);
 		if (!rig_sendf(fd,
-			       "HTTP/1.1 %d x\r\nStore-Era: 1\r\n"
+			       "HTTP/1.1 %d x\r\nStore-Era: %u\r\n"
 			       "Content-Length: %zu\r\n\r\n",
-			       status, b.len) ||
+			       status, store_era, b.len) ||
 		    !rig_send(fd, b.data, b.len)) {
 			free(b.data);
 			break;
@@ -895,6 +936,9 @@
 	snprintf(variable, sizeof(variable), "WAGTAILSHIFT_SETTINGS=%s",
 		 settings);
 	write_settings(i, settings);
+	/* The one before has ended. */
+	if (pids[i] > 0)
+		waitpid(pids[i], NULL, 0);
 	starts[i]++;
 	pids[i] = fork();
 	if (!pids[i]) {
@@ -910,6 +954,20 @@
 	rig_record("machine %d started as process %d", i, (int)pids[i]);
 }
 
+void rig_term_machine(int i)
+{
+	kill(pids[i], SIGTERM);
+	rig_record("machine %d gets SIGTERM", i);
+}
+
+void rig_kill_machine(int i)
+{
+	kill(pids[i], SIGKILL);
+	waitpid(pids[i], NULL, 0);
+	pids[i] = 0;
+	rig_record("machine %d was killed", i);
+}
+
 bool rig_wait_ready(int i, double timeout)
 {
 	double until = rig_now() + timeout;
@@ -1001,7 +1059,8 @@
 	}
 	start_thread(watch_time, NULL);
 	choose_net();
-	rig_put("keyed.op", "config", config);
+	if (config)
+		rig_put("keyed.op", "config", config);
 	for (i = 0; i < n; i++) {
 		char ip[48];
 
--- a/review/common-2/rig.h
+++ b/review/common-2/rig.h
@@ -82,6 +82,18 @@
 /* Machine whose conditional append succeeded last, or -1. */
 int rig_last_writer(void);
 
+/* All calls are answered 503 and do nothing. */
+void rig_store_away(bool away);
+
+/* A write that is confirmed, and after which the store is away at once. */
+void rig_put_last(const char *topic, const char *key, const char *value);
+
+/*
+ * The store comes back from a copy: what was written later is gone, and its era
+ * rises by one.
+ */
+void rig_store_restore(double written_before);
+
 /* Writes the entry of a server. */
 void rig_put_server(const char *id, const char *service, const char *zone,
 		    const char *ip, int port, int slots, const char *state);
@@ -91,9 +103,12 @@
 /*
  * Starts the rig: n machines in three zones, their stores and their ways.
  * @param folder where record.txt is written
+ * @param config the first configuration; NULL: it is written later
  */
 void rig_start(const char *folder, int n, const char *config);
 void rig_start_machine(int i);
+void rig_term_machine(int i);
+void rig_kill_machine(int i);
 const char *rig_front_ip(int i);
 
 /* Waits until a machine says that it is ready. */
