Log and count requests that can't be read, and refusals by servers

Callers that get a 400, 413 or 431 from the parser left no trace: no line, no counter.

ws_server reports a rejection to its user; the edge logs it as 509 REQUEST_REJECTED and counts it by status. Answers of servers are counted apart from those of the instance, and each 3xx and 4xx of theirs is logged. The line of a request has method, host and shard key.

Nothing is decided differently. test_server: rejection_is_reported.

--- a/lib/common/ws_events.h
+++ b/lib/common/ws_events.h
@@ -57,6 +57,7 @@
 	X(506, LIST_DOWN, WARNING, "instance list does not answer")         \
 	X(507, BAD_RECORD, ERROR, "log record could not be read")           \
 	X(508, LOG_RESTORED, WARNING, "log service came back from a copy")  \
+	X(509, REQUEST_REJECTED, WARNING, "request can not be read")        \
 	X(601, STARTED, NOTICE, "instance started")                         \
 	X(602, DRAINING, NOTICE, "graceful shutdown started")               \
 	X(603, STOPPED, NOTICE, "instance stopped")                         \
--- a/lib/edgeio/ws_eio_front.c
+++ b/lib/edgeio/ws_eio_front.c
@@ -41,6 +41,7 @@
 	struct ws_server_request *req;
 	uint64_t id;
 	uint64_t fingerprint; /* 0: not computed */
+	int32_t shard_key; /* -1: none or not valid */
 	/* Point into the request's headers; "" if there is no such field */
 	const char *request_id;
 	const char *host;
@@ -77,6 +78,7 @@
 	r->req = req;
 	r->request_id = "";
 	r->fingerprint = 0;
+	r->shard_key = -1;
 	r->host = "";
 	r->server[0] = '\0';
 	r->attempts = 0;
@@ -103,7 +105,10 @@
 	struct ws_eio_request_log line = {
 		.request_id = r->request_id,
 		.customer = customer,
+		.method = r->req->method,
+		.host = r->host,
 		.path = r->req->uri ? r->req->uri : "",
+		.shard_key = r->shard_key,
 		.server = r->server,
 		.status = (int)status,
 		.reason = reason,
@@ -202,6 +207,12 @@
 	ws_headers_add(h, header, len, colon + 2, strlen(colon + 2));
 }
 
+/* Callers do not try again after these. */
+static bool is_final_refusal(unsigned status)
+{
+	return status >= 300 && status < 500;
+}
+
 void ws_eio_front_forward(struct ws_eio_front *f, uint64_t id,
 			  const char *customer)
 {
@@ -226,7 +237,9 @@
 		.data = b->data,
 		.data_len = b->data_len,
 	};
-	if (r->attempts > 1 || f->forwarded++ % FORWARDED_PER_LOG_LINE == 0)
+	ws_eio_metrics_forwarded(b->status);
+	if (r->attempts > 1 || is_final_refusal(b->status) ||
+	    f->forwarded++ % FORWARDED_PER_LOG_LINE == 0)
 		log_outcome(r, b->status, customer, WS_EDR_NONE, 0);
 	answer(r, &a);
 }
@@ -297,6 +310,8 @@
 
 		scan_header(r, fields, p, (size_t)(colon - p), colon + 2);
 	}
+	if (fields->shard_key)
+		r->shard_key = wp_wire_parse_shard_key(fields->shard_key);
 	for (p = h->text; p < end; p += strlen(p) + 1) {
 		const char *colon = strchr(p, ':');
 
@@ -332,9 +347,7 @@
 		.deadline = fields->deadline ?
 				    wp_wire_parse_deadline(fields->deadline) :
 				    0,
-		.key = fields->shard_key ?
-			       wp_wire_parse_shard_key(fields->shard_key) :
-			       -1,
+		.key = r->shard_key,
 		.malformed = !r->request_id[0],
 		.started = r->req->started_at,
 		.body_len = r->req->body_len,
@@ -388,9 +401,25 @@
 	ws_eio_targets_send(f->io->targets, &req, server, x->u.send.deadline);
 }
 
+/* The reducer does not see these requests. */
+static void on_reject(void *arg, const struct ws_server_request *req,
+		      const struct ws_server_rejection *rejection)
+{
+	char detail[160];
+
+	(void)arg;
+	snprintf(detail, sizeof(detail),
+		 "%s,open=%u,head=%zu,body=%zu,path=%.64s", rejection->error,
+		 rejection->n_open, rejection->head_len, rejection->body_len,
+		 req->uri_len ? req->uri : "");
+	ws_eio_log(WS_LOG_REQUEST_REJECTED, 0, rejection->status, detail);
+	ws_eio_metrics_rejection(rejection->status);
+}
+
 static const struct ws_server_ops caller_ops = {
 	.on_request = on_request,
 	.on_disconnect = on_disconnect,
+	.on_reject = on_reject,
 };
 
 void ws_eio_front_apply_config(struct ws_eio_front *f)
--- a/lib/edgeio/ws_eio_log.h
+++ b/lib/edgeio/ws_eio_log.h
@@ -20,7 +20,10 @@
 struct ws_eio_request_log {
 	const char *request_id;
 	const char *customer;
+	const char *method;
+	const char *host;
 	const char *path;
+	int32_t shard_key; /* -1: none or not valid */
 	const char *server; /* "" for none */
 	int status; /* 0: not answered */
 	enum ws_ed_reason reason;
--- a/lib/edgeio/ws_eio_metrics.c
+++ b/lib/edgeio/ws_eio_metrics.c
@@ -22,15 +22,64 @@
 
 /* Global, as a process runs only one edge. */
 static uint64_t answers_by_class[STATUS_CLASSES];
+static uint64_t forwarded_by_class[STATUS_CLASSES];
 static struct ws_hist latencies;
+/* Requests that could not be read, by the status of the answer */
+static struct {
+	unsigned status;
+	uint64_t n;
+} rejections[] = { { 400, 0 }, { 408, 0 }, { 413, 0 }, { 431, 0 }, { 503, 0 } };
+
+static unsigned status_class(unsigned status)
+{
+	return status / 100 < STATUS_CLASSES ? status / 100 : 0;
+}
 
 void ws_eio_metrics_answer(unsigned status, ws_us latency)
 {
-	answers_by_class[status / 100 < STATUS_CLASSES ? status / 100 : 0]++;
+	answers_by_class[status_class(status)]++;
 	if (status / 100 == 2)
 		ws_hist_add(&latencies, latency);
 }
 
+void ws_eio_metrics_forwarded(unsigned status)
+{
+	forwarded_by_class[status_class(status)]++;
+}
+
+void ws_eio_metrics_rejection(unsigned status)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rejections); i++)
+		if (rejections[i].status == status)
+			rejections[i].n++;
+}
+
+static void add_status_classes(GString *s, const char *name,
+			       const uint64_t *by_class)
+{
+	int i;
+
+	for (i = 1; i < STATUS_CLASSES; i++)
+		g_string_append_printf(s, "%s{status=\"%dxx\"} %" PRIu64 "\n",
+				       name, i, by_class[i]);
+}
+
+static void add_answers(GString *s)
+{
+	size_t i;
+
+	add_status_classes(s, "wagtailshift_answers_total", answers_by_class);
+	add_status_classes(s, "wagtailshift_answers_forwarded_total",
+			   forwarded_by_class);
+	for (i = 0; i < G_N_ELEMENTS(rejections); i++)
+		g_string_append_printf(s,
+				       "wagtailshift_requests_rejected_total"
+				       "{status=\"%u\"} %" PRIu64 "\n",
+				       rejections[i].status, rejections[i].n);
+}
+
 static void add_counters(GString *s, const struct ws_ed_counters *c)
 {
 	int i;
@@ -51,11 +100,6 @@
 				       "\"%s\"} %" PRIu64 "\n",
 				       ws_ed_reason_name((enum ws_ed_reason)i),
 				       c->refused[i]);
-	for (i = 1; i < STATUS_CLASSES; i++)
-		g_string_append_printf(s,
-				       "wagtailshift_answers_total{status="
-				       "\"%dxx\"} %" PRIu64 "\n",
-				       i, answers_by_class[i]);
 }
 
 static void add_latencies(GString *s)
@@ -178,6 +222,7 @@
 	}
 	s = g_string_new(NULL);
 	add_counters(s, ws_edge_counters(m->io->edge));
+	add_answers(s);
 	add_latencies(s);
 	add_state(s, m->io);
 	add_learned(s, ws_edge_pool(m->io->edge), ws_eio_now());
--- a/lib/edgeio/ws_eio_metrics.h
+++ b/lib/edgeio/ws_eio_metrics.h
@@ -16,6 +16,12 @@
 /* Counts an answer to a caller; latency from the request's first byte. */
 void ws_eio_metrics_answer(unsigned status, ws_us latency);
 
+/* Counts an answer that a server gave. */
+void ws_eio_metrics_forwarded(unsigned status);
+
+/* Counts a request that could not be read, by the status of its answer. */
+void ws_eio_metrics_rejection(unsigned status);
+
 /* @return NULL when the port is in use */
 struct ws_eio_metrics *ws_eio_metrics_new(struct ws_eio *io);
 void ws_eio_metrics_free(struct ws_eio_metrics *m);
--- a/lib/io/ws_server.h
+++ b/lib/io/ws_server.h
@@ -17,6 +17,7 @@
 
 struct ws_server;
 struct ws_server_con;
+struct ws_server_rejection;
 
 /* A complete request. */
 struct ws_server_request {
@@ -44,6 +45,21 @@
 	void (*on_request)(void *arg, struct ws_server_request *r);
 	/* The caller has disconnected; the request is freed after this call. */
 	void (*on_disconnect)(void *arg, struct ws_server_request *r);
+	/*
+	 * A request that is not complete is answered with a status of the
+	 * server's own; optional. What was read of it may lack any part.
+	 */
+	void (*on_reject)(void *arg, const struct ws_server_request *r,
+			  const struct ws_server_rejection *rejection);
+};
+
+/* Why ws_server has answered a request itself. */
+struct ws_server_rejection {
+	unsigned status; /* 400, 408, 413, 431 or 503 */
+	const char *error; /* name of the parser's error; "" if none */
+	unsigned n_open; /* earlier requests of the connection still open */
+	size_t head_len; /* bytes read of URI and headers */
+	size_t body_len; /* bytes read of the body */
 };
 
 struct ws_server_limits {
--- a/lib/io/ws_server_request.c
+++ b/lib/io/ws_server_request.c
@@ -309,6 +309,23 @@
 	.on_message_complete = on_complete,
 };
 
+static void report_rejection(struct ws_server_con *c,
+			     const struct ws_server_request *r, unsigned status)
+{
+	const struct ws_server_conf *conf = &c->server->conf;
+	enum http_errno err = HTTP_PARSER_ERRNO(&c->parser);
+	const struct ws_server_rejection rejection = {
+		.status = status,
+		.error = err == HPE_OK ? "" : http_errno_name(err),
+		.n_open = c->n_open,
+		.head_len = head_bytes(r),
+		.body_len = r->body_len,
+	};
+
+	if (conf->ops->on_reject)
+		conf->ops->on_reject(conf->arg, r, &rejection);
+}
+
 void ws_server_reject(struct ws_server_con *c, unsigned status)
 {
 	static const char type[] = "Content-Type: text/plain";
@@ -325,6 +342,7 @@
 	if (!r)
 		r = alloc_request(c);
 	c->partial = NULL;
+	report_rejection(c, r, status);
 	r->method[0] = '\0';
 	enqueue(c, r);
 	ws_server_answer(r, &a);
--- a/tests/test_server.c
+++ b/tests/test_server.c
@@ -31,6 +31,8 @@
 static char uris[REQUESTS_MAX][64];
 static int n_requests;
 static int n_disconnects;
+static int n_rejections;
+static struct ws_server_rejection rejected;
 static bool auto_answer;
 
 static ws_us clock_now(void)
@@ -71,9 +73,19 @@
 	n_disconnects++;
 }
 
+static void on_reject(void *arg, const struct ws_server_request *r,
+		      const struct ws_server_rejection *rejection)
+{
+	(void)arg;
+	(void)r;
+	rejected = *rejection;
+	n_rejections++;
+}
+
 static const struct ws_server_ops ops = {
 	.on_request = on_request,
 	.on_disconnect = on_disconnect,
+	.on_reject = on_reject,
 };
 
 static void start(unsigned max_connections)
@@ -95,6 +107,7 @@
 	now = 1000 * WS_SECOND;
 	n_requests = 0;
 	n_disconnects = 0;
+	n_rejections = 0;
 	auto_answer = false;
 	loop = ev_loop_new(0);
 	timers = ws_timer_new();
@@ -385,6 +398,30 @@
 }
 END_TEST
 
+/* Guards against refusals that leave no trace in logs and metrics. */
+START_TEST(rejection_is_reported)
+{
+	int fd;
+
+	start(10);
+	fd = connect_client();
+	send_text(fd, GET("/1") "POST /2 HTTP/1.1\r\nHost: h\r\n"
+				"Content-Length: 5001\r\n\r\n");
+	ck_assert_int_eq(n_rejections, 1);
+	ck_assert_uint_eq(rejected.status, 413);
+	ck_assert_uint_eq(rejected.n_open, 1);
+	ck_assert_uint_ge(rejected.head_len, strlen("/2Host: h"));
+	close(fd);
+	fd = connect_client();
+	send_text(fd, "nonsense\r\n\r\n");
+	ck_assert_int_eq(n_rejections, 2);
+	ck_assert_uint_eq(rejected.status, 400);
+	ck_assert_str_eq(rejected.error, "HPE_INVALID_METHOD");
+	close(fd);
+	stop();
+}
+END_TEST
+
 START_TEST(request_sizes_are_limited)
 {
 	char text[4000];
@@ -618,6 +655,7 @@
 		request_received_byte_by_byte_is_parsed,
 		ambiguous_or_malformed_requests_are_refused,
 		bad_request_is_answered_after_earlier_requests,
+		rejection_is_reported,
 		request_sizes_are_limited,
 		total_body_bytes_are_limited,
 		body_in_chunks_is_limited,
