Compare the hosts of requests as URIs are compared

Callers got 404 for a route that is in force when they spelled its host in another case or with a dot at its end, and a configured host with a capital letter, or an IPv6 address, was never found: hosts were compared byte by byte up to the first colon.

Host names have no case (RFC 3986, 6.2.2.1), and a final dot only says that the name is absolute. Both sides are now compared in their normal form. Two tests of test_ed_conf failed before.

--- a/lib/edge/ws_ed_conf.c
+++ b/lib/edge/ws_ed_conf.c
@@ -1,10 +1,13 @@
 #include "edge/ws_ed_conf.h"
 
+#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define FNV_BASIS 0xcbf29ce484222325ULL
 #define FNV_PRIME 0x100000001b3ULL
+/* Longest host name (RFC 1035), with its dot at the end, and the NUL. */
+#define HOST_SIZE 256
 
 /* ===== Hashes ===== */
 
@@ -32,6 +35,28 @@
 	return ws_ed_hash(ws_ed_hash(0, host, host_len), prefix, len);
 }
 
+/* ===== Hosts ===== */
+
+/*
+ * Copies the name in a Host field in its normal form: in lower case, without a
+ * port and a final dot (RFC 3986, 3.2.2 and 6.2.2.1).
+ * @return its length; 0 if it is empty or too long
+ */
+static size_t normalize_host(const char *host, char *to, size_t size)
+{
+	size_t len = *host == '[' ? strcspn(host, "]") + 1 : strcspn(host, ":");
+	size_t i;
+
+	if (len && host[len - 1] == '.')
+		len--;
+	if (!len || len >= size || len > strlen(host))
+		return 0;
+	for (i = 0; i < len; i++)
+		to[i] = (char)tolower((unsigned char)host[i]);
+	to[len] = '\0';
+	return len;
+}
+
 /* ===== Indexes ===== */
 
 static size_t table_size(size_t n)
@@ -60,8 +85,9 @@
 	c->n_route_slots = table_size(c->n_routes);
 	c->route_slots = ws_alloc(c->n_route_slots, sizeof(*c->route_slots));
 	for (i = 0; i < c->n_routes; i++) {
-		const struct ws_ed_route *r = &c->routes[i];
+		struct ws_ed_route *r = &c->routes[i];
 
+		normalize_host(r->host, r->host, strlen(r->host) + 1);
 		insert_slot(c->route_slots, c->n_route_slots,
 			    route_hash(r->host, strlen(r->host), r->prefix,
 				       strlen(r->prefix)),
@@ -125,13 +151,14 @@
 struct ws_ed_route *ws_ed_conf_route(const struct ws_ed_conf *c,
 				     const char *host, const char *path)
 {
-	size_t host_len = strcspn(host, ":");
+	char name[HOST_SIZE];
+	size_t host_len = normalize_host(host, name, sizeof(name));
 	size_t len = strcspn(path, "?#");
 	struct ws_ed_route *r;
 
-	while (len) {
+	while (host_len && len) {
 		if (path[len - 1] == '/') {
-			r = find_route(c, host, host_len, path, len);
+			r = find_route(c, name, host_len, path, len);
 			if (r)
 				return r;
 		}
--- a/lib/edge/ws_ed_conf.h
+++ b/lib/edge/ws_ed_conf.h
@@ -88,13 +88,15 @@
 /* Hash of bytes, for fingerprints. */
 uint64_t ws_ed_hash(uint64_t seed, const void *data, size_t len);
 
-/* Builds the hash tables; call it once the arrays are filled. */
+/* Fills in what is derived from the arrays; call it once they are filled. */
 void ws_ed_conf_index(struct ws_ed_conf *c);
 
 void ws_ed_conf_free(struct ws_ed_conf *c);
 
 /*
  * Finds the route with the longest matching prefix; a query is ignored.
+ * @param host as in the Host field: its case, a port and a dot at the end do
+ *   not matter
  * @return NULL if no route matches
  */
 struct ws_ed_route *ws_ed_conf_route(const struct ws_ed_conf *c,
--- a/tests/test_ed_conf.c
+++ b/tests/test_ed_conf.c
@@ -107,6 +107,52 @@
 }
 END_TEST
 
+/* Guards against DENIED: a proper host that is spelled in another way. */
+START_TEST(host_is_compared_as_uris_are)
+{
+	static const char *const same[] = { "A.Example", "a.example.",
+					    "a.EXAMPLE.:8080", "a.example:" };
+	struct ws_ed_conf *c = decode();
+	char longest[400];
+	size_t i;
+
+	for (i = 0; i < sizeof(same) / sizeof(same[0]); i++)
+		ck_assert_msg(ws_ed_conf_route(c, same[i], "/x/1") != NULL,
+			      "%s", same[i]);
+	memset(longest, 'a', sizeof(longest));
+	longest[sizeof(longest) - 1] = '\0';
+	ck_assert_ptr_null(ws_ed_conf_route(c, longest, "/x/1"));
+	ck_assert_ptr_null(ws_ed_conf_route(c, ".", "/x/1"));
+	ck_assert_ptr_null(ws_ed_conf_route(c, "", "/x/1"));
+	ck_assert_ptr_null(ws_ed_conf_route(c, "a.example..", "/x/1"));
+	ws_ed_conf_free(c);
+}
+END_TEST
+
+/* Guards against DENIED: hosts of the configuration that are never found. */
+START_TEST(configured_host_may_have_capitals_or_be_an_address)
+{
+	char text[sizeof(config_text)];
+	char *at;
+	struct ws_ed_conf *c;
+
+	memcpy(text, config_text, sizeof(text));
+	at = strstr(text, "a.example");
+	memcpy(at, "A.Example", 9);
+	c = wp_decode_config(text, sizeof(text) - 1, NULL);
+	ck_assert_ptr_nonnull(c);
+	ck_assert_ptr_nonnull(ws_ed_conf_route(c, "a.example", "/x/1"));
+	ws_ed_conf_free(c);
+	memcpy(at, "[fd00::1]", 9);
+	c = wp_decode_config(text, sizeof(text) - 1, NULL);
+	ck_assert_ptr_nonnull(c);
+	ck_assert_ptr_nonnull(ws_ed_conf_route(c, "[FD00::1]:80", "/x/1"));
+	ck_assert_ptr_nonnull(ws_ed_conf_route(c, "[fd00::1]", "/x/1"));
+	ck_assert_ptr_null(ws_ed_conf_route(c, "[fd00::2]", "/x/1"));
+	ws_ed_conf_free(c);
+}
+END_TEST
+
 /* Guards against a traffic split that deviates from its weights. */
 START_TEST(split_keeps_its_weights)
 {
@@ -539,6 +585,8 @@
 		config_is_decoded,
 		longest_prefix_wins,
 		kind_says_what_may_be_repeated,
+		host_is_compared_as_uris_are,
+		configured_host_may_have_capitals_or_be_an_address,
 		split_keeps_its_weights,
 		malformed_config_is_refused,
 		each_field_is_checked,
