Send requests without a shard key to services that need none

A route whose split has a sharded service and another one answered 400 to a request without a shard key whenever the weights chose the sharded one, and served it otherwise: the same request was wrong in 75 of 100 tries, for instance. Callers do not retry a 400. The refused requests also used up the turns of the sharded service, so that its share of the others fell.

The service is now chosen among those that can run the request; the weights hold among the requests with a key. A request without one is refused only if no service of its route can run it, whatever the weights say. Explanations of requests follow.

test_ed_conf, request_without_a_key_goes_to_a_service_without_shards, failed before.

--- a/lib/edge/ws_ed_call_arrive.c
+++ b/lib/edge/ws_ed_call_arrive.c
@@ -204,17 +204,18 @@
 			return;
 		}
 	}
-	svc = ws_ed_conf_service(e->conf, ws_ed_route_next_service(r));
+	if (a->key < 0 && ws_ed_route_needs_key(r)) {
+		refuse_arrival(e, a, 400, 0, WS_EDR_BAD_REQUEST, fx);
+		return;
+	}
+	svc = ws_ed_conf_service(e->conf,
+				 ws_ed_route_next_service(r, a->key >= 0));
 	if (!svc || e->n_calls >= e->set.max_calls) {
 		refuse_arrival(e, a, 503, NO_SERVER_RETRY_AFTER,
 			       svc ? WS_EDR_INSTANCE_FULL : WS_EDR_NO_SERVER,
 			       fx);
 		return;
 	}
-	if (svc->sharded && a->key < 0) {
-		refuse_arrival(e, a, 400, 0, WS_EDR_BAD_REQUEST, fx);
-		return;
-	}
 	ws_ed_budget_count_arrival(e, svc->id);
 	if (svc->sharded)
 		ws_ed_heat_count(&e->heat, svc->id, (uint32_t)a->key);
--- a/lib/edge/ws_ed_conf.c
+++ b/lib/edge/ws_ed_conf.c
@@ -78,6 +78,17 @@
 	slots[i] = (uint32_t)index + 1;
 }
 
+static void find_sharded(const struct ws_ed_conf *c, struct ws_ed_route *r)
+{
+	const struct ws_ed_service *s;
+	size_t i;
+
+	for (i = 0; i < r->n_destinations; i++) {
+		s = ws_ed_conf_service(c, r->destinations[i].service);
+		r->destinations[i].sharded = s && s->sharded;
+	}
+}
+
 void ws_ed_conf_index(struct ws_ed_conf *c)
 {
 	size_t i;
@@ -88,6 +99,7 @@
 		struct ws_ed_route *r = &c->routes[i];
 
 		normalize_host(r->host, r->host, strlen(r->host) + 1);
+		find_sharded(c, r);
 		insert_slot(c->route_slots, c->n_route_slots,
 			    route_hash(r->host, strlen(r->host), r->prefix,
 				       strlen(r->prefix)),
@@ -194,20 +206,34 @@
 	return NULL;
 }
 
-ws_id ws_ed_route_next_service(struct ws_ed_route *r)
+ws_id ws_ed_route_next_service(struct ws_ed_route *r, bool has_key)
 {
 	struct ws_ed_destination *best = NULL;
 	int64_t total = 0;
 	size_t i;
 
 	for (i = 0; i < r->n_destinations; i++) {
-		r->destinations[i].credit += r->destinations[i].weight;
-		total += r->destinations[i].weight;
-		if (!best || r->destinations[i].credit > best->credit)
-			best = &r->destinations[i];
+		struct ws_ed_destination *d = &r->destinations[i];
+
+		if (d->sharded && !has_key)
+			continue;
+		d->credit += d->weight;
+		total += d->weight;
+		if (!best || d->credit > best->credit)
+			best = d;
 	}
 	if (!best)
 		return 0;
 	best->credit -= total;
 	return best->service;
 }
+
+bool ws_ed_route_needs_key(const struct ws_ed_route *r)
+{
+	size_t i;
+
+	for (i = 0; i < r->n_destinations; i++)
+		if (!r->destinations[i].sharded)
+			return false;
+	return r->n_destinations > 0;
+}
--- a/lib/edge/ws_ed_conf.h
+++ b/lib/edge/ws_ed_conf.h
@@ -23,6 +23,7 @@
 /* One destination of a route; most routes have one. */
 struct ws_ed_destination {
 	ws_id service;
+	bool sharded; /* requests without a shard key can't go there */
 	uint32_t weight;
 	int64_t credit; /* smooth weighted round robin */
 };
@@ -109,7 +110,15 @@
 const struct ws_ed_service *ws_ed_conf_service(const struct ws_ed_conf *c,
 					       ws_id id);
 
-/* Chooses the service of the next request by smooth weighted round robin. */
-ws_id ws_ed_route_next_service(struct ws_ed_route *r);
+/*
+ * Chooses the service of the next request by smooth weighted round robin.
+ * @param has_key whether the request has a shard key; one without it can only
+ *   go to a service that is not sharded
+ * @return 0 if the route has no such service
+ */
+ws_id ws_ed_route_next_service(struct ws_ed_route *r, bool has_key);
+
+/* Whether a request without a shard key has no service to go to. */
+bool ws_ed_route_needs_key(const struct ws_ed_route *r);
 
 #endif
--- a/lib/edge/ws_ed_explain.c
+++ b/lib/edge/ws_ed_explain.c
@@ -227,12 +227,12 @@
 		refuse(d, 503, WS_EDR_STORE_UNREACHABLE, STORE_RETRY_AFTER);
 	else if (ws_ed_call_is_news_late(e, d->now))
 		refuse(d, 503, WS_EDR_LINK_FULL, LINK_RETRY_AFTER);
+	else if (q->key < 0 && ws_ed_route_needs_key(x->route))
+		refuse(d, 400, WS_EDR_BAD_REQUEST, 0);
 	else if (!x->service)
 		refuse(d, 503, WS_EDR_NO_SERVER, NO_SERVER_RETRY_AFTER);
 	else if (e->n_calls >= e->set.max_calls)
 		refuse(d, 503, WS_EDR_INSTANCE_FULL, NO_SERVER_RETRY_AFTER);
-	else if (x->service->sharded && q->key < 0)
-		refuse(d, 400, WS_EDR_BAD_REQUEST, 0);
 	else
 		return true;
 	return false;
@@ -261,13 +261,14 @@
 	return true;
 }
 
-static const struct ws_ed_service *next_service(const struct ws_edge *e,
-						const struct ws_ed_route *r)
+static const struct ws_ed_service *
+next_service(const struct ws_edge *e, const struct ws_ed_route *r, bool has_key)
 {
 	/* Drawing from a copy leaves the credits of a split as they are. */
 	struct ws_ed_route copy = *r;
 
-	return ws_ed_conf_service(e->conf, ws_ed_route_next_service(&copy));
+	return ws_ed_conf_service(e->conf,
+				  ws_ed_route_next_service(&copy, has_key));
 }
 
 /* ===== Facts ===== */
@@ -385,7 +386,7 @@
 		return;
 	}
 	x->needs_caller_key = !x->route->auth_exempt && e->conf->n_customers;
-	x->service = next_service(e, x->route);
+	x->service = next_service(e, x->route, q->key >= 0);
 	if (!set_times(&d) || !check_arrival(&d, q))
 		return;
 	copy_state(&d);
--- a/tests/test_ed_conf.c
+++ b/tests/test_ed_conf.c
@@ -153,6 +153,30 @@
 }
 END_TEST
 
+/*
+ * Guards against DENIED: requests without a shard key that the weights send to
+ * a service that can't run them.
+ */
+START_TEST(request_without_a_key_goes_to_a_service_without_shards)
+{
+	struct ws_ed_conf *c = decode();
+	struct ws_ed_route *r = ws_ed_conf_route(c, "a.example", "/x/1");
+	int stock = 0;
+	int i;
+
+	for (i = 0; i < 50; i++)
+		ck_assert_uint_eq(ws_ed_route_next_service(r, false),
+				  ws_ed_id("stock"));
+	/* The weights hold among the requests that any service can run. */
+	for (i = 0; i < 50; i++)
+		stock += ws_ed_route_next_service(r, true) == ws_ed_id("stock");
+	ck_assert_int_eq(stock, 45);
+	r = ws_ed_conf_route(c, "a.example", "/x/deep/1");
+	ck_assert_uint_eq(ws_ed_route_next_service(r, false), 0);
+	ws_ed_conf_free(c);
+}
+END_TEST
+
 /* Guards against a traffic split that deviates from its weights. */
 START_TEST(split_keeps_its_weights)
 {
@@ -162,7 +186,7 @@
 	int i;
 
 	for (i = 0; i < 50; i++)
-		stock += ws_ed_route_next_service(r) == ws_ed_id("stock");
+		stock += ws_ed_route_next_service(r, true) == ws_ed_id("stock");
 	ck_assert_int_eq(stock, 45);
 	ws_ed_conf_free(c);
 }
@@ -587,6 +611,7 @@
 		kind_says_what_may_be_repeated,
 		host_is_compared_as_uris_are,
 		configured_host_may_have_capitals_or_be_an_address,
+		request_without_a_key_goes_to_a_service_without_shards,
 		split_keeps_its_weights,
 		malformed_config_is_refused,
 		each_field_is_checked,
