Serve requests whose target is an absolute URI

Callers that send the absolute form, as proxies do, got 404: the whole URI was taken for the path. RFC 9112, 3.2.2 requires servers to accept it and to use its authority instead of the Host field. It is split on arrival; servers get the path and query and the host of the URI, and the fingerprint is that of the same request in origin form.

test_eio_front, absolute_uri_is_served_as_path_and_host, failed before.

--- a/lib/edgeio/ws_eio_front.c
+++ b/lib/edgeio/ws_eio_front.c
@@ -45,6 +45,8 @@
 	/* Point into the request's headers; "" if there is no such field */
 	const char *request_id;
 	const char *host;
+	const char *target; /* path and query, to route and to forward */
+	char *authority; /* owned, with the target; NULL: in the headers */
 	struct ws_headers headers; /* headers to forward to the server */
 	unsigned attempts;
 	char server[WS_ED_NAME_MAX]; /* server of the last attempt */
@@ -80,6 +82,7 @@
 	r->fingerprint = 0;
 	r->shard_key = -1;
 	r->host = "";
+	r->target = "";
 	r->server[0] = '\0';
 	r->attempts = 0;
 	ws_headers_reset(&r->headers);
@@ -89,6 +92,8 @@
 
 static void release_request(struct pending_request *r)
 {
+	g_free(r->authority);
+	r->authority = NULL;
 	r->next_free = r->front->free_requests;
 	r->front->free_requests = r;
 }
@@ -107,7 +112,7 @@
 		.customer = customer,
 		.method = r->req->method,
 		.host = r->host,
-		.path = r->req->uri ? r->req->uri : "",
+		.path = r->target,
 		.shard_key = r->shard_key,
 		.server = r->server,
 		.status = (int)status,
@@ -320,6 +325,31 @@
 	}
 }
 
+/*
+ * Reads the request target. An absolute URI is split; its authority goes before
+ * the Host field (RFC 9112, 3.2.2).
+ * @return false if the URI has no host, or user information
+ */
+static bool read_target(struct pending_request *r)
+{
+	static const char scheme[] = "http://";
+	const char *uri = r->req->uri;
+	const char *authority = uri + sizeof(scheme) - 1;
+	size_t len;
+
+	r->target = uri;
+	if (strncasecmp(uri, scheme, sizeof(scheme) - 1) != 0)
+		return true;
+	len = strcspn(authority, "/?#");
+	/* An empty path stands for "/". */
+	r->authority = g_strdup_printf("%.*s%c%s%s", (int)len, authority, '\0',
+				       authority[len] == '/' ? "" : "/",
+				       authority + len);
+	r->host = r->authority;
+	r->target = r->authority + len + 1;
+	return len && !memchr(authority, '@', len);
+}
+
 /* Hash that is the same for a repeated request at every instance. */
 static uint64_t fingerprint(const struct pending_request *r,
 			    const struct request_headers *fields)
@@ -327,7 +357,7 @@
 	const struct ws_server_request *q = r->req;
 	uint64_t h = ws_ed_hash(0, q->method, strlen(q->method) + 1);
 
-	h = ws_ed_hash(h, q->uri, q->uri_len + 1);
+	h = ws_ed_hash(h, r->target, strlen(r->target) + 1);
 	if (fields->caller_key)
 		h = ws_ed_hash(h, fields->caller_key,
 			       strlen(fields->caller_key) + 1);
@@ -335,20 +365,20 @@
 }
 
 static void submit(struct pending_request *r,
-		   const struct request_headers *fields)
+		   const struct request_headers *fields, bool malformed)
 {
 	struct ws_eio_front *f = r->front;
 	struct ws_ed_event ev = { .kind = WS_EDEV_ARRIVAL };
 	struct ws_ed_arrival a = {
 		.id = r->id,
 		.host = r->host,
-		.path = r->req->uri,
+		.path = r->target,
 		.caller_key = fields->caller_key,
 		.deadline = fields->deadline ?
 				    wp_wire_parse_deadline(fields->deadline) :
 				    0,
 		.key = r->shard_key,
-		.malformed = !r->request_id[0],
+		.malformed = malformed || !r->request_id[0],
 		.started = r->req->started_at,
 		.body_len = r->req->body_len,
 	};
@@ -364,14 +394,16 @@
 	struct ws_eio_front *f = arg;
 	struct pending_request *r = acquire_request(f, req);
 	struct request_headers fields = { NULL };
+	bool malformed;
 
 	r->id = ++f->next_id;
 	g_hash_table_insert(f->pending, &r->id, r);
 	read_headers(r, &fields);
+	malformed = !read_target(r);
 	if (req->body_dropped)
 		refuse(r, 503, INSTANCE_FULL_RETRY_AFTER, WS_EDR_INSTANCE_FULL);
 	else
-		submit(r, &fields);
+		submit(r, &fields, malformed);
 }
 
 void ws_eio_front_send(struct ws_eio_front *f, const struct ws_ed_effect *x)
@@ -391,7 +423,7 @@
 		.resent = x->u.send.resent,
 		.request_id = r->request_id,
 		.method = r->req->method,
-		.uri = r->req->uri,
+		.uri = r->target,
 		.host = r->host,
 		.headers = r->headers.text,
 		.headers_len = r->headers.len,
--- a/tests/test_eio_front.c
+++ b/tests/test_eio_front.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -399,6 +400,63 @@
 }
 END_TEST
 
+/* Guards against DENIED: a request whose target is an absolute URI. */
+START_TEST(absolute_uri_is_served_as_path_and_host)
+{
+	static const struct {
+		const char *target;
+		const char *path;
+	} cases[] = {
+		{ "http://h/r/1?a=http://x/", "/r/1?a=http://x/" },
+		{ "HTTP://H:7100/r/2", "/r/2" },
+	};
+	char text[256];
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		start();
+		snprintf(text, sizeof(text),
+			 "GET %s HTTP/1.1\r\nHost: other\r\n"
+			 "Wagtailshift-Request-Id: r17\r\n\r\n",
+			 cases[i].target);
+		send_text(text);
+		wait_for(&received.n);
+		ck_assert_str_eq(received.uri, cases[i].path);
+		ck_assert_int_eq(strncasecmp(received.host, "h", 1), 0);
+		stop();
+	}
+}
+END_TEST
+
+/* Guards against a target without a host or path that reaches a server. */
+START_TEST(absolute_uri_without_host_or_route_is_refused)
+{
+	static const struct {
+		const char *target;
+		const char *status;
+	} cases[] = {
+		{ "http:///r/1", "400" }, { "http://u@h/r/1", "400" },
+		{ "http://h", "404" },	  { "http://h?/r/1", "404" },
+		{ "ftp://h/r/1", "404" },
+	};
+	char text[256];
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		start();
+		snprintf(text, sizeof(text),
+			 "GET %s HTTP/1.1\r\n" OWN_HEADERS "\r\n",
+			 cases[i].target);
+		send_text(text);
+		ck_assert(receive_on(caller, TIME_MAX));
+		ck_assert_msg(has_status(cases[i].status), "%s: %s",
+			      cases[i].target, answered);
+		ck_assert_uint_eq(received.n, 0);
+		stop();
+	}
+}
+END_TEST
+
 /*
  * Guards against DENIED: a request within max_header_bytes that is refused for
  * the length of its path.
@@ -595,6 +653,8 @@
 		request_is_forwarded_unchanged_without_secrets,
 		path_is_sent_as_the_caller_wrote_it,
 		long_id_reaches_the_server,
+		absolute_uri_is_served_as_path_and_host,
+		absolute_uri_without_host_or_route_is_refused,
 		long_path_within_the_limit_is_served,
 		server_sees_that_the_caller_has_left,
 		long_body_does_not_wait_for_the_server,
