Deny nothing for good by a configuration that may be replaced

The instance answered by a configuration 5 s old: its link was full, and its reads of the store and of other instances ended by their time limits, again and again. It knew that, since heartbeats state how far the sender has read the operator's topic, but only its reads used this. Callers don't repeat a request after 404, 401 or 400, while instances with the newer configuration are a connection away.

Ruled out: reads that miss records, 404s by instances that have read the newer one, a parser or server that answered (attempts=0 in all log lines).

Now 400, 401 and 404 that follow from the configuration are 503 old_configuration with Retry-After 0.1 s where a peer has read more of the topic, or where the configuration was last known to be current config_apply_s ago. Routes that don't exist get 404 by current instances as before. No byte and no call is added. explain answers alike.

The three tests fail without it (404, 404, 400 in place of 503). The test of absolute URIs in test_eio_front now delivers what a read of the store does, as its 404 needs a configuration that is known to be current.

--- a/lib/edge/ws_ed_call_arrive.c
+++ b/lib/edge/ws_ed_call_arrive.c
@@ -80,6 +80,14 @@
 	       e->set.bounds.key_evidence_max;
 }
 
+bool ws_ed_call_is_config_old(const struct ws_edge *e, ws_us now)
+{
+	return e->topic_ends[WS_EDT_CONFIG] <
+		       e->peer_topic_ends[WS_EDT_CONFIG] ||
+	       now - e->evidence[WS_EDT_CONFIG] >=
+		       e->set.bounds.config_delay_max;
+}
+
 /*
  * Authenticates the caller and applies its rate limit.
  * @return 0, or the status to refuse the request with
@@ -101,6 +109,11 @@
 		*retry_after = STORE_RETRY_AFTER;
 		return 503;
 	}
+	if (!*customer && ws_ed_call_is_config_old(e, e->now)) {
+		*reason = WS_EDR_OLD_CONFIG;
+		*retry_after = OLD_CONFIG_RETRY_AFTER;
+		return 503;
+	}
 	if (!*customer) {
 		*reason = WS_EDR_BAD_CALLER_KEY;
 		return 401;
@@ -153,6 +166,18 @@
 			 retry_after, reason, fx);
 }
 
+/* Denies what the configuration does not allow if it is known to be current. */
+static void deny_arrival(struct ws_edge *e, const struct ws_ed_arrival *a,
+			 int status, enum ws_ed_reason reason,
+			 struct ws_ed_fx *fx)
+{
+	if (ws_ed_call_is_config_old(e, e->now))
+		refuse_arrival(e, a, 503, OLD_CONFIG_RETRY_AFTER,
+			       WS_EDR_OLD_CONFIG, fx);
+	else
+		refuse_arrival(e, a, status, 0, reason, fx);
+}
+
 void ws_ed_call_arrive(struct ws_edge *e, const struct ws_ed_arrival *a,
 		       struct ws_ed_fx *fx)
 {
@@ -178,7 +203,7 @@
 	}
 	r = ws_ed_conf_route(e->conf, a->host, a->path);
 	if (!r) {
-		refuse_arrival(e, a, 404, 0, WS_EDR_NO_ROUTE, fx);
+		deny_arrival(e, a, 404, WS_EDR_NO_ROUTE, fx);
 		return;
 	}
 	if (is_too_late(e, a, r)) {
@@ -205,7 +230,7 @@
 		}
 	}
 	if (a->key < 0 && ws_ed_route_needs_key(r)) {
-		refuse_arrival(e, a, 400, 0, WS_EDR_BAD_REQUEST, fx);
+		deny_arrival(e, a, 400, WS_EDR_BAD_REQUEST, fx);
 		return;
 	}
 	svc = ws_ed_conf_service(e->conf,
--- a/lib/edge/ws_ed_explain.c
+++ b/lib/edge/ws_ed_explain.c
@@ -216,6 +216,15 @@
 
 /* ===== Arrival ===== */
 
+/* Denies what the configuration does not allow if it is known to be current. */
+static void deny(struct draft *d, int status, enum ws_ed_reason reason)
+{
+	if (ws_ed_call_is_config_old(d->edge, d->now))
+		refuse(d, 503, WS_EDR_OLD_CONFIG, OLD_CONFIG_RETRY_AFTER);
+	else
+		refuse(d, status, reason, 0);
+}
+
 /* @return false if the request is refused without looking at servers */
 static bool check_arrival(struct draft *d, const struct ws_ed_explain_query *q)
 {
@@ -228,7 +237,7 @@
 	else if (ws_ed_call_is_news_late(e, d->now))
 		refuse(d, 503, WS_EDR_LINK_FULL, LINK_RETRY_AFTER);
 	else if (q->key < 0 && ws_ed_route_needs_key(x->route))
-		refuse(d, 400, WS_EDR_BAD_REQUEST, 0);
+		deny(d, 400, WS_EDR_BAD_REQUEST);
 	else if (!x->service)
 		refuse(d, 503, WS_EDR_NO_SERVER, NO_SERVER_RETRY_AFTER);
 	else if (e->n_calls >= e->set.max_calls)
@@ -382,7 +391,7 @@
 	}
 	x->route = ws_ed_conf_route(e->conf, q->host, q->path);
 	if (!x->route) {
-		refuse(&d, 404, WS_EDR_NO_ROUTE, 0);
+		deny(&d, 404, WS_EDR_NO_ROUTE);
 		return;
 	}
 	x->needs_caller_key = !x->route->auth_exempt && e->conf->n_customers;
--- a/lib/edge/ws_ed_fx.c
+++ b/lib/edge/ws_ed_fx.c
@@ -61,6 +61,7 @@
 		[WS_EDR_INSTANCE_FULL] = "instance_full",
 		[WS_EDR_DRAINING] = "shutting_down",
 		[WS_EDR_LINK_FULL] = "link_full",
+		[WS_EDR_OLD_CONFIG] = "old_configuration",
 	};
 
 	return reason < WS_EDR_COUNT && names[reason] ? names[reason] :
--- a/lib/edge/ws_ed_fx.h
+++ b/lib/edge/ws_ed_fx.h
@@ -54,6 +54,7 @@
 	WS_EDR_INSTANCE_FULL,
 	WS_EDR_DRAINING,
 	WS_EDR_LINK_FULL, /* news waits in the full link */
+	WS_EDR_OLD_CONFIG, /* a newer one may allow the request */
 	WS_EDR_COUNT,
 };
 
--- a/lib/edge/ws_edge.h
+++ b/lib/edge/ws_edge.h
@@ -27,6 +27,8 @@
 struct ws_ed_bounds {
 	/* Age of the configuration from which on callers are refused */
 	ws_us key_evidence_max;
+	/* How long a configuration may be in force after it was replaced */
+	ws_us config_delay_max;
 	/* How long a server is used after an outage let its entry expire */
 	ws_us linger;
 	double retry_ratio; /* extra sends per request, all instances */
--- a/lib/edge/ws_edge_int.h
+++ b/lib/edge/ws_edge_int.h
@@ -27,6 +27,8 @@
 /* Short, as other instances have other links: the caller has to reconnect. */
 #define LINK_RETRY_AFTER (100 * WS_MS)
 #define NO_CONFIG_RETRY_AFTER (500 * WS_MS)
+/* Short, as other instances have a newer one: the caller has to reconnect. */
+#define OLD_CONFIG_RETRY_AFTER (100 * WS_MS)
 /* Of a request that states none. */
 #define DEADLINE_DEFAULT (2 * WS_SECOND)
 /*
@@ -256,6 +258,13 @@
  */
 bool ws_ed_call_is_news_late(const struct ws_edge *e, ws_us now);
 
+/*
+ * Whether a newer configuration may bind this instance: a peer has read more of
+ * the operator's topic, or it was last known to be current too long ago. What
+ * only this one forbids must not be refused for good then.
+ */
+bool ws_ed_call_is_config_old(const struct ws_edge *e, ws_us now);
+
 void ws_ed_call_arrive(struct ws_edge *e, const struct ws_ed_arrival *a,
 		       struct ws_ed_fx *fx);
 
--- a/tests/test_ed_explain.c
+++ b/tests/test_ed_explain.c
@@ -85,6 +85,7 @@
 		.now = WS_SECOND,
 		.max_calls = REQUESTS,
 		.bounds = { .key_evidence_max = 4600 * WS_MS,
+			    .config_delay_max = 2500 * WS_MS,
 			    .retry_ratio = 0.2,
 			    .linger = 1700 * WS_MS,
 			    .retry_slack = 60.0,
--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -106,6 +106,7 @@
 		.now = WS_SECOND,
 		.max_calls = 100,
 		.bounds = { .key_evidence_max = 4600 * WS_MS,
+			    .config_delay_max = 2500 * WS_MS,
 			    .retry_ratio = 0.2,
 			    .linger = 1700 * WS_MS,
 			    .retry_slack = 60.0,
@@ -1153,6 +1154,85 @@
 }
 END_TEST
 
+/* Lets a peer report how far it has read the operator's topic. */
+static void report_config_end(uint64_t end)
+{
+	static struct ws_ed_beat b;
+	struct ws_ed_event ev = { .kind = WS_EDEV_HEARTBEAT };
+
+	b.from = 2;
+	b.timestamp++;
+	b.topic_ends[WS_EDT_CONFIG] = end;
+	ev.u.beat = &b;
+	step(&ev);
+}
+
+/* What only a newer configuration can decide is refused as not run. */
+static void expect_no_final_refusals(void)
+{
+	arrive("/x/1", "k1");
+	expect_reply(503, WS_EDR_OLD_CONFIG);
+	ck_assert_int_gt(find(WS_EDFX_REPLY)->u.reply.retry_after, 0);
+	arrive("/r/1", "k2");
+	expect_reply(503, WS_EDR_OLD_CONFIG);
+	arrive("/r/1", "k1");
+	ck_assert_ptr_nonnull(find(WS_EDFX_SEND));
+}
+
+/*
+ * Guards against a 404 or 401, after which callers do not try again, by a
+ * configuration that is known to be replaced (CONFIG, where reads of the store
+ * wait in a full link).
+ */
+START_TEST(replaced_configuration_refuses_nothing_for_good)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_READ_DONE };
+
+	setup();
+	report_config_end(9);
+	expect_no_final_refusals();
+	ev.u.sync.topic = WS_EDT_CONFIG;
+	ev.u.sync.end = 9;
+	step(&ev);
+	arrive("/x/1", "k1");
+	expect_reply(404, WS_EDR_NO_ROUTE);
+	arrive("/r/1", "k2");
+	expect_reply(401, WS_EDR_BAD_CALLER_KEY);
+}
+END_TEST
+
+/* The same where no instance that has a newer one is heard. */
+START_TEST(old_configuration_refuses_nothing_for_good)
+{
+	setup();
+	tick(2400 * WS_MS);
+	arrive("/x/1", "k1");
+	expect_reply(404, WS_EDR_NO_ROUTE);
+	tick(200 * WS_MS);
+	expect_no_final_refusals();
+	sync_topics();
+	arrive("/x/1", "k1");
+	expect_reply(404, WS_EDR_NO_ROUTE);
+}
+END_TEST
+
+/* Guards against a 400 by a replaced configuration. */
+START_TEST(replaced_configuration_requires_no_shard_key)
+{
+	struct ws_ed_arrival a;
+
+	setup();
+	a = arrival_of("/k/1", "k1");
+	a.key = -1;
+	deliver(&a);
+	expect_reply(400, WS_EDR_BAD_REQUEST);
+	report_config_end(9);
+	a.id = ++next_id;
+	deliver(&a);
+	expect_reply(503, WS_EDR_OLD_CONFIG);
+}
+END_TEST
+
 /* Guards against a version that is replaced by an older one (CONFIG). */
 START_TEST(older_configuration_is_ignored)
 {
@@ -1421,6 +1501,9 @@
 		strikes_are_sent_to_peers,
 		process_without_configuration_denies_nothing,
 		older_configuration_is_ignored,
+		replaced_configuration_refuses_nothing_for_good,
+		old_configuration_refuses_nothing_for_good,
+		replaced_configuration_requires_no_shard_key,
 		deadline_of_a_resent_request_is_that_of_its_arrival,
 		deadline_is_at_most_the_timeout_of_the_route,
 		rejected_requests_are_resent_within_the_budget,
--- a/tests/test_eio_front.c
+++ b/tests/test_eio_front.c
@@ -174,7 +174,8 @@
 		.max_fds = 1000,
 		.cores = 0.2,
 		.grace_period = 2 * WS_SECOND,
-		.bounds = { .key_evidence_max = 4600 * WS_MS },
+		.bounds = { .key_evidence_max = 4600 * WS_MS,
+			    .config_delay_max = 2500 * WS_MS },
 	};
 	const struct ws_ed_listing listing = {
 		.name = "s0",
@@ -444,6 +445,7 @@
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		start();
+		read_topics();
 		snprintf(text, sizeof(text),
 			 "GET %s HTTP/1.1\r\n" OWN_HEADERS "\r\n",
 			 cases[i].target);
--- a/tests/test_wp_settings.c
+++ b/tests/test_wp_settings.c
@@ -16,7 +16,7 @@
 	"\"platform\":{\"platform\":{\"address\":\"10.0.0.9:90\"}},"
 	"\"terms\":{\"bounds\":{\"revoke_s\":5,\"grace_s\":6,"
 	"\"budget_ratio\":0.2,\"budget_slack\":60,\"quota_slack\":20,"
-	"\"drain_s\":3}}}";
+	"\"drain_s\":3,\"config_apply_s\":2.5}}}";
 
 static struct wp_settings set;
 static struct wp_error err;
@@ -51,6 +51,7 @@
 	ck_assert_double_eq(set.bounds.retry_slack, 60.0);
 	ck_assert_double_eq(set.bounds.rate_slack, 20.0);
 	ck_assert_int_eq(set.bounds.drain_time, 3 * WS_SECOND);
+	ck_assert_int_eq(set.bounds.config_delay_max, 2500 * WS_MS);
 	/* Entries that the store lost return about 2 s after it does. */
 	ck_assert_int_gt(set.bounds.linger, WS_SECOND);
 	ck_assert_int_lt(set.bounds.linger, 2 * WS_SECOND);
