--- a/tests/test_eio_store.c
+++ b/tests/test_eio_store.c
@@ -407,6 +407,24 @@
 }
 END_TEST
 
+/*
+ * Guards against a configuration that is never received since each read of it
+ * ends before the answer has come through a full link (CONFIG on
+ * adcr-wire-grown).
+ */
+START_TEST(read_through_a_full_link_is_waited_for)
+{
+	start();
+	run_for(2500 * WS_MS, 1);
+	config_end = 4;
+	store_latency = 800 * WS_MS;
+	run_for(1500 * WS_MS, 4);
+	ck_assert_uint_eq(ws_edge_topic_end(io->edge, WS_EDT_CONFIG),
+			  reported_end(4));
+	stop();
+}
+END_TEST
+
 /* Guards against overloading a relay by repeated calls of other instances. */
 START_TEST(member_without_records_is_not_asked_again_at_once)
 {
@@ -569,6 +587,7 @@
 {
 	const TTest *const tests[] = {
 		read_under_way_is_not_cancelled,
+		read_through_a_full_link_is_waited_for,
 		member_without_records_is_not_asked_again_at_once,
 		outage_is_left_to_the_relay,
 		change_after_a_restore_is_read,
