--- a/tests/test_cli.c
+++ b/tests/test_cli.c
@@ -169,8 +169,10 @@
 		.memory_max = (size_t)260 * 1024 * 1024,
 		.max_fds = 1000,
 		.cores = 0.2,
+		.bounds = { .config_delay_max = 3600 * WS_SECOND },
 	};
 	struct ws_ed_event ev = { .kind = WS_EDEV_CONFIG };
+	struct ws_ed_event read = { .kind = WS_EDEV_READ_DONE };
 	struct ev_loop *loop = ev_loop_new(0);
 	struct wp_error err = { "" };
 	struct ws_eio *io = ws_eio_new(loop, &set, &err);
@@ -179,6 +181,9 @@
 		_exit(EXIT_FAILURE);
 	ev.u.config = wp_decode_config(config, sizeof(config) - 1, NULL);
 	ws_eio_handle_event(io, &ev);
+	read.u.sync.topic = WS_EDT_CONFIG;
+	read.u.sync.started = ws_eio_now();
+	ws_eio_handle_event(io, &read);
 	if (write(ready, "r", 1) != 1)
 		_exit(EXIT_FAILURE);
 	ev_run(loop, 0);
