--- a/tests/test_eio_status.c
+++ b/tests/test_eio_status.c
@@ -375,6 +375,40 @@
 }
 END_TEST
 
+#define N_REFUSALS 8
+#define UNPROVED "Wagtailshift-Request-Id: q1\r\nServer-Leaving: 1\r\n" BODY
+
+/*
+ * Guards against DENIED: a refusal that no server has proved to be its own,
+ * such as that of another program at its address, passed on as the last word.
+ */
+START_TEST(refusal_is_passed_on_with_the_seal_only)
+{
+	static const struct status_case refusals[N_REFUSALS] = {
+		{ "HTTP/1.1 301 -\r\n", UNPROVED, NO_ANSWER, true, 0 },
+		{ "HTTP/1.1 400 -\r\n", UNPROVED, NO_ANSWER, true, 0 },
+		{ "HTTP/1.1 404 -\r\n", UNPROVED, NO_ANSWER, true, 0 },
+		{ "HTTP/1.1 413 -\r\n", UNPROVED, NO_ANSWER, true, 0 },
+		{ "HTTP/1.1 301 -\r\n", REST, 301, true, 0 },
+		{ "HTTP/1.1 400 -\r\n", REST, 400, true, 0 },
+		{ "HTTP/1.1 404 -\r\n", REST, 404, true, 0 },
+		{ "HTTP/1.1 413 -\r\n", REST, 413, true, 0 },
+	};
+	const struct status_case *sc = &refusals[_i];
+
+	start(sc, "");
+	exchange();
+	ck_assert_uint_eq(n_received, 1);
+	ck_assert_msg(atoi(answer + strlen("HTTP/1.1 ")) == sc->expected,
+		      "for \"%s\": %s", sc->line, answer);
+	ck_assert_int_eq(strstr(answer, "Wagtailshift-Server-Seal") != NULL,
+			 is_good(sc));
+	ck_assert_int_eq(leaving_is_believed(), is_good(sc));
+	ck_assert_int_eq(con_closed, !is_good(sc));
+	stop();
+}
+END_TEST
+
 /* The same for the answer to a grant of keys. */
 START_TEST(grant_believes_only_an_answer)
 {
@@ -466,7 +500,13 @@
 		read_believes_only_an_answer,
 	};
 
-	return ed_suite_run_each("eio_status", tests,
-				 (int)(sizeof(tests) / sizeof(tests[0])),
-				 N_CASES);
+	const TTest *const refusal_tests[] = {
+		refusal_is_passed_on_with_the_seal_only
+	};
+	int res = ed_suite_run_each("eio_status", tests,
+				    (int)(sizeof(tests) / sizeof(tests[0])),
+				    N_CASES);
+
+	return ed_suite_run_each("eio_status", refusal_tests, 1, N_REFUSALS) ||
+	       res;
 }
--- a/tests/test_eio_targets.c
+++ b/tests/test_eio_targets.c
@@ -276,6 +276,49 @@
 }
 END_TEST
 
+/*
+ * Guards against a redirection or refusal that is forwarded, clears strikes and
+ * ends a hedge although no server has proved to be its own (DENIED). One that
+ * states that the request has not run is a rejection, whatever its status.
+ */
+START_TEST(refusal_needs_the_seal)
+{
+	static const char unsealed[] = WP_HEADER_REQUEST_ID
+		": r1\0Content-Type: text/html";
+	static const char sealed[] = WP_HEADER_REQUEST_ID
+		": r1\0Wagtailshift-Server-Seal: s";
+	static const char stated[] = WP_HEADER_REQUEST_ID
+		": r1\0Wagtailshift-Not-Executed: no id";
+	static const uint16_t final[] = { 301, 304, 400, 401, 404, 413, 431 };
+	struct ws_http_result res = { .outcome = WS_HTTP_DONE };
+	size_t i;
+
+	for (i = 0; i < sizeof(final) / sizeof(final[0]); i++) {
+		res.answer =
+			(struct ws_body){ .status = final[i],
+					  .headers = unsealed,
+					  .headers_len = sizeof(unsealed) };
+		ck_assert_int_eq(ws_eio_targets_end("r1", &res),
+				 WS_ED_END_CONNECTION_LOST);
+		res.answer.headers = sealed;
+		res.answer.headers_len = sizeof(sealed);
+		ck_assert_int_eq(ws_eio_targets_end("r1", &res), WS_ED_END_OK);
+		ck_assert_int_eq(ws_eio_targets_end("r2", &res),
+				 WS_ED_END_CONNECTION_LOST);
+		res.answer.headers = stated;
+		res.answer.headers_len = sizeof(stated);
+		ck_assert_int_eq(ws_eio_targets_end("r1", &res),
+				 WS_ED_END_SHED);
+	}
+	res.answer = (struct ws_body){ .status = 421,
+				       .headers = unsealed,
+				       .headers_len = sizeof(unsealed) };
+	ck_assert_int_eq(ws_eio_targets_end("r1", &res), WS_ED_END_SHED);
+	res.answer.status = 500;
+	ck_assert_int_eq(ws_eio_targets_end("r1", &res), WS_ED_END_FAILED);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -285,6 +328,7 @@
 		resent_request_uses_another_connection,
 		answer_to_another_request_closes_its_connection,
 		status_that_promises_needs_the_statement,
+		refusal_needs_the_seal,
 	};
 
 	return ed_suite_run("eio_targets", tests,
--- a/tests/test_wp_wire.c
+++ b/tests/test_wp_wire.c
@@ -69,6 +69,45 @@
 }
 END_TEST
 
+/*
+ * Guards against a redirection or refusal that no server has proved to be its
+ * own: callers take it for the last word (DENIED). Statements that the request
+ * has not run need no seal.
+ */
+START_TEST(refusal_without_seal_is_no_answer)
+{
+	static const unsigned final[] = { 300, 301, 304, 400, 401,
+					  403, 404, 413, 431, 499 };
+	static const unsigned stated[] = { 400, 408, 429, 503 };
+	static const char unsealed[] =
+		"Wagtailshift-Request-Id: r1\0Server-Leaving: 1\0"
+		"Wagtailshift-Server-Load: 1,0,4";
+	static const char proved[] =
+		"Wagtailshift-Request-Id: r1\0Server-Leaving: 1\0"
+		"Wagtailshift-Server-Seal: s";
+	struct ws_ed_report report;
+	struct ws_body b;
+	size_t i;
+
+	for (i = 0; i < sizeof(final) / sizeof(final[0]); i++) {
+		b = BODY(final[i], unsealed);
+		ck_assert(!wp_wire_answers_request(&b, "r1"));
+		wp_wire_parse_report(&b, "r1", &report);
+		ck_assert(!report.from_server && !report.leaving);
+		b = BODY(final[i], proved);
+		ck_assert(wp_wire_answers_request(&b, "r1"));
+		ck_assert(!wp_wire_answers_request(&b, "r2"));
+		wp_wire_parse_report(&b, "r1", &report);
+		ck_assert(report.from_server && report.leaving);
+	}
+	for (i = 0; i < sizeof(stated) / sizeof(stated[0]); i++) {
+		b = BODY(stated[i], rejected);
+		ck_assert(wp_wire_answers_request(&b, "r1"));
+		ck_assert(wp_wire_not_run(&b));
+	}
+}
+END_TEST
+
 /*
  * Guards against a success whose body is encoded, which callers have not asked
  * for and do not take for the server's (MIXED).
@@ -144,6 +183,7 @@
 		rejection_without_id_proves_nothing,
 		request_answer_is_no_key_answer,
 		success_without_seal_is_no_answer,
+		refusal_without_seal_is_no_answer,
 		encoded_success_is_no_answer,
 		misdirected_request_has_not_run,
 		handover_of_a_release_is_read,
