Take no answer for complete whose end is uncertain

A head is checked when it ends, as that of a request is: one Content-Length of up to 18 digits, or one Transfer-Encoding "chunked", not in HTTP/1.0, or neither; none in a 1xx; names of fields are tokens, followed by a colon. Else the call ends as broken: its connection is closed, the caller gets 502, idempotent requests are sent again. Equal repeated lengths ("15, 15"), which a recipient may accept, are refused, as those of requests are. Other codings than chunked are refused too: none is asked for.

The request side had these checks.

--- a/lib/io/ws_headers.c
+++ b/lib/io/ws_headers.c
@@ -1,6 +1,6 @@
 #include "io/ws_headers.h"
 
-#include <ctype.h>
+#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -135,6 +135,37 @@
 	s->invalid |= !s->chunked;
 }
 
+bool ws_headers_scan_framing(struct ws_header_scan *s, const char *name,
+			     size_t len, const char *value)
+{
+	static const char *const length[] = { "Content-Length", NULL };
+	static const char *const encoding[] = { "Transfer-Encoding", NULL };
+
+	if (is_one_of(name, len, length))
+		scan_length(s, value);
+	else if (is_one_of(name, len, encoding))
+		scan_encoding(s, value);
+	else
+		return false;
+	return true;
+}
+
+bool ws_headers_framing_is_valid(const struct ws_header_scan *s)
+{
+	return !s->invalid && s->n_lengths + s->n_encodings <= 1;
+}
+
+bool ws_headers_is_token(const char *name, size_t len)
+{
+	size_t i;
+
+	for (i = 0; i < len; i++)
+		if (!g_ascii_isalnum(name[i]) &&
+		    (!name[i] || !strchr("!#$%&'*+-.^_`|~", name[i])))
+			return false;
+	return len > 0;
+}
+
 /*
  * Callers may send the deadline, once. They must not send any other header with
  * the reserved prefix.
@@ -153,12 +184,10 @@
 void ws_headers_scan(struct ws_header_scan *s, const char *name,
 		     const char *value)
 {
+	if (ws_headers_scan_framing(s, name, strlen(name), value))
+		return;
 	if (is_reserved(name)) {
 		scan_reserved(s, name, value);
-	} else if (!strcasecmp(name, "Content-Length")) {
-		scan_length(s, value);
-	} else if (!strcasecmp(name, "Transfer-Encoding")) {
-		scan_encoding(s, value);
 	} else if (!strcasecmp(name, "Authorization")) {
 		s->authorization = value;
 		s->n_authorizations++;
@@ -174,10 +203,7 @@
 
 int ws_headers_check(const struct ws_header_scan *s, uint64_t max_body)
 {
-	if (s->invalid || s->n_lengths > 1 || s->n_encodings > 1 ||
-	    s->n_hosts > 1)
-		return WS_ERR_BAD_REQUEST;
-	if (s->n_lengths && s->n_encodings)
+	if (!ws_headers_framing_is_valid(s) || s->n_hosts > 1)
 		return WS_ERR_BAD_REQUEST;
 	if (s->n_authorizations > 1 || s->n_request_ids > 1)
 		return WS_ERR_BAD_REQUEST;
--- a/lib/io/ws_headers.h
+++ b/lib/io/ws_headers.h
@@ -42,6 +42,23 @@
 void ws_headers_scan(struct ws_header_scan *s, const char *name,
 		     const char *value);
 
+/*
+ * The same for the fields that tell where a message ends, and no others.
+ * @return false if it is none of them
+ */
+bool ws_headers_scan_framing(struct ws_header_scan *s, const char *name,
+			     size_t len, const char *value);
+
+/*
+ * Whether the end of the message is known: there is one length, which is a
+ * number, or the coding "chunked" alone, or neither. Lists of equal lengths
+ * count as malformed (RFC 9110, section 8.6, allows that).
+ */
+bool ws_headers_framing_is_valid(const struct ws_header_scan *s);
+
+/* Whether it is a token, as names of fields are (RFC 9110, section 5.6.2). */
+bool ws_headers_is_token(const char *name, size_t len);
+
 /* @return 0, WS_ERR_BAD_REQUEST or WS_ERR_TOO_LARGE */
 int ws_headers_check(const struct ws_header_scan *s, uint64_t max_body);
 
--- a/lib/io/ws_http.c
+++ b/lib/io/ws_http.c
@@ -121,7 +121,9 @@
 	status = status ? status : 200;
 #endif
 	ws_headers_reset(&c->headers);
+	memset(&c->framing, 0, sizeof(c->framing));
 	c->status = status;
+	c->is_1_0 = len >= strlen("HTTP/1.0") && line[strlen("HTTP/1.")] == '0';
 	c->in_head = true;
 	return status && status != STATUS_SWITCHING_PROTOCOLS;
 }
@@ -131,13 +133,50 @@
 	return ch == ' ' || ch == '\t';
 }
 
+/*
+ * Whether the end of a response is certain (RFC 9112, section 6). libcurl takes
+ * the digits at the start of a length and the last one of several, and applies
+ * the fields of a 1xx response to the final one.
+ */
+static bool end_head(struct ws_http_call *c)
+{
+	const struct ws_header_scan *f = &c->framing;
+
+	c->in_head = false;
+	if (c->status < STATUS_FINAL_MIN)
+		return !f->n_lengths && !f->n_encodings;
+	c->head_ended = true;
+	return ws_headers_framing_is_valid(f) && !(c->is_1_0 && f->n_encodings);
+}
+
+/* @return false if the line, without its end, is no field */
+static bool add_field(struct ws_http_call *c, const char *line, size_t end)
+{
+	const char *colon = memchr(line, ':', end);
+	size_t at = c->headers.len;
+	size_t len;
+	size_t skip;
+
+	/* A name with a blank behind it is another one to libcurl. */
+	if (!colon || !ws_headers_is_token(line, (size_t)(colon - line)))
+		return false;
+	len = (size_t)(colon - line);
+	skip = len + 1;
+	while (skip < end && is_blank(line[skip]))
+		skip++;
+	while (end > skip && is_blank(line[end - 1]))
+		end--;
+	ws_headers_add(&c->headers, line, len, line + skip, end - skip);
+	ws_headers_scan_framing(&c->framing, line, len,
+				c->headers.text + at + len + 2);
+	return true;
+}
+
 static size_t receive_header(char *line, size_t size, size_t n, void *arg)
 {
 	struct ws_http_call *c = arg;
 	size_t len = size * n;
 	size_t end = len;
-	char *colon;
-	size_t skip;
 
 	c->received = true;
 	ws_http_release(c, c->line_held);
@@ -163,21 +202,7 @@
 		return 0;
 	while (end && (line[end - 1] == '\r' || line[end - 1] == '\n'))
 		end--;
-	if (!end) {
-		c->in_head = false;
-		c->head_ended = c->status >= STATUS_FINAL_MIN;
-	}
-	colon = memchr(line, ':', end);
-	if (!colon)
-		return len;
-	skip = (size_t)(colon - line) + 1;
-	while (skip < end && is_blank(line[skip]))
-		skip++;
-	while (end > skip && is_blank(line[end - 1]))
-		end--;
-	ws_headers_add(&c->headers, line, (size_t)(colon - line), line + skip,
-		       end - skip);
-	return len;
+	return (end ? add_field(c, line, end) : end_head(c)) ? len : 0;
 }
 
 /* libcurl calls this before it sends, also on a reused connection. */
--- a/lib/io/ws_http_int.h
+++ b/lib/io/ws_http_int.h
@@ -27,6 +27,8 @@
 	unsigned n_head_lines;
 	uint16_t status; /* of the newest status line; 0: none, or malformed */
 	bool in_head; /* between a status line and the blank line */
+	bool is_1_0; /* the version of that line is HTTP/1.0 */
+	struct ws_header_scan framing; /* of that head */
 	bool head_ended; /* the head of the final response is complete */
 	bool is_head; /* the method is HEAD */
 	bool allow_unframed;
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -43,6 +43,7 @@
 	SILENT, /* answers nothing */
 	FOLDED_START, /* every second answer has a blank before its first field
 		       */
+	WHOLE_TEXT, /* sends whole_text */
 	SCRIPTS,
 };
 
@@ -125,6 +126,8 @@
 static size_t cut_at;
 static bool cut_by_reset; /* else the connection is closed in order */
 static const char *early_text;
+static const char *whole_text;
+static bool closes_after; /* the target closes the connection behind it */
 static struct curl_slist *no_expect; /* as for requests of callers */
 static bool foreign_bytes; /* others came where a body was due */
 
@@ -225,6 +228,14 @@
 		close(w->fd);
 		return;
 	}
+	if (c->script == WHOLE_TEXT) {
+		send_text(c, whole_text);
+		if (!closes_after)
+			return;
+		ev_io_stop(loop, w);
+		close(w->fd);
+		return;
+	}
 	if (c->script == DUPLICATE_RESPONSE) {
 		if (c->requests > 1)
 			answer(c, c->requests - 1);
@@ -569,6 +580,136 @@
 }
 END_TEST
 
+#define FINAL "HTTP/1.1 200 OK\r\n"
+#define LENGTH(value) FINAL "Content-Length: " value "\r\n\r\nok"
+#define CHUNKS "\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+#define CODING(value) FINAL "Transfer-Encoding: " value CHUNKS
+
+static const char *const framed[] = {
+	LENGTH("2"),
+	LENGTH("02"),
+	LENGTH("\t 2 \t"),
+	FINAL "content-LENGTH:2\r\n\r\nok",
+	FINAL "Content-Length:2\n\nok",
+	CODING("chunked"),
+	CODING("Chunked \t"),
+	FINAL "transfer-encoding:chunked" CHUNKS,
+	"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n"
+	"Content-Length: 2\r\n\r\nok",
+	"HTTP/1.1 103 -\r\nX-A: 1\r\n\r\n" LENGTH("2"),
+};
+
+static const char *const misframed[] = {
+	LENGTH("2, 1500"),
+	LENGTH("2O0"),
+	LENGTH("0x2"),
+	LENGTH("0, 2"),
+	LENGTH(""),
+	LENGTH("+2"),
+	LENGTH("-2"),
+	LENGTH("2 2"),
+	LENGTH("2;"),
+	LENGTH("2.0"),
+	LENGTH("\v2"),
+	LENGTH("2\rX: 1"),
+	LENGTH("9223372036854775808"),
+	LENGTH("18446744073709551618"),
+	LENGTH("99999999999999999999"),
+	LENGTH("1500\r\nContent-Length: 2"),
+	LENGTH("2\r\nContent-Length: 1500"),
+	LENGTH("2\r\nContent-Length: x"),
+	/* May be accepted (RFC 9110, section 8.6); refused here. */
+	LENGTH("2, 2"),
+	LENGTH("2\r\nContent-Length: 2"),
+	/* Blanks before the colon, and names that are no tokens. */
+	FINAL "Content-Length : 2\r\n\r\nok",
+	FINAL "Content-Length\t: 2\r\n\r\nok",
+	FINAL "Content Length: 2\r\n\r\nok",
+	FINAL "Transfer-Encoding : chunked" CHUNKS,
+	FINAL "Transfer-Encoding\t: chunked" CHUNKS,
+	FINAL "X-A : 1\r\nContent-Length: 2\r\n\r\nok",
+	FINAL "X(A): 1\r\nContent-Length: 2\r\n\r\nok",
+	FINAL ": 1\r\nContent-Length: 2\r\n\r\nok",
+	FINAL "X-A\r\nContent-Length: 2\r\n\r\nok",
+	CODING(""),
+	CODING("identity"),
+	CODING("xchunked"),
+	CODING("chunked;q=1"),
+	CODING("chunked, chunked"),
+	CODING("chunked,"),
+	CODING("identity, chunked"),
+	CODING("gzip, chunked"),
+	CODING("chunked, identity"),
+	CODING("chunked\r\nTransfer-Encoding: chunked"),
+	CODING("chunked\r\nTransfer-Encoding: identity"),
+	CODING("chunked\r\nContent-Length: 2"),
+	CODING("chunked\r\nContent-Length: 12"),
+	FINAL "Content-Length: 2\r\nTransfer-Encoding: chunked" CHUNKS,
+	"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked" CHUNKS,
+	/* libcurl would apply them to the final response. */
+	"HTTP/1.1 103 -\r\nContent-Length: 1\r\n\r\n" FINAL "\r\nok",
+	"HTTP/1.1 103 -\r\nTransfer-Encoding: chunked\r\n\r\n" FINAL
+	"\r\n2\r\nok\r\n0\r\n\r\n",
+};
+
+#define N_FRAMED ((int)(sizeof(framed) / sizeof(framed[0])))
+#define N_MISFRAMED ((int)(sizeof(misframed) / sizeof(misframed[0])))
+
+/* Guards against proper responses that are taken for malformed ones. */
+START_TEST(framed_response_is_complete)
+{
+	struct call o;
+	int i;
+
+	start(WHOLE_TEXT);
+	whole_text = framed[_i];
+	closes_after = false;
+	for (i = 0; i < 2; i++) {
+		start_call(&o, false);
+		wait_for_result(&o);
+		ck_assert_int_eq(o.result, WS_HTTP_DONE);
+		ck_assert_str_eq(o.body, "ok");
+	}
+	ck_assert_int_eq(n_cons, 1);
+	stop();
+}
+END_TEST
+
+/*
+ * Guards against a part of a body, or a coded one, that is passed on as a
+ * success because its length is malformed or contradicts itself (review case
+ * 6). Its connection is closed, as nobody knows where the response ends.
+ */
+static void check_misframed(const char *text, bool closes)
+{
+	ev_tstamp end = ev_time() + 5.;
+	struct call o;
+
+	start(WHOLE_TEXT);
+	whole_text = text;
+	closes_after = closes;
+	start_call(&o, false);
+	wait_for_result(&o);
+	ck_assert_msg(o.result == WS_HTTP_BROKEN, "%d for \"%s\"",
+		      (int)o.result, text);
+	while (!closes && !n_closed && ev_time() < end)
+		ev_run(loop, EVRUN_ONCE);
+	ck_assert(closes || n_closed);
+	stop();
+}
+
+START_TEST(misframed_response_is_not_complete)
+{
+	check_misframed(misframed[_i], false);
+}
+END_TEST
+
+START_TEST(misframed_response_that_ends_is_not_complete)
+{
+	check_misframed(misframed[_i], true);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const endless_tests[] = {
@@ -589,12 +730,19 @@
 	const TTest *const cut_tests[] = {
 		response_cut_at_any_byte_is_not_complete
 	};
+	const TTest *const framed_tests[] = { framed_response_is_complete };
+	const TTest *const misframed_tests[] = {
+		misframed_response_is_not_complete,
+		misframed_response_that_ends_is_not_complete,
+	};
 	int res = ed_suite_run_each("http", endless_tests, 1,
 				    CUT_RESPONSE - ENDLESS_HEAD);
 
 	res |= ed_suite_run_each("http", cut_tests, 1,
 				 sizeof(cut_cases) / sizeof(cut_cases[0]));
 	res |= ed_suite_run_each("http", early_tests, 1, 2);
+	res |= ed_suite_run_each("http", framed_tests, 1, N_FRAMED);
+	res |= ed_suite_run_each("http", misframed_tests, 2, N_MISFRAMED);
 	return ed_suite_run("http", tests,
 			    (int)(sizeof(tests) / sizeof(tests[0]))) ||
 	       res;
