Take no answer whose fields have control characters

Only a CR LF, or an LF, ends a line now; further controls but tabs make the answer malformed, as blanks before a colon do. libcurl refuses a NUL by itself.

test_http: field_with_controls_is_none failed in 4 of 4 cases before; field_with_a_nul_is_none passed before and after.

--- a/lib/io/ws_http.c
+++ b/lib/io/ws_http.c
@@ -1,6 +1,7 @@
 #include "io/ws_http.h"
 
 #include <curl/curl.h>
+#include <glib.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
@@ -149,6 +150,17 @@
 	return ws_headers_framing_is_valid(f) && !(c->is_1_0 && f->n_encodings);
 }
 
+/* Controls would end a field, or the copy of it, before its end. */
+static bool has_control(const char *value, size_t len)
+{
+	size_t i;
+
+	for (i = 0; i < len; i++)
+		if (g_ascii_iscntrl(value[i]) && value[i] != '\t')
+			return true;
+	return false;
+}
+
 /* @return false if the line, without its end, is no field */
 static bool add_field(struct ws_http_call *c, const char *line, size_t end)
 {
@@ -166,6 +178,8 @@
 		skip++;
 	while (end > skip && is_blank(line[end - 1]))
 		end--;
+	if (has_control(line + skip, end - skip))
+		return false;
 	ws_headers_add(&c->headers, line, len, line + skip, end - skip);
 	ws_headers_scan_framing(&c->framing, line, len,
 				c->headers.text + at + len + 2);
@@ -200,7 +214,9 @@
 	 */
 	if (is_blank(line[0]) || (len > 5 && !memcmp(line, "HTTP/", 5)))
 		return 0;
-	while (end && (line[end - 1] == '\r' || line[end - 1] == '\n'))
+	if (end && line[end - 1] == '\n')
+		end--;
+	if (end && line[end - 1] == '\r')
 		end--;
 	return (end ? add_field(c, line, end) : end_head(c)) ? len : 0;
 }
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -652,6 +652,15 @@
 	"\r\n2\r\nok\r\n0\r\n\r\n",
 };
 
+static const char *const with_controls[] = {
+	FINAL "X-A: 1\rX-B: 2\r\nContent-Length: 2\r\n\r\nok",
+	FINAL "X-A: 1\r\r\nContent-Length: 2\r\n\r\nok",
+	FINAL "X-A: \x01\r\nContent-Length: 2\r\n\r\nok",
+	FINAL "X-A: 1\x7f\r\nContent-Length: 2\r\n\r\nok",
+};
+
+#define N_WITH_CONTROLS \
+	((int)(sizeof(with_controls) / sizeof(with_controls[0])))
 #define N_FRAMED ((int)(sizeof(framed) / sizeof(framed[0])))
 #define N_MISFRAMED ((int)(sizeof(misframed) / sizeof(misframed[0])))
 
@@ -710,6 +719,32 @@
 }
 END_TEST
 
+/*
+ * Guards against bytes that are no field of HTTP passed on to callers: a CR
+ * could end the field at another reader. A NUL is refused by libcurl.
+ */
+START_TEST(field_with_controls_is_none)
+{
+	check_misframed(with_controls[_i], false);
+}
+END_TEST
+
+START_TEST(field_with_a_nul_is_none)
+{
+	static const char text[] = FINAL
+		"X-A: 1\0X\r\nContent-Length: 2\r\n\r\nok";
+	struct call o;
+
+	start(CUT_RESPONSE);
+	cut_text = text;
+	cut_at = sizeof(text) - 1;
+	start_call(&o, false);
+	wait_for_result(&o);
+	ck_assert_int_eq(o.result, WS_HTTP_BROKEN);
+	stop();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const endless_tests[] = {
@@ -723,6 +758,7 @@
 		request_on_a_closed_connection_is_sent_once,
 		cancelled_call_resets_its_connection,
 		folded_first_field_is_harmless,
+		field_with_a_nul_is_none,
 	};
 	const TTest *const early_tests[] = {
 		early_response_keeps_requests_apart
@@ -735,6 +771,7 @@
 		misframed_response_is_not_complete,
 		misframed_response_that_ends_is_not_complete,
 	};
+	const TTest *const control_tests[] = { field_with_controls_is_none };
 	int res = ed_suite_run_each("http", endless_tests, 1,
 				    CUT_RESPONSE - ENDLESS_HEAD);
 
@@ -743,6 +780,7 @@
 	res |= ed_suite_run_each("http", early_tests, 1, 2);
 	res |= ed_suite_run_each("http", framed_tests, 1, N_FRAMED);
 	res |= ed_suite_run_each("http", misframed_tests, 2, N_MISFRAMED);
+	res |= ed_suite_run_each("http", control_tests, 1, N_WITH_CONTROLS);
 	return ed_suite_run("http", tests,
 			    (int)(sizeof(tests) / sizeof(tests[0]))) ||
 	       res;
