--- a/lib/io/ws_http.c
+++ b/lib/io/ws_http.c
@@ -1,6 +1,7 @@
 #include "io/ws_http.h"
 
 #include <curl/curl.h>
+#include <glib.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
@@ -52,23 +53,52 @@
 
 /* ===== Answers ===== */
 
-static size_t receive_data(char *data, size_t size, size_t n, void *arg)
+static bool add_data(struct ws_http_call *c, const char *data, size_t len)
 {
-	struct ws_http_call *c = arg;
-	size_t len = size * n;
-
-	c->received = true;
 	/* Aborts the response, as a target may send data without end. */
 	if (c->given_up || len > c->max_answer - c->data_len)
-		return 0;
+		return false;
 	if (++c->n_pieces > PIECES_MAX &&
 	    c->data_len / c->n_pieces < PIECE_BYTES_MIN)
-		return 0;
+		return false;
 	if (!ws_http_grow(c, &c->data, &c->data_cap, c->data_len + len))
-		return 0;
+		return false;
 	memcpy(c->data + c->data_len, data, len);
 	c->data_len += len;
-	return len;
+	return true;
+}
+
+/* Bytes behind a complete body belong to no response. */
+static bool add_chunks(struct ws_http_call *c, const char *data, size_t len)
+{
+	const char *piece;
+	size_t piece_len;
+
+	while (len && c->chunks.state != WS_CHUNKS_COMPLETE) {
+		size_t n = ws_chunks_read(&c->chunks, data, len, &piece,
+					  &piece_len);
+
+		if (c->chunks.state == WS_CHUNKS_MALFORMED ||
+		    (piece_len && !add_data(c, piece, piece_len)))
+			return false;
+		data += n;
+		len -= n;
+	}
+	return true;
+}
+
+static size_t receive_data(char *data, size_t size, size_t n, void *arg)
+{
+	struct ws_http_call *c = arg;
+	size_t len = size * n;
+
+	c->received = true;
+	if (c->given_up)
+		return 0;
+	return (c->framing.chunked ? add_chunks(c, data, len) :
+				     add_data(c, data, len)) ?
+		       len :
+		       0;
 }
 
 /*
@@ -121,7 +151,9 @@
 	status = status ? status : 200;
 #endif
 	ws_headers_reset(&c->headers);
+	memset(&c->framing, 0, sizeof(c->framing));
 	c->status = status;
+	c->is_1_0 = len >= strlen("HTTP/1.0") && line[strlen("HTTP/1.")] == '0';
 	c->in_head = true;
 	return status && status != STATUS_SWITCHING_PROTOCOLS;
 }
@@ -131,13 +163,63 @@
 	return ch == ' ' || ch == '\t';
 }
 
+/*
+ * Whether the end of a response is certain (RFC 9112, section 6). libcurl takes
+ * the digits at the start of a length and the last one of several, and applies
+ * the fields of a 1xx response to the final one.
+ */
+static bool end_head(struct ws_http_call *c)
+{
+	const struct ws_header_scan *f = &c->framing;
+
+	c->in_head = false;
+	if (c->status < STATUS_FINAL_MIN)
+		return !f->n_lengths && !f->n_encodings;
+	c->head_ended = true;
+	return ws_headers_framing_is_valid(f) && !(c->is_1_0 && f->n_encodings);
+}
+
+/* Controls would end a field, or the copy of it, before its end. */
+static bool has_control(const char *value, size_t len)
+{
+	size_t i;
+
+	for (i = 0; i < len; i++)
+		if (g_ascii_iscntrl(value[i]) && value[i] != '\t')
+			return true;
+	return false;
+}
+
+/* @return false if the line, without its end, is no field */
+static bool add_field(struct ws_http_call *c, const char *line, size_t end)
+{
+	const char *colon = memchr(line, ':', end);
+	size_t at = c->headers.len;
+	size_t len;
+	size_t skip;
+
+	/* A name with a blank behind it is another one to libcurl. */
+	if (!colon || !ws_headers_is_token(line, (size_t)(colon - line)))
+		return false;
+	len = (size_t)(colon - line);
+	skip = len + 1;
+	while (skip < end && is_blank(line[skip]))
+		skip++;
+	while (end > skip && is_blank(line[end - 1]))
+		end--;
+	if (has_control(line + skip, end - skip))
+		return false;
+	ws_headers_add(&c->headers, line, len, line + skip, end - skip);
+	ws_headers_scan_framing(&c->framing, line, len,
+				c->headers.text + at + len + 2);
+	return true;
+}
+
 static size_t receive_header(char *line, size_t size, size_t n, void *arg)
 {
 	struct ws_http_call *c = arg;
 	size_t len = size * n;
 	size_t end = len;
-	char *colon;
-	size_t skip;
 
 	c->received = true;
 	ws_http_release(c, c->line_held);
@@ -161,23 +243,11 @@
 	 */
 	if (is_blank(line[0]) || (len > 5 && !memcmp(line, "HTTP/", 5)))
 		return 0;
-	while (end && (line[end - 1] == '\r' || line[end - 1] == '\n'))
+	if (end && line[end - 1] == '\n')
 		end--;
-	if (!end) {
-		c->in_head = false;
-		c->head_ended = c->status >= STATUS_FINAL_MIN;
-	}
-	colon = memchr(line, ':', end);
-	if (!colon)
-		return len;
-	skip = (size_t)(colon - line) + 1;
-	while (skip < end && is_blank(line[skip]))
-		skip++;
-	while (end > skip && is_blank(line[end - 1]))
+	if (end && line[end - 1] == '\r')
 		end--;
-	ws_headers_add(&c->headers, line, (size_t)(colon - line), line + skip,
-		       end - skip);
-	return len;
+	return (end ? add_field(c, line, end) : end_head(c)) ? len : 0;
 }
 
 /* libcurl calls this before it sends, also on a reused connection. */
@@ -236,6 +306,8 @@
 	curl_easy_setopt(e, CURLOPT_TCP_KEEPINTVL, KEEPALIVE_S);
 	curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, prepare_socket);
 	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	/* libcurl takes the digits at the start of a size; see add_chunks(). */
+	curl_easy_setopt(e, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
 	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, receive_data);
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, c);
 	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, receive_header);
@@ -351,6 +423,8 @@
 	c->head_len = 0;
 	c->n_head_lines = 0;
 	c->n_pieces = 0;
+	memset(&c->framing, 0, sizeof(c->framing));
+	memset(&c->chunks, 0, sizeof(c->chunks));
 	c->line_held = 0;
 	c->essential = req->essential;
 	c->status = 0;
@@ -394,17 +468,18 @@
 		shutdown(fd, SHUT_RDWR);
 }
 
-/*
- * A response with neither a length nor chunks ends with its connection, so that
- * a truncated one would look complete.
- */
-static bool is_framed(const struct ws_http_call *c, const struct ws_body *b)
+/* Whether the whole body was read, as far as it shows where it ends. */
+static bool is_whole(const struct ws_http_call *c, const struct ws_body *b)
 {
-	if (c->is_head || c->allow_unframed || b->status == 204 ||
-	    b->status == 304)
+	if (c->is_head || b->status == 204 || b->status == 304)
 		return true;
-	return ws_body_header(b, "Content-Length") ||
-	       ws_body_header(b, "Transfer-Encoding");
+	if (c->framing.chunked)
+		return c->chunks.state == WS_CHUNKS_COMPLETE;
+	/*
+	 * One with neither a length nor chunks ends with its connection, so
+	 * that a truncated one would look complete.
+	 */
+	return c->allow_unframed || c->framing.n_lengths;
 }
 
 static void fill_result(struct ws_http_call *c, CURLcode code,
@@ -424,7 +499,7 @@
 	 * libcurl also reports success when the connection is closed inside the
 	 * head, and then the fields of that head are missing.
 	 */
-	if (code == CURLE_OK && c->head_ended && is_framed(c, &res->answer))
+	if (code == CURLE_OK && c->head_ended && is_whole(c, &res->answer))
 		res->outcome = WS_HTTP_DONE;
 	else if (!c->n_sends)
 		res->outcome = WS_HTTP_NOT_SENT;
--- a/tests/test_eio_forward.c
+++ b/tests/test_eio_forward.c
@@ -145,7 +145,8 @@
 		.max_fds = 1000,
 		.cores = 0.2,
 		.grace_period = 2 * WS_SECOND,
-		.bounds = { .key_evidence_max = 4600 * WS_MS },
+		.bounds = { .key_evidence_max = 4600 * WS_MS,
+			    .config_delay_max = 2500 * WS_MS },
 	};
 	struct wp_error err = { "" };
 
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -43,6 +43,7 @@
 	SILENT, /* answers nothing */
 	FOLDED_START, /* every second answer has a blank before its first field
 		       */
+	WHOLE_TEXT, /* sends whole_text */
 	SCRIPTS,
 };
 
@@ -125,6 +126,8 @@
 static size_t cut_at;
 static bool cut_by_reset; /* else the connection is closed in order */
 static const char *early_text;
+static const char *whole_text;
+static bool closes_after; /* the target closes the connection behind it */
 static struct curl_slist *no_expect; /* as for requests of callers */
 static bool foreign_bytes; /* others came where a body was due */
 
@@ -225,6 +228,14 @@
 		close(w->fd);
 		return;
 	}
+	if (c->script == WHOLE_TEXT) {
+		send_text(c, whole_text);
+		if (!closes_after)
+			return;
+		ev_io_stop(loop, w);
+		close(w->fd);
+		return;
+	}
 	if (c->script == DUPLICATE_RESPONSE) {
 		if (c->requests > 1)
 			answer(c, c->requests - 1);
@@ -569,6 +580,214 @@
 }
 END_TEST
 
+#define FINAL "HTTP/1.1 200 OK\r\n"
+#define LENGTH(value) FINAL "Content-Length: " value "\r\n\r\nok"
+#define CHUNKS "\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+#define CODING(value) FINAL "Transfer-Encoding: " value CHUNKS
+
+#define CHUNKED(text) FINAL "Transfer-Encoding: chunked\r\n\r\n" text
+
+static const char *const framed[] = {
+	LENGTH("2"),
+	LENGTH("02"),
+	LENGTH("\t 2 \t"),
+	FINAL "content-LENGTH:2\r\n\r\nok",
+	FINAL "Content-Length:2\n\nok",
+	CODING("chunked"),
+	CODING("Chunked \t"),
+	FINAL "transfer-encoding:chunked" CHUNKS,
+	CHUNKED("1\r\no\r\n001\r\nk\r\n00\r\n\r\n"),
+	CHUNKED("2;a=\"b\"\r\nok\r\n0;c\r\nX-Sum: 3\r\nX-B:\r\n\r\n"),
+	CHUNKED("2 \r\nok\r\n0 ; d\r\n\r\n"),
+	"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n"
+	"Content-Length: 2\r\n\r\nok",
+	"HTTP/1.1 103 -\r\nX-A: 1\r\n\r\n" LENGTH("2"),
+};
+
+static const char *const misframed[] = {
+	LENGTH("2, 1500"),
+	LENGTH("2O0"),
+	LENGTH("0x2"),
+	LENGTH("0, 2"),
+	LENGTH(""),
+	LENGTH("+2"),
+	LENGTH("-2"),
+	LENGTH("2 2"),
+	LENGTH("2;"),
+	LENGTH("2.0"),
+	LENGTH("\v2"),
+	LENGTH("2\rX: 1"),
+	LENGTH("9223372036854775808"),
+	LENGTH("18446744073709551618"),
+	LENGTH("99999999999999999999"),
+	LENGTH("1500\r\nContent-Length: 2"),
+	LENGTH("2\r\nContent-Length: 1500"),
+	LENGTH("2\r\nContent-Length: x"),
+	/* May be accepted (RFC 9110, section 8.6); refused here. */
+	LENGTH("2, 2"),
+	LENGTH("2\r\nContent-Length: 2"),
+	/* Blanks before the colon, and names that are no tokens. */
+	FINAL "Content-Length : 2\r\n\r\nok",
+	FINAL "Content-Length\t: 2\r\n\r\nok",
+	FINAL "Content Length: 2\r\n\r\nok",
+	FINAL "Transfer-Encoding : chunked" CHUNKS,
+	FINAL "Transfer-Encoding\t: chunked" CHUNKS,
+	FINAL "X-A : 1\r\nContent-Length: 2\r\n\r\nok",
+	FINAL "X(A): 1\r\nContent-Length: 2\r\n\r\nok",
+	FINAL ": 1\r\nContent-Length: 2\r\n\r\nok",
+	FINAL "X-A\r\nContent-Length: 2\r\n\r\nok",
+	CODING(""),
+	CODING("identity"),
+	CODING("xchunked"),
+	CODING("chunked;q=1"),
+	CODING("chunked, chunked"),
+	CODING("chunked,"),
+	CODING("identity, chunked"),
+	CODING("gzip, chunked"),
+	CODING("chunked, identity"),
+	CODING("chunked\r\nTransfer-Encoding: chunked"),
+	CODING("chunked\r\nTransfer-Encoding: identity"),
+	CODING("chunked\r\nContent-Length: 2"),
+	CODING("chunked\r\nContent-Length: 12"),
+	FINAL "Content-Length: 2\r\nTransfer-Encoding: chunked" CHUNKS,
+	"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked" CHUNKS,
+	/* libcurl would apply them to the final response. */
+	"HTTP/1.1 103 -\r\nContent-Length: 1\r\n\r\n" FINAL "\r\nok",
+	"HTTP/1.1 103 -\r\nTransfer-Encoding: chunked\r\n\r\n" FINAL
+	"\r\n2\r\nok\r\n0\r\n\r\n",
+};
+
+static const char *const with_controls[] = {
+	FINAL "X-A: 1\rX-B: 2\r\nContent-Length: 2\r\n\r\nok",
+	FINAL "X-A: 1\r\r\nContent-Length: 2\r\n\r\nok",
+	FINAL "X-A: \x01\r\nContent-Length: 2\r\n\r\nok",
+	FINAL "X-A: 1\x7f\r\nContent-Length: 2\r\n\r\nok",
+};
+
+#define N_WITH_CONTROLS \
+	((int)(sizeof(with_controls) / sizeof(with_controls[0])))
+static const char *const mischunked[] = {
+	CHUNKED("0x2\r\nok\r\n0\r\n\r\n"),
+	CHUNKED("0x2\r\n\r\n"),
+	CHUNKED("0x2\r\nA: 1\r\n\r\n"),
+	CHUNKED("0 2\r\n\r\n"),
+	CHUNKED("0O\r\n\r\n"),
+	CHUNKED("2x\r\nok\r\n0\r\n\r\n"),
+	CHUNKED("2\r\nok\r\n0x2\r\n\r\n"),
+	CHUNKED("-2\r\nok\r\n0\r\n\r\n"),
+	CHUNKED("+2\r\nok\r\n0\r\n\r\n"),
+	CHUNKED("\r\nok\r\n0\r\n\r\n"),
+	CHUNKED("x\r\nok\r\n0\r\n\r\n"),
+	CHUNKED("10000000000000002\r\nok\r\n0\r\n\r\n"),
+	CHUNKED("00000000000000000002\r\nok\r\n0\r\n\r\n"),
+	CHUNKED("2\r\nokay\r\n0\r\n\r\n"),
+	CHUNKED("2\r\nok0\r\n\r\n"),
+	CHUNKED("2\r\nok\r\n0\r\nX\r\n\r\n"),
+	CHUNKED("2\r\nok\r\n0\r\nX : 1\r\n\r\n"),
+	CHUNKED("2\r\nok\r\n0\r\n: 1\r\n\r\n"),
+	CHUNKED("2\r\nok\r\n0\r\nX: \x01\r\n\r\n"),
+	CHUNKED("2\r\nok\r\n0\r\n x: 1\r\n\r\n"),
+	CHUNKED("2;\x01\r\nok\r\n0\r\n\r\n"),
+};
+
+#define N_MISCHUNKED ((int)(sizeof(mischunked) / sizeof(mischunked[0])))
+#define N_FRAMED ((int)(sizeof(framed) / sizeof(framed[0])))
+#define N_MISFRAMED ((int)(sizeof(misframed) / sizeof(misframed[0])))
+
+/* Guards against proper responses that are taken for malformed ones. */
+START_TEST(framed_response_is_complete)
+{
+	struct call o;
+	int i;
+
+	start(WHOLE_TEXT);
+	whole_text = framed[_i];
+	closes_after = false;
+	for (i = 0; i < 2; i++) {
+		start_call(&o, false);
+		wait_for_result(&o);
+		ck_assert_int_eq(o.result, WS_HTTP_DONE);
+		ck_assert_str_eq(o.body, "ok");
+	}
+	ck_assert_int_eq(n_cons, 1);
+	stop();
+}
+END_TEST
+
+/*
+ * Guards against a part of a body, or a coded one, that is passed on as a
+ * success because its length is malformed or contradicts itself (review case
+ * 6). Its connection is closed, as nobody knows where the response ends.
+ */
+static void check_misframed(const char *text, bool closes)
+{
+	ev_tstamp end = ev_time() + 5.;
+	struct call o;
+
+	start(WHOLE_TEXT);
+	whole_text = text;
+	closes_after = closes;
+	start_call(&o, false);
+	wait_for_result(&o);
+	ck_assert_msg(o.result == WS_HTTP_BROKEN, "%d for \"%s\"",
+		      (int)o.result, text);
+	while (!closes && !n_closed && ev_time() < end)
+		ev_run(loop, EVRUN_ONCE);
+	ck_assert(closes || n_closed);
+	stop();
+}
+
+START_TEST(misframed_response_is_not_complete)
+{
+	check_misframed(misframed[_i], false);
+}
+END_TEST
+
+START_TEST(misframed_response_that_ends_is_not_complete)
+{
+	check_misframed(misframed[_i], true);
+}
+END_TEST
+
+/* The same for sizes of chunks ("0x2" is 0 to libcurl) and for trailers. */
+START_TEST(mischunked_response_is_not_complete)
+{
+	check_misframed(mischunked[_i], false);
+}
+END_TEST
+
+START_TEST(mischunked_response_that_ends_is_not_complete)
+{
+	check_misframed(mischunked[_i], true);
+}
+END_TEST
+
+/*
+ * Guards against bytes that are no field of HTTP passed on to callers: a CR
+ * could end the field at another reader. A NUL is refused by libcurl.
+ */
+START_TEST(field_with_controls_is_none)
+{
+	check_misframed(with_controls[_i], false);
+}
+END_TEST
+
+START_TEST(field_with_a_nul_is_none)
+{
+	static const char text[] = FINAL
+		"X-A: 1\0X\r\nContent-Length: 2\r\n\r\nok";
+	struct call o;
+
+	start(CUT_RESPONSE);
+	cut_text = text;
+	cut_at = sizeof(text) - 1;
+	start_call(&o, false);
+	wait_for_result(&o);
+	ck_assert_int_eq(o.result, WS_HTTP_BROKEN);
+	stop();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const endless_tests[] = {
@@ -582,6 +801,7 @@
 		request_on_a_closed_connection_is_sent_once,
 		cancelled_call_resets_its_connection,
 		folded_first_field_is_harmless,
+		field_with_a_nul_is_none,
 	};
 	const TTest *const early_tests[] = {
 		early_response_keeps_requests_apart
@@ -589,12 +809,26 @@
 	const TTest *const cut_tests[] = {
 		response_cut_at_any_byte_is_not_complete
 	};
+	const TTest *const framed_tests[] = { framed_response_is_complete };
+	const TTest *const misframed_tests[] = {
+		misframed_response_is_not_complete,
+		misframed_response_that_ends_is_not_complete,
+	};
+	const TTest *const mischunked_tests[] = {
+		mischunked_response_is_not_complete,
+		mischunked_response_that_ends_is_not_complete,
+	};
+	const TTest *const control_tests[] = { field_with_controls_is_none };
 	int res = ed_suite_run_each("http", endless_tests, 1,
 				    CUT_RESPONSE - ENDLESS_HEAD);
 
 	res |= ed_suite_run_each("http", cut_tests, 1,
 				 sizeof(cut_cases) / sizeof(cut_cases[0]));
 	res |= ed_suite_run_each("http", early_tests, 1, 2);
+	res |= ed_suite_run_each("http", framed_tests, 1, N_FRAMED);
+	res |= ed_suite_run_each("http", misframed_tests, 2, N_MISFRAMED);
+	res |= ed_suite_run_each("http", mischunked_tests, 2, N_MISCHUNKED);
+	res |= ed_suite_run_each("http", control_tests, 1, N_WITH_CONTROLS);
 	return ed_suite_run("http", tests,
 			    (int)(sizeof(tests) / sizeof(tests[0]))) ||
 	       res;
