Discard the trailer fields of requests

Trailer fields of a body in chunks were appended to the headers, and the last one wasn't terminated, so that servers got bytes of earlier requests behind it, API keys of other tenants among them; a trailer named Host or Wagtailshift-Request-Id changed the route or the id. They are now discarded (RFC 9110, 6.5.1). Their bytes have a limit of their own, as large as that of the head, where both shared one before.

test_server, trailer_fields_are_discarded, failed before.

--- a/lib/io/ws_server.h
+++ b/lib/io/ws_server.h
@@ -28,7 +28,7 @@
 	char *uri; /* path and query, as sent */
 	size_t uri_len;
 	size_t uri_cap;
-	struct ws_headers headers; /* all headers, as sent */
+	struct ws_headers headers; /* all headers, as sent; no trailers */
 	char *body;
 	size_t body_len;
 	size_t body_cap;
@@ -63,7 +63,7 @@
 };
 
 struct ws_server_limits {
-	size_t max_header; /* bytes of URI and headers */
+	size_t max_header; /* bytes of URI and headers; of the trailers */
 	size_t max_body;
 	ws_us header_timeout; /* from the first byte to the end of the headers,
 				 and between two reads of a body */
--- a/lib/io/ws_server_int.h
+++ b/lib/io/ws_server_int.h
@@ -24,6 +24,7 @@
 	bool headers_done; /* of the partial request */
 	bool in_value; /* the parser is in a header value */
 	size_t value_start; /* offset of that value in the headers */
+	size_t trailer_len; /* bytes read of the partial request's trailers */
 	bool parsing; /* inside http_parser_execute() */
 	bool closing; /* further input is discarded */
 	bool lingering; /* all is sent; waiting for the caller to close */
--- a/lib/io/ws_server_request.c
+++ b/lib/io/ws_server_request.c
@@ -138,6 +138,7 @@
 	c->partial = alloc_request(c);
 	c->headers_done = false;
 	c->in_value = false;
+	c->trailer_len = 0;
 	return 0;
 }
 
@@ -188,10 +189,23 @@
 	c->in_value = false;
 }
 
+/*
+ * Trailer fields of a body in chunks are discarded: merged into the headers
+ * they could change the route or the id of the request (RFC 9110, 6.5.1).
+ */
+static int skip_trailer(struct ws_server_con *c, size_t len)
+{
+	c->trailer_len += len;
+	return c->trailer_len > c->server->limits.max_header ? reject(c, 431) :
+							       0;
+}
+
 static int on_header_field(http_parser *p, const char *at, size_t len)
 {
 	struct ws_server_con *c = connection_of(p);
 
+	if (c->headers_done)
+		return skip_trailer(c, len);
 	end_header(c);
 	if (check_head(c, len))
 		return -1;
@@ -204,6 +218,8 @@
 	struct ws_server_con *c = connection_of(p);
 	struct ws_headers *h = &c->partial->headers;
 
+	if (c->headers_done)
+		return skip_trailer(c, len);
 	if (check_head(c, len) || memchr(at, '\0', len))
 		return reject(c, 400);
 	if (!c->in_value) {
--- a/tests/test_server.c
+++ b/tests/test_server.c
@@ -343,6 +343,50 @@
 }
 END_TEST
 
+/*
+ * Guards against trailer fields among the headers, where they could change the
+ * route or the id of a request, and against bytes of earlier requests behind
+ * the last of them.
+ */
+START_TEST(trailer_fields_are_discarded)
+{
+	static const char head[] = "POST /a HTTP/1.1\r\nHost: h\r\n"
+				   "Transfer-Encoding: chunked\r\n\r\n";
+	static const char headers[] = "Host: h\0Transfer-Encoding: chunked";
+	int fd;
+	int i;
+
+	start(10);
+	fd = connect_client();
+	/* Its buffer is used again. */
+	send_text(fd, "GET /1 HTTP/1.1\r\nHost: h\r\nX-Long: "
+		      "0123456789012345678901234567890123456789012345678901234"
+		      "5678901234567890123456789\r\nApi-Key: other\r\n\r\n");
+	answer_text(requests[0], 200, "first", false);
+	send_text(fd, head);
+	send_text(fd, "1\r\nx\r\n0\r\nHost: other\r\nX-Empty:\r\n"
+		      "Wagtailshift-Request-Id: other\r\n\r\n");
+	ck_assert_int_eq(n_requests, 2);
+	ck_assert_uint_eq(requests[1]->headers.len, sizeof(headers));
+	ck_assert_int_eq(
+		memcmp(requests[1]->headers.text, headers, sizeof(headers)), 0);
+	ck_assert_uint_eq(requests[1]->body_len, 1);
+	answer_text(requests[1], 200, "second", false);
+	send_text(fd, GET("/3"));
+	ck_assert_int_eq(n_requests, 3);
+	ck_assert_uint_eq(requests[2]->headers.len, sizeof("Host: h"));
+	/* They are limited nevertheless. */
+	send_text(fd, head);
+	send_text(fd, "0\r\n");
+	for (i = 0; i < 60; i++)
+		send_text(fd, "X-Trailer: 0123456789012345678901234\r\n");
+	answer_text(requests[2], 200, "third", false);
+	ck_assert_int_eq(count(received(fd, NULL), "HTTP/1.1 431"), 1);
+	close(fd);
+	stop();
+}
+END_TEST
+
 /* Guards against request smuggling by ambiguous framing. */
 START_TEST(ambiguous_or_malformed_requests_are_refused)
 {
@@ -653,6 +697,7 @@
 		only_last_response_closes,
 		disconnect_is_reported_for_all_open_requests,
 		request_received_byte_by_byte_is_parsed,
+		trailer_fields_are_discarded,
 		ambiguous_or_malformed_requests_are_refused,
 		bad_request_is_answered_after_earlier_requests,
 		rejection_is_reported,
