Tell callers to continue once earlier requests are answered

A caller that pipelined a request with "Expect: 100-continue" behind an open one never got 100 Continue: it was sent only if no request was open when the head arrived. A caller that waits for it (RFC 9110, 10.1.1) was answered 408 after header_timeout_s, and the connection was closed. It is now sent when the last earlier answer has been.

--- a/lib/io/ws_server.c
+++ b/lib/io/ws_server.c
@@ -288,6 +288,7 @@
 		g_string_free(head, TRUE);
 		remove_first(c);
 		flush_answers(c);
+		ws_server_continue(c);
 		resume_later(c);
 		return;
 	}
--- a/lib/io/ws_server_int.h
+++ b/lib/io/ws_server_int.h
@@ -22,6 +22,7 @@
 	unsigned n_open;
 	struct ws_server_request *partial; /* request being received */
 	bool headers_done; /* of the partial request */
+	bool awaits_continue; /* its caller waits for 100 Continue */
 	bool in_value; /* the parser is in a header value */
 	size_t value_start; /* offset of that value in the headers */
 	size_t trailer_len; /* bytes read of the partial request's trailers */
@@ -80,6 +81,12 @@
 /* Answers a request that cannot be read, after those of earlier ones. */
 void ws_server_reject(struct ws_server_con *c, unsigned status);
 
+/*
+ * Sends 100 Continue to a caller that waits for it before it sends the body,
+ * once all earlier requests are answered.
+ */
+void ws_server_continue(struct ws_server_con *c);
+
 /* Keeps bytes that are parsed later. */
 void ws_server_buffer_unread(struct ws_server_con *c, const char *data,
 			     size_t len);
--- a/lib/io/ws_server_request.c
+++ b/lib/io/ws_server_request.c
@@ -139,6 +139,7 @@
 	c->headers_done = false;
 	c->in_value = false;
 	c->trailer_len = 0;
+	c->awaits_continue = false;
 	return 0;
 }
 
@@ -231,17 +232,24 @@
 	return hold(c->server, c->partial) ? 0 : reject(c, 503);
 }
 
-/* Sends 100 Continue to a caller that waits for it before it sends the body. */
-static void continue_body(struct ws_server_con *c)
+static bool expects_continue(const struct ws_server_request *r)
 {
-	static const char text[] = "HTTP/1.1 100 Continue\r\n\r\n";
 	const struct ws_body b = {
-		.headers = c->partial->headers.text,
-		.headers_len = c->partial->headers.len,
+		.headers = r->headers.text,
+		.headers_len = r->headers.len,
 	};
 
-	if (ws_body_header(&b, "Expect") && !c->first)
-		ws_server_write(c, text, sizeof(text) - 1, NULL, 0);
+	return ws_body_header(&b, "Expect");
+}
+
+void ws_server_continue(struct ws_server_con *c)
+{
+	static const char text[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+	if (!c->awaits_continue || c->first || c->closing)
+		return;
+	c->awaits_continue = false;
+	ws_server_write(c, text, sizeof(text) - 1, NULL, 0);
 }
 
 static int on_headers_complete(http_parser *p)
@@ -261,8 +269,9 @@
 	if ((p->flags & F_CONTENTLENGTH) &&
 	    p->content_length > c->server->limits.max_body)
 		return reject(c, 413);
-	if ((p->flags & F_CHUNKED) || (p->flags & F_CONTENTLENGTH))
-		continue_body(c);
+	c->awaits_continue = (p->flags & (F_CHUNKED | F_CONTENTLENGTH)) &&
+			     expects_continue(r);
+	ws_server_continue(c);
 	return 0;
 }
 
@@ -272,6 +281,7 @@
 	struct ws_server_request *r = c->partial;
 	struct ws_server *s = c->server;
 
+	c->awaits_continue = false;
 	if (r->body_dropped)
 		return 0;
 	if (r->body_len + len > s->limits.max_body)
@@ -306,6 +316,7 @@
 	struct ws_server_request *r = c->partial;
 
 	c->partial = NULL;
+	c->awaits_continue = false;
 	enqueue(c, r);
 	if (r->close)
 		c->closing = true;
@@ -358,6 +369,7 @@
 	if (!r)
 		r = alloc_request(c);
 	c->partial = NULL;
+	c->awaits_continue = false;
 	report_rejection(c, r, status);
 	r->method[0] = '\0';
 	enqueue(c, r);
--- a/tests/test_server.c
+++ b/tests/test_server.c
@@ -563,6 +563,38 @@
 }
 END_TEST
 
+/*
+ * Guards against callers that wait for 100 Continue behind an open request and
+ * never get it; they were answered 408.
+ */
+START_TEST(caller_is_told_to_continue_after_earlier_answers)
+{
+	const char *text;
+	int fd;
+
+	start(10);
+	fd = connect_client();
+	send_text(fd, GET("/1") GET("/2"));
+	send_text(fd, "POST /3 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+		      "Expect: 100-continue\r\n\r\n");
+	answer_text(requests[1], 200, "second", false);
+	ck_assert_str_eq(received(fd, NULL), "");
+	answer_text(requests[0], 200, "first", false);
+	text = received(fd, NULL);
+	ck_assert_int_eq(count(text, "HTTP/1.1 100 Continue\r\n\r\n"), 1);
+	ck_assert(strstr(text, "second") < strstr(text, " 100 Continue"));
+	send_text(fd, "ab");
+	ck_assert_int_eq(n_requests, 3);
+	answer_text(requests[2], 200, "third", false);
+	text = received(fd, NULL);
+	ck_assert_int_eq(count(text, "100 Continue"), 0);
+	ck_assert_int_eq(count(text, "third"), 1);
+	ck_assert_int_eq(n_rejections, 0);
+	close(fd);
+	stop();
+}
+END_TEST
+
 /* Guards against a connection that the caller wants closed and that stays. */
 START_TEST(caller_may_close_its_connection)
 {
@@ -705,6 +737,7 @@
 		total_body_bytes_are_limited,
 		body_in_chunks_is_limited,
 		caller_that_expects_it_is_told_to_continue,
+		caller_is_told_to_continue_after_earlier_answers,
 		caller_may_close_its_connection,
 		slow_and_idle_connections_end,
 		idle_connections_are_replaced,
