Limit the heads of requests by the configuration only

http_parser has a limit of its own, 80 KiB for a head with the trailers of the request before it. Heads within a larger max_header_bytes were rejected with 431, and so were shorter ones behind long trailers. The parser's limit, which is one for the process, is now raised to twice the configured one, so that the server's own check decides.

--- a/lib/io/ws_server.c
+++ b/lib/io/ws_server.c
@@ -534,10 +534,25 @@
 	return &s->limits;
 }
 
+/*
+ * The parser's own limit, one for the process, must not be reached first. It
+ * counts the trailers of a request with the head of the next one.
+ */
+static void raise_parser_limit(size_t max_header)
+{
+	static uint32_t max = HTTP_MAX_HEADER_SIZE;
+
+	if (2 * max_header <= max)
+		return;
+	max = (uint32_t)MIN(2 * max_header, UINT32_MAX);
+	http_parser_set_max_header_size(max);
+}
+
 void ws_server_set_limits(struct ws_server *s,
 			  const struct ws_server_limits *limits)
 {
 	s->limits = *limits;
+	raise_parser_limit(limits->max_header);
 }
 
 static void finish_connection(struct ws_server_con *c)
--- a/tests/test_server.c
+++ b/tests/test_server.c
@@ -489,6 +489,41 @@
 }
 END_TEST
 
+/*
+ * Guards against a limit of the parser below that of the configuration: heads
+ * above 80 KiB were rejected with 431, as were those after long trailers.
+ */
+START_TEST(heads_are_limited_by_the_configuration_only)
+{
+	static char field[100001];
+	int fd;
+
+	start(10);
+	ws_server_set_limits(server, &(struct ws_server_limits){
+					     .max_header = 120000,
+					     .max_body = 5000,
+					     .header_timeout = 2 * WS_SECOND,
+					     .idle_timeout = 5 * WS_SECOND,
+				     });
+	auto_answer = true;
+	memset(field, 'x', sizeof(field) - 1);
+	fd = connect_client();
+	send_text(fd, "POST /1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+		      "X-Long: ");
+	send_text(fd, field);
+	send_text(fd, "\r\n\r\n0\r\nX-Long: ");
+	send_text(fd, field);
+	send_text(fd, "\r\n\r\nGET /2 HTTP/1.1\r\nX-Long: ");
+	send_text(fd, field);
+	send_text(fd, "\r\n\r\n");
+	ck_assert_int_eq(n_rejections, 0);
+	ck_assert_int_eq(n_requests, 2);
+	ck_assert_int_eq(count(received(fd, NULL), "HTTP/1.1 200"), 2);
+	close(fd);
+	stop();
+}
+END_TEST
+
 /*
  * Guards against partial bodies that exhaust the memory. A request above the
  * limit is still delivered, without its body.
@@ -734,6 +769,7 @@
 		bad_request_is_answered_after_earlier_requests,
 		rejection_is_reported,
 		request_sizes_are_limited,
+		heads_are_limited_by_the_configuration_only,
 		total_body_bytes_are_limited,
 		body_in_chunks_is_limited,
 		caller_that_expects_it_is_told_to_continue,
