Accept tabs around the values that frame requests

http_parser takes spaces, but no tab, behind the value of Content-Length or Transfer-Encoding, and before a chunk extension: such requests, proper by RFC 9112, 5.1 (optional white space), got 400. The parser now gets a copy with spaces for tabs if there are tabs; what is delivered is taken from the bytes as received. Names of fields with a blank are rejected, as RFC 9112, 5.1 requires; without that a tab before the colon would now pass, as a space did before.

--- a/lib/io/ws_server_request.c
+++ b/lib/io/ws_server_request.c
@@ -123,6 +123,12 @@
 	return p->data;
 }
 
+/* Returns received bytes by their place in what the parser gets. */
+static const char *as_received(const struct ws_server_con *c, const char *at)
+{
+	return c->received + (at - c->without_tabs);
+}
+
 /* Makes the parser stop; the request is answered with the status. */
 static int reject(struct ws_server_con *c, unsigned status)
 {
@@ -163,7 +169,7 @@
 	if (check_head(c, len))
 		return -1;
 	ws_grow(&r->uri, &r->uri_cap, r->uri_len + len + 1, 1);
-	memcpy(r->uri + r->uri_len, at, len);
+	memcpy(r->uri + r->uri_len, as_received(c, at), len);
 	r->uri_len += len;
 	r->uri[r->uri_len] = '\0';
 	return hold(c->server, r) ? 0 : reject(c, 503);
@@ -210,6 +216,9 @@
 	end_header(c);
 	if (check_head(c, len))
 		return -1;
+	/* No blanks in names, nor before the colon (RFC 9112, 5.1) */
+	if (memchr(at, ' ', len))
+		return reject(c, 400);
 	append_text(&c->partial->headers, at, len);
 	return hold(c->server, c->partial) ? 0 : reject(c, 503);
 }
@@ -228,7 +237,7 @@
 		c->value_start = h->len;
 	}
 	c->in_value = true;
-	append_text(h, at, len);
+	append_text(h, as_received(c, at), len);
 	return hold(c->server, c->partial) ? 0 : reject(c, 503);
 }
 
@@ -288,7 +297,7 @@
 		return reject(c, 413);
 	if (s->receiving_bytes + len <= s->conf.max_receiving) {
 		ws_grow(&r->body, &r->body_cap, r->body_len + len, 1);
-		memcpy(r->body + r->body_len, at, len);
+		memcpy(r->body + r->body_len, as_received(c, at), len);
 		r->body_len += len;
 		s->receiving_bytes += len;
 		if (hold(s, r))
@@ -385,13 +394,34 @@
 	c->unread_len += len;
 }
 
-void ws_server_parse(struct ws_server_con *c, const char *data, size_t len)
+/*
+ * http_parser rejects a Content-Length or Transfer-Encoding with a tab behind
+ * its value, so it gets a copy with spaces for tabs.
+ */
+static size_t execute(struct ws_server_con *c, const char *data, size_t len)
 {
+	char *copy = NULL;
 	size_t n;
 
+	c->received = data;
+	c->without_tabs = data;
+	if (memchr(data, '\t', len)) {
+		copy = ws_alloc(len, 1);
+		for (n = 0; n < len; n++)
+			copy[n] = data[n] == '\t' ? ' ' : data[n];
+		c->without_tabs = copy;
+	}
 	c->parsing = true;
-	n = http_parser_execute(&c->parser, &callbacks, data, len);
+	n = http_parser_execute(&c->parser, &callbacks, c->without_tabs, len);
 	c->parsing = false;
+	free(copy);
+	return n;
+}
+
+void ws_server_parse(struct ws_server_con *c, const char *data, size_t len)
+{
+	size_t n = execute(c, data, len);
+
 	switch (HTTP_PARSER_ERRNO(&c->parser)) {
 	case HPE_OK:
 		return;
