--- a/lib/io/ws_server_request.c
+++ b/lib/io/ws_server_request.c
@@ -123,6 +123,12 @@
 	return p->data;
 }
 
+/* Returns received bytes by their place in what the parser gets. */
+static const char *as_received(const struct ws_server_con *c, const char *at)
+{
+	return c->received + (at - c->without_tabs);
+}
+
 /* Makes the parser stop; the request is answered with the status. */
 static int reject(struct ws_server_con *c, unsigned status)
 {
@@ -138,6 +144,8 @@
 	c->partial = alloc_request(c);
 	c->headers_done = false;
 	c->in_value = false;
+	c->trailer_len = 0;
+	c->awaits_continue = false;
 	return 0;
 }
 
@@ -161,7 +169,7 @@
 	if (check_head(c, len))
 		return -1;
 	ws_grow(&r->uri, &r->uri_cap, r->uri_len + len + 1, 1);
-	memcpy(r->uri + r->uri_len, at, len);
+	memcpy(r->uri + r->uri_len, as_received(c, at), len);
 	r->uri_len += len;
 	r->uri[r->uri_len] = '\0';
 	return hold(c->server, r) ? 0 : reject(c, 503);
@@ -188,13 +196,29 @@
 	c->in_value = false;
 }
 
+/*
+ * Trailer fields of a body in chunks are discarded: merged into the headers
+ * they could change the route or the id of the request (RFC 9110, 6.5.1).
+ */
+static int skip_trailer(struct ws_server_con *c, size_t len)
+{
+	c->trailer_len += len;
+	return c->trailer_len > c->server->limits.max_header ? reject(c, 431) :
+							       0;
+}
+
 static int on_header_field(http_parser *p, const char *at, size_t len)
 {
 	struct ws_server_con *c = connection_of(p);
 
+	if (c->headers_done)
+		return skip_trailer(c, len);
 	end_header(c);
 	if (check_head(c, len))
 		return -1;
+	/* No blanks in names, nor before the colon (RFC 9112, 5.1) */
+	if (memchr(at, ' ', len))
+		return reject(c, 400);
 	append_text(&c->partial->headers, at, len);
 	return hold(c->server, c->partial) ? 0 : reject(c, 503);
 }
@@ -204,6 +228,8 @@
 	struct ws_server_con *c = connection_of(p);
 	struct ws_headers *h = &c->partial->headers;
 
+	if (c->headers_done)
+		return skip_trailer(c, len);
 	if (check_head(c, len) || memchr(at, '\0', len))
 		return reject(c, 400);
 	if (!c->in_value) {
@@ -211,21 +237,28 @@
 		c->value_start = h->len;
 	}
 	c->in_value = true;
-	append_text(h, at, len);
+	append_text(h, as_received(c, at), len);
 	return hold(c->server, c->partial) ? 0 : reject(c, 503);
 }
 
-/* Sends 100 Continue to a caller that waits for it before it sends the body. */
-static void continue_body(struct ws_server_con *c)
+static bool expects_continue(const struct ws_server_request *r)
 {
-	static const char text[] = "HTTP/1.1 100 Continue\r\n\r\n";
 	const struct ws_body b = {
-		.headers = c->partial->headers.text,
-		.headers_len = c->partial->headers.len,
+		.headers = r->headers.text,
+		.headers_len = r->headers.len,
 	};
 
-	if (ws_body_header(&b, "Expect") && !c->first)
-		ws_server_write(c, text, sizeof(text) - 1, NULL, 0);
+	return ws_body_header(&b, "Expect");
+}
+
+void ws_server_continue(struct ws_server_con *c)
+{
+	static const char text[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+	if (!c->awaits_continue || c->first || c->closing)
+		return;
+	c->awaits_continue = false;
+	ws_server_write(c, text, sizeof(text) - 1, NULL, 0);
 }
 
 static int on_headers_complete(http_parser *p)
@@ -245,8 +278,9 @@
 	if ((p->flags & F_CONTENTLENGTH) &&
 	    p->content_length > c->server->limits.max_body)
 		return reject(c, 413);
-	if ((p->flags & F_CHUNKED) || (p->flags & F_CONTENTLENGTH))
-		continue_body(c);
+	c->awaits_continue = (p->flags & (F_CHUNKED | F_CONTENTLENGTH)) &&
+			     expects_continue(r);
+	ws_server_continue(c);
 	return 0;
 }
 
@@ -256,13 +290,14 @@
 	struct ws_server_request *r = c->partial;
 	struct ws_server *s = c->server;
 
+	c->awaits_continue = false;
 	if (r->body_dropped)
 		return 0;
 	if (r->body_len + len > s->limits.max_body)
 		return reject(c, 413);
 	if (s->receiving_bytes + len <= s->conf.max_receiving) {
 		ws_grow(&r->body, &r->body_cap, r->body_len + len, 1);
-		memcpy(r->body + r->body_len, at, len);
+		memcpy(r->body + r->body_len, as_received(c, at), len);
 		r->body_len += len;
 		s->receiving_bytes += len;
 		if (hold(s, r))
@@ -290,6 +325,7 @@
 	struct ws_server_request *r = c->partial;
 
 	c->partial = NULL;
+	c->awaits_continue = false;
 	enqueue(c, r);
 	if (r->close)
 		c->closing = true;
@@ -342,6 +378,7 @@
 	if (!r)
 		r = alloc_request(c);
 	c->partial = NULL;
+	c->awaits_continue = false;
 	report_rejection(c, r, status);
 	r->method[0] = '\0';
 	enqueue(c, r);
@@ -357,13 +394,34 @@
 	c->unread_len += len;
 }
 
-void ws_server_parse(struct ws_server_con *c, const char *data, size_t len)
+/*
+ * http_parser rejects a Content-Length or Transfer-Encoding with a tab behind
+ * its value, so it gets a copy with spaces for tabs.
+ */
+static size_t execute(struct ws_server_con *c, const char *data, size_t len)
 {
+	char *copy = NULL;
 	size_t n;
 
+	c->received = data;
+	c->without_tabs = data;
+	if (memchr(data, '\t', len)) {
+		copy = ws_alloc(len, 1);
+		for (n = 0; n < len; n++)
+			copy[n] = data[n] == '\t' ? ' ' : data[n];
+		c->without_tabs = copy;
+	}
 	c->parsing = true;
-	n = http_parser_execute(&c->parser, &callbacks, data, len);
+	n = http_parser_execute(&c->parser, &callbacks, c->without_tabs, len);
 	c->parsing = false;
+	free(copy);
+	return n;
+}
+
+void ws_server_parse(struct ws_server_con *c, const char *data, size_t len)
+{
+	size_t n = execute(c, data, len);
+
 	switch (HTTP_PARSER_ERRNO(&c->parser)) {
 	case HPE_OK:
 		return;
--- a/tests/test_server.c
+++ b/tests/test_server.c
@@ -343,6 +343,82 @@
 }
 END_TEST
 
+/*
+ * Guards against trailer fields among the headers, where they could change the
+ * route or the id of a request, and against bytes of earlier requests behind
+ * the last of them.
+ */
+START_TEST(trailer_fields_are_discarded)
+{
+	static const char head[] = "POST /a HTTP/1.1\r\nHost: h\r\n"
+				   "Transfer-Encoding: chunked\r\n\r\n";
+	static const char headers[] = "Host: h\0Transfer-Encoding: chunked";
+	int fd;
+	int i;
+
+	start(10);
+	fd = connect_client();
+	/* Its buffer is used again. */
+	send_text(fd, "GET /1 HTTP/1.1\r\nHost: h\r\nX-Long: "
+		      "0123456789012345678901234567890123456789012345678901234"
+		      "5678901234567890123456789\r\nApi-Key: other\r\n\r\n");
+	answer_text(requests[0], 200, "first", false);
+	send_text(fd, head);
+	send_text(fd, "1\r\nx\r\n0\r\nHost: other\r\nX-Empty:\r\n"
+		      "Wagtailshift-Request-Id: other\r\n\r\n");
+	ck_assert_int_eq(n_requests, 2);
+	ck_assert_uint_eq(requests[1]->headers.len, sizeof(headers));
+	ck_assert_int_eq(
+		memcmp(requests[1]->headers.text, headers, sizeof(headers)), 0);
+	ck_assert_uint_eq(requests[1]->body_len, 1);
+	answer_text(requests[1], 200, "second", false);
+	send_text(fd, GET("/3"));
+	ck_assert_int_eq(n_requests, 3);
+	ck_assert_uint_eq(requests[2]->headers.len, sizeof("Host: h"));
+	/* They are limited nevertheless. */
+	send_text(fd, head);
+	send_text(fd, "0\r\n");
+	for (i = 0; i < 60; i++)
+		send_text(fd, "X-Trailer: 0123456789012345678901234\r\n");
+	answer_text(requests[2], 200, "third", false);
+	ck_assert_int_eq(count(received(fd, NULL), "HTTP/1.1 431"), 1);
+	close(fd);
+	stop();
+}
+END_TEST
+
+/*
+ * Guards against tabs that make the parser reject a request, and against tabs
+ * that are lost from values and bodies.
+ */
+START_TEST(tabs_around_values_are_no_part_of_them)
+{
+	struct ws_body b;
+	int fd;
+
+	start(10);
+	fd = connect_client();
+	send_text(fd, "POST /1 HTTP/1.1\r\nHost:\th\t\r\nX-Tab: a\tb \t\r\n"
+		      "Content-Length:\t3 \t\r\n\r\na\tb"
+		      "POST /2 HTTP/1.1\r\nHost: h\r\n"
+		      "Transfer-Encoding: chunked\t\r\n\r\n"
+		      "1\t;e\r\n\t\r\n0\r\n\r\n");
+	ck_assert_int_eq(n_rejections, 0);
+	ck_assert_int_eq(n_requests, 2);
+	b = (struct ws_body){ .headers = requests[0]->headers.text,
+			      .headers_len = requests[0]->headers.len };
+	ck_assert_str_eq(ws_body_header(&b, "Host"), "h");
+	ck_assert_str_eq(ws_body_header(&b, "X-Tab"), "a\tb");
+	ck_assert_str_eq(ws_body_header(&b, "Content-Length"), "3");
+	ck_assert_uint_eq(requests[0]->body_len, 3);
+	ck_assert_int_eq(memcmp(requests[0]->body, "a\tb", 3), 0);
+	ck_assert_uint_eq(requests[1]->body_len, 1);
+	ck_assert_int_eq(requests[1]->body[0], '\t');
+	close(fd);
+	stop();
+}
+END_TEST
+
 /* Guards against request smuggling by ambiguous framing. */
 START_TEST(ambiguous_or_malformed_requests_are_refused)
 {
@@ -354,6 +430,9 @@
 		"POST /a HTTP/1.1\r\nHost: h\r\n"
 		"Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n",
 		"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: -3\r\n\r\n",
+		"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length : 3\r\n\r\nabc",
+		"POST /a HTTP/1.1\r\nHost: h\r\n"
+		"Transfer-Encoding\t: chunked\r\n\r\n0\r\n\r\n",
 		"CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n",
 		"\x16\x03\x01 is not HTTP\r\n\r\n",
 	};
@@ -445,6 +524,41 @@
 }
 END_TEST
 
+/*
+ * Guards against a limit of the parser below that of the configuration: heads
+ * above 80 KiB were rejected with 431, as were those after long trailers.
+ */
+START_TEST(heads_are_limited_by_the_configuration_only)
+{
+	static char field[100001];
+	int fd;
+
+	start(10);
+	ws_server_set_limits(server, &(struct ws_server_limits){
+					     .max_header = 120000,
+					     .max_body = 5000,
+					     .header_timeout = 2 * WS_SECOND,
+					     .idle_timeout = 5 * WS_SECOND,
+				     });
+	auto_answer = true;
+	memset(field, 'x', sizeof(field) - 1);
+	fd = connect_client();
+	send_text(fd, "POST /1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+		      "X-Long: ");
+	send_text(fd, field);
+	send_text(fd, "\r\n\r\n0\r\nX-Long: ");
+	send_text(fd, field);
+	send_text(fd, "\r\n\r\nGET /2 HTTP/1.1\r\nX-Long: ");
+	send_text(fd, field);
+	send_text(fd, "\r\n\r\n");
+	ck_assert_int_eq(n_rejections, 0);
+	ck_assert_int_eq(n_requests, 2);
+	ck_assert_int_eq(count(received(fd, NULL), "HTTP/1.1 200"), 2);
+	close(fd);
+	stop();
+}
+END_TEST
+
 /*
  * Guards against partial bodies that exhaust the memory. A request above the
  * limit is still delivered, without its body.
@@ -519,6 +633,38 @@
 }
 END_TEST
 
+/*
+ * Guards against callers that wait for 100 Continue behind an open request and
+ * never get it; they were answered 408.
+ */
+START_TEST(caller_is_told_to_continue_after_earlier_answers)
+{
+	const char *text;
+	int fd;
+
+	start(10);
+	fd = connect_client();
+	send_text(fd, GET("/1") GET("/2"));
+	send_text(fd, "POST /3 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+		      "Expect: 100-continue\r\n\r\n");
+	answer_text(requests[1], 200, "second", false);
+	ck_assert_str_eq(received(fd, NULL), "");
+	answer_text(requests[0], 200, "first", false);
+	text = received(fd, NULL);
+	ck_assert_int_eq(count(text, "HTTP/1.1 100 Continue\r\n\r\n"), 1);
+	ck_assert(strstr(text, "second") < strstr(text, " 100 Continue"));
+	send_text(fd, "ab");
+	ck_assert_int_eq(n_requests, 3);
+	answer_text(requests[2], 200, "third", false);
+	text = received(fd, NULL);
+	ck_assert_int_eq(count(text, "100 Continue"), 0);
+	ck_assert_int_eq(count(text, "third"), 1);
+	ck_assert_int_eq(n_rejections, 0);
+	close(fd);
+	stop();
+}
+END_TEST
+
 /* Guards against a connection that the caller wants closed and that stays. */
 START_TEST(caller_may_close_its_connection)
 {
@@ -653,13 +799,17 @@
 		only_last_response_closes,
 		disconnect_is_reported_for_all_open_requests,
 		request_received_byte_by_byte_is_parsed,
+		trailer_fields_are_discarded,
+		tabs_around_values_are_no_part_of_them,
 		ambiguous_or_malformed_requests_are_refused,
 		bad_request_is_answered_after_earlier_requests,
 		rejection_is_reported,
 		request_sizes_are_limited,
+		heads_are_limited_by_the_configuration_only,
 		total_body_bytes_are_limited,
 		body_in_chunks_is_limited,
 		caller_that_expects_it_is_told_to_continue,
+		caller_is_told_to_continue_after_earlier_answers,
 		caller_may_close_its_connection,
 		slow_and_idle_connections_end,
 		idle_connections_are_replaced,
