--- a/lib/io/ws_http.c
+++ b/lib/io/ws_http.c
@@ -53,52 +53,23 @@
 
 /* ===== Answers ===== */
 
-static bool add_data(struct ws_http_call *c, const char *data, size_t len)
+static size_t receive_data(char *data, size_t size, size_t n, void *arg)
 {
+	struct ws_http_call *c = arg;
+	size_t len = size * n;
+
+	c->received = true;
 	/* Aborts the response, as a target may send data without end. */
 	if (c->given_up || len > c->max_answer - c->data_len)
-		return false;
+		return 0;
 	if (++c->n_pieces > PIECES_MAX &&
 	    c->data_len / c->n_pieces < PIECE_BYTES_MIN)
-		return false;
+		return 0;
 	if (!ws_http_grow(c, &c->data, &c->data_cap, c->data_len + len))
-		return false;
+		return 0;
 	memcpy(c->data + c->data_len, data, len);
 	c->data_len += len;
-	return true;
-}
-
-/* Bytes behind a complete body belong to no response. */
-static bool add_chunks(struct ws_http_call *c, const char *data, size_t len)
-{
-	const char *piece;
-	size_t piece_len;
-
-	while (len && c->chunks.state != WS_CHUNKS_COMPLETE) {
-		size_t n = ws_chunks_read(&c->chunks, data, len, &piece,
-					  &piece_len);
-
-		if (c->chunks.state == WS_CHUNKS_MALFORMED ||
-		    (piece_len && !add_data(c, piece, piece_len)))
-			return false;
-		data += n;
-		len -= n;
-	}
-	return true;
-}
-
-static size_t receive_data(char *data, size_t size, size_t n, void *arg)
-{
-	struct ws_http_call *c = arg;
-	size_t len = size * n;
-
-	c->received = true;
-	if (c->given_up)
-		return 0;
-	return (c->framing.chunked ? add_chunks(c, data, len) :
-				     add_data(c, data, len)) ?
-		       len :
-		       0;
+	return len;
 }
 
 /*
@@ -306,8 +277,6 @@
 	curl_easy_setopt(e, CURLOPT_TCP_KEEPINTVL, KEEPALIVE_S);
 	curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, prepare_socket);
 	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
-	/* libcurl takes the digits at the start of a size; see add_chunks(). */
-	curl_easy_setopt(e, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
 	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, receive_data);
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, c);
 	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, receive_header);
@@ -423,8 +392,6 @@
 	c->head_len = 0;
 	c->n_head_lines = 0;
 	c->n_pieces = 0;
-	memset(&c->framing, 0, sizeof(c->framing));
-	memset(&c->chunks, 0, sizeof(c->chunks));
 	c->line_held = 0;
 	c->essential = req->essential;
 	c->status = 0;
@@ -468,18 +435,17 @@
 		shutdown(fd, SHUT_RDWR);
 }
 
-/* Whether the whole body was read, as far as it shows where it ends. */
-static bool is_whole(const struct ws_http_call *c, const struct ws_body *b)
+/*
+ * A response with neither a length nor chunks ends with its connection, so that
+ * a truncated one would look complete.
+ */
+static bool is_framed(const struct ws_http_call *c, const struct ws_body *b)
 {
-	if (c->is_head || b->status == 204 || b->status == 304)
+	if (c->is_head || c->allow_unframed || b->status == 204 ||
+	    b->status == 304)
 		return true;
-	if (c->framing.chunked)
-		return c->chunks.state == WS_CHUNKS_COMPLETE;
-	/*
-	 * One with neither a length nor chunks ends with its connection, so
-	 * that a truncated one would look complete.
-	 */
-	return c->allow_unframed || c->framing.n_lengths;
+	return ws_body_header(b, "Content-Length") ||
+	       ws_body_header(b, "Transfer-Encoding");
 }
 
 static void fill_result(struct ws_http_call *c, CURLcode code,
@@ -499,7 +465,7 @@
 	 * libcurl also reports success when the connection is closed inside the
 	 * head, and then the fields of that head are missing.
 	 */
-	if (code == CURLE_OK && c->head_ended && is_whole(c, &res->answer))
+	if (code == CURLE_OK && c->head_ended && is_framed(c, &res->answer))
 		res->outcome = WS_HTTP_DONE;
 	else if (!c->n_sends)
 		res->outcome = WS_HTTP_NOT_SENT;
--- a/lib/io/ws_http.h
+++ b/lib/io/ws_http.h
@@ -16,9 +16,8 @@
 
 /*
  * What a response proves. A status line other than of HTTP/1.x with three
- * digits from 100 to 599 is no response, and neither is one whose fields or
- * framing are malformed: the call ends as WS_HTTP_BROKEN, and its connection is
- * closed. WS_HTTP_DONE says that the status is a final one,
+ * digits from 100 to 599 is no response: the call ends as WS_HTTP_BROKEN, and
+ * its connection is closed. WS_HTTP_DONE says that the status is a final one,
  * from 200 to 599, and that head and body are complete, but not that they
  * belong to the request: a faulty target may send a response once more, late,
  * where the next one on a kept connection is due. A response is attributed to a
--- a/lib/io/ws_http_int.h
+++ b/lib/io/ws_http_int.h
@@ -3,7 +3,6 @@
 
 #include <curl/curl.h>
 
-#include "io/ws_chunks.h"
 #include "io/ws_headers.h"
 #include "io/ws_http.h"
 
@@ -30,7 +29,6 @@
 	bool in_head; /* between a status line and the blank line */
 	bool is_1_0; /* the version of that line is HTTP/1.0 */
 	struct ws_header_scan framing; /* of that head */
-	struct ws_chunks chunks; /* reader of its body, if it is in chunks */
 	bool head_ended; /* the head of the final response is complete */
 	bool is_head; /* the method is HEAD */
 	bool allow_unframed;
