Give no final status by limits that may be replaced

A body or head above the limits in force got 413 or 431, which callers do not retry, also before the first configuration, by defaults, and while a newer configuration with larger limits was known to exist. It gets 503 now unless the configuration is current, as 400, 401 and 404 do.

--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -612,6 +612,11 @@
 	return now - e->evidence[WS_EDT_CONFIG];
 }
 
+bool ws_edge_config_is_current(const struct ws_edge *e, ws_us now)
+{
+	return e->conf && !ws_ed_call_config_retry_after(e, now);
+}
+
 void ws_edge_set_bounds(struct ws_edge *e, const struct ws_ed_bounds *bounds)
 {
 	e->set.bounds = *bounds;
--- a/lib/edge/ws_edge.h
+++ b/lib/edge/ws_edge.h
@@ -400,6 +400,10 @@
 /* Age of the newest evidence that the configuration is current. */
 ws_us ws_edge_evidence_age(const struct ws_edge *e, ws_us now);
 
+/* Whether a configuration is in force and no newer one may bind the instance.
+ */
+bool ws_edge_config_is_current(const struct ws_edge *e, ws_us now);
+
 /* Replaces the bounds with immediate effect. */
 void ws_edge_set_bounds(struct ws_edge *e, const struct ws_ed_bounds *bounds);
 
--- a/lib/edgeio/ws_eio_front.c
+++ b/lib/edgeio/ws_eio_front.c
@@ -448,9 +448,17 @@
 	ws_eio_metrics_rejection(rejection->status);
 }
 
+static bool are_limits_current(void *arg)
+{
+	const struct ws_eio_front *f = arg;
+
+	return ws_edge_config_is_current(f->io->edge, ws_eio_now());
+}
+
 static const struct ws_server_ops caller_ops = {
 	.on_request = on_request,
 	.on_disconnect = on_disconnect,
+	.are_limits_current = are_limits_current,
 	.on_reject = on_reject,
 };
 
--- a/lib/io/ws_server.h
+++ b/lib/io/ws_server.h
@@ -45,6 +45,11 @@
 	void (*on_request)(void *arg, struct ws_server_request *r);
 	/* The caller has disconnected; the request is freed after this call. */
 	void (*on_disconnect)(void *arg, struct ws_server_request *r);
+	/*
+	 * Whether the limits on sizes are those in force; optional. While they
+	 * are not, what exceeds them is answered 503 instead of 413 or 431.
+	 */
+	bool (*are_limits_current)(void *arg);
 	/*
 	 * A request that is not complete is answered with a status of the
 	 * server's own; optional. What was read of it may lack any part.
--- a/lib/io/ws_server_request.c
+++ b/lib/io/ws_server_request.c
@@ -131,6 +131,17 @@
 	return -1;
 }
 
+/* The limit may be larger by now, and callers do not retry a 413 or 431. */
+static unsigned size_status(const struct ws_server_con *c, unsigned status)
+{
+	const struct ws_server_conf *conf = &c->server->conf;
+
+	return conf->ops->are_limits_current &&
+			       !conf->ops->are_limits_current(conf->arg) ?
+		       503 :
+		       status;
+}
+
 static int on_begin(http_parser *p)
 {
 	struct ws_server_con *c = connection_of(p);
@@ -151,7 +162,7 @@
 static int check_head(struct ws_server_con *c, size_t more)
 {
 	if (head_bytes(c->partial) + more > c->server->limits.max_header)
-		return reject(c, 431);
+		return reject(c, size_status(c, 431));
 	return 0;
 }
 
@@ -197,8 +208,9 @@
 static int skip_trailer(struct ws_server_con *c, size_t len)
 {
 	c->trailer_len += len;
-	return c->trailer_len > c->server->limits.max_header ? reject(c, 431) :
-							       0;
+	return c->trailer_len > c->server->limits.max_header ?
+		       reject(c, size_status(c, 431)) :
+		       0;
 }
 
 static int on_header_field(http_parser *p, const char *at, size_t len)
@@ -271,7 +283,7 @@
 	p->upgrade = 0;
 	if ((p->flags & F_CONTENTLENGTH) &&
 	    p->content_length > c->server->limits.max_body)
-		return reject(c, 413);
+		return reject(c, size_status(c, 413));
 	c->awaits_continue = (p->flags & (F_CHUNKED | F_CONTENTLENGTH)) &&
 			     expects_continue(r);
 	ws_server_continue(c);
@@ -288,7 +300,7 @@
 	if (r->body_dropped)
 		return 0;
 	if (r->body_len + len > s->limits.max_body)
-		return reject(c, 413);
+		return reject(c, size_status(c, 413));
 	if (s->receiving_bytes + len <= s->conf.max_receiving) {
 		ws_grow(&r->body, &r->body_cap, r->body_len + len, 1);
 		memcpy(r->body + r->body_len, at, len);
--- a/tests/test_server.c
+++ b/tests/test_server.c
@@ -34,6 +34,7 @@
 static int n_rejections;
 static struct ws_server_rejection rejected;
 static bool auto_answer;
+static bool limits_replaced;
 
 static ws_us clock_now(void)
 {
@@ -82,9 +83,16 @@
 	n_rejections++;
 }
 
+static bool are_limits_current(void *arg)
+{
+	(void)arg;
+	return !limits_replaced;
+}
+
 static const struct ws_server_ops ops = {
 	.on_request = on_request,
 	.on_disconnect = on_disconnect,
+	.are_limits_current = are_limits_current,
 	.on_reject = on_reject,
 };
 
@@ -109,6 +117,7 @@
 	n_disconnects = 0;
 	n_rejections = 0;
 	auto_answer = false;
+	limits_replaced = false;
 	loop = ev_loop_new(0);
 	timers = ws_timer_new();
 	conf.timers = timers;
@@ -528,6 +537,31 @@
 }
 END_TEST
 
+/* Guards against DENIED: a final refusal by limits that were replaced. */
+START_TEST(limits_that_are_replaced_refuse_nothing_for_good)
+{
+	char text[4000];
+	int fd;
+	int n;
+
+	start(10);
+	limits_replaced = true;
+	fd = connect_client();
+	send_text(fd, "POST /a HTTP/1.1\r\nContent-Length: 5001\r\n\r\n");
+	ck_assert_int_eq(count(received(fd, NULL), "HTTP/1.1 503"), 1);
+	close(fd);
+	fd = connect_client();
+	n = snprintf(text, sizeof(text), "GET /a HTTP/1.1\r\nX-Long: ");
+	memset(text + n, 'x', 3000);
+	text[n + 3000] = '\0';
+	send_text(fd, text);
+	ck_assert_int_eq(count(received(fd, NULL), "HTTP/1.1 503"), 1);
+	close(fd);
+	ck_assert_int_eq(n_requests, 0);
+	stop();
+}
+END_TEST
+
 /*
  * Guards against partial bodies that exhaust the memory. A request above the
  * limit is still delivered, without its body.
@@ -774,6 +808,7 @@
 		rejection_is_reported,
 		request_sizes_are_limited,
 		heads_are_limited_by_the_configuration_only,
+		limits_that_are_replaced_refuse_nothing_for_good,
 		total_body_bytes_are_limited,
 		body_in_chunks_is_limited,
 		caller_that_expects_it_is_told_to_continue,
