Log when a request was read and sent, and how far the loop is behind

The line of a request has these now: input_age_ms, the longest time for which it can have waited unread, which is the time since the poll before the last one; sent_ms, when its bytes last went out (libcurl's callback before a send, after the connection is open); and for that sending the age of the list of servers and for how long the server was known to leave. Turns of the event loop are measured: wagtailshift_turn_seconds, and event 608 for those above 200 ms, with what the time was spent on.

No decision changes.

--- a/lib/common/ws_events.h
+++ b/lib/common/ws_events.h
@@ -65,6 +65,7 @@
 	X(605, RELOADED, NOTICE, "settings read again")                     \
 	X(606, NO_METRICS, WARNING, "metrics address is in use")            \
 	X(607, BAD_SETTINGS, ERROR, "changed settings are not valid")       \
+	X(608, TURN_LONG, WARNING, "event loop was busy for long")          \
 	X(701, BUNDLE_IN_FORCE, NOTICE, "bundle in force")                  \
 	X(702, BUNDLE_REFUSED, WARNING, "bundle refused")                   \
 	X(801, INSTANCE_SEEN, NOTICE, "instance is alive")                  \
--- a/lib/edge/ws_ed_pool.c
+++ b/lib/edge/ws_ed_pool.c
@@ -126,6 +126,7 @@
 	s->cold_until = 0;
 	s->cold_share = (struct ws_ed_share){ .per_s = 0.0 };
 	s->idle_connections = 0;
+	s->withdrawn_at = 0;
 #ifndef WS_MUTANT_STATEMENTS_OF_FORMER_START
 	s->stated = (struct ws_ed_stated){ .leaving_since = 0 };
 #endif
@@ -207,6 +208,10 @@
 	s->started_ms = l->started_ms;
 	s->listed = true;
 	s->draining = l->draining;
+	if (!s->draining)
+		s->withdrawn_at = 0;
+	else if (!s->withdrawn_at)
+		s->withdrawn_at = now;
 	set_max_connections(p, s);
 	/* What is left of the warm-up counts from when it was first read. */
 	if (l->cold_for > 0 && !is_repeated)
@@ -236,9 +241,22 @@
 				.sequence = s->sequence,
 			};
 	}
+	if (!s->withdrawn_at)
+		s->withdrawn_at = now;
 	s->listed = false;
 }
 
+ws_us ws_ed_pool_leaving_for(const struct ws_ed_pool *p, ws_us now,
+			     uint32_t server)
+{
+	const struct ws_ed_server *s = &p->servers[server];
+	ws_us since = s->stated.leaving_since;
+
+	if (s->withdrawn_at && (!since || s->withdrawn_at < since))
+		since = s->withdrawn_at;
+	return since ? now - since : 0;
+}
+
 void ws_ed_pool_configure(struct ws_ed_pool *p, ws_us now,
 			  const struct ws_ed_conf *conf)
 {
--- a/lib/edge/ws_ed_pool.h
+++ b/lib/edge/ws_ed_pool.h
@@ -63,6 +63,7 @@
 	ws_us known_since; /* when this incarnation was first listed */
 	bool draining;
 	ws_us usable_until; /* if no longer listed */
+	ws_us withdrawn_at; /* when the list withdrew it; 0: it has not */
 	ws_us warm_at; /* by its list entry; 0: it was warm */
 	ws_us cold_until; /* derived, see ws_ed_throttle_update() */
 	enum ws_ed_cold_rate cold_rate; /* derived */
@@ -189,6 +190,13 @@
 void ws_ed_pool_unlisted(struct ws_ed_pool *p, ws_us now, ws_id id,
 			 ws_us linger);
 
+/*
+ * Time for which it is known that a server leaves, by the list or its own
+ * statement; 0: it is not known to.
+ */
+ws_us ws_ed_pool_leaving_for(const struct ws_ed_pool *p, ws_us now,
+			     uint32_t server);
+
 /* Applies a configuration, which must stay valid until the next one. */
 void ws_ed_pool_configure(struct ws_ed_pool *p, ws_us now,
 			  const struct ws_ed_conf *conf);
--- a/lib/edgeio/ws_eio.c
+++ b/lib/edgeio/ws_eio.c
@@ -114,6 +114,7 @@
 	for (i = 0; i < io->fx.n; i++)
 		execute_effect(io, &io->fx.items[i]);
 	io->in_step = false;
+	ws_eio_turn_count(&io->turn, ev, ws_eio_now());
 }
 
 /* ===== Time ===== */
@@ -230,6 +231,7 @@
 	while (!io->incarnation)
 		if (getrandom(&io->incarnation, sizeof(io->incarnation), 0) < 0)
 			io->incarnation = (uint64_t)io->started_at;
+	ws_eio_turn_init(&io->turn, loop);
 	io->timers = ws_timer_new();
 	io->memory.max =
 		(size_t)(MESSAGES_MEMORY_FRACTION * (double)set->memory_max);
@@ -278,6 +280,7 @@
 	ws_http_free(io->http);
 	ws_timer_free(io->timers);
 	ev_timer_stop(io->loop, &io->tick);
+	ws_eio_turn_stop(&io->turn);
 	ws_ed_fx_free(&io->fx);
 	free(io);
 }
--- a/lib/edgeio/ws_eio.h
+++ b/lib/edgeio/ws_eio.h
@@ -5,6 +5,7 @@
 
 #include "common/ws_timer.h"
 #include "edge/ws_edge.h"
+#include "edgeio/ws_eio_turn.h"
 #include "io/ws_http.h"
 #include "platform/wp_settings.h"
 #include "platform/wp_store.h"
@@ -37,6 +38,7 @@
 	struct ws_eio_targets *targets;
 	struct ws_eio_checks *checks;
 	ev_timer tick;
+	struct ws_eio_turn turn;
 	uint64_t incarnation;
 	ws_us started_at;
 	ws_us drain_started_at; /* 0: not draining */
--- a/lib/edgeio/ws_eio_front.c
+++ b/lib/edgeio/ws_eio_front.c
@@ -50,6 +50,8 @@
 	struct ws_headers headers; /* headers to forward to the server */
 	unsigned attempts;
 	char server[WS_ED_NAME_MAX]; /* server of the last attempt */
+	ws_us input_age; /* longest time for which it waited to be read */
+	struct ws_eio_sending_log sending; /* the last one */
 };
 
 struct ws_eio_front {
@@ -85,6 +87,8 @@
 	r->target = "";
 	r->server[0] = '\0';
 	r->attempts = 0;
+	r->input_age = ws_eio_turn_input_age(&f->io->turn, ws_eio_now());
+	r->sending = (struct ws_eio_sending_log){ .after = -1 };
 	ws_headers_reset(&r->headers);
 	req->user_data = r;
 	return r;
@@ -118,6 +122,8 @@
 		.status = (int)status,
 		.reason = reason,
 		.elapsed = now - r->req->started_at,
+		.input_age = r->input_age,
+		.sending = r->sending,
 		.retry_after = retry_after,
 		.evidence_age = ws_edge_evidence_age(io->edge, now),
 		.config_version = conf ? conf->version : 0,
@@ -406,6 +412,23 @@
 		submit(r, &fields, malformed);
 }
 
+static void before_send(struct ws_eio *io, uint64_t id, uint32_t server)
+{
+	struct pending_request *r =
+		g_hash_table_lookup(io->front->pending, &id);
+	const struct ws_edge *edge = io->edge;
+	ws_us now = ws_eio_now();
+
+	if (!r)
+		return;
+	r->sending = (struct ws_eio_sending_log){
+		.after = now - r->req->started_at,
+		.servers_age = ws_edge_topic_age(edge, now, WS_EDT_SERVERS),
+		.leaving_for =
+			ws_ed_pool_leaving_for(ws_edge_pool(edge), now, server),
+	};
+}
+
 void ws_eio_front_send(struct ws_eio_front *f, const struct ws_ed_effect *x)
 {
 	struct pending_request *r =
@@ -429,6 +452,7 @@
 		.headers_len = r->headers.len,
 		.body = r->req->body,
 		.body_len = r->req->body_len,
+		.before_send = before_send,
 	};
 	ws_eio_targets_send(f->io->targets, &req, server, x->u.send.deadline);
 }
--- a/lib/edgeio/ws_eio_log.c
+++ b/lib/edgeio/ws_eio_log.c
@@ -12,7 +12,7 @@
 /* Lines per second for requests, and further ones reserved for events. */
 #define LINES_PER_S 30
 #define EVENT_LINES_PER_S 30
-#define LINE_MAX_BYTES 700
+#define LINE_MAX_BYTES 800
 
 static char machine_name[WS_ED_NAME_MAX];
 static int64_t this_second;
@@ -122,7 +122,7 @@
 
 void ws_eio_log_request(const struct ws_eio_request_log *l)
 {
-	char text[600];
+	char text[700];
 	char id[48];
 	char host[64];
 	char path[96];
@@ -130,16 +130,22 @@
 	sanitize(id, sizeof(id), l->request_id);
 	sanitize(host, sizeof(host), l->host);
 	sanitize(path, sizeof(path), l->path);
-	snprintf(text, sizeof(text),
-		 "request=%s status=%d reason=%s customer=%s method=%s host=%s "
-		 "path=%s key=%" PRId32 " server=%s "
-		 "spent_ms=%.1f sendings=%u retry_after_ms=%.0f waiting=%zu "
-		 "config=%" PRIu64 " evidence_age_ms=%.0f "
-		 "fingerprint=%016" PRIx64,
-		 id, l->status, ws_ed_reason_name(l->reason), l->customer,
-		 l->method, host, path, l->shard_key, l->server,
-		 (double)l->elapsed / 1000.0, l->attempts,
-		 (double)l->retry_after / 1000.0, l->waiting, l->config_version,
-		 (double)l->evidence_age / 1000.0, l->fingerprint);
+	snprintf(
+		text, sizeof(text),
+		"request=%s status=%d reason=%s customer=%s method=%s host=%s "
+		"path=%s key=%" PRId32 " server=%s "
+		"spent_ms=%.1f input_age_ms=%.0f sendings=%u sent_ms=%.1f "
+		"servers_age_ms=%.0f leaving_ms=%.0f retry_after_ms=%.0f waiting=%zu "
+		"config=%" PRIu64 " evidence_age_ms=%.0f "
+		"fingerprint=%016" PRIx64,
+		id, l->status, ws_ed_reason_name(l->reason), l->customer,
+		l->method, host, path, l->shard_key, l->server,
+		(double)l->elapsed / 1000.0, (double)l->input_age / 1000.0,
+		l->attempts,
+		l->sending.after < 0 ? -1.0 : (double)l->sending.after / 1000.0,
+		(double)l->sending.servers_age / 1000.0,
+		(double)l->sending.leaving_for / 1000.0,
+		(double)l->retry_after / 1000.0, l->waiting, l->config_version,
+		(double)l->evidence_age / 1000.0, l->fingerprint);
 	write_line(LINES_PER_S, l->reason ? "warning" : "notice", text);
 }
--- a/lib/edgeio/ws_eio_log.h
+++ b/lib/edgeio/ws_eio_log.h
@@ -16,6 +16,13 @@
 void ws_eio_log(uint16_t number, ws_id subject, int64_t value,
 		const char *detail);
 
+/* The last time that bytes of a request went out to a server. */
+struct ws_eio_sending_log {
+	ws_us after; /* since its first byte was read; -1: none has */
+	ws_us servers_age; /* age of the evidence of servers then */
+	ws_us leaving_for; /* since it is known that the server leaves */
+};
+
 /* Outcome of a request and the state on which it was decided. */
 struct ws_eio_request_log {
 	const char *request_id;
@@ -28,6 +35,8 @@
 	int status; /* 0: not answered */
 	enum ws_ed_reason reason;
 	ws_us elapsed;
+	ws_us input_age; /* longest time for which it waited to be read */
+	struct ws_eio_sending_log sending;
 	ws_us retry_after;
 	ws_us evidence_age; /* age of the evidence from the store */
 	uint64_t config_version;
--- a/lib/edgeio/ws_eio_metrics.c
+++ b/lib/edgeio/ws_eio_metrics.c
@@ -102,7 +102,8 @@
 				       c->refused[i]);
 }
 
-static void add_latencies(GString *s)
+/* @param name without the suffixes of its lines */
+static void add_histogram(GString *s, const char *name, const struct ws_hist *h)
 {
 	static const int bounds_ms[] = { 10,  25,  50,	 100,  200,
 					 400, 800, 1600, 3200, 6400 };
@@ -110,17 +111,14 @@
 
 	for (i = 0; i < G_N_ELEMENTS(bounds_ms); i++)
 		g_string_append_printf(
-			s,
-			"wagtailshift_latency_seconds_bucket{le=\"%.3f\"} "
-			"%" PRIu64 "\n",
+			s, "%s_bucket{le=\"%.3f\"} %" PRIu64 "\n", name,
 			bounds_ms[i] / 1000.0,
-			ws_hist_at_most(&latencies, bounds_ms[i] * WS_MS));
-	g_string_append_printf(
-		s,
-		"wagtailshift_latency_seconds_bucket{le=\"+Inf\"} %" PRIu64
-		"\nwagtailshift_latency_seconds_sum %.6f\n"
-		"wagtailshift_latency_seconds_count %" PRIu64 "\n",
-		latencies.count, (double)latencies.sum / 1e6, latencies.count);
+			ws_hist_at_most(h, bounds_ms[i] * WS_MS));
+	g_string_append_printf(s,
+			       "%s_bucket{le=\"+Inf\"} %" PRIu64 "\n"
+			       "%s_sum %.6f\n%s_count %" PRIu64 "\n",
+			       name, h->count, name, (double)h->sum / 1e6, name,
+			       h->count);
 }
 
 static void add_state(GString *s, struct ws_eio *io)
@@ -223,7 +221,8 @@
 	s = g_string_new(NULL);
 	add_counters(s, ws_edge_counters(m->io->edge));
 	add_answers(s);
-	add_latencies(s);
+	add_histogram(s, "wagtailshift_latency_seconds", &latencies);
+	add_histogram(s, "wagtailshift_turn_seconds", &m->io->turn.lengths);
 	add_state(s, m->io);
 	add_learned(s, ws_edge_pool(m->io->edge), ws_eio_now());
 	add_link(s, m->io);
--- a/lib/edgeio/ws_eio_targets.c
+++ b/lib/edgeio/ws_eio_targets.c
@@ -30,10 +30,12 @@
 	struct ws_http_call *http;
 	uint64_t request;
 	uint8_t lane;
+	uint32_t server; /* handle in the pool */
 	uint64_t key; /* in ws_eio_targets.attempts */
 	char *request_id;
 	struct curl_slist *headers;
 	char *url;
+	ws_eio_send_fn before_send;
 	ws_us started;
 };
 
@@ -167,6 +169,14 @@
 	return res->answer.status >= 500 ? WS_ED_END_FAILED : WS_ED_END_OK;
 }
 
+static void before_send(void *arg)
+{
+	struct attempt *a = arg;
+
+	if (a->before_send)
+		a->before_send(a->targets->io, a->request, a->server);
+}
+
 static void on_attempt_done(void *arg, const struct ws_http_result *res)
 {
 	struct attempt *a = arg;
@@ -213,6 +223,7 @@
 		/* A kept one may carry the answer to the earlier send again. */
 		.new_connection = r->resent,
 		.allow_unframed = true,
+		.before_send = before_send,
 		.done = on_attempt_done,
 		.arg = a,
 	};
@@ -220,6 +231,8 @@
 	a->targets = t;
 	a->request = r->id;
 	a->lane = r->lane;
+	a->server = server;
+	a->before_send = r->before_send;
 	a->key = attempt_key(r->id, r->lane);
 	a->started = now;
 	a->request_id = g_strdup(r->request_id);
--- a/lib/edgeio/ws_eio_targets.h
+++ b/lib/edgeio/ws_eio_targets.h
@@ -5,6 +5,10 @@
 
 /* HTTP client for servers: forwarded requests, key grants and key releases. */
 
+/* The first bytes of a request go out to a server next. */
+typedef void (*ws_eio_send_fn)(struct ws_eio *io, uint64_t request,
+			       uint32_t server);
+
 /* A caller's request as it is forwarded; pointers are borrowed. */
 struct ws_eio_request {
 	uint64_t id;
@@ -18,6 +22,7 @@
 	size_t headers_len;
 	const void *body;
 	size_t body_len;
+	ws_eio_send_fn before_send; /* NULL: none */
 };
 
 struct ws_eio_targets *ws_eio_targets_new(struct ws_eio *io);
--- a/lib/io/ws_http.c
+++ b/lib/io/ws_http.c
@@ -235,6 +235,8 @@
 	if (c->n_sends)
 		return CURL_PREREQFUNC_ABORT;
 #endif
+	if (c->before_send)
+		c->before_send(c->arg);
 	c->n_sends++;
 	return CURL_PREREQFUNC_OK;
 }
@@ -386,6 +388,7 @@
 	long ms = (long)((req->timeout + WS_MS - 1) / WS_MS);
 
 	open_handle(c);
+	c->before_send = req->before_send;
 	c->done = req->done;
 	c->arg = req->arg;
 	c->n_sends = 0;
--- a/lib/io/ws_http.h
+++ b/lib/io/ws_http.h
@@ -47,6 +47,8 @@
 };
 
 typedef void (*ws_http_done_fn)(void *arg, const struct ws_http_result *res);
+/* The connection is open, and the request's first bytes are sent next. */
+typedef void (*ws_http_send_fn)(void *arg);
 
 /* Strings, headers and data must stay valid until done is called. */
 struct ws_http_request {
@@ -63,6 +65,7 @@
 	bool new_connection; /* don't reuse a connection */
 	bool essential; /* it is never given up to make room for others */
 	bool allow_unframed; /* the response may end with its connection */
+	ws_http_send_fn before_send; /* NULL: none */
 	ws_http_done_fn done;
 	void *arg;
 };
--- a/lib/io/ws_http_int.h
+++ b/lib/io/ws_http_int.h
@@ -14,6 +14,7 @@
 	struct ws_http_call *prev; /* the same, not for free calls */
 	bool listed; /* it is in a list other than that of free calls */
 	CURL *easy;
+	ws_http_send_fn before_send;
 	ws_http_done_fn done;
 	void *arg;
 	unsigned n_sends; /* times that libcurl was about to send */
