Send no request whose caller has left already

All at one instance that was behind by half a second. Request: its client left at 50.516 s, it was read at 50.622 s after at most 494 ms in the socket, its bytes went out at 51.01 s, and the end of its connection was read at 51.441 s. Request: left 51.406, read 51.780, sent 52.042, end read 52.318. So they were neither held up by the link nor sent in time: the process acted on what it had read of a connection while the end of that connection lay in the same socket.

Class: input is acted on in the order in which it is read, though later input that makes it void is there already. The caller's connection is asked for its end (POLLRDHUP, which doesn't wait for earlier bytes to be read) when a request is read and again when libcurl is about to send it, behind all waits: in the queue, for a connection, for the library's next turn, of a hedge, of a repeat. The answer counts for 10 ms, so that it is one system call for a request that is sent at once. A request that is withdrawn ends with its connection, in the next turn of the loop.

Both tests of test_eio_front failed on the code before: the request of a caller that had left reached the server, from a new and from a kept connection, and so did one whose caller left while it waited for its connection.

--- a/lib/edgeio/ws_eio_front.c
+++ b/lib/edgeio/ws_eio_front.c
@@ -395,6 +395,16 @@
 	ws_eio_handle_event(f->io, &ev);
 }
 
+/* Ends a request whose caller has left before it was read. */
+static void drop_unread(struct pending_request *r)
+{
+	log_outcome(r, 0, "", WS_EDR_CALLER_GONE, 0);
+	ws_eio_metrics_caller_gone_unread();
+	g_hash_table_remove(r->front->pending, &r->id);
+	r->req->user_data = NULL;
+	release_request(r);
+}
+
 static void on_request(void *arg, struct ws_server_request *req)
 {
 	struct ws_eio_front *f = arg;
@@ -406,27 +416,30 @@
 	g_hash_table_insert(f->pending, &r->id, r);
 	read_headers(r, &fields);
 	malformed = !read_target(r);
-	if (req->body_dropped)
+	if (ws_server_caller_left(req))
+		drop_unread(r);
+	else if (req->body_dropped)
 		refuse(r, 503, INSTANCE_FULL_RETRY_AFTER, WS_EDR_INSTANCE_FULL);
 	else
 		submit(r, &fields, malformed);
 }
 
-static void before_send(struct ws_eio *io, uint64_t id, uint32_t server)
+static bool before_send(struct ws_eio *io, uint64_t id, uint32_t server)
 {
 	struct pending_request *r =
 		g_hash_table_lookup(io->front->pending, &id);
 	const struct ws_edge *edge = io->edge;
 	ws_us now = ws_eio_now();
 
-	if (!r)
-		return;
+	if (!r || ws_server_caller_left(r->req))
+		return false;
 	r->sending = (struct ws_eio_sending_log){
 		.after = now - r->req->started_at,
 		.servers_age = ws_edge_topic_age(edge, now, WS_EDT_SERVERS),
 		.leaving_for =
 			ws_ed_pool_leaving_for(ws_edge_pool(edge), now, server),
 	};
+	return true;
 }
 
 void ws_eio_front_send(struct ws_eio_front *f, const struct ws_ed_effect *x)
--- a/lib/edgeio/ws_eio_metrics.c
+++ b/lib/edgeio/ws_eio_metrics.c
@@ -24,6 +24,7 @@
 static uint64_t answers_by_class[STATUS_CLASSES];
 static uint64_t forwarded_by_class[STATUS_CLASSES];
 static struct ws_hist latencies;
+static uint64_t callers_gone_unread;
 /* Requests that could not be read, by the status of the answer */
 static struct {
 	unsigned status;
@@ -42,6 +43,11 @@
 		ws_hist_add(&latencies, latency);
 }
 
+void ws_eio_metrics_caller_gone_unread(void)
+{
+	callers_gone_unread++;
+}
+
 void ws_eio_metrics_forwarded(unsigned status)
 {
 	forwarded_by_class[status_class(status)]++;
@@ -91,9 +97,10 @@
 		"wagtailshift_sendings_limited_total %" PRIu64 "\n"
 		"wagtailshift_repeats_total %" PRIu64 "\n"
 		"wagtailshift_outcome_unknown_total %" PRIu64 "\n"
-		"wagtailshift_callers_gone_total %" PRIu64 "\n",
+		"wagtailshift_callers_gone_total %" PRIu64 "\n"
+		"wagtailshift_callers_gone_unread_total %" PRIu64 "\n",
 		c->arrivals, c->sent, c->sent_limited, c->repeats, c->lost,
-		c->gone);
+		c->gone, callers_gone_unread);
 	for (i = 1; i < WS_EDR_COUNT; i++)
 		g_string_append_printf(s,
 				       "wagtailshift_refused_total{reason="
--- a/lib/edgeio/ws_eio_metrics.h
+++ b/lib/edgeio/ws_eio_metrics.h
@@ -16,6 +16,9 @@
 /* Counts an answer to a caller; latency from the request's first byte. */
 void ws_eio_metrics_answer(unsigned status, ws_us latency);
 
+/* Counts a request whose caller had left before it was read. */
+void ws_eio_metrics_caller_gone_unread(void);
+
 /* Counts an answer that a server gave. */
 void ws_eio_metrics_forwarded(unsigned status);
 
--- a/lib/edgeio/ws_eio_targets.c
+++ b/lib/edgeio/ws_eio_targets.c
@@ -169,12 +169,12 @@
 	return res->answer.status >= 500 ? WS_ED_END_FAILED : WS_ED_END_OK;
 }
 
-static void before_send(void *arg)
+static bool before_send(void *arg)
 {
 	struct attempt *a = arg;
 
-	if (a->before_send)
-		a->before_send(a->targets->io, a->request, a->server);
+	return !a->before_send ||
+	       a->before_send(a->targets->io, a->request, a->server);
 }
 
 static void on_attempt_done(void *arg, const struct ws_http_result *res)
@@ -183,6 +183,11 @@
 	struct ws_eio_targets *t = a->targets;
 	struct ws_ed_event ev = { .kind = WS_EDEV_REQUEST_ENDED };
 
+	g_hash_table_steal(t->attempts, &a->key);
+	if (res->outcome == WS_HTTP_WITHDRAWN) {
+		free_attempt(a);
+		return;
+	}
 	ev.u.ending.request = a->request;
 	ev.u.ending.lane = a->lane;
 	ev.u.ending.end = ws_eio_targets_end(a->request_id, res);
@@ -196,7 +201,6 @@
 		if (ev.u.ending.end == WS_ED_END_CONNECTION_LOST)
 			ws_http_disconnect(a->http);
 	}
-	g_hash_table_steal(t->attempts, &a->key);
 	t->answer = res->outcome == WS_HTTP_DONE ? &res->answer : NULL;
 	ws_eio_handle_event(t->io, &ev);
 	t->answer = NULL;
--- a/lib/edgeio/ws_eio_targets.h
+++ b/lib/edgeio/ws_eio_targets.h
@@ -5,8 +5,12 @@
 
 /* HTTP client for servers: forwarded requests, key grants and key releases. */
 
-/* The first bytes of a request go out to a server next. */
-typedef void (*ws_eio_send_fn)(struct ws_eio *io, uint64_t request,
+/*
+ * The first bytes of a request go out to a server next.
+ * @return false if they must not, as the caller has left; its request ends
+ * without the end of this attempt being reported
+ */
+typedef bool (*ws_eio_send_fn)(struct ws_eio *io, uint64_t request,
 			       uint32_t server);
 
 /* A caller's request as it is forwarded; pointers are borrowed. */
--- a/lib/io/ws_http.c
+++ b/lib/io/ws_http.c
@@ -235,8 +235,9 @@
 	if (c->n_sends)
 		return CURL_PREREQFUNC_ABORT;
 #endif
-	if (c->before_send)
-		c->before_send(c->arg);
+	c->withdrawn = c->before_send && !c->before_send(c->arg);
+	if (c->withdrawn)
+		return CURL_PREREQFUNC_ABORT;
 	c->n_sends++;
 	return CURL_PREREQFUNC_OK;
 }
@@ -392,6 +393,7 @@
 	c->done = req->done;
 	c->arg = req->arg;
 	c->n_sends = 0;
+	c->withdrawn = false;
 	c->head_len = 0;
 	c->n_head_lines = 0;
 	c->n_pieces = 0;
@@ -470,6 +472,8 @@
 	 */
 	if (code == CURLE_OK && c->head_ended && is_framed(c, &res->answer))
 		res->outcome = WS_HTTP_DONE;
+	else if (c->withdrawn)
+		res->outcome = WS_HTTP_WITHDRAWN;
 	else if (!c->n_sends)
 		res->outcome = WS_HTTP_NOT_SENT;
 	else if (res->timed_out)
--- a/lib/io/ws_http.h
+++ b/lib/io/ws_http.h
@@ -38,6 +38,7 @@
 	WS_HTTP_NOT_SENT, /* no byte of the request was sent */
 	WS_HTTP_TIMEOUT, /* sent, no complete response in time */
 	WS_HTTP_BROKEN, /* sent, connection closed or response malformed */
+	WS_HTTP_WITHDRAWN, /* no byte was sent, as before_send forbade it */
 };
 
 struct ws_http_result {
@@ -47,8 +48,11 @@
 };
 
 typedef void (*ws_http_done_fn)(void *arg, const struct ws_http_result *res);
-/* The connection is open, and the request's first bytes are sent next. */
-typedef void (*ws_http_send_fn)(void *arg);
+/*
+ * The connection is open, and the request's first bytes are sent next.
+ * @return false to end the call as WS_HTTP_WITHDRAWN
+ */
+typedef bool (*ws_http_send_fn)(void *arg);
 
 /* Strings, headers and data must stay valid until done is called. */
 struct ws_http_request {
--- a/lib/io/ws_http_int.h
+++ b/lib/io/ws_http_int.h
@@ -19,6 +19,7 @@
 	void *arg;
 	unsigned n_sends; /* times that libcurl was about to send */
 	bool active;
+	bool withdrawn; /* by before_send */
 	bool given_up; /* to make room in the account; ends soon */
 	bool essential;
 	size_t held; /* bytes in the account */
--- a/lib/io/ws_server.c
+++ b/lib/io/ws_server.c
@@ -1,9 +1,10 @@
-#define _GNU_SOURCE /* accept4() */
+#define _GNU_SOURCE /* accept4(), POLLRDHUP */
 #include "io/ws_server.h"
 
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -37,6 +38,8 @@
 #define DEFAULT_MAX_BODY ((size_t)64 * 1024 * 1024)
 #define DEFAULT_HEADER_TIMEOUT (10 * WS_SECOND)
 #define DEFAULT_IDLE_TIMEOUT (75 * WS_SECOND)
+/* Time for which it is taken as known that a caller has not left. */
+#define CHECK_VALIDITY (10 * WS_MS)
 /* Estimated size of the status line and the added headers. */
 #define HEAD_RESERVE 128
 
@@ -237,18 +240,22 @@
 }
 
 /*
- * Schedules parsing of unread bytes after a response has made room for further
- * requests. It isn't done at once, as ws_server_answer() may be called within
- * a callback.
+ * Schedules what can't be done within a callback: parsing of unread bytes after
+ * a response has made room for further requests, and closing of connections
+ * that have ended.
  */
-static void resume_later(struct ws_server_con *c)
+static void schedule_resume(struct ws_server *s)
 {
-	struct ws_server *s = c->server;
+	if (ev_is_active(&s->resume))
+		return;
+	ev_timer_set(&s->resume, 0., 0.);
+	ev_timer_start(s->loop, &s->resume);
+}
 
-	if (c->unread_len && !c->closing && !ev_is_active(&s->resume)) {
-		ev_timer_set(&s->resume, 0., 0.);
-		ev_timer_start(s->loop, &s->resume);
-	}
+static void resume_later(struct ws_server_con *c)
+{
+	if (c->unread_len && !c->closing)
+		schedule_resume(c->server);
 }
 
 static void resume_parsing(struct ws_server_con *c)
@@ -297,6 +304,37 @@
 	r->queued_answer = head;
 }
 
+/* ===== Callers that leave ===== */
+
+/*
+ * The end of a connection comes behind all that was sent on it, so it may be
+ * there while earlier bytes are still unread.
+ */
+static bool has_ended(const struct ws_server_con *c)
+{
+	struct pollfd p = { .fd = c->io.fd, .events = POLLRDHUP };
+
+	return poll(&p, 1, 0) > 0 &&
+	       (p.revents & (POLLRDHUP | POLLHUP | POLLERR));
+}
+
+bool ws_server_caller_left(struct ws_server_request *r)
+{
+	struct ws_server_con *c = r->con;
+	ws_us now = c->server->conf.now();
+
+	if (c->broken)
+		return true;
+	if (c->checked_at && now - c->checked_at < CHECK_VALIDITY)
+		return false;
+	c->checked_at = now;
+	if (!has_ended(c))
+		return false;
+	c->broken = true;
+	schedule_resume(c->server);
+	return true;
+}
+
 /* ===== Events ===== */
 
 /* @return false if the caller closed the connection or it failed */
@@ -405,11 +443,17 @@
 {
 	struct ws_server *s = w->data;
 	struct ws_server_con *c;
+	struct ws_server_con *next;
 
 	(void)loop;
 	(void)revents;
-	for (c = s->cons; c; c = c->next)
-		resume_parsing(c);
+	for (c = s->cons; c; c = next) {
+		next = c->next;
+		if (!c->broken)
+			resume_parsing(c);
+		if (c->broken)
+			close_connection(c);
+	}
 }
 
 /* ===== Timeouts ===== */
--- a/lib/io/ws_server.h
+++ b/lib/io/ws_server.h
@@ -123,6 +123,13 @@
 void ws_server_answer(struct ws_server_request *r,
 		      const struct ws_server_answer *a);
 
+/*
+ * Whether the caller of an open request has closed the connection or reset it,
+ * though that may not have been read yet. May be called by on_request. If so,
+ * on_disconnect follows for all open requests of the connection.
+ */
+bool ws_server_caller_left(struct ws_server_request *r);
+
 unsigned ws_server_connections(const struct ws_server *s);
 
 /*
--- a/lib/io/ws_server_int.h
+++ b/lib/io/ws_server_int.h
@@ -29,7 +29,7 @@
 	bool parsing; /* inside http_parser_execute() */
 	bool closing; /* further input is discarded */
 	bool lingering; /* all is sent; waiting for the caller to close */
-	bool broken; /* sending failed */
+	bool broken; /* sending failed, or the caller has left */
 	unsigned reject; /* error status for a request that is rejected */
 	char *out; /* response bytes that the socket didn't accept yet */
 	size_t out_len;
@@ -39,6 +39,7 @@
 	size_t unread_len;
 	size_t unread_cap;
 	ws_us last_activity; /* time of the last read or write */
+	ws_us checked_at; /* when its caller was last known to be there */
 };
 
 struct ws_server {
--- a/lib/io/ws_server_request.c
+++ b/lib/io/ws_server_request.c
@@ -336,7 +336,7 @@
 	if (r->close)
 		c->closing = true;
 	s->conf.ops->on_request(s->conf.arg, r);
-	if (c->closing || c->n_open >= WS_SERVER_PIPELINE_MAX)
+	if (c->closing || c->broken || c->n_open >= WS_SERVER_PIPELINE_MAX)
 		http_parser_pause(p, 1);
 	return 0;
 }
--- a/tests/test_eio_front.c
+++ b/tests/test_eio_front.c
@@ -23,6 +23,7 @@
 #define IP "127.19.29.2"
 #define CALLERS_PORT 7100
 #define READINESS_PORT 7101
+#define SERVER_PORT 7200
 #define SERVER_ADDRESS IP ":7200"
 #define CHECK "GET /readiness HTTP/1.1\r\nHost: h\r\n\r\n"
 #define DEADLINE_MS 900
@@ -311,6 +312,122 @@
 }
 END_TEST
 
+/* Replaces the server by a listener that the test reads itself. */
+static int listen_as_server(void)
+{
+	const struct sockaddr_in at = {
+		.sin_family = AF_INET,
+		.sin_port = htons(SERVER_PORT),
+		.sin_addr.s_addr = inet_addr(IP),
+	};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	int on = 1;
+
+	ws_server_free(server);
+	server = NULL;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	ck_assert_int_eq(bind(fd, (const struct sockaddr *)&at, sizeof(at)), 0);
+	ck_assert_int_eq(listen(fd, 10), 0);
+	return fd;
+}
+
+/* Whether a request has reached the listener, on any connection. */
+static bool has_reached(int listener, int *connection)
+{
+	char byte;
+
+	if (*connection < 0)
+		*connection = accept(listener, NULL, NULL);
+	return *connection >= 0 &&
+	       recv(*connection, &byte, 1, MSG_DONTWAIT | MSG_PEEK) > 0;
+}
+
+static void run_for(ws_us time)
+{
+	ws_us end = ws_eio_now() + time;
+
+	while (ws_eio_now() < end)
+		ev_run(loop, EVRUN_ONCE);
+}
+
+#define LEFT_REQUEST "GET /r/1 HTTP/1.1\r\n" OWN_HEADERS "\r\n"
+/* Turns of the loop within which a request has gone out to its server. */
+#define TURNS_TO_SEND 8
+/* For which the process doesn't get the processor. */
+#define HELD_UP_US 20000
+
+static void check_left_unread(const char *text, bool kept_connection)
+{
+	unsigned before;
+
+	start();
+	if (kept_connection) {
+		send_text(LEFT_REQUEST);
+		wait_for(&received.n);
+		run_for(50 * WS_MS);
+	}
+	before = received.n;
+	send_text(text);
+	close(caller);
+	caller = -1;
+	run_for(100 * WS_MS);
+	ck_assert_uint_eq(received.n, before);
+	ck_assert_uint_eq(ws_edge_open(io->edge), 0);
+	ck_assert_uint_eq(ws_eio_front_connections(io->front), 0);
+	stop();
+}
+
+/*
+ * Guards against GONE: a process that is behind finds a request together with
+ * the end of its connection, and must not send it on.
+ */
+START_TEST(request_read_after_its_caller_has_left_is_not_sent)
+{
+	check_left_unread(LEFT_REQUEST, false);
+	check_left_unread(LEFT_REQUEST, true);
+	check_left_unread(LEFT_REQUEST LEFT_REQUEST, false);
+	check_left_unread(LEFT_REQUEST LEFT_REQUEST, true);
+}
+END_TEST
+
+/* @param turns of the loop between the request and the end of its connection */
+static void check_left_before_sending(int turns)
+{
+	int connection = -1;
+	int listener;
+
+	start();
+	listener = listen_as_server();
+	run_for(50 * WS_MS);
+	send_text(LEFT_REQUEST);
+	while (turns--)
+		ev_run(loop, EVRUN_NOWAIT);
+	if (!has_reached(listener, &connection)) {
+		close(caller);
+		caller = -1;
+		usleep(HELD_UP_US);
+		run_for(100 * WS_MS);
+		ck_assert(!has_reached(listener, &connection));
+		ck_assert_uint_eq(ws_edge_open(io->edge), 0);
+	}
+	close(connection);
+	close(listener);
+	stop();
+}
+
+/*
+ * Guards against GONE: a request that waits for a connection to its server when
+ * its caller leaves, while the process looks for no input.
+ */
+START_TEST(request_whose_caller_leaves_before_it_is_sent_is_not_sent)
+{
+	int turns;
+
+	for (turns = 0; turns < TURNS_TO_SEND; turns++)
+		check_left_before_sending(turns);
+}
+END_TEST
+
 /*
  * Guards against a body that waits for the server: an answer that comes at once
  * would leave the body out, and the server would take the next request on the
@@ -659,6 +776,8 @@
 		absolute_uri_without_host_or_route_is_refused,
 		long_path_within_the_limit_is_served,
 		server_sees_that_the_caller_has_left,
+		request_read_after_its_caller_has_left_is_not_sent,
+		request_whose_caller_leaves_before_it_is_sent_is_not_sent,
 		long_body_does_not_wait_for_the_server,
 		silent_server_ends_at_the_deadline,
 		server_is_told_the_customer_of_the_key,
