Examine the leader's ranges once a tick, not for each answer of a server

It was the leader of the key map each time, in the seconds after all processes had started again. The same leader lost its lease by the time and timed out its own callers' requests in bunches.

Class: work for one event that grows with a table whose size also sets the number of events. Each result of a grant ran the leader's whole tick: a search of the pool for every range, and a comparison of every range with every other one to merge them. With n ranges and n renewals a period that is n cubed.

Now a result only marks that the tick is due, and the next one, 20 ms later at most, handles all. A range keeps the handle of its server, so that it is found without a search, and 16 ranges a tick are tried in turn for a merge.

--- a/lib/edge/ws_ed_lead.h
+++ b/lib/edge/ws_ed_lead.h
@@ -74,6 +74,7 @@
 	uint32_t from;
 	uint32_t to; /* inclusive */
 	ws_id server; /* if OWNED, RELEASING or PROPOSED */
+	uint32_t handle; /* of the server when it was last found */
 	char name[WS_ED_NAME_MAX];
 	char address[WS_ED_NAME_MAX];
 	int64_t started_ms; /* start of the server process that got the keys */
@@ -163,6 +164,7 @@
 	struct ws_ed_range *ranges;
 	size_t n_ranges;
 	size_t cap_ranges;
+	size_t next_merge; /* range that is tried next to be merged */
 	uint64_t next_ref;
 	ws_us next_balance;
 	uint64_t moves; /* ranges assigned to a server so far */
--- a/lib/edge/ws_ed_pool.c
+++ b/lib/edge/ws_ed_pool.c
@@ -93,6 +93,19 @@
 	return -1;
 }
 
+int32_t ws_ed_pool_find_again(const struct ws_ed_pool *p, ws_id id,
+			      uint32_t *handle)
+{
+	int32_t h;
+
+	if (id && *handle < p->n && p->servers[*handle].id == id)
+		return (int32_t)*handle;
+	h = ws_ed_pool_find(p, id);
+	if (h >= 0)
+		*handle = (uint32_t)h;
+	return h;
+}
+
 static uint32_t add_server(struct ws_ed_pool *p)
 {
 	size_t i;
--- a/lib/edge/ws_ed_pool.h
+++ b/lib/edge/ws_ed_pool.h
@@ -216,6 +216,10 @@
 /* Handle of a server, or -1. */
 int32_t ws_ed_pool_find(const struct ws_ed_pool *p, ws_id id);
 
+/* The same, at once if the server still has the handle, which is updated. */
+int32_t ws_ed_pool_find_again(const struct ws_ed_pool *p, ws_id id,
+			      uint32_t *handle);
+
 /* Handle of a route's statistics at a service; adds them if needed. */
 uint32_t ws_ed_pool_work_stats(struct ws_ed_pool *p, ws_id route,
 			       ws_id service);
--- a/lib/edge/ws_ed_range.c
+++ b/lib/edge/ws_ed_range.c
@@ -24,6 +24,8 @@
 #define STORE_REACHED_MAX (500 * WS_MS)
 /* Adjacent ranges of one server are merged when both are this old. */
 #define MERGE_AGE (4 * WS_SECOND)
+/* Ranges per tick for which the following one is looked for. */
+#define MERGE_TRIES 16
 
 struct ws_ed_range *ws_ed_range_add(struct ws_ed_lead *l)
 {
@@ -210,7 +212,7 @@
 static void tick_owned(struct ws_ed_lead *l, struct ws_ed_range *r, ws_us now,
 		       struct ws_ed_fx *fx)
 {
-	int32_t s = ws_ed_pool_find(l->pool, r->server);
+	int32_t s = ws_ed_pool_find_again(l->pool, r->server, &r->handle);
 
 	if (s >= 0 && l->pool->servers[s].started_ms != r->started_ms) {
 		/* The server has restarted and owns no keys. */
@@ -280,6 +282,22 @@
 	return false;
 }
 
+/*
+ * Tries some ranges in turn, as each is compared with all others. Merges one
+ * pair per tick, as a merge changes the indexes.
+ */
+static void merge_some(struct ws_ed_lead *l, ws_us now)
+{
+	size_t tries = l->n_ranges < MERGE_TRIES ? l->n_ranges : MERGE_TRIES;
+
+	while (tries--) {
+		if (l->next_merge >= l->n_ranges)
+			l->next_merge = 0;
+		if (merge_next(l, l->next_merge++, now))
+			return;
+	}
+}
+
 void ws_ed_ranges_tick(struct ws_ed_lead *l, ws_us now, struct ws_ed_fx *fx)
 {
 	size_t i;
@@ -292,10 +310,7 @@
 		else if (r->state == WS_ED_RANGE_RELEASING)
 			tick_releasing(l, r, now, fx);
 	}
-	/* Merges one pair per tick, as a merge changes the indexes. */
-	for (i = 0; i < l->n_ranges; i++)
-		if (merge_next(l, i, now))
-			break;
+	merge_some(l, now);
 }
 
 /* ===== Call results ===== */
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -237,7 +237,7 @@
 	ws_ed_lead_on_call_result(&e->lead, e->now, ev->u.key_called.ref,
 				  ev->u.key_called.end,
 				  ev->u.key_called.handover, fx);
-	ws_ed_lead_tick(&e->lead, e->now, fx);
+	e->lead_due = true;
 }
 
 static void apply_listing(struct ws_edge *e, const struct ws_ed_listing *l,
@@ -428,6 +428,12 @@
 		e->pool.group.settled_at = at;
 }
 
+static void tick_lead(struct ws_edge *e, struct ws_ed_fx *fx)
+{
+	e->lead_due = false;
+	ws_ed_lead_tick(&e->lead, e->now, fx);
+}
+
 static void slow_tick(struct ws_edge *e, struct ws_ed_fx *fx)
 {
 	e->peers.leaving = e->draining;
@@ -443,7 +449,7 @@
 	ws_ed_quota_tick(&e->quota, e->now, e->pool.instances,
 			 demand_report_period(e));
 	ws_ed_budget_update_overload(e);
-	ws_ed_lead_tick(&e->lead, e->now, fx);
+	tick_lead(e, fx);
 	check_behind(e, fx);
 }
 
@@ -452,6 +458,8 @@
 	if (e->now >= e->next_slow_tick) {
 		e->next_slow_tick = e->now + SLOW_TICK;
 		slow_tick(e, fx);
+	} else if (e->lead_due) {
+		tick_lead(e, fx);
 	}
 	check_servers(e, fx);
 	ws_ed_call_tick(e, fx);
