Spread a leader's renewals over half of their period

A trial that timed the calls of libcurl showed one call of its timer for the whole turn (834 of 835 ms), at leaders only: a new leader grants all ranges in one tick and renews them together from then on, and libcurl sends what was started in one go.

Class: the work of one turn of the loop isn't bounded. One tick now starts the calls of a 32nd of the ranges, 24 at least, so that all have their turn within half of the renewal period at any number of ranges; the next tick goes on where it stopped. Calls for keys that move are counted apart, as their requests wait: a limit for both together made the surges of test_ed_balance_hot end later.

The new test failed before (800 grants by one event).

--- a/lib/edge/ws_ed_lead.h
+++ b/lib/edge/ws_ed_lead.h
@@ -164,6 +164,10 @@
 	struct ws_ed_range *ranges;
 	size_t n_ranges;
 	size_t cap_ranges;
+	size_t first_call; /* range whose call is considered first */
+	size_t renewals_left; /* calls that this tick may start */
+	size_t moves_left; /* the same, for keys that have no lease */
+	bool calls_deferred; /* to the next tick */
 	size_t next_merge; /* range that is tried next to be merged */
 	uint64_t next_ref;
 	ws_us next_balance;
--- a/lib/edge/ws_ed_range.c
+++ b/lib/edge/ws_ed_range.c
@@ -16,6 +16,13 @@
 #define RENEW_PERIOD_MANY (1300 * WS_MS)
 #define MANY_RANGES 40
 #define CALL_RETRY (200 * WS_MS)
+/*
+ * Ticks over which the renewals of all ranges are spread. A new leader grants
+ * all ranges at once, and would renew them at once from then on: it would look
+ * for no input while it sends hundreds of calls.
+ */
+#define RENEWAL_TICKS 32
+#define CALLS_PER_TICK_MIN 24
 /* A server whose lease expired gets no keys for this time. */
 #define KEYS_REFUSED_TIME (2 * WS_SECOND)
 /* Consecutive failed grants after which an expired lease counts as lost. */
@@ -89,6 +96,28 @@
 	return end > r->lease_end ? end : r->lease_end;
 }
 
+/*
+ * Renewals don't use up the calls of keys that are being moved, whose requests
+ * wait.
+ * @return false if the call has to wait for the next tick
+ */
+static bool may_call(struct ws_ed_lead *l, const struct ws_ed_range *r,
+		     ws_us now)
+{
+	bool renews = r->state == WS_ED_RANGE_OWNED &&
+		      (r->inherited || now < r->lease_end);
+	size_t *left = renews ? &l->renewals_left : &l->moves_left;
+
+	if (*left) {
+		--*left;
+		return true;
+	}
+	if (!l->calls_deferred)
+		l->first_call = (size_t)(r - l->ranges);
+	l->calls_deferred = true;
+	return false;
+}
+
 static void send_call(struct ws_ed_lead *l, struct ws_ed_range *r, uint8_t kind,
 		      struct ws_ed_fx *fx)
 {
@@ -235,7 +264,7 @@
 		return;
 	}
 	if (!r->ref && now >= r->next_call && r->address[0] &&
-	    !awaits_lease_end(l, r, now, s))
+	    !awaits_lease_end(l, r, now, s) && may_call(l, r, now))
 		grant(l, r, now, fx);
 }
 
@@ -246,7 +275,7 @@
 		set_free(l, r, now);
 		return;
 	}
-	if (!r->ref && now >= r->next_call) {
+	if (!r->ref && now >= r->next_call && may_call(l, r, now)) {
 		send_call(l, r, WS_EDFX_RELEASE, fx);
 		r->next_call = now + CALL_RETRY;
 	}
@@ -298,12 +327,23 @@
 	}
 }
 
+static size_t calls_per_tick(const struct ws_ed_lead *l)
+{
+	size_t n = l->n_ranges / RENEWAL_TICKS;
+
+	return n > CALLS_PER_TICK_MIN ? n : CALLS_PER_TICK_MIN;
+}
+
 void ws_ed_ranges_tick(struct ws_ed_lead *l, ws_us now, struct ws_ed_fx *fx)
 {
+	size_t first = l->first_call;
 	size_t i;
 
+	l->renewals_left = calls_per_tick(l);
+	l->moves_left = l->renewals_left;
+	l->calls_deferred = false;
 	for (i = 0; i < l->n_ranges; i++) {
-		struct ws_ed_range *r = &l->ranges[i];
+		struct ws_ed_range *r = &l->ranges[(first + i) % l->n_ranges];
 
 		if (r->state == WS_ED_RANGE_OWNED)
 			tick_owned(l, r, now, fx);
--- a/lib/edge/ws_edge.c
+++ b/lib/edge/ws_edge.c
@@ -430,8 +430,8 @@
 
 static void tick_lead(struct ws_edge *e, struct ws_ed_fx *fx)
 {
-	e->lead_due = false;
 	ws_ed_lead_tick(&e->lead, e->now, fx);
+	e->lead_due = e->lead.calls_deferred;
 }
 
 static void slow_tick(struct ws_edge *e, struct ws_ed_fx *fx)
--- a/lib/edge/ws_edge_int.h
+++ b/lib/edge/ws_edge_int.h
@@ -133,8 +133,9 @@
 	ws_us store_recovered_at; /* end of its last outage; 0: none */
 	ws_us next_slow_tick;
 	/*
-	 * A grant or release has ended. The leader examines all ranges at the
-	 * next tick, not after each result, of which hundreds may be due.
+	 * A grant or release has ended, or calls were deferred. The leader
+	 * examines all ranges at the next tick, not after each result, of which
+	 * hundreds may be due.
 	 */
 	bool lead_due;
 	/* The map as received so far, in slices in the leader's heartbeats */
--- a/tests/test_ed_lead_cost.c
+++ b/tests/test_ed_lead_cost.c
@@ -21,6 +21,10 @@
 #define READ_PERIOD (200 * WS_MS)
 /* Share of a core that control may take on each node (docs/CAPACITY.md). */
 #define CONTROL_SHARE 0.014
+/* Keys are served again within 3 s of a loss, half of it to find a leader. */
+#define GRANTED_WITHIN (1500 * WS_MS)
+/* Part (1/N) of the ranges that may be granted in one turn of the loop. */
+#define TURN_DIVISOR 16
 
 static const char config_text[] =
 	"{\"version\":\"00000001\",\"services\":[{\"name\":\"keyed\","
@@ -34,10 +38,12 @@
 static uint64_t grants[N_RANGES];
 static size_t n_grants; /* not answered yet */
 static size_t n_granted;
+static size_t most_granted; /* by one event */
 
 /* Keeps the grants that an event has caused. */
 static void step(struct ws_ed_event *ev)
 {
+	size_t before = n_granted;
 	size_t i;
 
 	ev->now = now;
@@ -50,6 +56,8 @@
 		grants[n_grants++] = fx.items[i].u.call.ref;
 		n_granted++;
 	}
+	if (n_granted - before > most_granted)
+		most_granted = n_granted - before;
 }
 
 static void name_server(char *buf, size_t size, size_t i)
@@ -153,6 +161,8 @@
 
 	now = set.now;
 	n_grants = 0;
+	n_granted = 0;
+	most_granted = 0;
 	edge = ws_edge_new(&set);
 	ev.u.config =
 		wp_decode_config(config_text, sizeof(config_text) - 1, NULL);
@@ -234,10 +244,26 @@
 }
 END_TEST
 
+/*
+ * Guards against GONE: a new leader sent hundreds of grants in one turn of its
+ * loop, again with each renewal, and looked for no input for up to a second.
+ */
+START_TEST(grants_of_a_new_leader_are_spread)
+{
+	start();
+	run(GRANTED_WITHIN);
+	ck_assert_uint_ge(n_granted, N_RANGES);
+	run(4 * WS_SECOND);
+	ck_assert_uint_le(most_granted, N_RANGES / TURN_DIVISOR);
+	stop();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		renewals_take_a_small_part_of_a_core,
+		grants_of_a_new_leader_are_spread,
 	};
 
 	return ed_suite_run("ed_lead_cost", tests,
