Ask again whether a server may get a request when its bytes go out

The last requests to such a server are decided up to 1.7 s after the news; with a connection that takes a second their bytes go out after drain_s.

Class: as with callers that have left, a decision is carried out later than it is made, and what voids it meanwhile is not asked for. When libcurl is about to send, the pool is asked again: list, zones out of service, statements, a pause that the server has asked for. A request that is withdrawn is placed anew; the server counts neither as failed nor as crashed, which the end for a refused connection would have meant.

test_eio_front and test_edge have a test each. Without the check the first failed: the request went to the draining server.

--- a/lib/edge/ws_ed_call.c
+++ b/lib/edge/ws_ed_call.c
@@ -478,12 +478,17 @@
 	forward_response(e, c, fx);
 }
 
+static bool is_unsent(enum ws_ed_end end)
+{
+	return end == WS_ED_END_NOT_SENT || end == WS_ED_END_WITHDRAWN;
+}
+
 /* Whether the other send of a hedged request decides its result. */
 static bool awaits_other_lane(struct ed_call *c, enum ws_ed_end end)
 {
 	if (end == WS_ED_END_OK || !has_active_lane(c))
 		return false;
-	if (end != WS_ED_END_SHED && end != WS_ED_END_NOT_SENT) {
+	if (end != WS_ED_END_SHED && !is_unsent(end)) {
 		c->may_have_run = true;
 		c->attempts++;
 	}
@@ -506,7 +511,7 @@
 			      "stated in its answer", fx);
 	ws_ed_link_count(&e->link, e->now, WS_ED_LINK_IN, end->answer_len);
 	c->answer_len = end->answer_len;
-	c->sends_received += end->end != WS_ED_END_NOT_SENT;
+	c->sends_received += !is_unsent(end->end);
 	ws_ed_call_update_suspects(e, c, l->server, end->end, fx);
 	exclude(c, l->server);
 	if (awaits_other_lane(c, end->end))
@@ -522,6 +527,7 @@
 		on_shed(e, c, l->server, end->not_owner, fx);
 		break;
 	case WS_ED_END_NOT_SENT:
+	case WS_ED_END_WITHDRAWN:
 		if (c->sends >= SENDS_MAX)
 			give_up(e, c, NO_SERVER_RETRY_AFTER,
 				WS_EDR_CONNECTION_LOST, fx);
--- a/lib/edge/ws_ed_call_quar.c
+++ b/lib/edge/ws_ed_call_quar.c
@@ -59,7 +59,8 @@
 {
 	const struct ws_ed_server *s = &e->pool.servers[server];
 
-	if (c->trial && (end == WS_ED_END_SHED || end == WS_ED_END_NOT_SENT))
+	if (c->trial && (end == WS_ED_END_SHED || end == WS_ED_END_NOT_SENT ||
+			 end == WS_ED_END_WITHDRAWN))
 		undo_trial(e, c);
 	/* A server may fail a request without having begun to run it. */
 	if (end == WS_ED_END_OK &&
--- a/lib/edge/ws_ed_pool.c
+++ b/lib/edge/ws_ed_pool.c
@@ -380,6 +380,13 @@
 	       now < s->stated.leaving_since + p->drain_time - LEAVING_MARGIN;
 }
 
+bool ws_ed_pool_may_send(const struct ws_ed_pool *p, ws_us now, uint32_t server)
+{
+	return (ws_ed_pool_usable(p, now, server) ||
+		ws_ed_pool_usable_last(p, now, server)) &&
+	       !ws_ed_stated_closed_for(&p->servers[server].stated, now);
+}
+
 static double load_of(const struct ws_ed_server *s, ws_us now, double tau)
 {
 	double d = ws_ed_pool_decay(now - s->stated.load_at, tau);
@@ -694,7 +701,7 @@
 /* Whether the outcome says anything of the server's capacity. */
 static bool is_capacity_sample(enum ws_ed_end end)
 {
-	return end != WS_ED_END_NOT_SENT;
+	return end != WS_ED_END_NOT_SENT && end != WS_ED_END_WITHDRAWN;
 }
 
 static void learn(struct ws_ed_pool *p, ws_us now, struct ws_ed_server *s,
@@ -765,6 +772,7 @@
 		s->n_backoffs = 0;
 		break;
 	case WS_ED_END_CANCELLED:
+	case WS_ED_END_WITHDRAWN:
 		return changed;
 	case WS_ED_END_NOT_SENT:
 		failed = 1.0;
--- a/lib/edge/ws_ed_pool.h
+++ b/lib/edge/ws_ed_pool.h
@@ -152,6 +152,8 @@
 	WS_ED_END_CONNECTION_LOST, /* sent, no complete response */
 	WS_ED_END_TIMEOUT, /* sent, no complete response in time */
 	WS_ED_END_CANCELLED, /* cancelled by this instance */
+	/* No byte was sent, since the server may not get requests any more */
+	WS_ED_END_WITHDRAWN,
 };
 
 struct ws_ed_choose_input {
@@ -197,6 +199,13 @@
 ws_us ws_ed_pool_leaving_for(const struct ws_ed_pool *p, ws_us now,
 			     uint32_t server);
 
+/*
+ * Whether a request that was sent to a server may still go out now. Connecting
+ * takes up to a second, in which the server may turn out to leave.
+ */
+bool ws_ed_pool_may_send(const struct ws_ed_pool *p, ws_us now,
+			 uint32_t server);
+
 /* Applies a configuration, which must stay valid until the next one. */
 void ws_ed_pool_configure(struct ws_ed_pool *p, ws_us now,
 			  const struct ws_ed_conf *conf);
--- a/lib/edgeio/ws_eio_front.c
+++ b/lib/edgeio/ws_eio_front.c
@@ -424,7 +424,12 @@
 		submit(r, &fields, malformed);
 }
 
-static bool before_send(struct ws_eio *io, uint64_t id, uint32_t server)
+/*
+ * Decides again on what has changed while the request waited for a connection,
+ * or for the client's turn.
+ */
+static enum ws_eio_send before_send(struct ws_eio *io, uint64_t id,
+				    uint32_t server)
 {
 	struct pending_request *r =
 		g_hash_table_lookup(io->front->pending, &id);
@@ -432,14 +437,16 @@
 	ws_us now = ws_eio_now();
 
 	if (!r || ws_server_caller_left(r->req))
-		return false;
+		return WS_EIO_SEND_CALLER_LEFT;
+	if (!ws_ed_pool_may_send(ws_edge_pool(edge), now, server))
+		return WS_EIO_SEND_SERVER_LEFT;
 	r->sending = (struct ws_eio_sending_log){
 		.after = now - r->req->started_at,
 		.servers_age = ws_edge_topic_age(edge, now, WS_EDT_SERVERS),
 		.leaving_for =
 			ws_ed_pool_leaving_for(ws_edge_pool(edge), now, server),
 	};
-	return true;
+	return WS_EIO_SEND;
 }
 
 void ws_eio_front_send(struct ws_eio_front *f, const struct ws_ed_effect *x)
--- a/lib/edgeio/ws_eio_targets.c
+++ b/lib/edgeio/ws_eio_targets.c
@@ -36,6 +36,7 @@
 	struct curl_slist *headers;
 	char *url;
 	ws_eio_send_fn before_send;
+	enum ws_eio_send send;
 	ws_us started;
 };
 
@@ -143,6 +144,8 @@
 	switch (res->outcome) {
 	case WS_HTTP_NOT_SENT:
 		return WS_ED_END_NOT_SENT;
+	case WS_HTTP_WITHDRAWN:
+		return WS_ED_END_WITHDRAWN;
 	case WS_HTTP_TIMEOUT:
 		return WS_ED_END_TIMEOUT;
 	case WS_HTTP_BROKEN:
@@ -173,8 +176,10 @@
 {
 	struct attempt *a = arg;
 
-	return !a->before_send ||
-	       a->before_send(a->targets->io, a->request, a->server);
+	if (a->before_send)
+		a->send =
+			a->before_send(a->targets->io, a->request, a->server);
+	return a->send == WS_EIO_SEND;
 }
 
 static void on_attempt_done(void *arg, const struct ws_http_result *res)
@@ -184,7 +189,7 @@
 	struct ws_ed_event ev = { .kind = WS_EDEV_REQUEST_ENDED };
 
 	g_hash_table_steal(t->attempts, &a->key);
-	if (res->outcome == WS_HTTP_WITHDRAWN) {
+	if (a->send == WS_EIO_SEND_CALLER_LEFT) {
 		free_attempt(a);
 		return;
 	}
@@ -237,6 +242,7 @@
 	a->lane = r->lane;
 	a->server = server;
 	a->before_send = r->before_send;
+	a->send = WS_EIO_SEND;
 	a->key = attempt_key(r->id, r->lane);
 	a->started = now;
 	a->request_id = g_strdup(r->request_id);
--- a/lib/edgeio/ws_eio_targets.h
+++ b/lib/edgeio/ws_eio_targets.h
@@ -5,13 +5,17 @@
 
 /* HTTP client for servers: forwarded requests, key grants and key releases. */
 
-/*
- * The first bytes of a request go out to a server next.
- * @return false if they must not, as the caller has left; its request ends
- * without the end of this attempt being reported
- */
-typedef bool (*ws_eio_send_fn)(struct ws_eio *io, uint64_t request,
-			       uint32_t server);
+/* Whether a request still has to go out when its connection is open. */
+enum ws_eio_send {
+	WS_EIO_SEND = 1,
+	/* The end of the request is reported, that of the attempt is not */
+	WS_EIO_SEND_CALLER_LEFT,
+	WS_EIO_SEND_SERVER_LEFT, /* the attempt ends as withdrawn */
+};
+
+/* The first bytes of a request go out to a server next. */
+typedef enum ws_eio_send (*ws_eio_send_fn)(struct ws_eio *io, uint64_t request,
+					   uint32_t server);
 
 /* A caller's request as it is forwarded; pointers are borrowed. */
 struct ws_eio_request {
--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -227,6 +227,33 @@
 }
 END_TEST
 
+/*
+ * Guards against a server that is taken for crashed, or a request that is lost,
+ * as it turned out before the request went out that the server leaves (DRAIN).
+ */
+START_TEST(withdrawn_request_goes_to_another_server)
+{
+	const struct ws_ed_effect *x;
+	uint32_t first;
+	uint64_t id;
+	size_t i;
+
+	setup();
+	id = arrive("/o/1", "k1");
+	x = find(WS_EDFX_SEND);
+	ck_assert_ptr_nonnull(x);
+	first = x->u.send.server;
+	end(id, 0, WS_ED_END_WITHDRAWN);
+	x = find(WS_EDFX_SEND);
+	ck_assert_ptr_nonnull(x);
+	ck_assert_uint_ne(x->u.send.server, first);
+	for (i = 0; i < fx.n; i++)
+		ck_assert(fx.items[i].kind != WS_EDFX_LOG);
+	ck_assert_int_eq(ws_edge_pool(edge)->servers[first].backoff_until, 0);
+	ck_assert_uint_eq(ws_edge_counters(edge)->repeats, 0);
+}
+END_TEST
+
 START_TEST(callers_are_checked)
 {
 	setup();
@@ -1496,6 +1523,7 @@
 {
 	const TTest *const tests[] = {
 		response_is_forwarded,
+		withdrawn_request_goes_to_another_server,
 		callers_are_checked,
 		request_before_the_first_configuration_is_refused,
 		exempt_route_needs_no_key,
--- a/tests/test_eio_front.c
+++ b/tests/test_eio_front.c
@@ -148,6 +148,24 @@
 	return fd;
 }
 
+static void list_server(bool draining)
+{
+	struct ws_ed_event ev = { .kind = WS_EDEV_LISTED };
+	const struct ws_ed_listing listing = {
+		.name = "s0",
+		.address = SERVER_ADDRESS,
+		.service = ws_ed_id("open"),
+		.zone = ws_ed_id("z"),
+		.slots = 100,
+		.started_ms = 1,
+		.sequence = draining,
+		.draining = draining,
+	};
+
+	ev.u.listing = &listing;
+	ws_eio_handle_event(io, &ev);
+}
+
 static void start(void)
 {
 	static const struct ws_server_ops ops = {
@@ -178,14 +196,6 @@
 		.bounds = { .key_evidence_max = 4600 * WS_MS,
 			    .config_delay_max = 2500 * WS_MS },
 	};
-	const struct ws_ed_listing listing = {
-		.name = "s0",
-		.address = SERVER_ADDRESS,
-		.service = ws_ed_id("open"),
-		.zone = ws_ed_id("z"),
-		.slots = 100,
-		.started_ms = 1,
-	};
 	struct ws_ed_event ev = { .kind = WS_EDEV_CONFIG };
 	struct ws_server_limits limits;
 	struct wp_error err = { "" };
@@ -208,9 +218,7 @@
 	ev.u.config =
 		wp_decode_config(config_text, sizeof(config_text) - 1, NULL);
 	ws_eio_handle_event(io, &ev);
-	ev.kind = WS_EDEV_LISTED;
-	ev.u.listing = &listing;
-	ws_eio_handle_event(io, &ev);
+	list_server(false);
 	caller = connect_to(CALLERS_PORT);
 }
 
@@ -489,6 +497,42 @@
 	       !strncmp(answered + sizeof(version) - 1, text, strlen(text));
 }
 
+/* @param turns of the loop between the request and the news of the server */
+static void check_server_leaves_before_sending(int turns)
+{
+	int connection = -1;
+	int listener;
+
+	start();
+	listener = listen_as_server();
+	run_for(50 * WS_MS);
+	send_text(LEFT_REQUEST);
+	while (turns--)
+		ev_run(loop, EVRUN_NOWAIT);
+	if (!has_reached(listener, &connection)) {
+		list_server(true);
+		ck_assert(receive_on(caller, TIME_MAX));
+		ck_assert(has_status("503"));
+		ck_assert(!has_reached(listener, &connection));
+	}
+	close(connection);
+	close(listener);
+	stop();
+}
+
+/*
+ * Guards against DRAIN: a request that was sent to a server before it was known
+ * to leave, and goes out when the connection is open.
+ */
+START_TEST(request_is_not_sent_to_a_server_that_leaves_meanwhile)
+{
+	int turns;
+
+	for (turns = 0; turns < TURNS_TO_SEND; turns++)
+		check_server_leaves_before_sending(turns);
+}
+END_TEST
+
 /* Provides what a process learns from the store. */
 static void read_topics(void)
 {
@@ -778,6 +822,7 @@
 		server_sees_that_the_caller_has_left,
 		request_read_after_its_caller_has_left_is_not_sent,
 		request_whose_caller_leaves_before_it_is_sent_is_not_sent,
+		request_is_not_sent_to_a_server_that_leaves_meanwhile,
 		long_body_does_not_wait_for_the_server,
 		silent_server_ends_at_the_deadline,
 		server_is_told_the_customer_of_the_key,
