Close at once where a sending failed before; satisfy the linter

ws_server_caller_left() left a connection whose sending had failed to the next check of timeouts; it is closed in the next turn of the loop now.

--- a/lib/edgeio/ws_eio_targets.c
+++ b/lib/edgeio/ws_eio_targets.c
@@ -177,8 +177,7 @@
 	struct attempt *a = arg;
 
 	if (a->before_send)
-		a->send =
-			a->before_send(a->targets->io, a->request, a->server);
+		a->send = a->before_send(a->targets->io, a->request, a->server);
 	return a->send == WS_EIO_SEND;
 }
 
--- a/lib/io/ws_server.c
+++ b/lib/io/ws_server.c
@@ -323,16 +323,14 @@
 	struct ws_server_con *c = r->con;
 	ws_us now = c->server->conf.now();
 
+	if (!c->broken &&
+	    (!c->checked_at || now - c->checked_at >= CHECK_VALIDITY)) {
+		c->checked_at = now;
+		c->broken = has_ended(c);
+	}
 	if (c->broken)
-		return true;
-	if (c->checked_at && now - c->checked_at < CHECK_VALIDITY)
-		return false;
-	c->checked_at = now;
-	if (!has_ended(c))
-		return false;
-	c->broken = true;
-	schedule_resume(c->server);
-	return true;
+		schedule_resume(c->server);
+	return c->broken;
 }
 
 /* ===== Events ===== */
--- a/tests/test_ed_lead_cost.c
+++ b/tests/test_ed_lead_cost.c
@@ -16,7 +16,7 @@
 
 #define SELF 0x100
 #define N_SERVERS 200
-#define N_RANGES 800
+#define N_RANGES ((size_t)800)
 #define TICK (20 * WS_MS)
 #define READ_PERIOD (200 * WS_MS)
 /* Share of a core that control may take on each node (docs/CAPACITY.md). */
