Let the tests of callers that leave wait for the end of the connection

A fixed 100 ms for the loop could be too short on a busy machine. The tests run the loop until the caller's connection has ended, 5 s at most, and 50 ms more in which nothing may reach the server.

--- a/tests/test_eio_front.c
+++ b/tests/test_eio_front.c
@@ -350,6 +350,9 @@
 	       recv(*connection, &byte, 1, MSG_DONTWAIT | MSG_PEEK) > 0;
 }
 
+/* For which the process doesn't get the processor. */
+#define HELD_UP_US 20000
+
 static void run_for(ws_us time)
 {
 	ws_us end = ws_eio_now() + time;
@@ -358,12 +361,25 @@
 		ev_run(loop, EVRUN_ONCE);
 }
 
+/* The caller leaves; runs the loop until its connection has ended here. */
+static void leave(void)
+{
+	ws_us end = ws_eio_now() + TIME_MAX;
+
+	close(caller);
+	caller = -1;
+	usleep(HELD_UP_US);
+	do
+		ev_run(loop, EVRUN_ONCE);
+	while (ws_eio_front_connections(io->front) && ws_eio_now() < end);
+	ck_assert_uint_eq(ws_eio_front_connections(io->front), 0);
+	ck_assert_uint_eq(ws_edge_open(io->edge), 0);
+	run_for(50 * WS_MS);
+}
+
 #define LEFT_REQUEST "GET /r/1 HTTP/1.1\r\n" OWN_HEADERS "\r\n"
 /* Turns of the loop within which a request has gone out to its server. */
 #define TURNS_TO_SEND 8
-/* For which the process doesn't get the processor. */
-#define HELD_UP_US 20000
-
 static void check_left_unread(const char *text, bool kept_connection)
 {
 	unsigned before;
@@ -376,12 +392,8 @@
 	}
 	before = received.n;
 	send_text(text);
-	close(caller);
-	caller = -1;
-	run_for(100 * WS_MS);
+	leave();
 	ck_assert_uint_eq(received.n, before);
-	ck_assert_uint_eq(ws_edge_open(io->edge), 0);
-	ck_assert_uint_eq(ws_eio_front_connections(io->front), 0);
 	stop();
 }
 
@@ -411,12 +423,8 @@
 	while (turns--)
 		ev_run(loop, EVRUN_NOWAIT);
 	if (!has_reached(listener, &connection)) {
-		close(caller);
-		caller = -1;
-		usleep(HELD_UP_US);
-		run_for(100 * WS_MS);
+		leave();
 		ck_assert(!has_reached(listener, &connection));
-		ck_assert_uint_eq(ws_edge_open(io->edge), 0);
 	}
 	close(connection);
 	close(listener);
